Lay down the contracts between the parts

The schema of published documents, the settings of a daemon, the closed list of error kinds with its table of answers, the view, the messages between tasks and the shape of an answer come first, so that the parts can be built side by side.

Ruled out: MkDocs-like option classes of our own (a well-kept library does the same), and msgspec (stops at the first error). Nothing runs yet; only format, lint and types were run.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test check venv
+
+venv: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check setuptools
+	touch $@
+
+test: venv check
+	$(BIN)/python -m pytest
+
+check: venv
+	$(BIN)/black --check --quiet cloverway
+	$(BIN)/ruff check --quiet cloverway
+	$(BIN)/mypy
+
+demo: venv
+	$(BIN)/python -m cloverway.tests.demo
--- /dev/null
+++ b/cloverway/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command of the command line."""
--- /dev/null
+++ b/cloverway/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a daemon and the configuration that operators publish."""
--- /dev/null
+++ b/cloverway/config/settings.py
@@ -0,0 +1,128 @@
+"""The settings of one daemon: what a process must know before it can read anything published."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Literal, NamedTuple
+
+from pydantic import Field, TypeAdapter
+
+from cloverway.config.options import Findings, validate
+from cloverway.config.published import Address, Name
+from cloverway.errors import ConfigurationError
+
+Seconds = Annotated[float, Field(gt=0, le=86_400)]
+Count = Annotated[int, Field(ge=1, le=1_000_000)]
+
+
+class Listen(NamedTuple):
+    """Where the daemon listens, by IP number."""
+
+    callers: Address
+    admin: Address
+    peers: Address
+    """The address for other hosts: TCP for requests and documents, UDP for heartbeats."""
+
+
+class PlatformSettings(NamedTuple):
+    """Where published configuration is read."""
+
+    kind: Literal["file", "http"] = "file"
+    directory: str = ""
+    """Directory of TOML files, for kind = "file"."""
+    url: str = ""
+    """Base address of the service, for kind = "http"."""
+    poll_s: Seconds = 0.5
+    """How often the directory is looked at, or the longest wait of a watch."""
+
+
+class Security(NamedTuple):
+    """Secrets shared by the hosts."""
+
+    peer_secret_file: str
+    """File with at least 32 bytes that all hosts share."""
+
+
+class Limits(NamedTuple):
+    """Bounds on what the daemon holds and waits for."""
+
+    threads: Count = 192
+    """Threads for callers; keep it well over `admitted`."""
+    admin_threads: Count = 8
+    admitted: Count = 64
+    """Requests in progress at one time."""
+    queued: Count = 64
+    """Requests that wait for an endpoint; part of the threads that are not admitted."""
+    body_bytes: Annotated[int, Field(ge=1024, le=64 * 1024 * 1024)] = 4 * 1024 * 1024
+    header_bytes: Annotated[int, Field(ge=1024, le=1024 * 1024)] = 64 * 1024
+    answer_bytes: Annotated[int, Field(ge=1024, le=1024 * 1024 * 1024)] = 64 * 1024 * 1024
+    body_timeout_s: Seconds = 10.0
+    connect_timeout_s: Seconds = 1.0
+    recorded_answer_bytes: Annotated[int, Field(ge=0, le=16 * 1024 * 1024)] = 256 * 1024
+    recorded_bytes: Annotated[int, Field(ge=0)] = 64 * 1024 * 1024
+    idempotency_keys: Count = 100_000
+    """Used keys that are held at one time."""
+    idempotency_key_s: Seconds = 3600.0
+    """Lifetime of an idempotency key by the clock of the host that issued it."""
+    drain_s: Seconds = 30.0
+    """How long a leaving daemon waits for requests in progress."""
+
+
+class Timing(NamedTuple):
+    """Periods of the control loop, in seconds."""
+
+    heartbeat_s: Seconds = 0.5
+    suspect_s: Seconds = 2.0
+    """A host that was not heard for this long is not used."""
+    report_s: Seconds = 0.5
+    """How often an endpoint's load is read."""
+    summary_s: Seconds = 1.0
+    """How often a failure domain tells the others what capacity it has."""
+    list_s: Seconds = 1.0
+    """How often the platform's list of live and leaving hosts is read."""
+
+
+class Settings(NamedTuple):
+    """All settings of one daemon."""
+
+    host: Name
+    domain: Name
+    region: Name
+    listen: Listen
+    platform: PlatformSettings
+    security: Security
+    limits: Limits = Limits()
+    timing: Timing = Timing()
+    policy: Literal["cloverway", "random", "round_robin", "least_outstanding", "home_only"] = (
+        "cloverway"
+    )
+    """How an endpoint is chosen; all but the first are baselines for measurements."""
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+
+    @classmethod
+    def from_toml(cls, path: Path) -> Settings:
+        """Read a settings file; raise ConfigurationError with every finding."""
+        try:
+            values = tomllib.loads(path.read_text(encoding="utf-8"))
+        except OSError as error:
+            raise ConfigurationError([f"{path}: can't be read: {error.strerror}"]) from error
+        except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+            raise ConfigurationError([f"{path}: is not TOML: {error}"]) from error
+        findings = Findings(str(path))
+        settings = validate(SCHEMA, values, findings)
+        if settings is not None:
+            _check_platform(settings.platform, findings)
+        findings.raise_if_any()
+        assert settings is not None
+        return settings
+
+
+SCHEMA: TypeAdapter[Settings] = TypeAdapter(Settings)
+
+
+def _check_platform(platform: PlatformSettings, findings: Findings) -> None:
+    if platform.kind == "file" and not platform.directory:
+        findings.add("platform.directory", 'set it to the published directory, or kind = "http"')
+    if platform.kind == "http" and not platform.url:
+        findings.add("platform.url", 'set it to the service\'s address, or kind = "file"')
--- /dev/null
+++ b/cloverway/errors.py
@@ -0,0 +1,166 @@
+"""The closed list of error kinds, the answer each one gives, and the exception tree."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple, TypedDict
+
+
+class Ran(StrEnum):
+    """Whether a request was run by an endpoint; `NO` is a promise."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class Kind(StrEnum):
+    """Every way in which a request can fail."""
+
+    MALFORMED = "malformed"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    RESIDENCY = "residency"
+    NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    TOO_LARGE = "too_large"
+    TOO_SLOW = "too_slow"
+    KEY_REQUIRED = "key_required"
+    KEY_INVALID = "key_invalid"
+    KEY_MISMATCH = "key_mismatch"
+    KEY_EXPIRED = "key_expired"
+    KEY_IN_USE = "key_in_use"
+    KEY_OWNER_LOST = "key_owner_lost"
+    ANSWER_GONE = "answer_gone"
+    OVERLOADED = "overloaded"
+    TEAM_LIMIT = "team_limit"
+    NO_CAPACITY = "no_capacity"
+    STARTING = "starting"
+    LEAVING = "leaving"
+    DEADLINE = "deadline"
+    TIMED_OUT = "timed_out"
+    ENDPOINT_REFUSED = "endpoint_refused"
+    ENDPOINT_FAILED = "endpoint_failed"
+    TRUNCATED = "truncated"
+    CALLER_LEFT = "caller_left"
+    INTERNAL = "internal"
+
+
+class Answer(NamedTuple):
+    """What a caller is told for one kind of error."""
+
+    status: int
+    title: str
+    ran: Ran
+    come_back: bool
+    """Whether the answer carries Retry-After."""
+
+
+ANSWERS: dict[Kind, Answer] = {
+    Kind.MALFORMED: Answer(400, "The request is malformed", Ran.NO, False),
+    Kind.UNAUTHENTICATED: Answer(401, "No valid caller key", Ran.NO, False),
+    Kind.FORBIDDEN: Answer(403, "The team may not use this profile", Ran.NO, False),
+    Kind.RESIDENCY: Answer(403, "The data may not leave its region", Ran.NO, False),
+    Kind.NOT_FOUND: Answer(404, "There is no such resource", Ran.NO, False),
+    Kind.METHOD_NOT_ALLOWED: Answer(405, "The method is not allowed here", Ran.NO, False),
+    Kind.TOO_LARGE: Answer(413, "The request is too large", Ran.NO, False),
+    Kind.TOO_SLOW: Answer(408, "The request arrived too slowly", Ran.NO, False),
+    Kind.KEY_REQUIRED: Answer(428, "An idempotency key is required", Ran.NO, False),
+    Kind.KEY_INVALID: Answer(422, "No host issued this idempotency key", Ran.NO, False),
+    Kind.KEY_MISMATCH: Answer(422, "The key belongs to a different request", Ran.NO, False),
+    Kind.KEY_EXPIRED: Answer(409, "The idempotency key has expired", Ran.UNKNOWN, False),
+    Kind.KEY_IN_USE: Answer(409, "The first request with this key goes on", Ran.UNKNOWN, True),
+    Kind.KEY_OWNER_LOST: Answer(
+        503, "The host that issued the key can't be asked", Ran.UNKNOWN, True
+    ),
+    Kind.ANSWER_GONE: Answer(409, "It ran; its answer is no longer held", Ran.YES, False),
+    Kind.OVERLOADED: Answer(429, "There is more work than capacity", Ran.NO, True),
+    Kind.TEAM_LIMIT: Answer(429, "The team is over its fair share", Ran.NO, True),
+    Kind.NO_CAPACITY: Answer(503, "No endpoint is ready for this", Ran.NO, True),
+    Kind.STARTING: Answer(503, "This host has no configuration yet", Ran.NO, True),
+    Kind.LEAVING: Answer(503, "This host is leaving", Ran.NO, True),
+    Kind.DEADLINE: Answer(504, "The deadline can't be met", Ran.NO, True),
+    Kind.TIMED_OUT: Answer(504, "No whole answer came in time", Ran.UNKNOWN, False),
+    Kind.ENDPOINT_REFUSED: Answer(503, "The endpoint did not start the request", Ran.NO, True),
+    Kind.ENDPOINT_FAILED: Answer(502, "The endpoint failed", Ran.UNKNOWN, False),
+    Kind.TRUNCATED: Answer(502, "The answer was cut short", Ran.UNKNOWN, False),
+    Kind.CALLER_LEFT: Answer(499, "The caller left", Ran.UNKNOWN, False),
+    Kind.INTERNAL: Answer(500, "The gateway failed", Ran.UNKNOWN, False),
+}
+
+
+class Problem(TypedDict, total=False):
+    """The body of a failed answer: application/problem+json (RFC 9457)."""
+
+    type: str
+    title: str
+    status: int
+    kind: str
+    ran: str
+    detail: str
+    request_id: str
+    retry_after_s: float
+
+
+class CloverwayError(Exception):
+    """Base of all exceptions that this package raises."""
+
+
+class UserError(CloverwayError):
+    """A mistake that a person can mend; shown without a traceback."""
+
+
+class ConfigurationError(UserError):
+    """Settings or published documents that can't be used, with every finding."""
+
+    def __init__(self, findings: list[str]) -> None:
+        super().__init__("\n".join(findings))
+        self.findings = findings
+
+
+class PlatformError(CloverwayError):
+    """The platform could not be read."""
+
+
+class PeerError(CloverwayError):
+    """A peer could not be reached, or said something that can't be trusted."""
+
+
+class RequestError(CloverwayError):
+    """A request failed; carries all that its answer needs."""
+
+    def __init__(
+        self,
+        kind: Kind,
+        detail: str = "",
+        *,
+        ran: Ran | None = None,
+        retry_after: float | None = None,
+    ) -> None:
+        super().__init__(f"{kind}: {detail}")
+        self.kind = kind
+        self.detail = detail
+        self.ran = ran if ran is not None else ANSWERS[kind].ran
+        self.retry_after = retry_after
+        """Seconds until a new attempt makes sense, or None where there is no telling."""
+
+    @property
+    def status(self) -> int:
+        """The HTTP status of the answer."""
+        return ANSWERS[self.kind].status
+
+    def as_problem(self, request_id: str) -> Problem:
+        """Give the body of the answer."""
+        answer = ANSWERS[self.kind]
+        problem = Problem(
+            type=f"urn:cloverway:error:{self.kind}",
+            title=answer.title,
+            status=answer.status,
+            kind=str(self.kind),
+            ran=str(self.ran),
+            detail=self.detail or answer.title,
+            request_id=request_id,
+        )
+        if self.retry_after is not None:
+            problem["retry_after_s"] = round(self.retry_after, 3)
+        return problem
--- /dev/null
+++ b/cloverway/messages.py
@@ -0,0 +1,109 @@
+"""Typed messages between the tasks of a daemon."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from cloverway.errors import Kind, Ran
+
+
+class Request(NamedTuple):
+    """An authenticated request, as all decisions see it. Times are monotonic seconds."""
+
+    id: str
+    team: str
+    profile: str
+    path: str
+    """Path below the endpoint's address, with its query."""
+    method: str
+    body: bytes
+    content_type: str
+    arrived_at: float
+    deadline: float
+    stream: bool = False
+    key: str = ""
+    """The idempotency key, or empty."""
+    passed_on: bool = False
+    """Came from another host: run here or refused, never passed on again."""
+    revision: int = 0
+    """Configuration revision by which the first host admitted it."""
+
+
+class Local(NamedTuple):
+    """Run at an endpoint of this failure domain."""
+
+    endpoint: str
+    url: str
+
+
+class Away(NamedTuple):
+    """Pass on to a host of another failure domain."""
+
+    domain: str
+    host: str
+    address: str
+
+
+Route = Local | Away
+
+
+class Outcome(StrEnum):
+    """How an attempt ended."""
+
+    DONE = "done"
+    NOT_SENT = "not_sent"
+    """No byte left this host: the attempt certainly did not run."""
+    REFUSED = "refused"
+    """The endpoint or the other host said that it did not start."""
+    FAILED = "failed"
+    """It failed after the first byte may have left."""
+    CALLER_LEFT = "caller_left"
+
+
+class Arrival(NamedTuple):
+    """Worker to dispatcher: a request asks for a route."""
+
+    request: Request
+
+
+class Started(NamedTuple):
+    """Worker to dispatcher: the first byte of the answer arrived."""
+
+    ticket: int
+    at: float
+
+
+class Finished(NamedTuple):
+    """Worker to dispatcher: the attempt ended."""
+
+    ticket: int
+    outcome: Outcome
+    at: float
+    retry: bool = False
+    """Asks for another route for the same request."""
+
+
+class Cancelled(NamedTuple):
+    """Worker to dispatcher: the caller left while the request was queued."""
+
+    request_id: str
+
+
+class Admitted(NamedTuple):
+    """Dispatcher to worker: run it along this route."""
+
+    ticket: int
+    route: Route
+
+
+class Refused(NamedTuple):
+    """Dispatcher to worker: the final answer, given at once."""
+
+    kind: Kind
+    detail: str = ""
+    retry_after: float | None = None
+    ran: Ran = Ran.NO
+
+
+Verdict = Admitted | Refused
--- /dev/null
+++ b/cloverway/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Ports and adapters to the platform that publishes configuration."""
--- /dev/null
+++ b/cloverway/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package, one module for each module tested."""
