Hand out routes by residency and least outstanding work

The first version of the dispatcher: one thread that owns the tickets, a pure core that decides, and the residency rule with its second check at the host that runs a request. The policy setting also takes the baseline global_least_loaded.

--- a/cloverway/config/settings.py
+++ b/cloverway/config/settings.py
@@ -94,9 +94,14 @@
     security: Security
     limits: Limits = Limits()
     timing: Timing = Timing()
-    policy: Literal["cloverway", "random", "round_robin", "least_outstanding", "home_only"] = (
-        "cloverway"
-    )
+    policy: Literal[
+        "cloverway",
+        "random",
+        "round_robin",
+        "least_outstanding",
+        "home_only",
+        "global_least_loaded",
+    ] = "cloverway"
     """How an endpoint is chosen; all but the first are baselines for measurements."""
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
--- /dev/null
+++ b/cloverway/dispatcher.py
@@ -0,0 +1,163 @@
+"""The dispatcher: the one thread that owns queues, in-flight counts, limits and budgets.
+
+Workers ask it for a route and block until a typed answer; all deciding is in `decisions.Core`.
+"""
+
+from __future__ import annotations
+
+import itertools
+import logging
+import time
+from collections.abc import Callable, Iterable
+from concurrent.futures import Future
+from random import Random
+from typing import Any, NamedTuple
+
+from cloverway.config.settings import Settings
+from cloverway.decisions import Core, Decided, Explanation
+from cloverway.errors import Kind
+from cloverway.messages import (
+    Arrival,
+    Cancelled,
+    Finished,
+    Outcome,
+    Refused,
+    Request,
+    Started,
+    Verdict,
+)
+from cloverway.task import Task
+from cloverway.view import ViewHolder
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.01
+"""Period in which waiting requests are looked at; well below the 20 ms that a refusal may take."""
+GRACE_S = 5.0
+"""How long after its deadline a worker still waits for its verdict."""
+
+
+class Explain(NamedTuple):
+    """Ask where a request would go, and why."""
+
+    team: str
+    profile: str
+    now: float
+
+
+class Dispatcher:
+    """Hand out routes; safe to call from every thread."""
+
+    def __init__(
+        self, core: Core, holder: ViewHolder, clock: Callable[[], float], random: Random
+    ) -> None:
+        self._core = core
+        self._holder = holder
+        self._clock = clock
+        self._random = random
+        self._places = itertools.count(1)
+        self._waiting: dict[int, Future[Verdict | None]] = {}
+        self._task = Task("dispatcher", self._handle, self._tick, TICK_S)
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: Settings,
+        holder: ViewHolder,
+        clock: Callable[[], float] = time.monotonic,
+        random: Random | None = None,
+    ) -> Dispatcher:
+        """Make a dispatcher from a daemon's settings; `start` runs it."""
+        return cls(Core.from_config(settings), holder, clock, random or Random())
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._task.start()
+
+    def stop(self) -> None:
+        """Stop the thread; requests that still wait are refused."""
+        self._task.stop()
+        for answer in self._waiting.values():
+            answer.set_result(Refused(Kind.LEAVING, retry_after=0.0))
+        self._waiting.clear()
+
+    def submit(self, request: Request) -> Verdict:
+        """Wait for a route or a refusal, at most until the request's deadline."""
+        return self._ask_verdict(Arrival(request), request)
+
+    def started(self, ticket: int, at: float) -> None:
+        """Note the first byte of an answer."""
+        self._task.send(Started(ticket, at))
+
+    def finished(
+        self, ticket: int, outcome: Outcome, at: float, retry: bool = False
+    ) -> Verdict | None:
+        """Note the end of an attempt; with `retry` wait for a new route or a refusal."""
+        answer = self._task.send(Finished(ticket, outcome, at, retry))
+        verdict: Verdict | None = answer.result() if retry else None
+        return verdict
+
+    def cancel(self, request_id: str) -> None:
+        """Give up a request that waits in the queue: its `submit` returns a refusal."""
+        self._task.send(Cancelled(request_id))
+
+    def explain(self, team: str, profile: str, now: float) -> Explanation:
+        """Say where a request would go, and why."""
+        explanation: Explanation = self._task.ask(Explain(team, profile, now), GRACE_S)
+        return explanation
+
+    def load(self) -> float:
+        """Give requests in progress over the limit, 0 to 1."""
+        return self._core.load
+
+    def in_flight(self) -> int:
+        """Count attempts in progress."""
+        return self._core.in_flight
+
+    def count_targets(self) -> dict[str, int]:
+        """Count requests in progress by model or service."""
+        return self._core.count_targets()
+
+    def _ask_verdict(self, message: Arrival, request: Request) -> Verdict:
+        answer = self._task.send(message)
+        try:
+            verdict: Verdict = answer.result(request.deadline - self._clock() + GRACE_S)
+        except TimeoutError:
+            log.error("the dispatcher gave no verdict", extra={"request_id": request.id})
+            self.cancel(request.id)
+            return Refused(Kind.INTERNAL)
+        return verdict
+
+    def _handle(self, message: Any, answer: Future[Any]) -> None:
+        now = self._clock()
+        view = self._holder.current
+        match message:
+            case Arrival(request):
+                place = self._hold(answer)
+                self._answer(self._core.arrive(place, request, view, now, self._random))
+            case Started(ticket, at):
+                self._core.start(ticket, at)
+                answer.set_result(None)
+            case Finished(ticket, outcome, at, retry):
+                held = self._hold(answer) if retry else None
+                decided = self._core.finish(ticket, outcome, view, now, self._random, retry=held)
+                self._answer(decided)
+                if held is None:
+                    answer.set_result(None)
+            case Cancelled(request_id):
+                self._answer(self._core.cancel(request_id, now))
+                answer.set_result(None)
+            case Explain(team, profile, at):
+                answer.set_result(self._core.explain(team, profile, view, at))
+
+    def _tick(self) -> None:
+        self._answer(self._core.advance(self._holder.current, self._clock(), self._random))
+
+    def _hold(self, answer: Future[Verdict | None]) -> int:
+        place = next(self._places)
+        self._waiting[place] = answer
+        return place
+
+    def _answer(self, decided: Iterable[Decided]) -> None:
+        for place, verdict in decided:
+            self._waiting.pop(place).set_result(verdict)
--- /dev/null
+++ b/cloverway/residency.py
@@ -0,0 +1,37 @@
+"""Where a team's requests may be served: the one rule, applied by each host that handles them."""
+
+from __future__ import annotations
+
+from cloverway.config.published import Published
+from cloverway.errors import Kind, RequestError
+from cloverway.messages import Request
+
+NOWHERE: frozenset[str] = frozenset()
+
+
+def allowed_regions(published: Published, team: str, profile: str) -> frozenset[str]:
+    """List the regions that may serve a team's requests with a profile; empty means refuse.
+
+    An unknown team, profile or region allows nothing: what isn't known can't be shown to be safe.
+    """
+    known_team = published.teams.get(team)
+    known_profile = published.profiles.get(profile)
+    if known_team is None or known_profile is None:
+        return NOWHERE
+    if not published.regions.keys() >= {known_team.home, *known_profile.regions}:
+        return NOWHERE
+    regions = frozenset(known_profile.regions or published.regions)
+    return regions & {known_team.home} if known_team.bound else regions
+
+
+def check_here(published: Published | None, request: Request, region: str) -> None:
+    """Raise RequestError unless this host's own configuration lets a request run in a region.
+
+    The host that runs a request checks it again. The first host chose a region that its own
+    revision allows, so a request runs only where both revisions allow it: the stricter one holds,
+    whichever of the two is older.
+    """
+    if published is None:
+        raise RequestError(Kind.STARTING)
+    if region not in allowed_regions(published, request.team, request.profile):
+        raise RequestError(Kind.RESIDENCY, f"may not be served in region {region!r}")
--- /dev/null
+++ b/cloverway/tests/test_residency.py
@@ -0,0 +1,93 @@
+from __future__ import annotations
+
+import pytest
+
+from cloverway.config.published import Published
+from cloverway.errors import Kind, RequestError
+from cloverway.messages import Request
+from cloverway.residency import allowed_regions, check_here
+
+PUBLISHED = Published.from_documents(
+    {
+        "revision": 1,
+        "organisation": {"name": "riviere"},
+        "regions": {"port-louis": {}, "curepipe": {}, "rodrigues": {}},
+        "profiles": {
+            "stock": {"model": "clover"},
+            "south": {"model": "clover", "regions": ["curepipe", "rodrigues"]},
+        },
+        "teams": {
+            "free": {"home": "curepipe", "profiles": ["stock", "south"]},
+            "bound": {"home": "curepipe", "bound": True, "profiles": ["stock", "south"]},
+            "stranger": {"home": "port-louis", "bound": True, "profiles": ["south"]},
+        },
+    }
+)
+EVERY = frozenset({"port-louis", "curepipe", "rodrigues"})
+
+
+@pytest.mark.parametrize(
+    ("team", "profile", "regions"),
+    [
+        ("free", "stock", EVERY),
+        ("free", "south", {"curepipe", "rodrigues"}),
+        ("bound", "stock", {"curepipe"}),
+        ("bound", "south", {"curepipe"}),
+        ("stranger", "south", set()),
+        ("nobody", "stock", set()),
+        ("free", "unheard", set()),
+    ],
+)
+def test_regions_by_team_and_profile(team, profile, regions):
+    assert allowed_regions(PUBLISHED, team, profile) == regions
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        PUBLISHED._replace(regions={"port-louis": PUBLISHED.regions["port-louis"]}),
+        PUBLISHED._replace(regions={}),
+    ],
+)
+def test_an_unknown_region_allows_nothing(broken):
+    assert not allowed_regions(broken, "bound", "stock")
+    assert not allowed_regions(broken, "free", "south")
+
+
+def make_request(team, profile, revision):
+    return Request(
+        id="r1",
+        team=team,
+        profile=profile,
+        path="/v1/chat/completions",
+        method="POST",
+        body=b"",
+        content_type="application/json",
+        arrived_at=0.0,
+        deadline=1.0,
+        passed_on=True,
+        revision=revision,
+    )
+
+
+@pytest.mark.parametrize("origin", [1, 2, 3])
+def test_the_stricter_of_two_revisions_holds(origin):
+    """A host with an older or newer revision passes a request on; the receiver must refuse it.
+
+    The origin's revision left the team free, so it chose Rodrigues. The receiver's revision binds
+    the team to Curepipe. Whichever revision is the later one, running it would break residency.
+    """
+    free = PUBLISHED.teams["free"]
+    own = PUBLISHED._replace(
+        revision=2, teams={**PUBLISHED.teams, "free": free._replace(bound=True)}
+    )
+    with pytest.raises(RequestError) as caught:
+        check_here(own, make_request("free", "stock", origin), "rodrigues")
+    assert caught.value.kind is Kind.RESIDENCY
+    check_here(own, make_request("free", "stock", origin), "curepipe")
+
+
+def test_a_host_without_configuration_runs_nothing():
+    with pytest.raises(RequestError) as caught:
+        check_here(None, make_request("free", "stock", 1), "curepipe")
+    assert caught.value.kind is Kind.STARTING
