Add stand-ins for engines, services and the platform, and links to cut

Tests and the demo need the world outside without the world: an engine with continuous batching, priorities, a prefix cache, resume, cancel and orders; a plain service that counts its calls; the platform's read-and-watch service; and TCP and UDP links that a test cuts, silences or slows down. Each is one asyncio loop on a thread of its own, so that a stream costs no thread, and runs embedded or as a program. All have the same fault switches.

A leaving endpoint still takes work and counts it: one that refused would hide a gateway that goes on sending.

--- /dev/null
+++ b/cloverway/tests/standins/base.py
@@ -0,0 +1,282 @@
+"""A small HTTP/1.1 server with fault switches, on a loop and a thread of its own."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import signal
+import threading
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+from cloverway.tests.standins.faults import Faults
+
+REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 429: "Too Many Requests"}
+HEAD_LIMIT = 64 * 1024
+
+
+class Request:
+    """One parsed request."""
+
+    def __init__(self, method: str, target: str, headers: dict[str, str], body: bytes) -> None:
+        parts = urlsplit(target)
+        self.method = method
+        self.target = target
+        self.path = parts.path
+        self.query = dict(parse_qsl(parts.query))
+        self.headers = headers
+        self.body = body
+
+    def json(self) -> Any:
+        try:
+            return json.loads(self.body or b"{}")
+        except ValueError:
+            return {}
+
+
+class Channel(asyncio.Protocol):
+    """One connection: parses requests, one after the other, and writes the answers."""
+
+    def __init__(self, server: Server) -> None:
+        self._server = server
+        self._buffer = bytearray()
+        self._task: asyncio.Task[None] | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self.gone = asyncio.Event()
+        self.requests = 0
+        self.answered = False
+
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+        self._server.channels.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.gone.set()
+        self._writable.set()
+        self._server.channels.discard(self)
+
+    def pause_writing(self) -> None:
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        self._buffer += data
+        self._next()
+
+    def _next(self) -> None:
+        if self._task is not None or self.gone.is_set():
+            return
+        request = self._parse()
+        if request is not None:
+            self.requests += 1
+            self.answered = False
+            self._task = asyncio.get_running_loop().create_task(self._serve(request))
+
+    def _parse(self) -> Request | None:
+        end = self._buffer.find(b"\r\n\r\n")
+        if end < 0:
+            if len(self._buffer) > HEAD_LIMIT:
+                self.cut()
+            return None
+        lines = self._buffer[:end].decode("latin-1").split("\r\n")
+        pairs = (line.split(":", 1) for line in lines[1:] if ":" in line)
+        headers = {name.strip().lower(): value.strip() for name, value in pairs}
+        length = int(headers.get("content-length", "0"))
+        if len(self._buffer) < end + 4 + length:
+            return None
+        body = bytes(self._buffer[end + 4 : end + 4 + length])
+        del self._buffer[: end + 4 + length]
+        method, target, _version = lines[0].split(" ", 2)
+        return Request(method, target, headers, body)
+
+    async def _serve(self, request: Request) -> None:
+        try:
+            await self._server.answer(request, self)
+            if not self.answered:
+                self.send_json(404, {"error": {"type": "not_found"}})
+        except ConnectionError:
+            pass
+        except Exception as error:
+            self.send_json(500, {"error": {"type": "stand_in", "message": repr(error)}})
+        finally:
+            self._task = None
+        if request.headers.get("connection", "").lower() == "close":
+            self._transport.close()
+        self._next()
+
+    def send(
+        self, status: int, content_type: str, body: bytes, headers: dict[str, str] | None = None
+    ) -> None:
+        """Send a whole answer."""
+        self.write(self.head(status, content_type, {"Content-Length": len(body)}, headers) + body)
+
+    def send_json(self, status: int, value: Any, headers: dict[str, str] | None = None) -> None:
+        self.send(status, "application/json", json.dumps(value).encode(), headers)
+
+    async def send_faulty(self, faults: Faults, content_type: str, body: bytes) -> None:
+        """Send a whole answer as the switches have it."""
+        length = len(body) + (64 if faults.short_body else 0)
+        head = self.head(200, content_type, {"Content-Length": length})
+        end = faults.cut_after if faults.cut_after is not None else faults.stall_after
+        self.write(head + body[: len(body) if end is None else end])
+        if faults.stall_after is not None:
+            await self.gone.wait()
+        if faults.short_body or faults.cut_after is not None:
+            self._transport.close()
+        if faults.duplicate:
+            self.write(head + body)
+
+    def head(self, status: int, content_type: str, *more: dict[str, Any] | None) -> bytes:
+        lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
+        lines.append(f"Content-Type: {content_type}")
+        lines.extend(f"{name}: {value}" for each in more for name, value in (each or {}).items())
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+    def start_stream(self, content_type: str) -> None:
+        self.write(self.head(200, content_type, {"Transfer-Encoding": "chunked"}))
+
+    async def send_piece(self, data: bytes) -> None:
+        self.write(b"%x\r\n%s\r\n" % (len(data), data))
+        if not self._writable.is_set():
+            await self._writable.wait()
+
+    def end_stream(self) -> None:
+        self.write(b"0\r\n\r\n")
+
+    def write(self, data: bytes) -> None:
+        if self.gone.is_set():
+            raise ConnectionError("the other side left")
+        self.answered = True
+        self._transport.write(data)
+
+    def cut(self) -> None:
+        """Reset the connection."""
+        self._transport.abort()
+        self.gone.set()
+        self.answered = True
+
+    def close(self) -> None:
+        """Close the connection after what was written."""
+        self._transport.close()
+        self.answered = True
+
+
+class Server:
+    """Serve until stopped; `url` and `address` are known after `start`."""
+
+    def __init__(self, port: int = 0, host: str = "127.0.0.1") -> None:
+        self.host = host
+        self.port = port
+        self.faults = Faults()
+        self.channels: set[Channel] = set()
+        self.connections = 0
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._run, name="stand-in", daemon=True)
+        self._listener: asyncio.Server | None = None
+
+    @property
+    def address(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @property
+    def url(self) -> str:
+        return f"http://{self.address}"
+
+    def start(self) -> Any:
+        self._thread.start()
+        self.open()
+        self.call(self.on_start)
+        return self
+
+    def stop(self) -> None:
+        if not self._loop.is_running():
+            return
+        self.close()
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(5)
+
+    def __enter__(self) -> Any:
+        return self.start()
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def open(self) -> None:
+        """Listen; again on the same port after `close`."""
+        asyncio.run_coroutine_threadsafe(self._open(), self._loop).result(5)
+
+    def close(self) -> None:
+        """Refuse connections, and reset those that are open."""
+        self.call(self._close)
+
+    def call(self, function: Callable[[], Any]) -> Any:
+        """Run a function on the server's loop and give its value."""
+
+        async def run() -> Any:
+            return function()
+
+        if threading.current_thread() is self._thread:
+            return function()
+        return asyncio.run_coroutine_threadsafe(run(), self._loop).result(5)
+
+    def on_start(self) -> None:
+        """Start what runs beside the server; on the loop."""
+
+    async def answer(self, request: Request, channel: Channel) -> None:
+        """Answer one request; an unanswered one becomes 404."""
+
+    def answer_test(self, request: Request, channel: Channel) -> bool:
+        """Answer the fault switches below /test."""
+        if request.path != "/test/faults" or request.method != "POST":
+            return False
+        switches = request.json()
+        if switches.pop("clear", False):
+            self.faults.clear()
+        self.faults.set(**switches)
+        channel.send_json(200, {name: getattr(self.faults, name) for name in Faults.DEFAULTS})
+        return True
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_forever()
+        for task in asyncio.all_tasks(self._loop):
+            task.cancel()
+        self._loop.run_until_complete(asyncio.sleep(0))
+        self._loop.close()
+
+    async def _open(self) -> None:
+        self._listener = await self._loop.create_server(
+            lambda: Channel(self), self.host, self.port, backlog=1024, reuse_address=True
+        )
+        self.port = self._listener.sockets[0].getsockname()[1]
+
+    def _close(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        for channel in list(self.channels):
+            channel.cut()
+
+
+def parser(description: str) -> argparse.ArgumentParser:
+    """Give the options that all stand-ins have as programs."""
+    options = argparse.ArgumentParser(description=description)
+    options.add_argument("--port", type=int, default=0)
+    options.add_argument("--host", default="127.0.0.1")
+    return options
+
+
+def serve_forever(server: Server) -> None:
+    """Serve until a signal ends the process."""
+    server.start()
+    print(server.url, flush=True)
+    ended = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: ended.set())
+    ended.wait()
+    server.stop()
--- /dev/null
+++ b/cloverway/tests/standins/engine.py
@@ -0,0 +1,305 @@
+"""A model engine: completions, streams, orders and load reports, with fault switches."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import secrets
+import time
+from collections import Counter, deque
+from typing import Any
+
+from cloverway.tests.standins.base import Channel, Request, Server, parser, serve_forever
+from cloverway.tests.standins.batching import Batch, PrefixCache, Run, Timing
+from cloverway.tests.standins.faults import Faults
+from cloverway.tests.standins.orders import Orders
+from cloverway.tests.standins.service import NOT_STARTED
+
+SAMPLE_S = 0.02
+COMPLETIONS = {"/v1/chat/completions": "chat", "/v1/completions": "text"}
+
+
+class Engine(Server):
+    """An engine that batches continuously."""
+
+    def __init__(
+        self,
+        port: int = 0,
+        *,
+        models: tuple[str, ...] = ("clover-assist",),
+        slots: int = 8,
+        timing: Timing | None = None,
+        cache_blocks: int = 1024,
+        report_lag_s: float = 0.0,
+        event_lag_s: float = 0.0,
+        gap_every: int = 0,
+        fencing: bool = False,
+    ) -> None:
+        super().__init__(port)
+        self.timing = timing or Timing()
+        self.report_lag_s = report_lag_s
+        self.event_lag_s = event_lag_s
+        self.orders = Orders(models, fencing)
+        self.incarnation = secrets.token_hex(8)
+        self.cache_blocks = cache_blocks
+        self.gap_every = gap_every
+        self.batch = Batch(slots, self.timing, PrefixCache(cache_blocks, gap_every))
+        self.received_leaving = 0
+        self.by_key: Counter[str] = Counter()
+        self.by_user: Counter[str] = Counter()
+        self._reports: deque[tuple[float, dict[str, Any]]] = deque(maxlen=4096)
+        self._number = itertools.count()
+
+    def on_start(self) -> None:
+        self._sampler = self._loop.create_task(self._sample())
+
+    async def _sample(self) -> None:
+        while True:
+            if self.report_lag_s:
+                self._reports.append((time.monotonic(), self._load_now()))
+            await asyncio.sleep(SAMPLE_S)
+
+    def forget(self) -> None:
+        """Lose all runs, the cache and the fencing number, as a restart does."""
+        self.batch.forget()
+        self.batch.cache = PrefixCache(self.cache_blocks, self.gap_every)
+        self.incarnation = secrets.token_hex(8)
+        self.orders.highest_fencing = 0
+        self._reports.clear()
+
+    async def answer(self, request: Request, channel: Channel) -> None:
+        if self.answer_test(request, channel):
+            return
+        route = (request.method, request.path)
+        if request.method == "POST" and request.path in COMPLETIONS:
+            await self._complete(request, channel, self.faults.take())
+        elif route == ("POST", "/v1/cancel"):
+            found = self.batch.cancel(str(request.json().get("id", "")))
+            channel.send_json(200 if found else 404, {"cancelled": found})
+        elif route == ("GET", "/v1/resume"):
+            await self._resume(request, channel, self.faults.take())
+        elif route == ("GET", "/v1/load"):
+            channel.send_json(200, self.load(time.monotonic()))
+        elif route == ("GET", "/v1/cache-events"):
+            channel.send_json(200, self._cache_events(int(request.query.get("after", "0"))))
+        elif route == ("POST", "/v1/orders"):
+            self._take_order(request.json(), channel)
+        elif request.path == "/test/runs":
+            channel.send_json(200, self.counts())
+        elif request.path == "/test/state" and request.method == "POST":
+            self.set_state(**request.json())
+            channel.send_json(200, self._load_now())
+
+    def set_state(
+        self,
+        *,
+        leaving: bool | None = None,
+        forget: bool = False,
+        report_lag_s: float | None = None,
+        timing: dict[str, float] | None = None,
+    ) -> None:
+        if leaving is not None:
+            self.orders.leaving = leaving
+        if report_lag_s is not None:
+            self.report_lag_s = report_lag_s
+        if timing is not None:
+            self.timing = self.timing._replace(**timing)
+            self.batch.timing = self.timing
+        if forget:
+            self.forget()
+
+    def counts(self) -> dict[str, Any]:
+        return {
+            **self.batch.as_dict(),
+            "total": sum(self.batch.started.values()),
+            "received_leaving": self.received_leaving,
+            "keys": dict(self.by_key),
+            "users": dict(self.by_user),
+            "orders": self.orders.taken,
+            "refused_orders": self.orders.refused,
+        }
+
+    def load(self, now: float) -> dict[str, Any]:
+        """Give the report as it was `report_lag_s` ago."""
+        due = now - self.report_lag_s
+        old = [report for report in self._reports if report[0] <= due]
+        at, report = old[-1] if self.report_lag_s and old else (now, self._load_now())
+        return {**report, "report_age_ms": round((now - at) * 1000)}
+
+    def _load_now(self) -> dict[str, Any]:
+        return {
+            "incarnation": self.incarnation,
+            "ready": bool(self.orders.models) and not self.orders.leaving,
+            "leaving": self.orders.leaving,
+            "running": self.batch.running,
+            "waiting": self.batch.waiting,
+            "slots": self.batch.slots,
+            "models": list(self.orders.models),
+            "loading": sorted(self.orders.loading),
+            "role": self.orders.role,
+            "kv_used": round(self.batch.cache.used, 4),
+        }
+
+    def _cache_events(self, after: int) -> dict[str, Any]:
+        until = time.monotonic() - self.event_lag_s
+        events = self.batch.cache.events(after, until)
+        listed = [{"seq": e.sequence, "kind": e.kind, "block": e.block} for e in events]
+        return {"incarnation": self.incarnation, "events": listed}
+
+    def _take_order(self, order: dict[str, Any], channel: Channel) -> None:
+        if not self.orders.take(order):
+            error = {"type": "old_fencing", "highest": self.orders.highest_fencing}
+            channel.send_json(409, {"error": error})
+            return
+        if "load" in order:
+            self._loop.create_task(self.orders.load(str(order["load"]), self.timing.load_s))
+        channel.send_json(200, {"accepted": True, "incarnation": self.incarnation})
+
+    async def _complete(self, request: Request, channel: Channel, faults: Faults) -> None:
+        body = request.json()
+        model = str(body.get("model", ""))
+        self.received_leaving += self.orders.leaving
+        if faults.refuse or model not in self.orders.models:
+            channel.send_json(503, {"error": {"type": "not_started"}}, NOT_STARTED)
+            return
+        run = self._make_run(request, body)
+        self.by_key[request.headers.get("idempotency-key", "")] += 1
+        self.by_user[run.user] += 1
+        self.batch.add(run, faults.token_s)
+        try:
+            await self._answer_run(run, body, COMPLETIONS[request.path], channel, faults)
+        finally:
+            if channel.gone.is_set() or run.state == "running":
+                self.batch.interrupt(run)
+
+    def _make_run(self, request: Request, body: dict[str, Any]) -> Run:
+        messages = body.get("messages", [])
+        prompt = str(body.get("prompt", "")) or "\n".join(str(m["content"]) for m in messages)
+        identity = request.headers.get("x-request-id") or f"run-{next(self._number)}"
+        if identity in self.batch.runs:
+            identity = f"{identity}+{next(self._number)}"
+        priority = int(request.headers.get("cloverway-priority", "1"))
+        total = int(body.get("max_tokens", 16))
+        return Run(identity, prompt, str(body.get("user", "")), total, priority)
+
+    async def _answer_run(
+        self, run: Run, body: dict[str, Any], form: str, channel: Channel, faults: Faults
+    ) -> None:
+        if faults.close_at_once:
+            await self._grow_to(run, 1, channel)
+            channel.cut()
+        elif faults.silent:
+            await channel.gone.wait()
+        elif body.get("stream"):
+            await self._stream(run, 0, form, channel, faults)
+        else:
+            await self._answer_whole(run, form, channel, faults)
+
+    async def _answer_whole(self, run: Run, form: str, channel: Channel, faults: Faults) -> None:
+        await self._grow_to(run, run.total, channel)
+        await asyncio.sleep(faults.first_byte_s)
+        if faults.error or run.state in ("lost", "cancelled"):
+            channel.send_json(faults.error or 500, {"error": {"type": "failed"}})
+            return
+        text = "".join(run.tokens(0, run.total))
+        choice: dict[str, Any] = {"index": 0, "finish_reason": "length"}
+        choice |= {"message": {"role": "assistant", "content": text}} if form == "chat" else {}
+        choice |= {"text": text} if form == "text" else {}
+        usage = {"prompt_tokens": len(run.words), "completion_tokens": run.total}
+        answer = {"id": run.id, "user": run.user, "choices": [choice], "usage": usage}
+        await channel.send_faulty(faults, "application/json", json.dumps(answer).encode())
+
+    async def _stream(
+        self, run: Run, start: int, form: str, channel: Channel, faults: Faults
+    ) -> None:
+        await self._grow_to(run, start + 1, channel)
+        await asyncio.sleep(faults.first_byte_s)
+        if faults.error:
+            channel.send_json(faults.error, {"error": {"type": "failed"}})
+            return
+        channel.start_stream("text/event-stream")
+        sent = start
+        while sent < run.total:
+            end = min(await self._grow_to(run, sent + 1, channel), run.total)
+            for number, token in enumerate(run.tokens(sent, end), sent):
+                if await self._fail_midway(number, channel, faults):
+                    return
+                await channel.send_piece(self._event(run, token, form))
+            if end <= sent:
+                channel.cut()
+                return
+            sent = end
+        last = {"id": run.id, "choices": [{"index": 0, "delta": {}, "finish_reason": "length"}]}
+        await channel.send_piece(f"data: {json.dumps(last)}\n\n".encode())
+        await channel.send_piece(b"data: [DONE]\n\n")
+        channel.end_stream()
+        if faults.duplicate:
+            channel.start_stream("text/event-stream")
+            await channel.send_piece(self._event(run, "late ", form))
+            channel.end_stream()
+
+    async def _fail_midway(self, sent: int, channel: Channel, faults: Faults) -> bool:
+        if faults.stall_after == sent:
+            await channel.gone.wait()
+            return True
+        if faults.cut_after == sent:
+            channel.close()
+            return True
+        return False
+
+    def _event(self, run: Run, token: str, form: str) -> bytes:
+        content = json.dumps(token)
+        part = f'"delta":{{"content":{content}}}' if form == "chat" else f'"text":{content}'
+        choice = f'{{"index":0,{part},"finish_reason":null}}'
+        return f'data: {{"id":"{run.id}","choices":[{choice}]}}\n\n'.encode()
+
+    async def _grow_to(self, run: Run, tokens: int, channel: Channel) -> int:
+        """Wait until a run has so many tokens, ended, or its reader left."""
+        while (
+            run.produced < min(tokens, run.total) and not run.ended and run.state != "interrupted"
+        ):
+            grown = asyncio.ensure_future(run.grown.wait())
+            gone = asyncio.ensure_future(channel.gone.wait())
+            await asyncio.wait((grown, gone), return_when=asyncio.FIRST_COMPLETED)
+            grown.cancel()
+            gone.cancel()
+            if channel.gone.is_set():
+                raise ConnectionError("the reader left")
+        return run.produced
+
+    async def _resume(self, request: Request, channel: Channel, faults: Faults) -> None:
+        run = self.batch.runs.get(request.query.get("id", ""))
+        if run is None or run.state in ("cancelled", "lost"):
+            channel.send_json(404, {"error": {"type": "no_such_run"}})
+            return
+        self.batch.resume(run)
+        try:
+            start = int(request.query.get("from", "0"))
+            await self._stream(run, start, request.query.get("form", "chat"), channel, faults)
+        finally:
+            if channel.gone.is_set():
+                self.batch.interrupt(run)
+
+
+def main() -> None:
+    options = parser("A model engine.")
+    options.add_argument("--models", default="clover-assist")
+    options.add_argument("--slots", type=int, default=8)
+    options.add_argument("--cache-blocks", type=int, default=1024)
+    options.add_argument("--report-lag-s", type=float, default=0.0)
+    options.add_argument("--event-lag-s", type=float, default=0.0)
+    options.add_argument("--gap-every", type=int, default=0)
+    options.add_argument("--fencing", action="store_true")
+    for name in Timing._fields:
+        default = Timing._field_defaults[name]
+        options.add_argument(f"--{name.replace('_', '-')}", type=float, default=default)
+    given = vars(options.parse_args())
+    timing = Timing(*(given.pop(name) for name in Timing._fields))
+    models = tuple(filter(None, given.pop("models").split(",")))
+    given.pop("host")
+    serve_forever(Engine(models=models, timing=timing, **given))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/cloverway/tests/standins/orders.py
@@ -0,0 +1,42 @@
+"""What a stand-in engine was ordered to do."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+
+class Orders:
+    """Models, role and drain of an engine; old fencing numbers are refused where it checks."""
+
+    def __init__(self, models: tuple[str, ...], fencing: bool) -> None:
+        self.models = list(models)
+        self.loading: set[str] = set()
+        self.fencing = fencing
+        self.role = "mixed"
+        self.leaving = False
+        self.taken: list[dict[str, Any]] = []
+        self.highest_fencing = 0
+        self.refused = 0
+
+    def take(self, order: dict[str, Any]) -> bool:
+        """Carry out an order but for its load; say whether it was accepted."""
+        number = int(order.get("fencing", 0))
+        if self.fencing and number < self.highest_fencing:
+            self.refused += 1
+            return False
+        self.highest_fencing = max(number, self.highest_fencing)
+        self.taken.append(order)
+        if "unload" in order:
+            self.models = [model for model in self.models if model != order["unload"]]
+        self.role = str(order.get("role", self.role))
+        self.leaving = bool(order.get("drain", self.leaving))
+        return True
+
+    async def load(self, model: str, load_s: float) -> None:
+        if model in self.models or model in self.loading:
+            return
+        self.loading.add(model)
+        await asyncio.sleep(load_s)
+        self.loading.discard(model)
+        self.models.append(model)
--- /dev/null
+++ b/cloverway/tests/standins/service.py
@@ -0,0 +1,150 @@
+"""A plain service that counts its calls."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import secrets
+from collections import Counter
+
+from cloverway.tests.standins.base import Channel, Request, Server, parser, serve_forever
+from cloverway.tests.standins.faults import Faults
+
+NOT_STARTED = {"Cloverway-Ran": "no", "Retry-After": "1"}
+
+
+class Service(Server):
+    """Answer any path; a call is counted when its work starts."""
+
+    def __init__(
+        self, port: int = 0, *, services: tuple[str, ...] = ("allocations",), work_s: float = 0.0
+    ) -> None:
+        super().__init__(port)
+        self.services = services
+        self.slots = 64
+        self.work_s = work_s
+        self.incarnation = secrets.token_hex(8)
+        self.leaving = False
+        self.running = 0
+        self.received_leaving = 0
+        self.by_key: Counter[str] = Counter()
+        self.by_body: Counter[str] = Counter()
+        self.by_id: Counter[str] = Counter()
+        self.by_path: Counter[str] = Counter()
+        self.cancelled = 0
+
+    @property
+    def total(self) -> int:
+        """How many calls were run."""
+        return sum(self.by_path.values())
+
+    def forget(self) -> None:
+        """Lose all counts and take a new incarnation, as a restart does."""
+        self.incarnation = secrets.token_hex(8)
+        for counter in (self.by_key, self.by_body, self.by_id, self.by_path):
+            counter.clear()
+
+    async def answer(self, request: Request, channel: Channel) -> None:
+        if self.answer_test(request, channel):
+            return
+        if request.path == "/load":
+            channel.send_json(200, self.load())
+        elif request.path == "/test/runs":
+            channel.send_json(200, self.counts())
+        elif request.path == "/test/state" and request.method == "POST":
+            self.set_state(**request.json())
+            channel.send_json(200, self.load())
+        else:
+            await self._run_call(request, channel, self.faults.take())
+
+    def set_state(self, *, leaving: bool | None = None, forget: bool = False) -> None:
+        if leaving is not None:
+            self.leaving = leaving
+        if forget:
+            self.forget()
+
+    def load(self) -> dict[str, object]:
+        return {
+            "incarnation": self.incarnation,
+            "ready": not self.leaving,
+            "leaving": self.leaving,
+            "running": self.running,
+            "waiting": 0,
+            "slots": self.slots,
+            "services": list(self.services),
+            "report_age_ms": 0,
+        }
+
+    def counts(self) -> dict[str, object]:
+        return {
+            "total": self.total,
+            "received_leaving": self.received_leaving,
+            "keys": dict(self.by_key),
+            "bodies": dict(self.by_body),
+            "ids": dict(self.by_id),
+            "paths": dict(self.by_path),
+            "cancelled": self.cancelled,
+        }
+
+    async def _run_call(self, request: Request, channel: Channel, faults: Faults) -> None:
+        self.received_leaving += self.leaving
+        if faults.refuse:
+            channel.send_json(503, {"error": {"type": "not_started"}}, NOT_STARTED)
+            return
+        self._count(request)
+        self.running += 1
+        try:
+            await self._finish_call(request, channel, faults)
+        finally:
+            self.running -= 1
+        self.cancelled += channel.gone.is_set()
+
+    def _count(self, request: Request) -> None:
+        self.by_path[request.path] += 1
+        self.by_body[request.body.decode("utf-8", "replace")] += 1
+        self.by_key[request.headers.get("idempotency-key", "")] += 1
+        self.by_id[request.headers.get("x-request-id", "")] += 1
+
+    async def _finish_call(self, request: Request, channel: Channel, faults: Faults) -> None:
+        if faults.close_at_once:
+            channel.cut()
+            return
+        if faults.silent:
+            await channel.gone.wait()
+            return
+        await asyncio.sleep(self.work_s + faults.first_byte_s)
+        if faults.error:
+            channel.send_json(faults.error, {"error": {"type": "failed"}})
+            return
+        await channel.send_faulty(faults, "application/json", self._body(request))
+
+    def _body(self, request: Request) -> bytes:
+        answer = {
+            "path": request.path,
+            "method": request.method,
+            "digest": digest(request.body),
+            "echo": request.body.decode("utf-8", "replace"),
+            "request_id": request.headers.get("x-request-id", ""),
+            "key": request.headers.get("idempotency-key", ""),
+            "run": self.total,
+        }
+        return json.dumps(answer).encode()
+
+
+def digest(body: bytes) -> str:
+    """Give a short digest by which a caller knows its own answer."""
+    return hashlib.sha256(body).hexdigest()[:16]
+
+
+def main() -> None:
+    options = parser("A plain service that counts its calls.")
+    options.add_argument("--services", default="allocations")
+    options.add_argument("--work-s", type=float, default=0.0)
+    given = options.parse_args()
+    services = tuple(given.services.split(","))
+    serve_forever(Service(given.port, services=services, work_s=given.work_s))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/cloverway/tests/standins/waiting.py
@@ -0,0 +1,25 @@
+"""Wait for a condition, for a bounded time."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+from typing import TypeVar
+
+T = TypeVar("T")
+
+PERIOD_S = 0.01
+
+
+def wait_until(condition: Callable[[], T], timeout_s: float = 10.0, what: str = "") -> T:
+    """Give the first true value of a condition; raise AssertionError when none comes."""
+    pause = threading.Event()
+    end = time.monotonic() + timeout_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > end:
+            raise AssertionError(f"not within {timeout_s} s: {what or condition}")
+        pause.wait(PERIOD_S)
--- /dev/null
+++ b/cloverway/tests/test_standins.py
@@ -0,0 +1,172 @@
+"""The stand-ins keep to the protocols that the tests of the system rely on."""
+
+from __future__ import annotations
+
+import json
+import socket
+import time
+
+import pytest
+import urllib3
+
+from cloverway.tests.standins.batching import Timing, expected_text
+from cloverway.tests.standins.engine import Engine
+from cloverway.tests.standins.links import TO_CALLER, Link
+from cloverway.tests.standins.platform import Platform
+from cloverway.tests.standins.service import Service
+from cloverway.tests.standins.waiting import wait_until
+
+HTTP = urllib3.PoolManager(retries=False, timeout=5.0)
+
+
+def ask(engine, *, stream=False, tokens=4, headers=None, timeout=5.0, user="ann", prompt="hello"):
+    body = {"model": "clover-assist", "user": user, "max_tokens": tokens, "stream": stream}
+    body["messages"] = [{"role": "user", "content": prompt}]
+    url = f"{engine.url}/v1/chat/completions"
+    return HTTP.request("POST", url, json=body, headers=headers, timeout=timeout)
+
+
+def text_of(events: bytes) -> str:
+    lines = [line[6:] for line in events.decode().splitlines() if line.startswith("data: ")]
+    assert lines[-1] == "[DONE]"
+    deltas = (json.loads(line)["choices"][0]["delta"] for line in lines[:-1])
+    return "".join(delta.get("content", "") for delta in deltas)
+
+
+def test_engine_answers_whole_and_by_stream():
+    with Engine() as engine:
+        whole = ask(engine).json()
+        stream = ask(engine, stream=True).data
+    wanted = expected_text("hello", "ann", 4)
+    assert whole["choices"][0]["message"]["content"] == wanted
+    assert text_of(stream) == wanted
+    assert engine.counts()["total"] == 2
+
+
+def test_engine_resumes_from_a_token():
+    with Engine() as engine:
+        engine.faults.set(cut_after=2, times=1)
+        with pytest.raises(urllib3.exceptions.HTTPError):
+            ask(engine, stream=True, headers={"X-Request-Id": "r1"})
+        rest = HTTP.request("GET", f"{engine.url}/v1/resume?id=r1&from=2").data
+    assert text_of(rest) == expected_text("hello", "ann", 4).split(" ", 2)[2]
+    assert engine.counts()["ids"] == {"r1": 1}
+
+
+def test_engine_cancels_a_run_whose_caller_left():
+    with Engine(timing=Timing(token_s=0.02)) as engine:
+        with pytest.raises(urllib3.exceptions.TimeoutError):
+            ask(engine, tokens=10_000, timeout=0.1, headers={"X-Request-Id": "r1"})
+        wait_until(lambda: engine.counts()["cancelled"] == ["r1"])
+        wait_until(lambda: engine.batch.running == 0)
+
+
+def test_engine_refuses_an_old_fencing_number_only_where_it_checks():
+    for fencing, status in ((True, 409), (False, 200)):
+        with Engine(fencing=fencing) as engine:
+            url = f"{engine.url}/v1/orders"
+            assert HTTP.request("POST", url, json={"load": "b", "fencing": 7}).status == 200
+            wait_until(lambda engine=engine: "b" in engine.orders.models)
+            assert HTTP.request("POST", url, json={"unload": "b", "fencing": 6}).status == status
+            assert ("b" in engine.orders.models) is fencing
+
+
+def test_engine_hits_its_prefix_cache():
+    prompt = "word " * 64
+    with Engine() as engine:
+        ask(engine, prompt=prompt)
+        ask(engine, prompt=prompt)
+        assert engine.counts()["hit_words"] == 64
+        events = HTTP.request("GET", f"{engine.url}/v1/cache-events?after=0").json()
+    assert [event["kind"] for event in events["events"]] == ["stored"] * 4
+
+
+def test_engine_reports_its_load_late():
+    with Engine(report_lag_s=0.1, timing=Timing(token_s=0.01)) as engine:
+        wait_until(lambda: engine.load(time.monotonic())["report_age_ms"] >= 100)
+        assert HTTP.request("GET", f"{engine.url}/v1/load").json()["report_age_ms"] >= 100
+
+
+def test_service_counts_by_key_and_body():
+    with Service() as service:
+        headers = {"Idempotency-Key": "k1"}
+        for _ in range(2):
+            answer = HTTP.request("POST", f"{service.url}/orders", body=b"x", headers=headers)
+        service.faults.set(refuse=True)
+        refused = HTTP.request("POST", f"{service.url}/orders", body=b"x", headers=headers)
+    assert answer.json()["echo"] == "x"
+    assert refused.status == 503
+    assert refused.headers["Cloverway-Ran"] == "no"
+    assert service.by_key == {"k1": 2}
+    assert service.by_body == {"x": 2}
+
+
+def test_faults_of_a_whole_answer():
+    with Service() as service:
+        for switches in ({"short_body": True}, {"cut_after": 10}, {"close_at_once": True}):
+            service.faults.set(times=1, **switches)
+            with pytest.raises(urllib3.exceptions.HTTPError):
+                HTTP.request("POST", f"{service.url}/x", body=b"x")
+            service.faults.clear()
+        service.faults.set(silent=True)
+        with pytest.raises(urllib3.exceptions.TimeoutError):
+            HTTP.request("POST", f"{service.url}/x", body=b"x", timeout=0.05)
+    assert service.total == 4
+
+
+def test_platform_watches_freezes_and_goes_back():
+    with Platform(documents={"organisation": {"name": "riviere"}}) as platform:
+        first = HTTP.request("GET", f"{platform.url}/v1/config?after=0").json()
+        assert first["revision"] == 1
+        assert platform.publish("profiles/a", {"model": "m"}) == 2
+        watch = f"{platform.url}/v1/config?after=1&wait_s=5"
+        assert [d["key"] for d in HTTP.request("GET", watch).json()["documents"]] == ["profiles/a"]
+        platform.freeze(1)
+        assert HTTP.request("GET", f"{platform.url}/v1/config?after=0").json()["revision"] == 1
+        platform.thaw()
+        platform.restart_at(1)
+        assert HTTP.request("GET", f"{platform.url}/v1/config?after=0").json()["revision"] == 1
+        assert platform.calls["/v1/config"] == 4
+        assert HTTP.request("POST", f"{platform.url}/v1/config", body=b"{}").status == 405
+
+
+def test_platform_list_lags():
+    with Platform(list_lag_s=3600.0) as platform:
+        platform.list_as(hosts={"pl-1": "leaving"})
+        assert HTTP.request("GET", f"{platform.url}/v1/hosts").json()["hosts"] == {}
+        platform.list_lag_s = 0.0
+        listed = HTTP.request("GET", f"{platform.url}/v1/hosts").json()
+        assert listed["hosts"] == {"pl-1": {"state": "leaving"}}
+
+
+def test_platform_limits_its_calls():
+    with Platform(calls_per_s=3.0) as platform:
+        statuses = [HTTP.request("GET", f"{platform.url}/v1/hosts").status for _ in range(5)]
+    assert statuses[:3] == [200, 200, 200]
+    assert 429 in statuses
+
+
+def test_link_cuts_silences_and_restores():
+    with Service() as service, Link(service.address) as link:
+        url = f"{link.url}/x"
+        assert HTTP.request("POST", url, body=b"a").status == 200
+        link.silence(TO_CALLER)
+        with pytest.raises(urllib3.exceptions.TimeoutError):
+            HTTP.request("POST", url, body=b"b", timeout=0.1)
+        wait_until(lambda: service.by_body["b"] == 1)
+        link.cut()
+        with pytest.raises(urllib3.exceptions.HTTPError):
+            HTTP.request("POST", url, body=b"c", timeout=1.0)
+        link.restore()
+        assert HTTP.request("POST", url, body=b"d").status == 200
+    assert service.by_body["c"] == 0
+
+
+def test_link_passes_datagrams():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as target:
+        target.bind(("127.0.0.1", 0))
+        target.settimeout(5)
+        address = f"127.0.0.1:{target.getsockname()[1]}"
+        with Link(address, udp=True) as link:
+            target.sendto(b"one", ("127.0.0.1", link.port))
+            assert target.recv(16) == b"one"
