Run a request along its course, with the truth on whether it ran

The order of the steps carries the promises: claim the key, ask for a route, check deadline and grant just before the first byte leaves, and answer with the worst `ran` of all attempts. A refusal after a failed attempt is true of the retry only; passing it on would be a false "not run".

Ruled out: letting the dispatcher keep the worst `ran`, since it does not see what an attempt's error said. A keyed stream is copied and read to its end though the caller leaves, so that the repeat finds the answer of the one run.

--- /dev/null
+++ b/cloverway/gateway.py
@@ -0,0 +1,318 @@
+"""The course of one request: claim its key, get a route, run it, retry where that is safe, settle.
+
+The order of the steps carries the promises: the key is claimed before a route is asked for, and
+what the caller is told about `ran` is the worst of all attempts.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from cloverway import residency
+from cloverway.config.published import Profile, Published
+from cloverway.errors import Kind, Ran, RequestError
+from cloverway.exchange import Reply
+from cloverway.messages import Admitted, Away, Local, Outcome, Refused, Request, Verdict
+from cloverway.streams import RecordedStream, WatchedStream
+from cloverway.view import ViewHolder
+
+log = logging.getLogger(__name__)
+
+Check = Callable[[], None]
+
+RAN_ORDER = (Ran.NO, Ran.UNKNOWN, Ran.YES)
+
+SAFE_KINDS = frozenset({Kind.ENDPOINT_REFUSED, Kind.LEAVING, Kind.STARTING, Kind.NO_CAPACITY})
+"""Refusals before the start, after which another endpoint may be tried for any profile."""
+
+FAILED_KINDS = frozenset({Kind.ENDPOINT_FAILED, Kind.TRUNCATED})
+"""Failures after the start, after which only an idempotent request is tried again."""
+
+
+class Record(NamedTuple):
+    """What is logged and measured of one request, when it has ended."""
+
+    request: Request
+    endpoint: str = ""
+    attempts: int = 0
+    first_byte_s: float | None = None
+    queue_s: float = 0.0
+    total_s: float = 0.0
+    kind: Kind | None = None
+    ran: Ran = Ran.YES
+
+
+class Grant(Protocol):
+    """The right to run a request with an idempotency key."""
+
+    def is_valid(self, now: float) -> bool:
+        """Tell whether the right still holds at a time of the own clock."""
+        ...
+
+
+class Claims(Protocol):
+    """Asks the issuer of a key for the right to use it."""
+
+    def claim(self, request: Request, digest: str) -> Grant | Reply:
+        """Give the right, or the recorded answer of the first use; raise RequestError."""
+        ...
+
+    def settle(self, grant: Grant, ran: Ran, reply: Reply | None) -> None:
+        """Tell the issuer how the use ended; never raises."""
+        ...
+
+
+class Router(Protocol):
+    """The dispatcher, as the course of a request sees it."""
+
+    def submit(self, request: Request) -> Verdict:
+        """Wait for a route or a refusal."""
+        ...
+
+    def started(self, ticket: int, at: float) -> None:
+        """Tell that the first byte of the answer came."""
+        ...
+
+    def finished(self, ticket: int, outcome: Outcome, at: float, retry: bool) -> Verdict | None:
+        """Tell how an attempt ended, and get another route where asked for."""
+        ...
+
+
+class Endpoints(Protocol):
+    """Sends requests to endpoints of this failure domain."""
+
+    def send(
+        self,
+        url: str,
+        request: Request,
+        *,
+        idempotent: bool,
+        gap_s: float,
+        priority: int,
+        check: Check,
+    ) -> Reply:
+        """Send and give the answer's head or whole; raise RequestError with `ran` set."""
+        ...
+
+
+class Peers(Protocol):
+    """Passes requests on to hosts of other failure domains."""
+
+    def run(self, address: str, request: Request, *, idempotent: bool, check: Check) -> Reply:
+        """Pass on and give the answer; raise RequestError with `ran` set."""
+        ...
+
+
+class Ports(NamedTuple):
+    """All that the course of a request talks to."""
+
+    holder: ViewHolder
+    router: Router
+    endpoints: Endpoints
+    peers: Peers
+    claims: Claims
+
+
+def make_digest(request: Request) -> str:
+    """Digest what makes two requests the same: the key is bound to it."""
+    head = f"{request.method} {request.path} {request.content_type}\n".encode()
+    return hashlib.sha256(head + request.body).hexdigest()
+
+
+def take_worse(first: Ran, second: Ran) -> Ran:
+    """Give the claim about a run that covers two attempts."""
+    return max(first, second, key=RAN_ORDER.index)
+
+
+class RequestGateway:
+    """Runs authenticated requests of callers and of other hosts."""
+
+    def __init__(
+        self,
+        ports: Ports,
+        clock: Callable[[], float],
+        observe: Callable[[Record], None],
+        recorded_bytes: int,
+    ) -> None:
+        self.ports = ports
+        self.clock = clock
+        self.observe = observe
+        self.recorded_bytes = recorded_bytes
+
+    def run(self, request: Request) -> Reply:
+        """Run a request to the head of its answer; raise RequestError with the truth on `ran`."""
+        course = _Course(self, request)
+        try:
+            return course.run()
+        except RequestError as error:
+            course.end(error)
+            raise
+        except Exception as error:
+            log.exception("a request failed inside the gateway", extra={"request_id": request.id})
+            course.end(RequestError(Kind.INTERNAL))
+            raise RequestError(Kind.INTERNAL) from error
+
+
+class _Course:
+    """The state of one request while its worker runs it."""
+
+    def __init__(self, gateway: RequestGateway, request: Request) -> None:
+        self.gateway = gateway
+        self.request = request
+        self.grant: Grant | None = None
+        self.ran = Ran.NO
+        self.record = Record(request)
+        self.ended = False
+
+    def run(self) -> Reply:
+        published = self._get_published()
+        residency.check_here(published, self.request, self.gateway.ports.holder.current.region)
+        profile = published.profiles[self.request.profile]
+        if self.request.key and not profile.idempotent and not self.request.passed_on:
+            claimed = self.gateway.ports.claims.claim(self.request, make_digest(self.request))
+            if isinstance(claimed, Reply):
+                self.end(None)
+                return claimed
+            self.grant = claimed
+        verdict: Verdict | None = self.gateway.ports.router.submit(self.request)
+        while True:
+            admitted = self._take(verdict)
+            try:
+                reply = self._attempt(admitted, profile)
+            except RequestError as error:
+                verdict = self._finish_failed(admitted, profile, error)
+                if verdict is None:
+                    raise
+            except Exception as error:
+                log.exception("an attempt failed inside the gateway")
+                self._finish_failed(admitted, profile, RequestError(Kind.INTERNAL))
+                raise RequestError(Kind.INTERNAL) from error
+            else:
+                return self._finish_started(admitted, reply)
+
+    def end(self, error: RequestError | None, reply: Reply | None = None) -> None:
+        """Settle the key and report the request, once."""
+        if self.ended:
+            return
+        self.ended = True
+        if error is not None:
+            error.ran = take_worse(self.ran, error.ran)
+        ran = error.ran if error is not None else Ran.YES
+        if self.grant is not None:
+            self.gateway.ports.claims.settle(self.grant, ran, reply)
+        total_s = self.gateway.clock() - self.request.arrived_at
+        kind = error.kind if error is not None else None
+        self.gateway.observe(self.record._replace(total_s=total_s, kind=kind, ran=ran))
+
+    def _get_published(self) -> Published:
+        view = self.gateway.ports.holder.current
+        if view.published is None:
+            raise RequestError(Kind.STARTING, retry_after=1.0)
+        return view.published
+
+    def _take(self, verdict: Verdict | None) -> Admitted:
+        assert verdict is not None
+        if isinstance(verdict, Refused):
+            raise RequestError(
+                verdict.kind, verdict.detail, ran=verdict.ran, retry_after=verdict.retry_after
+            )
+        queue_s = self.gateway.clock() - self.request.arrived_at
+        attempts = self.record.attempts + 1
+        if self.record.attempts == 0:
+            self.record = self.record._replace(queue_s=queue_s)
+        route = verdict.route
+        endpoint = route.endpoint if isinstance(route, Local) else f"{route.domain}/{route.host}"
+        self.record = self.record._replace(attempts=attempts, endpoint=endpoint)
+        return verdict
+
+    def _attempt(self, admitted: Admitted, profile: Profile) -> Reply:
+        gateway = self.gateway
+        route = admitted.route
+        if isinstance(route, Away):
+            assert not self.request.passed_on, "a passed-on request is never passed on again"
+            return gateway.ports.peers.run(
+                route.address, self.request, idempotent=profile.idempotent, check=self._check
+            )
+        return gateway.ports.endpoints.send(
+            route.url,
+            self.request,
+            idempotent=profile.idempotent,
+            gap_s=profile.gap_ms / 1000,
+            priority=int(profile.priority),
+            check=self._check,
+        )
+
+    def _check(self) -> None:
+        """Refuse just before the first byte leaves what may no longer be run.
+
+        A process that was paused wakes up here: its deadline has passed or its right to use the
+        key has run out, and without the check the work would run after the caller was told
+        otherwise. Nothing has been sent yet, so `ran: no` is true.
+        """
+        now = self.gateway.clock()
+        if now >= self.request.deadline:
+            raise RequestError(Kind.DEADLINE, "the deadline passed before it was sent")
+        if self.grant is not None and not self.grant.is_valid(now):
+            raise RequestError(Kind.DEADLINE, "the right to use the key ran out", retry_after=1.0)
+        published = self._get_published()
+        residency.check_here(published, self.request, self.gateway.ports.holder.current.region)
+
+    def _finish_failed(
+        self, admitted: Admitted, profile: Profile, error: RequestError
+    ) -> Verdict | None:
+        """Report a failed attempt; give another route, or None when the error is final."""
+        self.ran = take_worse(self.ran, error.ran)
+        not_run = error.ran is Ran.NO and error.kind in SAFE_KINDS
+        failed = profile.idempotent and error.kind in FAILED_KINDS
+        outcome = Outcome.REFUSED if error.ran is Ran.NO else Outcome.FAILED
+        if error.kind is Kind.CALLER_LEFT:
+            outcome = Outcome.CALLER_LEFT
+        now = self.gateway.clock()
+        retry = (not_run or failed) and now < self.request.deadline
+        verdict = self.gateway.ports.router.finished(admitted.ticket, outcome, now, retry)
+        if isinstance(verdict, Refused):
+            return None
+        return verdict
+
+    def _finish_started(self, admitted: Admitted, reply: Reply) -> Reply:
+        now = self.gateway.clock()
+        self.gateway.ports.router.started(admitted.ticket, now)
+        self.record = self.record._replace(first_byte_s=now - self.request.arrived_at)
+        reply = self._add_headers(reply)
+        if reply.stream is None:
+            self._finish_whole(admitted, None, reply)
+            return reply
+
+        def end_stream(error: RequestError | None, body: bytes | None = None) -> None:
+            whole = reply._replace(stream=None, body=body) if body is not None else None
+            self._finish_whole(admitted, error, whole)
+
+        if self.grant is not None:
+            recorded = RecordedStream(reply.stream, self.gateway.recorded_bytes, end_stream)
+            return reply._replace(stream=recorded)
+        return reply._replace(stream=WatchedStream(reply.stream, end_stream))
+
+    def _finish_whole(
+        self, admitted: Admitted, error: RequestError | None, reply: Reply | None
+    ) -> None:
+        outcome = Outcome.DONE
+        if error is not None:
+            left = error.kind is Kind.CALLER_LEFT
+            outcome = Outcome.CALLER_LEFT if left else Outcome.FAILED
+        self.gateway.ports.router.finished(admitted.ticket, outcome, self.gateway.clock(), False)
+        self.end(error, reply)
+
+    def _add_headers(self, reply: Reply) -> Reply:
+        names = {name for name, _ in reply.headers}
+        if "Cloverway-Endpoint" in names:
+            return reply
+        view = self.gateway.ports.holder.current
+        extra = (
+            ("Cloverway-Endpoint", self.record.endpoint),
+            ("Cloverway-Region", view.region),
+            ("Cloverway-Attempts", str(self.record.attempts)),
+        )
+        return reply._replace(headers=reply.headers + extra)
--- /dev/null
+++ b/cloverway/tests/test_gateway.py
@@ -0,0 +1,314 @@
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+
+from cloverway.config.published import Published
+from cloverway.errors import Kind, Ran, RequestError
+from cloverway.exchange import Reply
+from cloverway.gateway import Ports, Record, RequestGateway
+from cloverway.messages import Admitted, Away, Local, Outcome, Refused, Request, Verdict
+from cloverway.view import View, ViewHolder
+
+PUBLISHED = Published.from_documents(
+    {
+        "revision": 1,
+        "organisation": {"name": "test"},
+        "regions": {"north": {}, "south": {}},
+        "domains": {"north-a": {"region": "north"}, "south-a": {"region": "south"}},
+        "profiles": {
+            "lookup": {"service": "stock", "idempotent": True},
+            "allocate": {"service": "stock"},
+        },
+        "teams": {
+            "free": {"home": "north", "profiles": ["lookup", "allocate"]},
+            "bound": {"home": "south", "bound": True, "profiles": ["lookup"]},
+        },
+    }
+)
+HERE = Local("stock-1", "http://127.0.0.1:1")
+THERE = Local("stock-2", "http://127.0.0.1:2")
+AWAY = Away("south-a", "s1", "127.0.0.1:3")
+DONE = Reply(200, "application/json", b"{}")
+
+
+class FakeRouter:
+    def __init__(self, *verdicts: Verdict) -> None:
+        self.verdicts = list(verdicts)
+        self.ended: list[tuple[int, Outcome, bool]] = []
+
+    def submit(self, request: Request) -> Verdict:
+        return self.verdicts.pop(0)
+
+    def started(self, ticket: int, at: float) -> None:
+        pass
+
+    def finished(self, ticket: int, outcome: Outcome, at: float, retry: bool) -> Verdict | None:
+        self.ended.append((ticket, outcome, retry))
+        return self.verdicts.pop(0) if retry else None
+
+
+class FakeEndpoints:
+    """Gives or raises the next of its answers, after the check; counts what was sent."""
+
+    def __init__(self, *answers: Reply | RequestError) -> None:
+        self.answers = list(answers)
+        self.sent = 0
+        self.before_check: Callable[[], None] = lambda: None
+
+    def send(self, url: str, request: Request, *, check: Callable[[], None], **_: Any) -> Reply:
+        self.before_check()
+        check()
+        self.sent += 1
+        return self._answer()
+
+    def run(self, address: str, request: Request, *, check: Callable[[], None], **_: Any) -> Reply:
+        return self.send(address, request, check=check)
+
+    def _answer(self) -> Reply:
+        answer = self.answers.pop(0)
+        if isinstance(answer, RequestError):
+            raise answer
+        return answer
+
+
+class FakeGrant:
+    def __init__(self, until: float) -> None:
+        self.until = until
+
+    def is_valid(self, now: float) -> bool:
+        return now < self.until
+
+
+class FakeClaims:
+    def __init__(self, answer: FakeGrant | Reply) -> None:
+        self.answer = answer
+        self.settled: list[tuple[Ran, Reply | None]] = []
+
+    def claim(self, request: Request, digest: str) -> FakeGrant | Reply:
+        return self.answer
+
+    def settle(self, grant: FakeGrant, ran: Ran, reply: Reply | None) -> None:
+        self.settled.append((ran, reply))
+
+
+class FakeStream:
+    def __init__(self, *pieces: bytes, error: RequestError | None = None) -> None:
+        self.pieces = pieces
+        self.error = error
+        self.closed = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        yield from self.pieces
+        if self.error is not None:
+            raise self.error
+
+    def hand_over(self, caller: socket.socket) -> None:
+        for piece in self:
+            caller.sendall(piece)
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class Bench:
+    def __init__(self, router: FakeRouter, endpoints: FakeEndpoints, claims: FakeClaims) -> None:
+        self.now = 100.0
+        self.records: list[Record] = []
+        view = View("n1", "i1", "north-a", "north", published=PUBLISHED)
+        self.holder = ViewHolder(view)
+        self.gateway = RequestGateway(
+            Ports(self.holder, router, endpoints, endpoints, claims),
+            lambda: self.now,
+            self.records.append,
+            recorded_bytes=64,
+        )
+
+
+def make_request(profile: str = "lookup", **changes: Any) -> Request:
+    request = Request(
+        id="r1",
+        team="free",
+        profile=profile,
+        path="/stock",
+        method="POST",
+        body=b"{}",
+        content_type="application/json",
+        arrived_at=100.0,
+        deadline=110.0,
+    )
+    return request._replace(**changes)
+
+
+def make_bench(
+    *answers: Reply | RequestError,
+    verdicts: tuple[Verdict, ...] = (Admitted(1, HERE), Admitted(2, THERE)),
+    grant: FakeGrant | Reply | None = None,
+) -> tuple[Bench, FakeRouter, FakeEndpoints, FakeClaims]:
+    router = FakeRouter(*verdicts)
+    endpoints = FakeEndpoints(*answers)
+    claims = FakeClaims(grant if grant is not None else FakeGrant(1000.0))
+    return Bench(router, endpoints, claims), router, endpoints, claims
+
+
+def test_run_whole() -> None:
+    bench, router, _, _ = make_bench(DONE)
+    reply = bench.gateway.run(make_request())
+    assert reply.body == b"{}"
+    assert ("Cloverway-Endpoint", "stock-1") in reply.headers
+    assert router.ended == [(1, Outcome.DONE, False)]
+    assert bench.records[0].ran is Ran.YES
+
+
+def test_a_refusal_after_a_failed_attempt_is_not_called_not_run() -> None:
+    """The first attempt fails after its first byte left; the retry finds no endpoint.
+
+    The dispatcher refuses the retry with `ran: no`, which is true of the retry only. Were it
+    passed on, the caller would be told "not run" of a request that the first endpoint may have
+    run.
+    """
+    bench, *_ = make_bench(
+        RequestError(Kind.ENDPOINT_FAILED),
+        verdicts=(Admitted(1, HERE), Refused(Kind.NO_CAPACITY, retry_after=1.0)),
+    )
+    with pytest.raises(RequestError) as caught:
+        bench.gateway.run(make_request())
+    assert caught.value.ran is Ran.UNKNOWN
+
+
+def test_ran_is_the_worst_of_all_attempts() -> None:
+    """The first attempt may have run, the second surely did not.
+
+    The last error alone says `ran: no`. The answer must cover both attempts, so it says unknown.
+    """
+    bench, *_ = make_bench(
+        RequestError(Kind.ENDPOINT_FAILED),
+        RequestError(Kind.DEADLINE, ran=Ran.NO),
+    )
+    with pytest.raises(RequestError) as caught:
+        bench.gateway.run(make_request())
+    assert caught.value.ran is Ran.UNKNOWN
+
+
+def test_a_non_idempotent_request_is_not_sent_again_after_a_failure() -> None:
+    """The endpoint fails after the first byte left, with another endpoint free.
+
+    A second send could allocate twice. The caller is told `ran: unknown`, and so is the issuer of
+    the key.
+    """
+    bench, router, endpoints, claims = make_bench(RequestError(Kind.ENDPOINT_FAILED), DONE)
+    with pytest.raises(RequestError) as caught:
+        bench.gateway.run(make_request("allocate", key="k"))
+    assert caught.value.ran is Ran.UNKNOWN
+    assert endpoints.sent == 1
+    assert router.ended == [(1, Outcome.FAILED, False)]
+    assert claims.settled == [(Ran.UNKNOWN, None)]
+
+
+def test_a_refused_start_goes_to_another_endpoint_for_any_profile() -> None:
+    bench, _, endpoints, claims = make_bench(
+        RequestError(Kind.ENDPOINT_REFUSED, ran=Ran.NO),
+        DONE,
+    )
+    reply = bench.gateway.run(make_request("allocate", key="k"))
+    assert endpoints.sent == 2
+    assert claims.settled == [(Ran.YES, reply)]
+
+
+def test_a_request_that_wakes_after_its_deadline_is_not_sent() -> None:
+    """The process is paused between the route and the send, past the deadline, and wakes.
+
+    The caller has gone by then and may have asked elsewhere. Nothing was sent, so the key is
+    settled as not run and `ran: no` is true.
+    """
+    bench, _, endpoints, claims = make_bench(DONE)
+    endpoints.before_check = lambda: setattr(bench, "now", 111.0)
+    with pytest.raises(RequestError) as caught:
+        bench.gateway.run(make_request("allocate", key="k"))
+    assert caught.value.kind is Kind.DEADLINE
+    assert (endpoints.sent, caught.value.ran) == (0, Ran.NO)
+    assert claims.settled == [(Ran.NO, None)]
+
+
+def test_a_grant_that_ran_out_while_paused_is_not_used() -> None:
+    """The host is paused after the grant; the issuer has given the key up meanwhile.
+
+    The request's own deadline is still ahead. Without the second check the work would run
+    though the issuer already answers `unknown` for it.
+    """
+    bench, _, endpoints, _ = make_bench(DONE, grant=FakeGrant(104.0))
+    endpoints.before_check = lambda: setattr(bench, "now", 105.0)
+    with pytest.raises(RequestError):
+        bench.gateway.run(make_request("allocate", key="k"))
+    assert endpoints.sent == 0
+
+
+def test_a_repeat_gets_the_recorded_answer_and_runs_nothing() -> None:
+    bench, router, endpoints, _ = make_bench(grant=DONE)
+    assert bench.gateway.run(make_request("allocate", key="k")) == DONE
+    assert endpoints.sent == 0
+    assert len(router.verdicts) == 2
+
+
+def test_a_bound_team_is_refused_where_it_must_not_run() -> None:
+    """A host of region north gets a passed-on request of a team bound to south.
+
+    The first host may have an older configuration. The receiving host checks again, so that
+    nothing is sent to an endpoint of north.
+    """
+    bench, router, endpoints, _ = make_bench(DONE)
+    with pytest.raises(RequestError) as caught:
+        bench.gateway.run(make_request(team="bound", passed_on=True))
+    assert caught.value.kind is Kind.RESIDENCY
+    assert caught.value.ran is Ran.NO
+    assert endpoints.sent == 0
+    assert len(router.verdicts) == 2
+
+
+def test_a_passed_on_request_is_never_passed_on_again() -> None:
+    """The dispatcher wrongly routes a passed-on request to another domain.
+
+    Two hosts that each think the other has room would pass it to and fro. The assertion ends the
+    request instead, and gives the ticket back.
+    """
+    bench, router, endpoints, _ = make_bench(DONE, verdicts=(Admitted(1, AWAY),))
+    with pytest.raises(RequestError) as caught:
+        bench.gateway.run(make_request(passed_on=True))
+    assert router.ended == [(1, Outcome.FAILED, False)]
+    assert caught.value.kind is Kind.INTERNAL
+    assert endpoints.sent == 0
+
+
+def test_a_cut_stream_is_reported_once() -> None:
+    error = RequestError(Kind.TRUNCATED)
+    bench, router, _, _ = make_bench(
+        Reply(200, "text/event-stream", stream=FakeStream(b"a", error=error))
+    )
+    reply = bench.gateway.run(make_request())
+    assert reply.stream is not None
+    with pytest.raises(RequestError):
+        list(reply.stream)
+    reply.stream.close()
+    assert router.ended == [(1, Outcome.FAILED, False)]
+    assert [record.kind for record in bench.records] == [Kind.TRUNCATED]
+
+
+def test_a_keyed_stream_is_recorded_though_the_caller_left() -> None:
+    """The caller of an allocation leaves after the first piece, then repeats with its key.
+
+    The run goes on to its end and its answer is recorded, so that the repeat gets the answer of
+    the one run.
+    """
+    bench, _, _, claims = make_bench(
+        Reply(200, "text/event-stream", stream=FakeStream(b"one", b"two"))
+    )
+    reply = bench.gateway.run(make_request("allocate", key="k"))
+    assert reply.stream is not None
+    assert next(iter(reply.stream)) == b"one"
+    reply.stream.close()
+    ran, recorded = claims.settled[0]
+    assert ran is Ran.YES
+    assert recorded is not None and recorded.body == b"onetwo"
