Carry the revision that changes start from

A delta that is applied over a gap would hide the documents of the missing revisions for good: the store would then say that it holds a revision whose changes it never saw. With the starting revision in the message the store answers Gap instead, and a whole is the case of zero.

--- a/cloverway/configuration.py
+++ b/cloverway/configuration.py
@@ -55,7 +55,14 @@
     offered: int
 
 
-Verdict = Accepted | Unchanged | Rejected | Stale
+class Gap(NamedTuple):
+    """The changes start later than what is known: ask for those after `known`."""
+
+    known: int
+    after: int
+
+
+OfferResult = Accepted | Unchanged | Rejected | Stale | Gap
 
 
 class ConfigurationStore:
@@ -84,11 +91,13 @@
         """The revision after which the platform is to be read next; 0 reads the whole."""
         return self._platform_revision
 
-    def offer(self, changes: Changes, source: Source, now: float) -> Verdict:
+    def offer(self, changes: Changes, source: Source, now: float) -> OfferResult:
         """Merge changes; tell whether they are in force, and if not, why."""
         if changes.revision < self.revision and source is Source.PLATFORM:
             self.platform_stale = True
             return Stale(self.revision, changes.revision)
+        if changes.after > self.revision:
+            return Gap(self.revision, changes.after)
         if changes.revision <= self.revision:
             return Unchanged(self.revision)
         merged = dict(self._documents)
@@ -109,7 +118,7 @@
         documents = tuple(
             document for document in self._documents.values() if document.revision > revision
         )
-        return Changes(self.revision, documents, whole=revision == 0)
+        return Changes(self.revision, revision, documents)
 
     def digest(self) -> str:
         """Summarise the documents in force: equal digests mean equal configurations."""
--- a/cloverway/platform/file.py
+++ b/cloverway/platform/file.py
@@ -34,9 +34,9 @@
         while True:
             revision, documents = self._load()
             if revision > after or after == 0 or revision < after:
-                return Changes(revision, documents, whole=True)
+                return Changes(revision, 0, documents)
             if self._clock() >= until:
-                return Changes(revision)
+                return Changes(revision, after)
             self._sleep(min(self._poll_s, max(0.0, until - self._clock())))
 
     def list_states(self) -> HostList:
--- a/cloverway/platform/http.py
+++ b/cloverway/platform/http.py
@@ -35,7 +35,7 @@
         body = self._get(f"/v1/config{query}", wait_s + ANSWER_S, WHOLE_BYTES)
         try:
             documents = tuple(_parse_document(item) for item in body["documents"])
-            return Changes(_parse_revision(body["revision"]), documents, whole=after == 0)
+            return Changes(_parse_revision(body["revision"]), after, documents)
         except (KeyError, TypeError, ValueError) as error:
             raise PlatformError(f"the platform's documents can't be read: {error!r}") from error
 
--- a/cloverway/platform/port.py
+++ b/cloverway/platform/port.py
@@ -22,9 +22,17 @@
 
     revision: int
     """The revision of the whole configuration that the documents lead to."""
+    after: int
+    """The revision that they start from; 0 when these are all documents.
+
+    Of a whole, a document that is missing was deleted at or before `revision`.
+    """
     documents: tuple[Document, ...] = ()
-    whole: bool = False
-    """Whether these are all documents: one that is missing was deleted at or before `revision`."""
+
+    @property
+    def whole(self) -> bool:
+        """Whether these are all documents."""
+        return self.after == 0
 
 
 class Listed(StrEnum):
--- a/cloverway/tests/test_configuration.py
+++ b/cloverway/tests/test_configuration.py
@@ -21,9 +21,9 @@
 
 def test_offer_takes_whole_then_delta() -> None:
     store = ConfigurationStore()
-    verdict = store.offer(Changes(1, BASE, whole=True), Source.PLATFORM, 0.0)
+    verdict = store.offer(Changes(1, 0, BASE), Source.PLATFORM, 0.0)
     assert isinstance(verdict, Accepted)
-    later = Changes(2, (Document("regions/rodrigues", 2, {}),))
+    later = Changes(2, 1, (Document("regions/rodrigues", 2, {}),))
     assert isinstance(store.offer(later, Source.PEER, 1.0), Accepted)
     assert store.revision == 2
     assert set(store.published.regions) == {"curepipe", "rodrigues"}
@@ -31,16 +31,16 @@
 
 def test_offer_refuses_an_invalid_change_whole() -> None:
     store = ConfigurationStore()
-    store.offer(Changes(1, BASE, whole=True), Source.PLATFORM, 0.0)
-    bad = Changes(2, (Document("domains/curepipe-b", 2, {"region": "nowhere"}),))
+    store.offer(Changes(1, 0, BASE), Source.PLATFORM, 0.0)
+    bad = Changes(2, 1, (Document("domains/curepipe-b", 2, {"region": "nowhere"}),))
     assert isinstance(store.offer(bad, Source.PLATFORM, 0.0), Rejected)
     assert store.revision == 1
 
 
 def test_offer_never_goes_back() -> None:
     store = ConfigurationStore()
-    store.offer(Changes(5, BASE, whole=True), Source.PEER, 0.0)
-    assert store.offer(Changes(4, BASE, whole=True), Source.PLATFORM, 0.0) == Stale(5, 4)
+    store.offer(Changes(5, 0, BASE), Source.PEER, 0.0)
+    assert store.offer(Changes(4, 0, BASE), Source.PLATFORM, 0.0) == Stale(5, 4)
     assert store.platform_stale
 
 
