--- /dev/null
+++ b/cloverway/framing.py
@@ -0,0 +1,227 @@
+"""Parse bodies as their bytes arrive, and know whether they are whole.
+
+The end of a body is found from its frames, never from its last bytes: a connection that ends is
+no proof that the answer did.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Protocol
+
+from cloverway.errors import Kind, RequestError
+
+MAX_LINE = 4096
+"""Longest chunk-size or trailer line, in bytes."""
+MAX_TRAILER = 16 * 1024
+MAX_EVENT = 1024 * 1024
+"""Longest server-sent event, in bytes; a longer one is never complete."""
+DONE = b"[DONE]"
+
+CRLF = b"\r\n"
+_SIZE_LINE = re.compile(rb"([0-9a-fA-F]{1,8})[ \t]*(?:;[^\r\n]*)?\r\n")
+_EVENT_END = re.compile(rb"\r?\n\r?\n")
+
+
+def make_malformed(detail: str) -> RequestError:
+    """Give the error for an answer that breaks its own framing."""
+    return RequestError(Kind.ENDPOINT_FAILED, f"the endpoint's answer is malformed: {detail}")
+
+
+class BodyParser(Protocol):
+    """Turns the bytes of a connection into the bytes of one body."""
+
+    ended: bool
+    """Whether the body's own end was seen."""
+    rest: bytes
+    """Bytes after the end, which belong to no answer that was asked for."""
+
+    def feed(self, data: bytes) -> bytes:
+        """Take received bytes and give what they add to the body; raise RequestError."""
+        ...
+
+
+class LengthBody:
+    """A body of a length known from Content-Length."""
+
+    def __init__(self, length: int) -> None:
+        self._left = length
+        self.ended = length == 0
+        self.rest = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Take received bytes and give what they add to the body."""
+        body = data[: self._left]
+        self._left -= len(body)
+        self.ended = self._left == 0
+        self.rest += data[len(body) :]
+        return body
+
+
+class ChunkedBody:
+    """A body in chunked transfer coding."""
+
+    def __init__(self) -> None:
+        self.ended = False
+        self.rest = b""
+        self._buffer = b""
+        self._left = 0
+        """Bytes of the present chunk to come, with the line end after it; 0 between chunks."""
+        self._trailer = -1
+        """Bytes of trailer seen, or -1 before the last chunk."""
+
+    def feed(self, data: bytes) -> bytes:
+        """Take received bytes and give what they add to the body; raise RequestError."""
+        if not self._buffer and not self._left:
+            whole = self._take_one_whole(data)
+            if whole is not None:
+                return whole
+        self._buffer += data
+        pieces = []
+        while not self.ended:
+            piece = self._step()
+            if piece is None:
+                break
+            pieces.append(piece)
+        if self.ended:
+            self.rest += self._buffer
+            self._buffer = b""
+        return b"".join(pieces)
+
+    def _take_one_whole(self, data: bytes) -> bytes | None:
+        """Give the payload when the bytes are exactly one chunk, which is the common case."""
+        if self.ended or self._trailer >= 0:
+            return None
+        line = _SIZE_LINE.match(data)
+        if line is None:
+            return None
+        start = line.end()
+        size = int(line[1], 16)
+        if size == 0 or len(data) != start + size + 2 or not data.endswith(CRLF):
+            return None
+        return data[start:-2]
+
+    def _step(self) -> bytes | None:
+        """Advance by one element; None when more bytes are needed."""
+        if self._trailer >= 0:
+            return self._read_trailer()
+        if self._left:
+            return self._read_data()
+        return self._read_size()
+
+    def _read_size(self) -> bytes | None:
+        end = self._buffer.find(CRLF)
+        if end < 0:
+            self._check_line(len(self._buffer))
+            return None
+        self._check_line(end)
+        line = _SIZE_LINE.fullmatch(self._buffer[: end + 2])
+        if line is None:
+            raise make_malformed("a chunk has no size")
+        self._buffer = self._buffer[end + 2 :]
+        size = int(line[1], 16)
+        if size:
+            self._left = size + 2
+        else:
+            self._trailer = 0
+        return b""
+
+    def _read_data(self) -> bytes | None:
+        if not self._buffer:
+            return None
+        if self._left > 2:
+            piece = self._buffer[: self._left - 2]
+            self._left -= len(piece)
+            self._buffer = self._buffer[len(piece) :]
+            return piece
+        if len(self._buffer) < 2:
+            return None
+        if not self._buffer.startswith(CRLF):
+            raise make_malformed("a chunk is longer than its size")
+        self._left = 0
+        self._buffer = self._buffer[2:]
+        return b""
+
+    def _read_trailer(self) -> bytes | None:
+        end = self._buffer.find(CRLF)
+        if end < 0:
+            self._check_line(len(self._buffer))
+            return None
+        self._check_line(end)
+        self._trailer += end + 2
+        if self._trailer > MAX_TRAILER:
+            raise make_malformed("its trailer is too long")
+        self._buffer = self._buffer[end + 2 :]
+        self.ended = end == 0
+        return b""
+
+    def _check_line(self, length: int) -> None:
+        if length > MAX_LINE:
+            raise make_malformed("a line of its framing is too long")
+
+
+class EventStream:
+    """Server-sent events in a framed body, forwarded event by event.
+
+    The `[DONE]` event is held back until the body's own end was seen, so that a stream which was
+    cut between the two does not look whole to a caller that watches for either.
+    """
+
+    def __init__(self, body: BodyParser) -> None:
+        self.body = body
+        self.tokens = 0
+        """Data events that were seen, without `[DONE]`."""
+        self._pending = b""
+        self._done = b""
+
+    @property
+    def whole(self) -> bool:
+        """Whether both `[DONE]` and the end of the body were seen."""
+        return bool(self._done) and self.body.ended
+
+    def feed(self, data: bytes) -> bytes:
+        """Take received bytes and give the whole events to forward; raise RequestError."""
+        payload = self.body.feed(data)
+        if self._pending:
+            payload = self._pending + payload
+            self._pending = b""
+        events = self._split(payload) if payload else b""
+        if self.body.ended:
+            self._check_end()
+            return events + self._done
+        return events
+
+    def _split(self, payload: bytes) -> bytes:
+        """Give the whole events in front and keep the rest."""
+        end = 0
+        for mark in _EVENT_END.finditer(payload):
+            event = payload[end : mark.end()]
+            if self._done:
+                raise make_malformed("an event follows its last one")
+            if DONE in event and _read_data(event) == DONE:
+                self._done = event
+                self._pending = payload[mark.end() :]
+                self._check_pending()
+                return payload[:end]
+            if event.startswith(b"data") or b"\ndata" in event:
+                self.tokens += 1
+            end = mark.end()
+        self._pending = payload[end:]
+        self._check_pending()
+        return payload[:end]
+
+    def _check_pending(self) -> None:
+        if self._done and self._pending.strip():
+            raise make_malformed("an event follows its last one")
+        if len(self._pending) > MAX_EVENT:
+            raise make_malformed("an event is too long")
+
+    def _check_end(self) -> None:
+        if not self._done:
+            raise RequestError(Kind.TRUNCATED, "the stream ended before its last event")
+
+
+def _read_data(event: bytes) -> bytes:
+    """Give the data of an event: its data lines, joined."""
+    lines = [line[5:] for line in event.splitlines() if line.startswith(b"data:")]
+    return b"\n".join(line.removeprefix(b" ") for line in lines)
--- /dev/null
+++ b/cloverway/tests/raw_endpoint.py
@@ -0,0 +1,132 @@
+"""An endpoint on a raw socket: it plays one script for each connection, byte by byte."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Callable
+from contextlib import suppress
+
+from cloverway.messages import Request
+
+PATIENCE_S = 10.0
+
+
+def wait_until(condition: Callable[[], bool], what: str = "condition") -> None:
+    """Wait, within a bound, until a condition holds."""
+    tick = threading.Event()
+    until = time.monotonic() + PATIENCE_S
+    while not condition():
+        assert time.monotonic() < until, f"{what} did not come about"
+        tick.wait(0.002)
+
+
+def make_request(deadline_s: float = PATIENCE_S, **fields: object) -> Request:
+    now = time.monotonic()
+    values = {
+        "id": "r1",
+        "team": "caroni",
+        "profile": "desk",
+        "path": "/v1/chat/completions",
+        "method": "POST",
+        "body": b'{"prompt": "x"}',
+        "content_type": "application/json",
+        "arrived_at": now,
+        "deadline": now + deadline_s,
+    }
+    return Request(**(values | fields))
+
+
+class Conversation:
+    """One accepted connection, as the endpoint sees it."""
+
+    def __init__(self, sock: socket.socket, number: int) -> None:
+        self.sock = sock
+        self.number = number
+        self.requests: list[bytes] = []
+        sock.settimeout(PATIENCE_S)
+
+    def read_request(self) -> bytes:
+        """Read one whole request; empty when the other side closed."""
+        data = b""
+        while b"\r\n\r\n" not in data:
+            received = self.sock.recv(65536)
+            if not received:
+                return b""
+            data += received
+        head, _, body = data.partition(b"\r\n\r\n")
+        lengths = [
+            int(line.split(b":")[1])
+            for line in head.lower().split(b"\r\n")
+            if line.startswith(b"content-length:")
+        ]
+        while lengths and len(body) < lengths[0]:
+            body += self.sock.recv(65536)
+        self.requests.append(head + b"\r\n\r\n" + body)
+        return self.requests[-1]
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def answer(self, body: bytes, head: bytes = b"200 OK", extra: bytes = b"") -> None:
+        """Read a request and send a whole answer of known length."""
+        if self.read_request():
+            self.send(b"HTTP/1.1 %b\r\nContent-Type: application/json\r\n" % head + extra)
+            self.send(b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
+
+    def wait_for_close(self) -> bool:
+        """Whether the other side closed within the bound."""
+        try:
+            return self.sock.recv(1) == b""
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+
+
+class RawEndpoint:
+    """Accepts connections on a free port and plays a script for each, by its number."""
+
+    def __init__(self, *scripts: Callable[[Conversation], None]) -> None:
+        self._scripts = scripts
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.url = f"http://127.0.0.1:{self._listener.getsockname()[1]}"
+        self.conversations: list[Conversation] = []
+        self.cancels: list[bytes] = []
+        self.ended = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def __enter__(self) -> RawEndpoint:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        with suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for conversation in self.conversations:
+            conversation.sock.close()
+
+    @property
+    def requests(self) -> list[bytes]:
+        return [request for each in self.conversations for request in each.requests]
+
+    def _accept(self) -> None:
+        with suppress(OSError):
+            while True:
+                sock, _ = self._listener.accept()
+                threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        with sock, suppress(OSError):
+            sock.settimeout(PATIENCE_S)
+            start = sock.recv(15, socket.MSG_PEEK | socket.MSG_WAITALL)
+            if start == b"POST /v1/cancel":
+                cancel = Conversation(sock, -1)
+                cancel.answer(b"{}")
+                self.cancels += cancel.requests
+                return
+            conversation = Conversation(sock, len(self.conversations))
+            self.conversations.append(conversation)
+            self._scripts[min(conversation.number, len(self._scripts) - 1)](conversation)
+        self.ended += 1
