Suggest the nearest known name again, and add the error of a failed call

Schemas of NamedTuple types have no property names in their JSON form, so every unknown name was answered by 'remove it'. The names are now taken from the core schema, which has them. Seen red in the test of the check command: 'idempotant' did not suggest 'idempotent'.

CallError carries what the client's callers need for a repeat or a report: the idempotency key, the request's id and the host that was asked last.

--- a/cloverway/config/options.py
+++ b/cloverway/config/options.py
@@ -96,16 +96,16 @@
     schema: TypeAdapter[Any], location: tuple[int | str, ...], values: Mapping[str, Any]
 ) -> str:
     """Give the nearest known name, in the form of a question."""
-    names = _known_names(schema.json_schema())
+    names = _known_names(schema.core_schema)
     close = difflib.get_close_matches(str(location[-1]), names, n=1)
     return f"; did you mean {close[0]!r}?" if close else "; remove it"
 
 
-def _known_names(json_schema: Any) -> set[str]:
-    """Collect every property name of a JSON schema."""
-    if isinstance(json_schema, Mapping):
-        own = set(json_schema.get("properties", {}))
-        return own.union(*(_known_names(part) for part in json_schema.values()))
-    if isinstance(json_schema, list):
-        return set().union(*(_known_names(part) for part in json_schema))
+def _known_names(part: Any) -> set[str]:
+    """Collect the name of every field of a schema."""
+    if isinstance(part, Mapping):
+        own = {str(part["name"])} if "name" in part and "schema" in part else set()
+        return own.union(*(_known_names(deeper) for deeper in part.values()))
+    if isinstance(part, list):
+        return set().union(*(_known_names(deeper) for deeper in part))
     return set()
--- a/cloverway/errors.py
+++ b/cloverway/errors.py
@@ -164,3 +164,25 @@
         if self.retry_after is not None:
             problem["retry_after_s"] = round(self.retry_after, 3)
         return problem
+
+
+class CallError(RequestError):
+    """A call by `cloverway.client` failed; carries what a report or a repeat needs."""
+
+    def __init__(
+        self,
+        kind: Kind,
+        detail: str = "",
+        *,
+        ran: Ran | None = None,
+        retry_after: float | None = None,
+        key: str = "",
+        request_id: str = "",
+        host: str = "",
+    ) -> None:
+        super().__init__(kind, detail, ran=ran, retry_after=retry_after)
+        self.key = key
+        """The idempotency key it was sent with, or empty."""
+        self.request_id = request_id
+        self.host = host
+        """The address of the entry host that was asked last."""
