--- a/cloverway/commands/check.py
+++ b/cloverway/commands/check.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import logging
-import tomllib
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from cloverway.config.directory import load_directory
 from cloverway.config.published import Published
 from cloverway.config.settings import Settings
 from cloverway.errors import ConfigurationError, UserError
@@ -52,25 +52,6 @@
     return Report([], warnings, [], place)
 
 
-def load_directory(directory: Path) -> Published:
-    """Read and validate every TOML file of a directory; raise ConfigurationError."""
-    if not directory.is_dir():
-        raise UserError(f"{directory} is not a directory; give the one that is published")
-    documents: dict[str, Any] = {}
-    for file in sorted(directory.glob("*.toml")):
-        for table, value in _read(file).items():
-            merged = documents.get(table)
-            documents[table] = merged | value if isinstance(merged, dict) else value
-    return Published.from_documents(documents, str(directory))
-
-
-def _read(file: Path) -> dict[str, Any]:
-    try:
-        return tomllib.loads(file.read_text(encoding="utf-8"))
-    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise ConfigurationError([f"{file}: can't be read: {error}"]) from error
-
-
 def describe(published: Published) -> str:
     """Count what is published, in one line."""
     parts = (
