Add the error kind key_spent

A repeat whose first run ended with an unknown outcome needs an answer of its own: key_in_use says that the first request goes on, and answer_gone says that it ran; neither is true here.

--- a/cloverway/errors.py
+++ b/cloverway/errors.py
@@ -31,6 +31,7 @@
     KEY_EXPIRED = "key_expired"
     KEY_IN_USE = "key_in_use"
     KEY_OWNER_LOST = "key_owner_lost"
+    KEY_SPENT = "key_spent"
     ANSWER_GONE = "answer_gone"
     OVERLOADED = "overloaded"
     TEAM_LIMIT = "team_limit"
@@ -73,6 +74,7 @@
     Kind.KEY_OWNER_LOST: Answer(
         503, "The host that issued the key can't be asked", Ran.UNKNOWN, True
     ),
+    Kind.KEY_SPENT: Answer(409, "It may have run and is never run again", Ran.UNKNOWN, False),
     Kind.ANSWER_GONE: Answer(409, "It ran; its answer is no longer held", Ran.YES, False),
     Kind.OVERLOADED: Answer(429, "There is more work than capacity", Ran.NO, True),
     Kind.TEAM_LIMIT: Answer(429, "The team is over its fair share", Ran.NO, True),
