Let the issuer of an idempotency key decide alone who runs it

A key names one incarnation of one host. That process grants it to one claimant, and again only after that claimant settled that nothing had left for an endpoint; a new process at the same address can't grant it at all. No state is shared, and no two clocks are compared.

The answer goes to the issuer only when its data may be held there, by the configuration of both hosts. A claimant is named by a counter of its host, not by the request id: two requests with one id would otherwise both take the same grant.

--- /dev/null
+++ b/cloverway/claims.py
@@ -0,0 +1,328 @@
+"""How a host gets the right to run a request with a key: from its own ledger or from a peer's."""
+
+from __future__ import annotations
+
+import itertools
+import logging
+import secrets
+import time
+import zlib
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import Any, NamedTuple
+
+from cloverway.config.settings import Settings
+from cloverway.errors import Kind, PeerError, Ran, RequestError
+from cloverway.exchange import Reply
+from cloverway.keys import (
+    NONCE_BYTES,
+    Bounds,
+    ClaimCall,
+    ClaimResult,
+    Grant,
+    KeyName,
+    Ledger,
+    Recorded,
+    SettleCall,
+    Settlement,
+    compute_digest,
+)
+from cloverway.messages import Outcome, Refused, Request
+from cloverway.settlements import Issuers, Settler
+from cloverway.task import Task
+
+log = logging.getLogger(__name__)
+
+SECRET_BYTES = 32
+MOST_KEYS_AT_ONCE = 1_000
+ANSWER_TIMEOUT_S = 5.0
+"""How long a sender waits for the task that owns the ledger."""
+RETRY_AFTER_S = 2.0
+SETTLERS = 4
+
+MayHold = Callable[[str, str, str], bool]
+"""Whether data of a team and a profile may be held at a host: (team, profile, host)."""
+
+
+class Issue(NamedTuple):
+    """Message: make keys."""
+
+    wanted: int
+
+
+class Leave(NamedTuple):
+    """Message: issue no more keys; claims are still answered."""
+
+
+class Count(NamedTuple):
+    """Message: tell how much the ledger holds."""
+
+
+class LedgerCount(NamedTuple):
+    """What a ledger holds."""
+
+    keys: int
+    outstanding: int
+    recorded_bytes: int
+
+
+class KeyTask:
+    """The task that owns this incarnation's ledger."""
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        may_hold: MayHold,
+        clock: Callable[[], float] = time.monotonic,
+        random_bytes: Callable[[int], bytes] = secrets.token_bytes,
+    ) -> None:
+        self.host = ledger.host
+        self.incarnation = ledger.incarnation
+        self._ledger = ledger
+        self._may_hold = may_hold
+        self._clock = clock
+        self._random_bytes = random_bytes
+        self._task = Task("keys", self._handle, self._expire, period_s=1.0)
+
+    @classmethod
+    def from_settings(cls, settings: Settings, incarnation: str, may_hold: MayHold) -> KeyTask:
+        """Make the task with a new secret, which no other process ever learns."""
+        limits = settings.limits
+        bounds = Bounds(
+            limits.idempotency_keys,
+            limits.idempotency_key_s,
+            limits.recorded_bytes,
+            limits.recorded_answer_bytes,
+        )
+        secret = secrets.token_bytes(SECRET_BYTES)
+        ledger = Ledger(settings.host, incarnation, secret, bounds, time.monotonic())
+        return cls(ledger, may_hold)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._task.start()
+
+    def stop(self) -> None:
+        """End the thread; the keys can never be granted again."""
+        self._task.stop()
+
+    def issue(self, count: int) -> list[str]:
+        """Give new keys; raise RequestError when the host is leaving or the count is wrong."""
+        if not 1 <= count <= MOST_KEYS_AT_ONCE:
+            raise RequestError(Kind.MALFORMED, f"count must be from 1 to {MOST_KEYS_AT_ONCE}")
+        issued = self._ask(Issue(count), Ran.NO)
+        if isinstance(issued, Refused):
+            raise _as_error(issued)
+        keys: list[str] = issued
+        return keys
+
+    def claim(self, call: ClaimCall) -> ClaimResult:
+        """Decide a claim; raise RequestError when the task does not answer."""
+        result: ClaimResult = self._ask(call, Ran.UNKNOWN)
+        return result
+
+    def settle(self, call: SettleCall) -> None:
+        """Note how a run ended; returns at once, and later claims see it."""
+        if call.recorded is not None and not self._may_hold(call.team, call.profile, self.host):
+            # A peer may decide by an older configuration: the stricter of the two holds.
+            call = call._replace(recorded=None)
+        self._task.send(call)
+
+    def leave(self) -> None:
+        """Issue no more keys."""
+        self._task.send(Leave())
+
+    def count(self) -> LedgerCount:
+        """Tell what the ledger holds; a leaving host waits until nothing is outstanding."""
+        count: LedgerCount = self._ask(Count(), Ran.NO)
+        return count
+
+    def _ask(self, message: Any, ran: Ran) -> Any:
+        try:
+            return self._task.ask(message, ANSWER_TIMEOUT_S)
+        except TimeoutError as error:
+            raise RequestError(Kind.INTERNAL, "the ledger did not answer", ran=ran) from error
+
+    def _expire(self) -> None:
+        self._ledger.expire(self._clock())
+
+    def _handle(self, message: Any, answer: Future[Any]) -> None:
+        answer.set_result(self._decide(message, self._clock()))
+
+    def _decide(self, message: Any, now: float) -> Any:
+        if isinstance(message, ClaimCall):
+            return self._ledger.claim(message, now)
+        if isinstance(message, SettleCall):
+            return self._ledger.settle(message, now)
+        if isinstance(message, Issue):
+            nonces = [self._random_bytes(NONCE_BYTES) for _ in range(message.wanted)]
+            return self._ledger.issue(nonces, now)
+        if isinstance(message, Leave):
+            self._ledger.leaving = True
+            return None
+        assert isinstance(message, Count)
+        ledger = self._ledger
+        return LedgerCount(len(ledger), ledger.outstanding, ledger.recorded_bytes)
+
+
+class Granted(NamedTuple):
+    """This host alone may run the request, once, if the first byte leaves before `start_by`."""
+
+    key: str
+    team: str
+    profile: str
+    claimant: str
+    issuer: str
+    start_by: float
+    """Monotonic time of this host."""
+
+    def check(self, now: float) -> None:
+        """Raise RequestError when it is too late to start; call it just before sending.
+
+        A process that was paused wakes up here with a grant that its caller has given up.
+        """
+        if now >= self.start_by:
+            raise RequestError(Kind.DEADLINE, "the key's grant has ended", ran=Ran.NO)
+
+
+class Replayed(NamedTuple):
+    """The request was run before; this is its recorded answer."""
+
+    reply: Reply
+
+
+SETTLEMENTS = {
+    Outcome.DONE: Settlement.DONE,
+    Outcome.NOT_SENT: Settlement.NOT_RUN,
+    Outcome.REFUSED: Settlement.NOT_RUN,
+    Outcome.FAILED: Settlement.UNKNOWN,
+    Outcome.CALLER_LEFT: Settlement.UNKNOWN,
+}
+
+REPLAYED_HEADER = ("Cloverway-Replayed", "true")
+
+
+class Claims:
+    """Claims keys from whichever host issued them."""
+
+    def __init__(
+        self,
+        keys: KeyTask,
+        issuers: Issuers,
+        address_of: Callable[[str], str | None],
+        may_hold: MayHold,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._keys = keys
+        self._issuers = issuers
+        self._address_of = address_of
+        self._may_hold = may_hold
+        self._clock = clock
+        self._attempts = itertools.count(1)
+        self._settlers = [Settler(issuers, address_of, clock) for _ in range(SETTLERS)]
+
+    def start(self) -> None:
+        """Start the threads that tell other hosts how runs ended."""
+        for settler in self._settlers:
+            settler.start()
+
+    def stop(self) -> None:
+        """End the threads after one attempt at all that is in their inboxes."""
+        for settler in self._settlers:
+            settler.stop()
+
+    def claim(self, request: Request) -> Granted | Replayed:
+        """Get the right to run, or the recorded answer; raise RequestError for all else."""
+        name = KeyName.parse(request.key)
+        if name is None:
+            raise RequestError(Kind.KEY_INVALID, "keys come from POST /v1/idempotency-keys")
+        asked_at = self._clock()
+        call = ClaimCall(
+            key=request.key,
+            team=request.team,
+            profile=request.profile,
+            digest=compute_digest(request.method, request.path, request.body),
+            claimant=self._name_claimant(request.id),
+            left_s=request.deadline - asked_at,
+        )
+        result = self._claim_from(name, call)
+        if isinstance(result, Grant):
+            # Counted from before the claim left, so that it ends here before it ends there.
+            start_by = min(request.deadline, asked_at + result.lifetime_s)
+            return Granted(
+                request.key, request.team, request.profile, call.claimant, name.host, start_by
+            )
+        if isinstance(result, Recorded):
+            headers = (*result.headers, REPLAYED_HEADER)
+            return Replayed(Reply(result.status, result.content_type, result.body, headers=headers))
+        raise _as_error(result)
+
+    def settle(self, granted: Granted, outcome: Outcome, reply: Reply | None = None) -> None:
+        """Tell the issuer how the run ended; returns at once.
+
+        The answer goes along when it is whole and its data may be held where the issuer is.
+        """
+        self._send(
+            SettleCall(
+                key=granted.key,
+                team=granted.team,
+                profile=granted.profile,
+                claimant=granted.claimant,
+                settlement=SETTLEMENTS[outcome],
+                recorded=self._choose_recorded(granted, outcome, reply),
+            ),
+            granted.issuer,
+        )
+
+    def _choose_recorded(
+        self, granted: Granted, outcome: Outcome, reply: Reply | None
+    ) -> Recorded | None:
+        if outcome is not Outcome.DONE or reply is None or reply.stream is not None:
+            return None
+        if not self._may_hold(granted.team, granted.profile, granted.issuer):
+            return None
+        return Recorded(reply.status, reply.content_type, reply.body, reply.headers)
+
+    def _name_claimant(self, request_id: str) -> str:
+        """Name one attempt. A request's id is not enough: a caller may send the same id twice."""
+        keys = self._keys
+        return f"{keys.host}/{keys.incarnation}/{next(self._attempts)}/{request_id[:64]}"
+
+    def _claim_from(self, name: KeyName, call: ClaimCall) -> ClaimResult:
+        try:
+            if name.host == self._keys.host:
+                return self._keys.claim(call)
+            return self._claim_from_peer(name.host, call)
+        except (PeerError, RequestError) as error:
+            # The grant may have been given and its answer lost; nothing will be run with it.
+            settle = SettleCall(
+                call.key, call.team, call.profile, call.claimant, Settlement.NOT_RUN
+            )
+            self._send(settle, name.host)
+            if isinstance(error, RequestError):
+                raise
+            log.info("an issuer could not be asked", extra={"issuer": name.host})
+            raise RequestError(
+                Kind.KEY_OWNER_LOST, ran=Ran.UNKNOWN, retry_after=RETRY_AFTER_S
+            ) from error
+
+    def _claim_from_peer(self, host: str, call: ClaimCall) -> ClaimResult:
+        address = self._address_of(host)
+        if address is None:
+            # Not proof of a forged key: the host may have been taken off the list since.
+            return Refused(Kind.KEY_OWNER_LOST, "its host is not published", ran=Ran.UNKNOWN)
+        return self._issuers.claim(host, address, call)
+
+    def _send(self, call: SettleCall, issuer: str) -> None:
+        if issuer == self._keys.host:
+            self._keys.settle(call)
+            return
+        # One issuer that does not answer must not hold up the settlements for all others.
+        shard = zlib.crc32(issuer.encode()) % SETTLERS
+        self._settlers[shard].settle(issuer, call)
+
+
+def _as_error(refused: Refused) -> RequestError:
+    return RequestError(
+        refused.kind, refused.detail, ran=refused.ran, retry_after=refused.retry_after
+    )
--- /dev/null
+++ b/cloverway/keys.py
@@ -0,0 +1,370 @@
+"""Idempotency keys: the process that issued a key decides, alone, who may run its request.
+
+Nothing is shared and nothing lasts: a key names the one incarnation of the one host that may grant
+it. When that process is gone the key can't be granted any more, so it can't be granted twice.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import logging
+from collections.abc import Iterable
+from enum import StrEnum
+from typing import NamedTuple
+
+from cloverway.errors import Kind, Ran
+from cloverway.messages import Refused
+
+log = logging.getLogger(__name__)
+
+VERSION = "k1"
+SEPARATOR = "_"
+NONCE_BYTES = 12
+MAC_BYTES = 16
+LONGEST_KEY = 256
+MARGIN_MS = 1_000
+"""After a request's deadline, until a repeat is told that the outcome is unknown."""
+LONGEST_RETRY_AFTER_S = 60.0
+IN_USE_RETRY_AFTER_S = 1.0
+
+
+class KeyName(NamedTuple):
+    """What the text of a key says, before its MAC was checked."""
+
+    host: str
+    incarnation: str
+    issued_ms: int
+    """By the issuer's own clock, since the issuer started."""
+    nonce: bytes
+    mac: bytes
+
+    @classmethod
+    def parse(cls, text: str) -> KeyName | None:
+        """Read a key; None when it does not have the form that hosts issue."""
+        parts = text.split(SEPARATOR) if len(text) <= LONGEST_KEY and text.isascii() else []
+        if len(parts) != 6 or parts[0] != VERSION or not parts[3].isdigit():
+            return None
+        try:
+            nonce, mac = bytes.fromhex(parts[4]), bytes.fromhex(parts[5])
+        except ValueError:
+            return None
+        name = cls(parts[1], parts[2], int(parts[3]), nonce, mac)
+        # Each key has one spelling only: another one must not pass for another key.
+        return name if name.text == text and len(mac) == MAC_BYTES else None
+
+    @property
+    def signed(self) -> str:
+        """The part of the text that the MAC covers."""
+        parts = (VERSION, self.host, self.incarnation, str(self.issued_ms), self.nonce.hex())
+        return SEPARATOR.join(parts)
+
+    @property
+    def text(self) -> str:
+        """The key as callers hold it."""
+        return self.signed + SEPARATOR + self.mac.hex()
+
+
+class Recorded(NamedTuple):
+    """A whole answer, held so that a repeat gets it again."""
+
+    status: int
+    content_type: str
+    body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+
+    @property
+    def size(self) -> int:
+        """Bytes that count against the limits."""
+        headers = sum(len(name) + len(value) for name, value in self.headers)
+        return len(self.body) + len(self.content_type) + headers
+
+
+class Settlement(StrEnum):
+    """How the run that a grant allowed has ended."""
+
+    DONE = "done"
+    UNKNOWN = "unknown"
+    NOT_RUN = "not_run"
+    """Certain: no byte left for an endpoint, or the endpoint said that it did not start."""
+
+
+class ClaimCall(NamedTuple):
+    """Ask the issuer of a key for the right to run its request."""
+
+    key: str
+    team: str
+    profile: str
+    digest: bytes
+    claimant: str
+    """Names one attempt of one host incarnation; never used for a second attempt."""
+    left_s: float
+    """Time until the request's deadline."""
+
+
+class SettleCall(NamedTuple):
+    """Tell the issuer how the run ended."""
+
+    key: str
+    team: str
+    profile: str
+    claimant: str
+    settlement: Settlement
+    recorded: Recorded | None = None
+
+
+class Grant(NamedTuple):
+    """The right to run, once, given to one claimant only."""
+
+    lifetime_s: float
+    """The run must start within this time from before the claim was sent."""
+
+
+ClaimResult = Grant | Recorded | Refused
+
+
+class State(StrEnum):
+    """What the issuer knows about a key that was claimed."""
+
+    GRANTED = "granted"
+    FREE = "free"
+    """The run that was granted certainly did not happen."""
+    DONE = "done"
+    UNKNOWN = "unknown"
+
+
+SETTLED_STATES = {
+    Settlement.DONE: State.DONE,
+    Settlement.UNKNOWN: State.UNKNOWN,
+    Settlement.NOT_RUN: State.FREE,
+}
+
+
+class _Entry:
+    """One key that was claimed."""
+
+    __slots__ = ("binding", "claimant", "ends_ms", "expires_ms", "recorded", "state")
+
+    def __init__(self, binding: bytes, expires_ms: int) -> None:
+        self.binding = binding
+        self.expires_ms = expires_ms
+        self.state = State.FREE
+        self.claimant = ""
+        self.ends_ms = 0
+        self.recorded: Recorded | None = None
+
+
+class Bounds(NamedTuple):
+    """How much a ledger holds, and for how long."""
+
+    keys: int
+    lifetime_s: float
+    recorded_bytes: int
+    recorded_answer_bytes: int
+
+
+def compute_digest(method: str, path: str, body: bytes) -> bytes:
+    """Identify a request's content; a key is bound to it at its first claim."""
+    return _hash_parts(method.encode(), path.encode(), body)
+
+
+class Ledger:
+    """All keys of one host incarnation that were claimed; pure but for its own state.
+
+    Safety does not rest on clocks: a key is granted only when it has no entry or a free one, and
+    an entry goes only when its key has expired for new claims.
+    """
+
+    def __init__(
+        self, host: str, incarnation: str, secret: bytes, bounds: Bounds, now: float
+    ) -> None:
+        self.host = host
+        self.incarnation = incarnation
+        self.leaving = False
+        self._secret = secret
+        self._bounds = bounds
+        self._lifetime_ms = int(bounds.lifetime_s * 1000)
+        self._epoch = now
+        self._now_ms = 0
+        self._entries: dict[bytes, _Entry] = {}
+        self._sizes: dict[bytes, int] = {}
+        self._recorded_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def recorded_bytes(self) -> int:
+        """Bytes of recorded answers that are held."""
+        return self._recorded_bytes
+
+    @property
+    def outstanding(self) -> int:
+        """Grants that are not settled."""
+        return sum(entry.state is State.GRANTED for entry in self._entries.values())
+
+    def issue(self, nonces: Iterable[bytes], now: float) -> list[str] | Refused:
+        """Make one key for each nonce; a leaving issuer makes none."""
+        if self.leaving:
+            return Refused(Kind.LEAVING, "ask another host for keys")
+        issued_ms = self._advance(now)
+        return [self._sign(issued_ms, nonce) for nonce in nonces]
+
+    def claim(self, call: ClaimCall, now: float) -> ClaimResult:
+        """Grant the key, give the recorded answer, or say why neither can be had."""
+        now_ms = self._advance(now)
+        name = KeyName.parse(call.key)
+        refusal = self._check_name(name)
+        if refusal is not None:
+            return refusal
+        assert name is not None
+        entry = self._entries.get(name.nonce)
+        expired = now_ms - name.issued_ms >= self._lifetime_ms
+        binding = _hash_parts(call.team.encode(), call.profile.encode(), call.digest)
+        if entry is None:
+            return self._claim_unused(name, binding, call, expired)
+        if not hmac.compare_digest(entry.binding, binding):
+            return Refused(Kind.KEY_MISMATCH)
+        if entry.state is State.FREE:
+            return self._claim_free(entry, call, expired)
+        return self._repeat(entry, call)
+
+    def settle(self, call: SettleCall, now: float) -> bool:
+        """Note how a run ended; False when the claimant does not hold the grant.
+
+        The first settlement stands: a late or doubled one can't change it.
+        """
+        self._advance(now)
+        name = KeyName.parse(call.key)
+        if name is None or self._check_name(name) is not None:
+            return False
+        entry = self._entries.get(name.nonce)
+        if entry is None or entry.claimant != call.claimant:
+            return False
+        if entry.state is not State.GRANTED:
+            return entry.state is SETTLED_STATES[call.settlement]
+        entry.state = SETTLED_STATES[call.settlement]
+        if call.settlement is Settlement.DONE and call.recorded is not None:
+            self._record(name.nonce, entry, call.recorded)
+        return True
+
+    def expire(self, now: float) -> None:
+        """Drop the entries whose keys can't be granted any more."""
+        self._advance(now)
+
+    def _advance(self, now: float) -> int:
+        """Give the time in whole milliseconds, never lower than before, and expire entries.
+
+        Whole numbers, because an entry must not go a rounding error before its key expires.
+        """
+        self._now_ms = max(self._now_ms, int((now - self._epoch) * 1000))
+        while self._entries:
+            nonce, entry = next(iter(self._entries.items()))
+            if entry.expires_ms > self._now_ms:
+                break
+            self._forget_answer(nonce)
+            del self._entries[nonce]
+        return self._now_ms
+
+    def _sign(self, issued_ms: int, nonce: bytes) -> str:
+        name = KeyName(self.host, self.incarnation, issued_ms, nonce, b"")
+        return name._replace(mac=self._compute_mac(name)).text
+
+    def _compute_mac(self, name: KeyName) -> bytes:
+        return hmac.digest(self._secret, name.signed.encode(), "sha256")[:MAC_BYTES]
+
+    def _check_name(self, name: KeyName | None) -> Refused | None:
+        if name is None:
+            return Refused(Kind.KEY_INVALID, "keys come from POST /v1/idempotency-keys")
+        if (name.host, name.incarnation) != (self.host, self.incarnation):
+            return Refused(
+                Kind.KEY_OWNER_LOST, "the host that issued it was replaced", ran=Ran.UNKNOWN
+            )
+        if not hmac.compare_digest(self._compute_mac(name), name.mac):
+            return Refused(Kind.KEY_INVALID, "keys come from POST /v1/idempotency-keys")
+        return None
+
+    def _claim_unused(
+        self, name: KeyName, binding: bytes, call: ClaimCall, expired: bool
+    ) -> ClaimResult:
+        if expired:
+            # The entry may have been dropped, so nothing is known about the past.
+            return Refused(Kind.KEY_EXPIRED, ran=Ran.UNKNOWN)
+        if call.left_s <= 0:
+            return Refused(Kind.DEADLINE)
+        if len(self._entries) >= self._bounds.keys:
+            return Refused(Kind.OVERLOADED, "too many keys are in use", self._compute_wait())
+        # First claim plus lifetime is never before issue plus lifetime: once the entry goes,
+        # its key has expired, and it can't be granted a second time.
+        entry = _Entry(binding, self._now_ms + self._lifetime_ms)
+        self._entries[name.nonce] = entry
+        return self._grant(entry, call)
+
+    def _claim_free(self, entry: _Entry, call: ClaimCall, expired: bool) -> ClaimResult:
+        if expired:
+            return Refused(Kind.KEY_EXPIRED, ran=Ran.NO)
+        if call.left_s <= 0:
+            return Refused(Kind.DEADLINE)
+        if entry.claimant == call.claimant:
+            # A late copy of a claim that its sender has already given up.
+            return Refused(Kind.KEY_IN_USE, "the claim was given up", IN_USE_RETRY_AFTER_S, Ran.NO)
+        return self._grant(entry, call)
+
+    def _grant(self, entry: _Entry, call: ClaimCall) -> Grant:
+        assert entry.state is State.FREE, "a key is granted only while no run can have happened"
+        entry.state = State.GRANTED
+        entry.claimant = call.claimant
+        lifetime_s = self._compute_lifetime(call)
+        entry.ends_ms = self._now_ms + int(lifetime_s * 1000) + MARGIN_MS
+        return Grant(lifetime_s)
+
+    def _compute_lifetime(self, call: ClaimCall) -> float:
+        return min(call.left_s, self._bounds.lifetime_s)
+
+    def _repeat(self, entry: _Entry, call: ClaimCall) -> ClaimResult:
+        if entry.state is State.GRANTED:
+            return self._repeat_granted(entry, call)
+        if entry.state is State.UNKNOWN:
+            return Refused(Kind.KEY_SPENT, ran=Ran.UNKNOWN)
+        if entry.recorded is None:
+            return Refused(Kind.ANSWER_GONE, ran=Ran.YES)
+        return entry.recorded
+
+    def _repeat_granted(self, entry: _Entry, call: ClaimCall) -> ClaimResult:
+        if entry.claimant == call.claimant:
+            # The answer to the first claim was lost; the claimant still has run nothing.
+            return Grant(self._compute_lifetime(call))
+        left_s = (entry.ends_ms - self._now_ms) / 1000
+        if left_s > 0:
+            wait = min(left_s, IN_USE_RETRY_AFTER_S)
+            return Refused(Kind.KEY_IN_USE, retry_after=wait, ran=Ran.UNKNOWN)
+        # The claimant is gone or slow. It is never granted again on the word of a clock.
+        return Refused(Kind.KEY_SPENT, "the first run was not heard of", ran=Ran.UNKNOWN)
+
+    def _compute_wait(self) -> float:
+        first = next(iter(self._entries.values()))
+        return min((first.expires_ms - self._now_ms) / 1000, LONGEST_RETRY_AFTER_S)
+
+    def _record(self, nonce: bytes, entry: _Entry, recorded: Recorded) -> None:
+        """Hold an answer; the oldest ones make room, which loses answers but never a use."""
+        size = recorded.size
+        if size > min(self._bounds.recorded_answer_bytes, self._bounds.recorded_bytes):
+            return
+        while self._recorded_bytes + size > self._bounds.recorded_bytes:
+            self._forget_answer(next(iter(self._sizes)))
+        entry.recorded = recorded
+        self._sizes[nonce] = size
+        self._recorded_bytes += size
+
+    def _forget_answer(self, nonce: bytes) -> None:
+        self._recorded_bytes -= self._sizes.pop(nonce, 0)
+        self._entries[nonce].recorded = None
+
+
+def _hash_parts(*parts: bytes) -> bytes:
+    """Hash parts with their lengths, so that no two lists of parts look alike."""
+    digest = hashlib.sha256()
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
--- /dev/null
+++ b/cloverway/tests/test_claims.py
@@ -0,0 +1,271 @@
+from __future__ import annotations
+
+import threading
+
+import pytest
+
+from cloverway.claims import Claims, KeyTask, Replayed
+from cloverway.errors import Kind, PeerError, Ran, RequestError
+from cloverway.exchange import Reply
+from cloverway.keys import Bounds, Ledger
+from cloverway.messages import Outcome, Request
+
+BOUNDS = Bounds(keys=100, lifetime_s=100.0, recorded_bytes=10_000, recorded_answer_bytes=1_000)
+PATIENCE_S = 10.0
+REPLY = Reply(200, "application/json", b"{}")
+
+
+def hold_anywhere(team, profile, host):
+    return True
+
+
+class Clock:
+    def __init__(self):
+        self.now = 1_000.0
+
+    def __call__(self):
+        return self.now
+
+
+class Issuers:
+    """The peers' ledgers, one call away; messages can be lost on either way."""
+
+    def __init__(self, tasks):
+        self.tasks = tasks
+        self.lose_calls = False
+        self.lose_answers = False
+        self.settled = threading.Event()
+
+    def claim(self, host, address, call):
+        if self.lose_calls:
+            raise PeerError("unreachable")
+        result = self.tasks[host].claim(call)
+        if self.lose_answers:
+            raise PeerError("silent")
+        return result
+
+    def settle(self, host, address, call):
+        if self.lose_calls:
+            raise PeerError("unreachable")
+        self.tasks[host].settle(call)
+        self.settled.set()
+
+
+class Fleet:
+    """Two hosts; h1 issues, and both claim."""
+
+    def __init__(self, may_hold=hold_anywhere):
+        self.clock = Clock()
+        self.may_hold = may_hold
+        self.tasks = {}
+        self.issuers = Issuers(self.tasks)
+        self.addresses = {"h1": "127.0.0.1:1", "h2": "127.0.0.1:2"}
+        self.replace("h1", "i1")
+        self.replace("h2", "i1")
+        self.claims = {name: self.make_claims(name) for name in ("h1", "h2")}
+
+    def replace(self, host, incarnation):
+        if host in self.tasks:
+            self.tasks[host].stop()
+        ledger = Ledger(host, incarnation, b"s" + incarnation.encode(), BOUNDS, self.clock.now)
+        self.tasks[host] = KeyTask(ledger, self.may_hold, self.clock)
+        self.tasks[host].start()
+
+    def make_claims(self, host):
+        claims = Claims(
+            self.tasks[host], self.issuers, self.addresses.get, self.may_hold, self.clock
+        )
+        claims.start()
+        return claims
+
+    def stop(self):
+        for part in (*self.claims.values(), *self.tasks.values()):
+            part.stop()
+
+    def request(self, key, body=b"{}", left_s=10.0):
+        now = self.clock.now
+        return Request("r", "t", "p", "/x", "POST", body, "", now, now + left_s, key=key)
+
+
+@pytest.fixture
+def fleet():
+    fleet = Fleet()
+    yield fleet
+    fleet.stop()
+
+
+def kind_of(error):
+    return error.value.kind, error.value.ran
+
+
+def test_repeat_at_another_host_gets_the_recorded_answer(fleet):
+    """The answer from h1 is lost on the way to the caller, who repeats at h2.
+
+    h2 asks the issuer and gives the recorded answer, marked as replayed.
+    """
+    (key,) = fleet.tasks["h1"].issue(1)
+    granted = fleet.claims["h1"].claim(fleet.request(key))
+    fleet.claims["h1"].settle(granted, Outcome.DONE, REPLY)
+    again = fleet.claims["h2"].claim(fleet.request(key))
+    assert isinstance(again, Replayed)
+    assert again.reply.body == REPLY.body
+    assert ("Cloverway-Replayed", "true") in again.reply.headers
+
+
+def test_remote_grant_is_settled_at_its_issuer(fleet):
+    (key,) = fleet.tasks["h1"].issue(1)
+    granted = fleet.claims["h2"].claim(fleet.request(key))
+    fleet.claims["h2"].settle(granted, Outcome.DONE, REPLY)
+    assert fleet.issuers.settled.wait(PATIENCE_S)
+    assert isinstance(fleet.claims["h1"].claim(fleet.request(key)), Replayed)
+
+
+def test_two_requests_with_one_id(fleet):
+    """Two connections send the same request, with the same key and the same request id, to h2.
+
+    Were a claimant named by the request id, the second would be taken for a claim whose answer
+    was lost, and both would run.
+    """
+    (key,) = fleet.tasks["h1"].issue(1)
+    fleet.claims["h2"].claim(fleet.request(key))
+    with pytest.raises(RequestError) as error:
+        fleet.claims["h2"].claim(fleet.request(key))
+    assert kind_of(error) == (Kind.KEY_IN_USE, Ran.UNKNOWN)
+
+
+def test_unreachable_issuer(fleet):
+    """The link to the issuer is cut; h2 can't know whether the key was used, so it never runs."""
+    (key,) = fleet.tasks["h1"].issue(1)
+    fleet.issuers.lose_calls = True
+    with pytest.raises(RequestError) as error:
+        fleet.claims["h2"].claim(fleet.request(key))
+    assert kind_of(error) == (Kind.KEY_OWNER_LOST, Ran.UNKNOWN)
+    assert error.value.retry_after > 0
+
+
+def test_lost_grant_is_given_back(fleet):
+    """The issuer grants, but its answer is lost for good, and h2 tells the caller "unknown".
+
+    h2 then settles "not run", so that the caller's repeat can run instead of being spent.
+    """
+    (key,) = fleet.tasks["h1"].issue(1)
+    fleet.issuers.lose_answers = True
+    with pytest.raises(RequestError):
+        fleet.claims["h2"].claim(fleet.request(key))
+    assert fleet.issuers.settled.wait(PATIENCE_S)
+    fleet.claims["h1"].claim(fleet.request(key)).check(fleet.clock.now)
+
+
+def test_replaced_issuer(fleet):
+    """h1 is replaced at the same address; its new process never granted the key and never will."""
+    (key,) = fleet.tasks["h1"].issue(1)
+    fleet.replace("h1", "i2")
+    with pytest.raises(RequestError) as error:
+        fleet.claims["h2"].claim(fleet.request(key))
+    assert kind_of(error) == (Kind.KEY_OWNER_LOST, Ran.UNKNOWN)
+    assert error.value.retry_after is None
+
+
+def test_issuer_that_is_no_longer_published(fleet):
+    (key,) = fleet.tasks["h1"].issue(1)
+    del fleet.addresses["h1"]
+    with pytest.raises(RequestError) as error:
+        fleet.claims["h2"].claim(fleet.request(key))
+    assert kind_of(error) == (Kind.KEY_OWNER_LOST, Ran.UNKNOWN)
+
+
+def test_key_that_the_caller_chose(fleet):
+    with pytest.raises(RequestError) as error:
+        fleet.claims["h2"].claim(fleet.request("allocation-4711"))
+    assert kind_of(error) == (Kind.KEY_INVALID, Ran.NO)
+
+
+def test_grantee_that_slept_past_its_deadline(fleet):
+    """The process is paused between the grant and the send, and wakes after the deadline.
+
+    The last check before the first byte refuses; the key is freed for the caller's repeat.
+    """
+    (key,) = fleet.tasks["h1"].issue(1)
+    granted = fleet.claims["h1"].claim(fleet.request(key))
+    fleet.clock.now += 10.0
+    with pytest.raises(RequestError) as error:
+        granted.check(fleet.clock.now)
+    assert kind_of(error) == (Kind.DEADLINE, Ran.NO)
+    fleet.claims["h1"].settle(granted, Outcome.NOT_SENT)
+    fleet.claims["h2"].claim(fleet.request(key)).check(fleet.clock.now)
+
+
+@pytest.mark.parametrize("outcome", list(Outcome))
+def test_outcomes(fleet, outcome):
+    (key,) = fleet.tasks["h1"].issue(1)
+    granted = fleet.claims["h1"].claim(fleet.request(key))
+    fleet.claims["h1"].settle(granted, outcome)
+    expected = {
+        Outcome.DONE: Kind.ANSWER_GONE,
+        Outcome.FAILED: Kind.KEY_SPENT,
+        Outcome.CALLER_LEFT: Kind.KEY_SPENT,
+    }
+    if outcome not in expected:
+        assert fleet.claims["h1"].claim(fleet.request(key)).start_by
+        return
+    with pytest.raises(RequestError) as error:
+        fleet.claims["h1"].claim(fleet.request(key))
+    assert error.value.kind is expected[outcome]
+
+
+def test_answer_is_not_held_where_its_data_may_not_be():
+    """A team bound to the region of h2 used a key of h1, which is in another region.
+
+    The run is recorded at h1, its answer is not: a repeat learns that it ran, and no more.
+    """
+    fleet = Fleet(may_hold=lambda team, profile, host: host == "h2")
+    (key,) = fleet.tasks["h1"].issue(1)
+    granted = fleet.claims["h2"].claim(fleet.request(key))
+    fleet.claims["h2"].settle(granted, Outcome.DONE, REPLY)
+    assert fleet.issuers.settled.wait(PATIENCE_S)
+    with pytest.raises(RequestError) as error:
+        fleet.claims["h2"].claim(fleet.request(key))
+    assert kind_of(error) == (Kind.ANSWER_GONE, Ran.YES)
+    fleet.stop()
+
+
+def test_issuer_checks_residency_again(fleet):
+    """The grantee decides by an older configuration and sends the answer along.
+
+    The issuer decides by its own as well, so the stricter of the two holds.
+    """
+    (key,) = fleet.tasks["h1"].issue(1)
+    fleet.tasks["h1"]._may_hold = lambda team, profile, host: False
+    granted = fleet.claims["h2"].claim(fleet.request(key))
+    fleet.claims["h2"].settle(granted, Outcome.DONE, REPLY)
+    assert fleet.issuers.settled.wait(PATIENCE_S)
+    assert fleet.tasks["h1"].count().recorded_bytes == 0
+
+
+def test_settlement_is_tried_again(fleet):
+    """The link is cut while the run ends, and heals; the settlement then still arrives."""
+    (key,) = fleet.tasks["h1"].issue(1)
+    granted = fleet.claims["h2"].claim(fleet.request(key))
+    fleet.issuers.lose_calls = True
+    fleet.claims["h2"].settle(granted, Outcome.DONE, REPLY)
+    assert not fleet.issuers.settled.wait(0.05)
+    fleet.issuers.lose_calls = False
+    fleet.clock.now += 1.0
+    assert fleet.issuers.settled.wait(PATIENCE_S)
+
+
+def test_leaving_host_issues_no_keys(fleet):
+    (key,) = fleet.tasks["h1"].issue(1)
+    fleet.tasks["h1"].leave()
+    with pytest.raises(RequestError) as error:
+        fleet.tasks["h1"].issue(1)
+    assert kind_of(error) == (Kind.LEAVING, Ran.NO)
+    assert fleet.claims["h2"].claim(fleet.request(key)).issuer == "h1"
+    assert fleet.tasks["h1"].count().outstanding == 1
+
+
+@pytest.mark.parametrize("count", [0, 1_001])
+def test_count_of_keys_is_bounded(fleet, count):
+    with pytest.raises(RequestError) as error:
+        fleet.tasks["h1"].issue(count)
+    assert error.value.kind is Kind.MALFORMED
--- /dev/null
+++ b/cloverway/tests/test_keys.py
@@ -0,0 +1,394 @@
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from cloverway.errors import Kind, Ran
+from cloverway.keys import (
+    Bounds,
+    ClaimCall,
+    Grant,
+    KeyName,
+    Ledger,
+    Recorded,
+    SettleCall,
+    Settlement,
+    compute_digest,
+)
+from cloverway.messages import Refused
+
+BOUNDS = Bounds(keys=4, lifetime_s=100.0, recorded_bytes=100, recorded_answer_bytes=60)
+ANSWER = Recorded(200, "application/json", b'{"ok": true}')
+SECRET = b"s" * 32
+
+
+def make_ledger(incarnation="i1", bounds=BOUNDS, now=0.0):
+    return Ledger("h1", incarnation, SECRET + incarnation.encode(), bounds, now)
+
+
+def issue(ledger, now=0.0, nonce=b"n" * 12):
+    (key,) = ledger.issue([nonce], now)
+    return key
+
+
+def claim_of(key, claimant="a", *, digest=b"d", left_s=10.0, team="t", profile="p"):
+    return ClaimCall(key, team, profile, digest, claimant, left_s)
+
+
+def settle_of(key, settlement, claimant="a", recorded=None):
+    return SettleCall(key, "t", "p", claimant, settlement, recorded)
+
+
+def kind_of(result):
+    assert isinstance(result, Refused), result
+    return result.kind, result.ran
+
+
+def test_repeat_while_the_first_runs():
+    """The caller sends the same request to two hosts at once.
+
+    One claim is granted; the other caller's connection gets key_in_use with a time to come back,
+    because the first run has not ended and only one may ever go on.
+    """
+    ledger = make_ledger()
+    key = issue(ledger)
+    assert ledger.claim(claim_of(key), 1.0) == Grant(10.0)
+    second = ledger.claim(claim_of(key, "b"), 1.0)
+    assert kind_of(second) == (Kind.KEY_IN_USE, Ran.UNKNOWN)
+    assert second.retry_after > 0
+
+
+def test_lost_answer_to_a_claim():
+    """The answer to a claim is lost and the claimant asks again on a new connection.
+
+    It gets the same grant; it has sent nothing yet, so it is still the only one that runs.
+    """
+    ledger = make_ledger()
+    key = issue(ledger)
+    assert ledger.claim(claim_of(key), 1.0) == ledger.claim(claim_of(key), 1.5) == Grant(10.0)
+
+
+def test_repeat_after_the_answer_was_lost():
+    """The run is done, but its answer never reached the caller, who repeats at another host.
+
+    The issuer gives the recorded answer; nothing runs again.
+    """
+    ledger = make_ledger()
+    key = issue(ledger)
+    ledger.claim(claim_of(key), 1.0)
+    assert ledger.settle(settle_of(key, Settlement.DONE, recorded=ANSWER), 2.0)
+    assert ledger.claim(claim_of(key, "b"), 50.0) == ANSWER
+
+
+def test_repeat_after_unknown():
+    """The endpoint's connection broke after the send; the caller repeats.
+
+    The first run may have happened, so the key is spent for good.
+    """
+    ledger = make_ledger()
+    key = issue(ledger)
+    ledger.claim(claim_of(key), 1.0)
+    assert ledger.settle(settle_of(key, Settlement.UNKNOWN), 2.0)
+    assert kind_of(ledger.claim(claim_of(key, "b"), 3.0)) == (Kind.KEY_SPENT, Ran.UNKNOWN)
+
+
+def test_grantee_killed():
+    """The host that held the grant is gone; nobody knows whether it had sent.
+
+    A repeat is told to wait until the request's deadline and the margin, then that the outcome is
+    unknown. It is never granted on the word of a clock.
+    """
+    ledger = make_ledger()
+    key = issue(ledger)
+    ledger.claim(claim_of(key), 1.0)
+    assert kind_of(ledger.claim(claim_of(key, "b"), 11.9))[0] is Kind.KEY_IN_USE
+    assert kind_of(ledger.claim(claim_of(key, "b"), 12.0)) == (Kind.KEY_SPENT, Ran.UNKNOWN)
+
+
+def test_grantee_wakes_late_and_has_not_run():
+    """The grantee was paused past the deadline, wakes, finds its grant ended and settles.
+
+    No byte had left, so the repeat that was told "unknown" may now run.
+    """
+    ledger = make_ledger()
+    key = issue(ledger)
+    ledger.claim(claim_of(key), 1.0)
+    assert kind_of(ledger.claim(claim_of(key, "b"), 30.0))[0] is Kind.KEY_SPENT
+    assert ledger.settle(settle_of(key, Settlement.NOT_RUN), 31.0)
+    assert isinstance(ledger.claim(claim_of(key, "c"), 32.0), Grant)
+
+
+def test_late_settlement_of_an_earlier_claimant():
+    """A delayed copy of "not run" arrives after the key was granted to somebody else.
+
+    It names the earlier claimant, so it can't free the key under the one that runs now.
+    """
+    ledger = make_ledger()
+    key = issue(ledger)
+    ledger.claim(claim_of(key), 1.0)
+    assert ledger.settle(settle_of(key, Settlement.NOT_RUN), 2.0)
+    assert isinstance(ledger.claim(claim_of(key, "b"), 3.0), Grant)
+    assert not ledger.settle(settle_of(key, Settlement.NOT_RUN), 4.0)
+    assert kind_of(ledger.claim(claim_of(key, "c"), 5.0))[0] is Kind.KEY_IN_USE
+
+
+def test_late_copy_of_a_claim_that_was_given_up():
+    """A claim arrives twice, the second time after its sender settled "not run".
+
+    Granting it again would hand the key to nobody and spend it.
+    """
+    ledger = make_ledger()
+    key = issue(ledger)
+    ledger.claim(claim_of(key), 1.0)
+    ledger.settle(settle_of(key, Settlement.NOT_RUN), 2.0)
+    assert kind_of(ledger.claim(claim_of(key), 3.0)) == (Kind.KEY_IN_USE, Ran.NO)
+    assert isinstance(ledger.claim(claim_of(key, "b"), 4.0), Grant)
+
+
+@pytest.mark.parametrize("later", list(Settlement))
+@pytest.mark.parametrize("first", [Settlement.DONE, Settlement.UNKNOWN])
+def test_first_settlement_stands(first, later):
+    ledger = make_ledger()
+    key = issue(ledger)
+    ledger.claim(claim_of(key), 1.0)
+    ledger.settle(settle_of(key, first), 2.0)
+    assert ledger.settle(settle_of(key, later), 3.0) is (first is later)
+    assert not isinstance(ledger.claim(claim_of(key, "b"), 4.0), Grant)
+
+
+def test_replaced_issuer():
+    """The issuer is replaced by a new process with the same name and address.
+
+    The new one has no memory of the old one's grants and says so: the outcome is unknown.
+    """
+    key = issue(make_ledger("i1"))
+    result = make_ledger("i2").claim(claim_of(key), 1.0)
+    assert kind_of(result) == (Kind.KEY_OWNER_LOST, Ran.UNKNOWN)
+
+
+@pytest.mark.parametrize("change", [{"digest": b"e"}, {"team": "u"}, {"profile": "q"}])
+def test_key_of_another_request(change):
+    ledger = make_ledger()
+    key = issue(ledger)
+    ledger.claim(claim_of(key), 1.0)
+    ledger.settle(settle_of(key, Settlement.DONE, recorded=ANSWER), 2.0)
+    assert kind_of(ledger.claim(claim_of(key, "b", **change), 3.0)) == (Kind.KEY_MISMATCH, Ran.NO)
+
+
+def test_binding_outlives_a_run_that_did_not_happen():
+    ledger = make_ledger()
+    key = issue(ledger)
+    ledger.claim(claim_of(key), 1.0)
+    ledger.settle(settle_of(key, Settlement.NOT_RUN), 2.0)
+    result = ledger.claim(claim_of(key, "b", digest=b"other"), 3.0)
+    assert kind_of(result) == (Kind.KEY_MISMATCH, Ran.NO)
+
+
+@pytest.mark.parametrize("text", ["", "order-17", "k1_h1_i1_0_00_00", "k1_" * 99, "k1_ü_i_0_0_0"])
+def test_malformed_keys(text):
+    assert kind_of(make_ledger().claim(claim_of(text), 1.0)) == (Kind.KEY_INVALID, Ran.NO)
+
+
+@given(st.data())
+def test_forged_keys_are_refused(data):
+    ledger = make_ledger()
+    key = issue(ledger)
+    at = data.draw(st.integers(0, len(key) - 1))
+    forged = key[:at] + data.draw(st.characters(exclude_characters=key[at])) + key[at + 1 :]
+    result = ledger.claim(claim_of(forged), 1.0)
+    assert kind_of(result)[0] in (Kind.KEY_INVALID, Kind.KEY_OWNER_LOST)
+    assert len(ledger) == 0
+
+
+@given(st.text(max_size=300))
+def test_any_text_is_parsed_or_not(text):
+    name = KeyName.parse(text)
+    assert name is None or name.text == text
+
+
+def test_second_spelling_of_a_key():
+    """A repeat in capitals must not pass for another key."""
+    ledger = make_ledger()
+    key = issue(ledger)
+    assert kind_of(ledger.claim(claim_of(key.upper()), 1.0))[0] is Kind.KEY_INVALID
+
+
+def test_expired_keys():
+    """A key that was never used is too old to claim; one that was used is held a lifetime more."""
+    ledger = make_ledger()
+    old, used = ledger.issue([b"a" * 12, b"b" * 12], 0.0)
+    ledger.claim(claim_of(used), 99.0)
+    ledger.settle(settle_of(used, Settlement.DONE, recorded=ANSWER), 99.5)
+    assert kind_of(ledger.claim(claim_of(old), 100.0)) == (Kind.KEY_EXPIRED, Ran.UNKNOWN)
+    assert ledger.claim(claim_of(used, "b"), 198.0) == ANSWER
+    assert kind_of(ledger.claim(claim_of(used, "b"), 199.0)) == (Kind.KEY_EXPIRED, Ran.UNKNOWN)
+    assert (len(ledger), ledger.recorded_bytes) == (0, 0)
+
+
+def test_clock_that_steps_back():
+    ledger = make_ledger()
+    key = issue(ledger)
+    ledger.claim(claim_of(key), 10.0)
+    ledger.expire(150.0)
+    assert kind_of(ledger.claim(claim_of(key, "b"), 11.0))[0] is Kind.KEY_EXPIRED
+
+
+def test_full_table_refuses_new_keys_and_keeps_used_ones():
+    """More keys are used than the table holds.
+
+    New ones are refused with a time to come back, and the request has certainly not run. A used
+    key is never dropped to make room: its repeat would run a second time.
+    """
+    ledger = make_ledger()
+    keys = ledger.issue([bytes([n]) * 12 for n in range(5)], 0.0)
+    assert all(isinstance(ledger.claim(claim_of(key), 1.0), Grant) for key in keys[:4])
+    refused = ledger.claim(claim_of(keys[4]), 1.0)
+    assert kind_of(refused) == (Kind.OVERLOADED, Ran.NO)
+    assert refused.retry_after == 60.0
+    assert kind_of(ledger.claim(claim_of(keys[0], "b"), 1.0))[0] is Kind.KEY_IN_USE
+
+
+def test_recorded_answers_make_room():
+    ledger = make_ledger()
+    keys = ledger.issue([bytes([n]) * 12 for n in range(3)], 0.0)
+    for key in keys:
+        ledger.claim(claim_of(key), 1.0)
+        answer = Recorded(200, "", b"x" * 50)
+        ledger.settle(settle_of(key, Settlement.DONE, recorded=answer), 1.0)
+    assert ledger.recorded_bytes == 100
+    assert kind_of(ledger.claim(claim_of(keys[0], "b"), 2.0)) == (Kind.ANSWER_GONE, Ran.YES)
+    assert isinstance(ledger.claim(claim_of(keys[2], "b"), 2.0), Recorded)
+
+
+def test_answer_too_large_to_record():
+    ledger = make_ledger()
+    key = issue(ledger)
+    ledger.claim(claim_of(key), 1.0)
+    ledger.settle(settle_of(key, Settlement.DONE, recorded=Recorded(200, "", b"x" * 61)), 1.0)
+    assert kind_of(ledger.claim(claim_of(key, "b"), 2.0)) == (Kind.ANSWER_GONE, Ran.YES)
+
+
+def test_claim_after_the_deadline():
+    ledger = make_ledger()
+    assert kind_of(ledger.claim(claim_of(issue(ledger), left_s=0.0), 1.0)) == (
+        Kind.DEADLINE,
+        Ran.NO,
+    )
+
+
+def test_leaving_issuer():
+    """A leaving host issues no keys, and still answers for those that callers hold."""
+    ledger = make_ledger()
+    key = issue(ledger)
+    ledger.leaving = True
+    assert kind_of(ledger.issue([b"m" * 12], 1.0)) == (Kind.LEAVING, Ran.NO)
+    assert isinstance(ledger.claim(claim_of(key), 1.0), Grant)
+
+
+def test_digest_tells_parts_apart():
+    assert compute_digest("POST", "/a", b"b") != compute_digest("POST", "/", b"ab")
+
+
+class AtMostOnce(RuleBasedStateMachine):
+    """Claimants that are killed, paused and late; messages lost, doubled and out of order."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.names = itertools.count()
+        self.runs = {}
+        self.held = {}
+        self.grants = {}
+        self.network = []
+        self.incarnations = itertools.count()
+
+    @initialize()
+    def start(self):
+        self.replace_issuer()
+        self.keys = []
+
+    @rule()
+    def issue_key(self):
+        nonce = next(self.names).to_bytes(12, "big")
+        self.keys.append(issue(self.ledger, self.now, nonce))
+
+    @rule(data=st.data(), left_s=st.sampled_from([0.5, 5.0, 200.0]))
+    def send_claim(self, data, left_s):
+        if self.keys:
+            key = data.draw(st.sampled_from(self.keys))
+            call = claim_of(key, f"c{next(self.names)}", left_s=left_s)
+            self.network.append((call, self.now))
+
+    @rule(data=st.data(), doubled=st.booleans(), lost=st.booleans())
+    def deliver(self, data, doubled, lost):
+        if not self.network:
+            return
+        at = data.draw(st.integers(0, len(self.network) - 1))
+        message = self.network[at] if doubled else self.network.pop(at)
+        call, sent_at = message
+        if isinstance(call, SettleCall):
+            self.ledger.settle(call, self.now)
+            return
+        result = self.ledger.claim(call, self.now)
+        self.check_answer(call, result)
+        if isinstance(result, Grant):
+            self.grants.setdefault(call.key, set()).add(call.claimant)
+            if not lost and call.claimant not in self.held:
+                self.held[call.claimant] = (call.key, sent_at + result.lifetime_s)
+
+    def check_answer(self, call, result):
+        if isinstance(result, Recorded):
+            assert self.runs[call.key] == 1
+        elif isinstance(result, Refused) and result.ran is Ran.NO:
+            may_have_run = self.runs.get(call.key, 0)
+            assert not may_have_run or result.kind is Kind.KEY_MISMATCH, result
+        elif isinstance(result, Refused) and result.ran is Ran.YES:
+            assert self.runs[call.key] == 1
+
+    @rule(data=st.data(), settlement=st.sampled_from(list(Settlement)), killed=st.booleans())
+    def act_on_grant(self, data, settlement, killed):
+        claimants = sorted(name for name, grant in self.held.items() if grant is not None)
+        if not claimants:
+            return
+        claimant = data.draw(st.sampled_from(claimants))
+        key, start_by = self.held[claimant]
+        self.held[claimant] = None
+        if self.now >= start_by:
+            settlement = Settlement.NOT_RUN
+        if settlement is not Settlement.NOT_RUN:
+            self.runs[key] = self.runs.get(key, 0) + 1
+        if not killed:
+            recorded = ANSWER if settlement is Settlement.DONE else None
+            self.network.append((settle_of(key, settlement, claimant, recorded), self.now))
+
+    @rule(seconds=st.sampled_from([0.001, 0.9, 6.0, 60.0, 100.0]))
+    def pass_time(self, seconds):
+        self.now += seconds
+
+    @rule()
+    def replace_issuer(self):
+        name = f"i{next(self.incarnations)}"
+        self.ledger = make_ledger(name, BOUNDS._replace(keys=3), self.now)
+
+    @invariant()
+    def no_key_runs_twice(self):
+        assert all(count <= 1 for count in self.runs.values())
+
+    @invariant()
+    def the_table_is_bounded(self):
+        assert len(self.ledger) <= 3
+        assert self.ledger.recorded_bytes <= BOUNDS.recorded_bytes
+
+
+TestAtMostOnce = AtMostOnce.TestCase
+TestAtMostOnce.settings = settings(
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
