Serve callers: chat, services, hosts and idempotency keys

A CherryPy application on a cheroot server of its own hands each authenticated request to the gateway and its answer back: whole, or as a stream whose connection is handed over after the first piece.

- The target goes to an endpoint as it was sent, below /v1/services/NAME: were that prefix taken off, a caller could reach an endpoint's orders or its load report by their paths.
- A refusal before the idempotency key was looked up says "unknown" instead of "no": an earlier request with the same key may have run.

Ruled out: CherryPy's own dispatchers and errors, which answer in HTML and pad short bodies; cheroot's decoder of chunked bodies, which buffers a chunk of any size that is declared.

--- /dev/null
+++ b/cloverway/application.py
@@ -0,0 +1,272 @@
+"""A CherryPy application around one handler: calls in, whole answers, streams and problems out."""
+
+from __future__ import annotations
+
+import json
+import logging
+import math
+import secrets
+import threading
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Any, NamedTuple
+
+import cherrypy
+
+from cloverway.errors import Kind, Ran, RequestError
+from cloverway.exchange import Reply, Stream
+from cloverway.listener import CONNECTION_KEY, PROBLEM_TYPE, REQUEST_KEY, Connection
+
+log = logging.getLogger(__name__)
+
+JSON_TYPE = "application/json"
+OLD_PROTOCOL = "HTTP/1.0"
+FRAMING_HEADERS = frozenset(
+    {"connection", "content-length", "content-type", "keep-alive", "transfer-encoding", "upgrade"}
+)
+KEY_HEADER = "Idempotency-Key"
+
+
+class Call(NamedTuple):
+    """One request as it came from the listener."""
+
+    id: str
+    method: str
+    path: str
+    """The path, decoded."""
+    target: str
+    """The path with its query, as it was sent."""
+    headers: Mapping[str, str]
+    connection: Connection
+    http: Any
+    """The server's own request, which decides how the answer is framed."""
+
+    @property
+    def is_old(self) -> bool:
+        """Whether the caller speaks HTTP/1.0, which has no chunked framing."""
+        return bool(self.http.response_protocol == OLD_PROTOCOL)
+
+    def get_header(self, name: str) -> str:
+        """Give a header, or an empty text."""
+        return self.headers.get(name, "")
+
+    def mark_body_read(self) -> None:
+        """Note that the body was read to its end, so that the connection can be used again."""
+        self.http.body_is_read = True
+        self.http.rfile.remaining = 0
+
+
+Handler = Callable[[Call], Reply]
+
+
+class Progress:
+    """Count what is in progress."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self.value = 0
+
+    def add(self, amount: int) -> None:
+        """Change the count."""
+        with self._lock:
+            self.value += amount
+            assert self.value >= 0, "a request ended twice"
+
+
+class QuietLog:
+    """Send what CherryPy reports to this package's log; requests are logged when they end."""
+
+    def error(
+        self,
+        msg: str = "",
+        context: str = "",
+        severity: int = logging.INFO,
+        traceback: bool = False,
+    ) -> None:
+        """Log what CherryPy reports."""
+        log.log(severity, "cherrypy", extra={"report": msg}, exc_info=traceback)
+
+    def access(self) -> None:
+        """Log nothing: the line of a request is written when its outcome is known."""
+
+
+class Responder:
+    """Answers each CherryPy request by a handler; every failure becomes a problem."""
+
+    def __init__(self, host: str, handle: Handler, answer_bytes: int) -> None:
+        self.progress = Progress()
+        self.closing = False
+        """Whether each connection is closed after its answer."""
+        self._host = host
+        self._handle = handle
+        self._answer_bytes = answer_bytes
+
+    def make_application(self) -> cherrypy.Application:
+        """Give the WSGI application."""
+        application = cherrypy.Application(None, script_name="", config={"/": self._make_config()})
+        application.log = QuietLog()
+        return application
+
+    def _make_config(self) -> dict[str, Any]:
+        return {
+            "request.dispatch": self._dispatch,
+            "request.process_request_body": False,
+            "request.show_tracebacks": False,
+            "request.error_response": self._answer_unknown,
+            "error_page.default": self._format_rejection,
+            "response.headers.server": "cloverway",
+        }
+
+    def _dispatch(self, path: str) -> None:
+        request = cherrypy.serving.request
+        request.config = dict(request.app.config["/"])
+        request.handler = self._answer
+
+    def _answer(self) -> Iterable[bytes]:
+        """Handle the current CherryPy request."""
+        call = _read_call()
+        self.progress.add(1)
+        _run_at_end(lambda: self.progress.add(-1))
+        if self.closing:
+            call.http.close_connection = True
+        _set_headers((("X-Request-Id", call.id), ("Cloverway-Host", self._host)))
+        try:
+            return self._deliver(call, self._handle(call))
+        except RequestError as error:
+            return self._refuse(call, error)
+        except Exception:
+            log.exception("a request failed", extra={"request_id": call.id})
+            return self._refuse(call, RequestError(Kind.INTERNAL))
+
+    def _deliver(self, call: Call, reply: Reply) -> Iterable[bytes]:
+        """Give the body of an answer, as a whole or piece by piece."""
+        if reply.stream is None:
+            _set_head(reply)
+            return [reply.body]
+        stream = reply.stream
+        _run_at_end(stream.close)
+        pieces = iter(stream)
+        if call.is_old:
+            body = self._collect(pieces)
+            _set_head(reply)
+            return [body]
+        first = next(pieces, b"")
+        _set_head(reply)
+        cherrypy.serving.response.stream = True
+        return _relay(call, first, pieces, stream)
+
+    def _collect(self, pieces: Iterator[bytes]) -> bytes:
+        """Give a stream as a whole, for a caller that could not tell a cut one from a whole one."""
+        body = bytearray()
+        for piece in pieces:
+            body += piece
+            if len(body) > self._answer_bytes:
+                raise RequestError(
+                    Kind.TRUNCATED, "the answer is too long for HTTP/1.0", ran=Ran.YES
+                )
+        return bytes(body)
+
+    def _refuse(self, call: Call, error: RequestError) -> Iterable[bytes]:
+        """Give the body of a failure."""
+        response = cherrypy.serving.response
+        response.status = error.status
+        response.headers["Content-Type"] = PROBLEM_TYPE
+        if error.retry_after is not None:
+            response.headers["Retry-After"] = str(max(1, math.ceil(error.retry_after)))
+        if not _is_body_read(call):
+            # What is left of the body would be taken for the next request.
+            call.http.close_connection = True
+            call.connection.drain = True
+        return [json.dumps(error.as_problem(call.id)).encode()]
+
+    def _answer_unknown(self) -> None:
+        """Answer for an exception that escaped everything else: no traceback to the caller."""
+        response = cherrypy.serving.response
+        response.status = 500
+        response.headers["Content-Type"] = PROBLEM_TYPE
+        response.body = [json.dumps(RequestError(Kind.INTERNAL).as_problem("")).encode()]
+
+    def _format_rejection(self, status: str, message: str, **_: str) -> str:
+        """Give the body for a head that CherryPy itself rejects."""
+        response = cherrypy.serving.response
+        error = RequestError(Kind.MALFORMED, message)
+        response.status = error.status
+        response.headers["Content-Type"] = PROBLEM_TYPE
+        return json.dumps(error.as_problem(""))
+
+
+def make_json_reply(document: Any, status: int = 200) -> Reply:
+    """Give a document as an answer."""
+    return Reply(status, JSON_TYPE, json.dumps(document).encode())
+
+
+def require_method(call: Call, *methods: str) -> None:
+    """Raise RequestError for another method."""
+    if call.method not in methods:
+        raise RequestError(Kind.METHOD_NOT_ALLOWED, f"use {' or '.join(methods)}")
+
+
+def _read_call() -> Call:
+    request = cherrypy.serving.request
+    environ = request.wsgi_environ
+    http = environ[REQUEST_KEY]
+    return Call(
+        id=secrets.token_hex(12),
+        method=request.method,
+        path=environ["PATH_INFO"],
+        target=http.uri.decode("latin-1"),
+        headers=request.headers,
+        connection=environ[CONNECTION_KEY],
+        http=http,
+    )
+
+
+def _run_at_end(callback: Callable[[], None]) -> None:
+    """Call back when the answer was written or given up."""
+    cherrypy.serving.request.hooks.attach("on_end_request", callback, failsafe=True)
+
+
+def _set_headers(headers: Iterable[tuple[str, str]]) -> None:
+    cherrypy.serving.response.headers.update(headers)
+
+
+def _set_head(reply: Reply) -> None:
+    cherrypy.serving.response.status = reply.status
+    cherrypy.serving.response.headers["Content-Type"] = reply.content_type
+    _set_headers(header for header in reply.headers if _is_safe_header(*header))
+
+
+def _is_safe_header(name: str, text: str) -> bool:
+    """Tell whether a header says nothing about framing, and can't break out of its line."""
+    return name.lower() not in FRAMING_HEADERS and name.isascii() and text.isprintable()
+
+
+def _is_body_read(call: Call) -> bool:
+    """Tell whether the next request on the connection would start where it should."""
+    if call.http.body_is_read:
+        return True
+    return not call.http.chunked_read and not call.http.rfile.remaining
+
+
+def _relay(call: Call, first: bytes, pieces: Iterator[bytes], stream: Stream) -> Iterator[bytes]:
+    """Give the first piece to the server, and hand the connection over for the rest.
+
+    `pieces` is held until the end: were it dropped, its generator would close the stream.
+    """
+    yield first
+    try:
+        call.connection.wfile.flush()
+        stream.hand_over(call.connection.socket)
+        call.connection.limit_reading(None)
+    except Exception as error:
+        _cut(call, error)
+    del pieces
+
+
+def _cut(call: Call, error: Exception) -> None:
+    """End an answer so that nobody takes it for whole: no last chunk, connection closed."""
+    call.http.chunked_write = False
+    call.http.close_connection = True
+    if isinstance(error, RequestError | OSError):
+        log.info("a stream was cut", extra={"request_id": call.id, "cause": str(error)})
+    else:
+        log.error("a stream failed", extra={"request_id": call.id}, exc_info=error)
--- /dev/null
+++ b/cloverway/authentication.py
@@ -0,0 +1,116 @@
+"""Who a caller is: bearer key to team, and what that team may use."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from cloverway.config.published import Profile, Published
+from cloverway.errors import Kind, RequestError
+
+SCHEME = "bearer"
+MAX_KEY_CHARACTERS = 512
+HASH_PREFIX = "sha256:"
+NO_HASH = HASH_PREFIX + "0" * 64
+
+
+class Caller(NamedTuple):
+    """An authenticated caller and the class of work that it asks for."""
+
+    team: str
+    profile_name: str
+    profile: Profile
+
+
+class KeyIndex(NamedTuple):
+    """Teams by the hash of their keys, for one published configuration."""
+
+    published: Published
+    teams: Mapping[str, str]
+
+    @classmethod
+    def from_published(cls, published: Published) -> KeyIndex:
+        """Index every key hash of a configuration."""
+        teams = {
+            key_hash: name for name, team in published.teams.items() for key_hash in team.key_hashes
+        }
+        return cls(published, teams)
+
+    def find_team(self, bearer: str) -> str:
+        """Give the team of a bearer key, or an empty name for an unknown key."""
+        key_hash = hash_key(bearer)
+        known = key_hash if key_hash in self.teams else NO_HASH
+        # The look-up is by a hash, which a caller can't steer towards a known one byte by byte;
+        # the comparison takes the same time for a known and an unknown key.
+        if not hmac.compare_digest(known, key_hash):
+            return ""
+        return self.teams.get(known, "")
+
+    def require_team(self, authorization: str) -> str:
+        """Give the team behind an Authorization header; raise RequestError UNAUTHENTICATED."""
+        team = self.find_team(read_bearer(authorization))
+        if not team:
+            raise RequestError(Kind.UNAUTHENTICATED, "the bearer key is not known")
+        return team
+
+
+class Authenticator:
+    """Keep the index of the newest configuration that was seen."""
+
+    def __init__(self) -> None:
+        self._index: KeyIndex | None = None
+
+    def index_of(self, published: Published) -> KeyIndex:
+        """Give the index of a configuration; built once for each.
+
+        Two threads may both build the first index of a configuration, which are equal.
+        """
+        index = self._index
+        if index is None or index.published is not published:
+            index = KeyIndex.from_published(published)
+            self._index = index
+        return index
+
+
+def hash_key(bearer: str) -> str:
+    """Give the published form of a bearer key."""
+    return HASH_PREFIX + hashlib.sha256(bearer.encode("utf-8", "surrogateescape")).hexdigest()
+
+
+def authenticate(index: KeyIndex, authorization: str, profile_name: str) -> Caller:
+    """Give the caller behind two headers.
+
+    Raises RequestError: UNAUTHENTICATED, MALFORMED without a profile, FORBIDDEN when the team may
+    not use it. A profile that is not published is FORBIDDEN as well: names of others stay unknown.
+    """
+    team_name = index.require_team(authorization)
+    if not profile_name:
+        raise RequestError(Kind.MALFORMED, "the header Cloverway-Profile is missing")
+    profile = index.published.profiles.get(profile_name)
+    if profile is None or profile_name not in index.published.teams[team_name].profiles:
+        raise RequestError(Kind.FORBIDDEN, "the team has no profile of this name")
+    return Caller(team_name, profile_name, profile)
+
+
+def read_bearer(authorization: str) -> str:
+    """Give the key of an Authorization header; raise RequestError when there is none."""
+    scheme, _, bearer = authorization.strip().partition(" ")
+    bearer = bearer.strip()
+    if scheme.lower() != SCHEME or not bearer:
+        raise RequestError(Kind.UNAUTHENTICATED, "send Authorization: Bearer KEY")
+    if len(bearer) > MAX_KEY_CHARACTERS:
+        raise RequestError(Kind.UNAUTHENTICATED, "the bearer key is not known")
+    return bearer
+
+
+def choose_deadline_s(profile: Profile, header: str) -> float:
+    """Give the seconds a request may take: the shorter of the profile's and the caller's."""
+    if not header:
+        return profile.deadline_ms / 1000
+    if not header.isascii() or not header.isdigit() or len(header) > 9 or int(header) == 0:
+        raise RequestError(
+            Kind.MALFORMED, "Cloverway-Deadline-Ms must be a whole number of milliseconds over 0"
+        )
+    return min(profile.deadline_ms, int(header)) / 1000
--- /dev/null
+++ b/cloverway/bodies.py
@@ -0,0 +1,125 @@
+"""The body of a caller's request: read within its size and time, and checked as JSON."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from typing import Any, Protocol
+
+from cloverway.errors import Kind, RequestError
+
+PIECE_BYTES = 64 * 1024
+CHUNK_LINE_BYTES = 256
+TRAILER_LINES = 32
+JSON_TYPE = "application/json"
+
+
+class Reader(Protocol):
+    """The buffered reading half of a connection."""
+
+    def read1(self, size: int, /) -> bytes:
+        """Give what is there, after at most one read of the socket; empty at the end."""
+        ...
+
+    def readline(self, size: int, /) -> bytes:
+        """Give a line of at most so many bytes."""
+        ...
+
+
+def read_body(reader: Reader, length: str | None, chunked: bool, limit: int) -> bytes:
+    """Read a body; raise RequestError TOO_LARGE, TOO_SLOW or MALFORMED.
+
+    The reader raises TimeoutError when the time for the whole body is up.
+    """
+    pieces = _read_chunked(reader, limit) if chunked else _read_counted(reader, length, limit)
+    body = bytearray()
+    try:
+        # Joined at once: a body that comes byte by byte would take forty times its size as a list.
+        for piece in pieces:
+            body += piece
+    except TimeoutError as error:
+        raise RequestError(Kind.TOO_SLOW, "the body did not arrive in time") from error
+    except OSError as error:
+        raise RequestError(Kind.MALFORMED, "the body was cut") from error
+    return bytes(body)
+
+
+def _read_counted(reader: Reader, length: str | None, limit: int) -> Iterator[bytes]:
+    yield from _read_exactly(reader, _parse_length(length, limit))
+
+
+def _parse_length(length: str | None, limit: int) -> int:
+    if length is None or length == "":
+        return 0
+    if not length.isascii() or not length.isdigit():
+        raise RequestError(Kind.MALFORMED, "Content-Length is not a number")
+    if len(length) > 19 or int(length) > limit:
+        raise RequestError(Kind.TOO_LARGE, f"a body may have {limit} bytes")
+    return int(length)
+
+
+def _read_exactly(reader: Reader, count: int) -> Iterator[bytes]:
+    while count:
+        piece = reader.read1(min(count, PIECE_BYTES))
+        if not piece:
+            raise RequestError(Kind.MALFORMED, "the body ended before its length")
+        count -= len(piece)
+        yield piece
+
+
+def _read_chunked(reader: Reader, limit: int) -> Iterator[bytes]:
+    """Decode chunks; the size of each is checked before any of it is read."""
+    left = limit
+    while size := _read_chunk_size(reader):
+        if size > left:
+            raise RequestError(Kind.TOO_LARGE, f"a body may have {limit} bytes")
+        left -= size
+        yield from _read_exactly(reader, size)
+        if reader.readline(CHUNK_LINE_BYTES) != b"\r\n":
+            raise RequestError(Kind.MALFORMED, "a chunk is longer than its size")
+    for _ in range(TRAILER_LINES):
+        if _read_line(reader) == b"\r\n":
+            return
+    raise RequestError(Kind.MALFORMED, "there are too many trailer fields")
+
+
+def _read_chunk_size(reader: Reader) -> int:
+    digits = _read_line(reader).partition(b";")[0].strip()
+    if not 0 < len(digits) <= 15 or digits.strip(b"0123456789abcdefABCDEF"):
+        raise RequestError(Kind.MALFORMED, "a chunk has no size")
+    return int(digits, 16)
+
+
+def _read_line(reader: Reader) -> bytes:
+    line = reader.readline(CHUNK_LINE_BYTES)
+    if not line.endswith(b"\r\n"):
+        raise RequestError(Kind.MALFORMED, "a line of the chunked body is cut or too long")
+    return line
+
+
+def parse_json(body: bytes, content_type: str) -> dict[str, Any]:
+    """Give a JSON object; raise RequestError MALFORMED for anything else."""
+    if content_type.partition(";")[0].strip().lower() != JSON_TYPE:
+        raise RequestError(Kind.MALFORMED, f"Content-Type must be {JSON_TYPE}")
+    try:
+        document = json.loads(body, parse_constant=_refuse_constant)
+    except (ValueError, RecursionError) as error:
+        raise RequestError(Kind.MALFORMED, "the body is not JSON") from error
+    if not isinstance(document, dict):
+        raise RequestError(Kind.MALFORMED, "the body is not a JSON object")
+    return document
+
+
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f"{name} is not JSON")
+
+
+def parse_completion(body: bytes, content_type: str, field: str) -> bool:
+    """Check the body of a completion that needs a field; tell whether it asks for a stream."""
+    document = parse_json(body, content_type)
+    if not document.get(field):
+        raise RequestError(Kind.MALFORMED, f"the body has no {field!r}")
+    stream = document.get("stream", False)
+    if not isinstance(stream, bool | None):
+        raise RequestError(Kind.MALFORMED, "'stream' must be true or false")
+    return bool(stream)
--- /dev/null
+++ b/cloverway/callers.py
@@ -0,0 +1,265 @@
+"""The callers' interface: who may ask for what, made into requests for the gateway."""
+
+from __future__ import annotations
+
+import logging
+import re
+import time
+from collections.abc import Callable
+from itertools import count
+from typing import Any, NamedTuple, Protocol
+
+from cloverway import bodies
+from cloverway.application import (
+    KEY_HEADER,
+    Call,
+    Responder,
+    make_json_reply,
+    require_method,
+)
+from cloverway.authentication import Authenticator, Caller, authenticate, choose_deadline_s
+from cloverway.config.settings import Settings
+from cloverway.directory import Freshness, HostList, list_hosts
+from cloverway.errors import Kind, Ran, RequestError
+from cloverway.exchange import Gateway, Reply
+from cloverway.listener import Bounds, Listener
+from cloverway.messages import Request
+from cloverway.view import ViewHolder
+
+log = logging.getLogger(__name__)
+
+COMPLETION_FIELDS = {"/v1/chat/completions": "messages", "/v1/completions": "prompt"}
+HOSTS_PATH = "/v1/hosts"
+KEYS_PATH = "/v1/idempotency-keys"
+SERVICES_PATH = "/v1/services/"
+SERVICE_METHODS = ("GET", "POST", "PUT", "DELETE")
+PROFILE_HEADER = "Cloverway-Profile"
+DEADLINE_HEADER = "Cloverway-Deadline-Ms"
+MAX_KEYS = 100
+MAX_KEY_CHARACTERS = 255
+STARTING_RETRY_S = 1.0
+SAFE_TARGET = re.compile(r"/[A-Za-z0-9/._~!$&'()*+,;=:@%?-]*")
+DOT_SEGMENT = re.compile(r"/(\.|%2e){1,2}(/|$)", re.IGNORECASE)
+HIDDEN_SLASH = re.compile(r"%(2f|5c|00)", re.IGNORECASE)
+
+
+class IssuedKey(Protocol):
+    """An idempotency key, with how long it may be used by its issuer's clock."""
+
+    @property
+    def key(self) -> str:
+        """The key as a caller sends it."""
+        ...
+
+    @property
+    def lifetime_s(self) -> float:
+        """Seconds until it expires."""
+        ...
+
+
+class Refusal(NamedTuple):
+    """A request that was refused before it reached the gateway. Times are seconds."""
+
+    request_id: str
+    method: str
+    path: str
+    team: str
+    profile: str
+    kind: Kind
+    ran: Ran
+    total_s: float
+
+
+class CallerServer:
+    """Takes requests from callers, and hands each to the gateway."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        holder: ViewHolder,
+        gateway: Gateway,
+        issue: Callable[[], IssuedKey],
+        *,
+        on_refusal: Callable[[Refusal], None] = lambda refusal: None,
+        clock: Callable[[], float] = time.monotonic,
+        bounds: Bounds | None = None,
+    ) -> None:
+        self._limits = settings.limits
+        self._freshness = Freshness(settings.timing.suspect_s)
+        self._holder = holder
+        self._gateway = gateway
+        self._issue = issue
+        self._on_refusal = on_refusal
+        self._clock = clock
+        self._authenticator = Authenticator()
+        self._rotation = count()
+        self._responder = Responder(settings.host, self._handle, settings.limits.answer_bytes)
+        self._listener = Listener(
+            settings.listen.callers,
+            self._responder.make_application(),
+            bounds or Bounds.from_limits(settings.limits),
+            "callers",
+        )
+
+    @property
+    def address(self) -> str:
+        """Where callers reach it."""
+        return self._listener.address
+
+    def start(self) -> None:
+        """Bind and serve; raises OSError when the address can't be bound."""
+        self._listener.start()
+
+    def stop_accepting(self) -> None:
+        """Close each connection after its answer; new requests still get an answer.
+
+        Whether new work is refused is the gateway's decision: a repeat with an idempotency key of
+        this host must get its recorded answer while the host leaves.
+        """
+        self._responder.closing = True
+
+    def stop(self) -> None:
+        """Close everything; call it when nothing is in progress."""
+        self._listener.stop()
+
+    def in_progress(self) -> int:
+        """Count the requests whose answers are not written whole yet."""
+        return self._responder.progress.value
+
+    def list_hosts(self) -> HostList:
+        """Give the hosts that a caller should use now."""
+        overloaded = self.in_progress() > self._limits.admitted + self._limits.queued
+        return list_hosts(
+            self._holder.current, self._clock(), self._freshness, next(self._rotation), overloaded
+        )
+
+    def _handle(self, call: Call) -> Reply:
+        if call.path == HOSTS_PATH:
+            require_method(call, "GET")
+            return make_json_reply(self.list_hosts())
+        arrived_at = self._clock()
+        try:
+            request = self._admit(call, arrived_at)
+        except RequestError as error:
+            self._note_refusal(call, error, arrived_at)
+            raise
+        if isinstance(request, Reply):
+            return request
+        return self._gateway.run(request)
+
+    def _admit(self, call: Call, arrived_at: float) -> Request | Reply:
+        """Check a call in the order of what each check costs, and make a request of it."""
+        check_path(call)
+        published = self._holder.current.published
+        if published is None:
+            raise RequestError(Kind.STARTING, retry_after=STARTING_RETRY_S)
+        index = self._authenticator.index_of(published)
+        if call.path == KEYS_PATH:
+            index.require_team(call.get_header("Authorization"))
+            return self._issue_keys(call)
+        caller = authenticate(
+            index, call.get_header("Authorization"), call.get_header(PROFILE_HEADER)
+        )
+        check_target(call, caller)
+        key = read_key(call, caller)
+        deadline_s = choose_deadline_s(caller.profile, call.get_header(DEADLINE_HEADER))
+        body = self._read_body(call)
+        content_type = call.get_header("Content-Type")
+        field = COMPLETION_FIELDS.get(call.path)
+        return Request(
+            id=call.id,
+            team=caller.team,
+            profile=caller.profile_name,
+            path=call.target,
+            method=call.method,
+            body=body,
+            content_type=content_type,
+            arrived_at=arrived_at,
+            deadline=arrived_at + deadline_s,
+            stream=bodies.parse_completion(body, content_type, field) if field else False,
+            key=key,
+            revision=published.revision,
+        )
+
+    def _read_body(self, call: Call) -> bytes:
+        call.connection.limit_reading(self._limits.body_timeout_s)
+        body = bodies.read_body(
+            call.connection.rfile,
+            call.headers.get("Content-Length"),
+            call.http.chunked_read,
+            self._limits.body_bytes,
+        )
+        call.connection.limit_reading(None)
+        call.mark_body_read()
+        return body
+
+    def _issue_keys(self, call: Call) -> Reply:
+        body = self._read_body(call)
+        wanted: Any = 1
+        if body:
+            wanted = bodies.parse_json(body, call.get_header("Content-Type")).get("count", 1)
+        if type(wanted) is not int or not 1 <= wanted <= MAX_KEYS:
+            raise RequestError(Kind.MALFORMED, f"'count' must be from 1 to {MAX_KEYS}")
+        issued = [self._issue() for _ in range(wanted)]
+        lifetime_s = min(key.lifetime_s for key in issued)
+        return make_json_reply({"keys": [key.key for key in issued], "lifetime_s": lifetime_s})
+
+    def _note_refusal(self, call: Call, error: RequestError, arrived_at: float) -> None:
+        if call.get_header(KEY_HEADER):
+            # The key was not looked up: an earlier request with it may have run, and a caller that
+            # reads "no" here would do the work again under a new key.
+            error.ran = Ran.UNKNOWN
+        self._on_refusal(
+            Refusal(
+                request_id=call.id,
+                method=call.method,
+                path=call.path,
+                team="",
+                profile=call.get_header(PROFILE_HEADER),
+                kind=error.kind,
+                ran=error.ran,
+                total_s=self._clock() - arrived_at,
+            )
+        )
+
+
+def check_path(call: Call) -> None:
+    """Raise RequestError for a path or a method that there is not."""
+    if call.path in COMPLETION_FIELDS or call.path == KEYS_PATH:
+        require_method(call, "POST")
+        return
+    if not call.path.startswith(SERVICES_PATH):
+        raise RequestError(Kind.NOT_FOUND)
+    require_method(call, *SERVICE_METHODS)
+
+
+def check_target(call: Call, caller: Caller) -> None:
+    """Raise RequestError unless the profile serves the path.
+
+    The target goes to the endpoint as it is, so it must stay below the path of its own service:
+    with dot segments or hidden slashes a caller could reach an endpoint's orders.
+    """
+    if not SAFE_TARGET.fullmatch(call.target):
+        raise RequestError(Kind.MALFORMED, "the path has characters that must be encoded")
+    path = call.target.partition("?")[0]
+    if DOT_SEGMENT.search(path) or HIDDEN_SLASH.search(path) or "//" in path:
+        raise RequestError(Kind.MALFORMED, "the path has segments that are not allowed")
+    if path in COMPLETION_FIELDS:
+        if caller.profile.model is None:
+            raise RequestError(Kind.MALFORMED, "the profile serves a service, not a model")
+        return
+    service = path.removeprefix(SERVICES_PATH).partition("/")[0]
+    if caller.profile.service is None or service != caller.profile.service:
+        raise RequestError(Kind.NOT_FOUND, "the profile does not serve this service")
+
+
+def read_key(call: Call, caller: Caller) -> str:
+    """Give the idempotency key; raise RequestError when one is needed and is not there."""
+    key = call.get_header(KEY_HEADER).strip()
+    if not key and not caller.profile.idempotent:
+        raise RequestError(
+            Kind.KEY_REQUIRED, "get a key by POST /v1/idempotency-keys and send it with each repeat"
+        )
+    if len(key) > MAX_KEY_CHARACTERS or not (key.isascii() and key.isprintable()):
+        raise RequestError(Kind.KEY_INVALID, "the key is too long or has odd characters")
+    return key
--- /dev/null
+++ b/cloverway/directory.py
@@ -0,0 +1,117 @@
+"""Which entry hosts a caller should use now."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from itertools import chain
+from typing import NamedTuple, TypedDict
+
+from cloverway.view import HostState, View
+
+LIFETIME_S = 5.0
+"""How long a caller may use a list: a leaving host is then out of use within seconds."""
+MAX_HOSTS = 32
+SUMMARY_FRESH_S = 10.0
+
+
+class HostEntry(TypedDict):
+    """One host of the list."""
+
+    host: str
+    address: str
+    domain: str
+    region: str
+
+
+class HostList(TypedDict):
+    """The answer of `GET /v1/hosts`, best host first."""
+
+    hosts: list[HostEntry]
+    lifetime_s: float
+    revision: int
+
+
+class Freshness(NamedTuple):
+    """How old what was heard may be. Seconds."""
+
+    host_s: float
+    domain_s: float = SUMMARY_FRESH_S
+
+
+def list_hosts(
+    view: View, now: float, freshness: Freshness, rotation: int, overloaded: bool = False
+) -> HostList:
+    """List the hosts to use: own failure domain first, then own region, then the others.
+
+    Hosts that leave, are overloaded or are silent are left out. `rotation` turns the order within
+    each rank, so that callers with the same list spread over all of it.
+    """
+    published = view.published
+    if published is None:
+        return HostList(hosts=[], lifetime_s=LIFETIME_S, revision=0)
+    usable = [
+        name
+        for name in sorted(published.hosts)
+        if _is_usable(view, name, now, freshness, overloaded)
+    ]
+    ranks: tuple[list[str], ...] = ([], [], [])
+    for name in usable:
+        ranks[_rank(view, name)].append(name)
+    ordered = chain.from_iterable(_rotate(rank, rotation) for rank in ranks)
+    entries = [_describe(view, name) for name in ordered][:MAX_HOSTS]
+    return HostList(hosts=entries, lifetime_s=LIFETIME_S, revision=published.revision)
+
+
+def _is_usable(view: View, name: str, now: float, freshness: Freshness, overloaded: bool) -> bool:
+    if name == view.host:
+        return not view.leaving and not overloaded
+    state = view.hosts.get(name)
+    if state is not None and (state.leaving or state.overloaded):
+        return False
+    if state is not None and now - state.heard_at <= freshness.host_s:
+        return True
+    return _is_in_fresh_domain(view, name, state, now, freshness)
+
+
+def _is_in_fresh_domain(
+    view: View, name: str, state: HostState | None, now: float, freshness: Freshness
+) -> bool:
+    """Tell whether a host of another failure domain may be there, though it was not heard itself.
+
+    Hosts of other domains are not all heard one by one; their domain's summaries are.
+    """
+    assert view.published is not None
+    domain = view.published.hosts[name].domain
+    if domain == view.domain:
+        return False
+    if state is not None and state.heard_at > float("-inf"):
+        return False
+    return any(
+        summary.domain == domain and now - summary.at <= freshness.domain_s
+        for summary in view.summaries.values()
+    )
+
+
+def _rank(view: View, name: str) -> int:
+    assert view.published is not None
+    domain = view.published.hosts[name].domain
+    if domain == view.domain:
+        return 0
+    return 1 if view.published.region_of(domain) == view.region else 2
+
+
+def _rotate(names: list[str], rotation: int) -> Iterator[str]:
+    start = rotation % len(names) if names else 0
+    yield from names[start:]
+    yield from names[:start]
+
+
+def _describe(view: View, name: str) -> HostEntry:
+    assert view.published is not None
+    host = view.published.hosts[name]
+    return HostEntry(
+        host=name,
+        address=host.callers,
+        domain=host.domain,
+        region=view.published.region_of(host.domain),
+    )
--- /dev/null
+++ b/cloverway/tests/callers_bench.py
@@ -0,0 +1,202 @@
+"""Fakes for the tests of the callers' side: a published configuration, a gateway, a raw caller."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import json
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
+
+from cloverway.authentication import hash_key
+from cloverway.callers import CallerServer
+from cloverway.config.published import Published
+from cloverway.config.settings import Limits, Listen, PlatformSettings, Security, Settings
+from cloverway.exchange import Reply
+from cloverway.listener import Bounds
+from cloverway.messages import Request
+from cloverway.view import View, ViewHolder
+
+BEARER = "secret-of-pharmacy"
+DOCUMENTS: dict[str, Any] = {
+    "revision": 3,
+    "organisation": {"name": "riviere"},
+    "regions": {"port-louis": {}, "curepipe": {}},
+    "domains": {"pl-1": {"region": "port-louis"}, "cu-1": {"region": "curepipe"}},
+    "hosts": {
+        "pl-1-a": {
+            "domain": "pl-1",
+            "callers": "127.0.0.1:7001",
+            "admin": "127.0.0.1:7002",
+            "peers": "127.0.0.1:7003",
+        }
+    },
+    "profiles": {
+        "chat": {"model": "clover-7b", "idempotent": True, "deadline_ms": 5000},
+        "lookup": {"service": "stock", "idempotent": True, "urgency": "urgent"},
+        "allocate": {"service": "stock"},
+        "other": {"model": "clover-7b"},
+    },
+    "teams": {
+        "pharmacy": {
+            "home": "port-louis",
+            "profiles": ["chat", "lookup", "allocate"],
+            "key_hashes": [hash_key(BEARER)],
+        }
+    },
+}
+HEADERS = {"Authorization": f"Bearer {BEARER}", "Content-Type": "application/json"}
+CHAT = {**HEADERS, "Cloverway-Profile": "chat"}
+CHAT_BODY = b'{"messages": [{"role": "user", "content": "insulin?"}]}'
+STREAM_BODY = b'{"messages": [{"role": "user", "content": "insulin?"}], "stream": true}'
+
+
+class Issued(NamedTuple):
+    key: str = "key-1"
+    lifetime_s: float = 60.0
+
+
+class FakeStream:
+    """Pieces of a stream, then an error if one is given."""
+
+    def __init__(self, pieces: list[bytes], error: Exception | None = None) -> None:
+        self.pieces = iter(pieces)
+        self.error = error
+        self.closed = threading.Event()
+        self.go_on = threading.Event()
+        self.go_on.set()
+
+    def __iter__(self) -> Iterator[bytes]:
+        for piece in self.pieces:
+            yield piece
+            self.go_on.wait(5)
+        if self.error is not None:
+            raise self.error
+
+    def hand_over(self, caller: socket.socket) -> None:
+        for piece in self:
+            caller.sendall(b"%X\r\n%s\r\n" % (len(piece), piece))
+
+    def close(self) -> None:
+        self.closed.set()
+
+
+class FakeGateway:
+    """Keeps each request, and answers with what the test has put there."""
+
+    def __init__(self) -> None:
+        self.requests: list[Request] = []
+        self.answer: Reply | Exception = Reply(200, "application/json", b"{}")
+        self.entered = threading.Event()
+        self.go_on = threading.Event()
+        self.go_on.set()
+
+    def run(self, request: Request) -> Reply:
+        self.requests.append(request)
+        self.entered.set()
+        self.go_on.wait(10)
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return self.answer
+
+
+class Answer(NamedTuple):
+    status: int
+    headers: http.client.HTTPMessage
+    body: bytes
+
+    @property
+    def problem(self) -> dict[str, Any]:
+        assert self.headers["Content-Type"] == "application/problem+json"
+        problem: dict[str, Any] = json.loads(self.body)
+        assert problem["status"] == self.status
+        return problem
+
+
+def make_settings(**limits: Any) -> Settings:
+    """Give settings with a small pool."""
+    return Settings(
+        host="pl-1-a",
+        domain="pl-1",
+        region="port-louis",
+        listen=Listen("127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"),
+        platform=PlatformSettings(directory="."),
+        security=Security("secret"),
+        limits=Limits(**{"threads": 4, "admitted": 2, "queued": 1, **limits}),
+    )
+
+
+def make_view(**fields: Any) -> View:
+    """Give a view of the published configuration above."""
+    published = Published.from_documents(DOCUMENTS)
+    return View("pl-1-a", "i-1", "pl-1", "port-louis", published=published)._replace(**fields)
+
+
+class Bench:
+    """A callers' server on a free port with a fake gateway behind it."""
+
+    def __init__(self, bounds: Bounds | None = None, **limits: Any) -> None:
+        self.gateway = FakeGateway()
+        self.refusals: list[Any] = []
+        self.holder = ViewHolder(make_view())
+        self.server = CallerServer(
+            make_settings(**limits),
+            self.holder,
+            self.gateway,
+            Issued,
+            on_refusal=self.refusals.append,
+            bounds=bounds,
+        )
+
+    def __enter__(self) -> Bench:
+        self.server.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.gateway.go_on.set()
+        self.server.stop()
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+        old: bool = False,
+    ) -> Answer:
+        """Send one request on a connection of its own, and read the whole answer."""
+        connection = http.client.HTTPConnection(self.server.address, timeout=10)
+        if old:
+            connection._http_vsn, connection._http_vsn_str = 10, "HTTP/1.0"  # type: ignore
+        with contextlib.closing(connection):
+            connection.request(method, path, body, HEADERS if headers is None else headers)
+            response = connection.getresponse()
+            return Answer(response.status, response.headers, response.read())
+
+    def connect(self) -> socket.socket:
+        """Open a plain connection."""
+        host, port = self.server.address.rsplit(":", 1)
+        return socket.create_connection((host, int(port)), timeout=10)
+
+
+def read_all(sock: socket.socket) -> bytes:
+    """Read until the other end closes."""
+    pieces = []
+    with contextlib.suppress(ConnectionResetError):
+        while piece := sock.recv(65536):
+            pieces.append(piece)
+    return b"".join(pieces)
+
+
+def wait_until(condition: Callable[[], bool], seconds: float = 5.0) -> bool:
+    """Poll a condition for a bounded time; tell whether it came true."""
+    pause = threading.Event()
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if condition():
+            return True
+        pause.wait(0.005)
+    return condition()
--- /dev/null
+++ b/cloverway/tests/test_callers.py
@@ -0,0 +1,182 @@
+"""Tests of the callers' interface over real sockets."""
+
+from __future__ import annotations
+
+import http.client
+import json
+
+import pytest
+
+from cloverway.errors import Kind, RequestError
+from cloverway.exchange import Reply
+from cloverway.tests.callers_bench import (
+    CHAT,
+    CHAT_BODY,
+    HEADERS,
+    STREAM_BODY,
+    Bench,
+    FakeStream,
+    wait_until,
+)
+
+COMPLETIONS = "/v1/chat/completions"
+
+
+@pytest.fixture(scope="module")
+def bench():
+    with Bench() as started:
+        yield started
+
+
+@pytest.fixture(autouse=True)
+def _reset(bench):
+    bench.gateway.answer = Reply(200, "application/json", b"{}")
+    bench.gateway.requests.clear()
+    bench.refusals.clear()
+
+
+def test_a_completion_reaches_the_gateway(bench):
+    bench.gateway.answer = Reply(200, "application/json", b'{"a": 1}', headers=(("X-Ran", "pl"),))
+    answer = bench.call("POST", COMPLETIONS, CHAT_BODY, {**CHAT, "Cloverway-Deadline-Ms": "900"})
+    assert (answer.status, answer.body) == (200, b'{"a": 1}')
+    assert answer.headers["X-Ran"] == "pl"
+    assert answer.headers["Cloverway-Host"] == "pl-1-a"
+    [request] = bench.gateway.requests
+    assert answer.headers["X-Request-Id"] == request.id
+    assert (request.team, request.profile, request.body) == ("pharmacy", "chat", CHAT_BODY)
+    assert request.deadline - request.arrived_at == pytest.approx(0.9)
+    assert request.revision == 3
+    assert not request.stream
+
+
+def test_a_service_call_keeps_its_target(bench):
+    headers = {**HEADERS, "Cloverway-Profile": "allocate", "Idempotency-Key": "k-1"}
+    target = "/v1/services/stock/boxes/7?of=insulin&at=%41"
+    assert bench.call("PUT", target, b"{}", headers).status == 200
+    [request] = bench.gateway.requests
+    assert (request.method, request.path, request.key) == ("PUT", target, "k-1")
+
+
+def test_a_stream_comes_whole(bench):
+    stream = FakeStream([b"data: 1\n\n", b"data: 2\n\n", b"data: [DONE]\n\n"])
+    bench.gateway.answer = Reply(200, "text/event-stream", stream=stream)
+    answer = bench.call("POST", COMPLETIONS, STREAM_BODY, CHAT)
+    assert answer.body == b"data: 1\n\ndata: 2\n\ndata: [DONE]\n\n"
+    assert answer.headers["Content-Type"] == "text/event-stream"
+    assert stream.closed.wait(5)
+    assert bench.gateway.requests[0].stream
+
+
+@pytest.mark.parametrize("error", [RequestError(Kind.TRUNCATED), RuntimeError("bug")])
+def test_a_cut_stream_never_looks_whole(bench, error):
+    """The caller has read a part when its connection closes without the last chunk.
+
+    The endpoint sends one piece and is lost. Were the last chunk sent, the caller would take a
+    part of an allocation list for all of it.
+    """
+    stream = FakeStream([b"data: 1\n\n", b"data: 2\n\n"], error)
+    bench.gateway.answer = Reply(200, "text/event-stream", stream=stream)
+    with pytest.raises(http.client.IncompleteRead) as caught:
+        bench.call("POST", COMPLETIONS, STREAM_BODY, CHAT)
+    assert caught.value.partial == b"data: 1\n\ndata: 2\n\n"
+    assert stream.closed.wait(5)
+    assert wait_until(lambda: bench.server.in_progress() == 0)
+
+
+def test_a_stream_that_is_cut_at_once_is_a_problem(bench):
+    stream = FakeStream([], RequestError(Kind.ENDPOINT_FAILED))
+    bench.gateway.answer = Reply(200, "text/event-stream", stream=stream)
+    answer = bench.call("POST", COMPLETIONS, STREAM_BODY, CHAT)
+    assert answer.status == 502
+    assert answer.problem["kind"] == "endpoint_failed"
+    assert stream.closed.wait(5)
+
+
+def test_an_old_caller_gets_a_length(bench):
+    """A caller of HTTP/1.0 knows the end of a stream only by the closed connection.
+
+    A cut stream closes it too, so such a caller could not tell a part from the whole. It gets
+    the stream collected, with its length, or a problem.
+    """
+    stream = FakeStream([b"data: 1\n\n", b"data: 2\n\n"])
+    bench.gateway.answer = Reply(200, "text/event-stream", stream=stream)
+    answer = bench.call("POST", COMPLETIONS, STREAM_BODY, CHAT, old=True)
+    assert answer.headers["Content-Length"] == "18"
+    assert answer.body == b"data: 1\n\ndata: 2\n\n"
+    cut = FakeStream([b"data: 1\n\n"], RequestError(Kind.TRUNCATED))
+    bench.gateway.answer = Reply(200, "text/event-stream", stream=cut)
+    assert bench.call("POST", COMPLETIONS, STREAM_BODY, CHAT, old=True).problem["status"] == 502
+
+
+def test_failures_of_the_gateway_become_problems(bench):
+    bench.gateway.answer = RequestError(Kind.OVERLOADED, retry_after=1.2)
+    answer = bench.call("POST", COMPLETIONS, CHAT_BODY, CHAT)
+    assert (answer.status, answer.headers["Retry-After"]) == (429, "2")
+    assert (answer.problem["kind"], answer.problem["ran"]) == ("overloaded", "no")
+    bench.gateway.answer = RuntimeError("a secret detail")
+    answer = bench.call("POST", COMPLETIONS, CHAT_BODY, CHAT)
+    assert (answer.problem["kind"], answer.problem["ran"]) == ("internal", "unknown")
+    assert b"secret" not in answer.body
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "headers", "kind"),
+    [
+        ("GET", "/v1/nothing", CHAT, Kind.NOT_FOUND),
+        ("GET", COMPLETIONS, CHAT, Kind.METHOD_NOT_ALLOWED),
+        ("PATCH", "/v1/services/stock/a", CHAT, Kind.METHOD_NOT_ALLOWED),
+        ("POST", COMPLETIONS, {**CHAT, "Authorization": "Bearer no"}, Kind.UNAUTHENTICATED),
+        ("POST", COMPLETIONS, {**CHAT, "Authorization": "Basic x"}, Kind.UNAUTHENTICATED),
+        ("POST", COMPLETIONS, HEADERS, Kind.MALFORMED),
+        ("POST", COMPLETIONS, {**CHAT, "Cloverway-Profile": "other"}, Kind.FORBIDDEN),
+        ("POST", COMPLETIONS, {**CHAT, "Cloverway-Profile": "none"}, Kind.FORBIDDEN),
+        ("POST", COMPLETIONS, {**CHAT, "Cloverway-Deadline-Ms": "-1"}, Kind.MALFORMED),
+        ("POST", COMPLETIONS, {**CHAT, "Content-Type": "text/plain"}, Kind.MALFORMED),
+        ("POST", COMPLETIONS, {**CHAT, "Cloverway-Profile": "lookup"}, Kind.MALFORMED),
+        ("GET", "/v1/services/other/a", {**CHAT, "Cloverway-Profile": "lookup"}, Kind.NOT_FOUND),
+        (
+            "POST",
+            "/v1/services/stock/a",
+            {**CHAT, "Cloverway-Profile": "allocate"},
+            Kind.KEY_REQUIRED,
+        ),
+    ],
+)
+def test_what_is_refused(bench, method, path, headers, kind):
+    answer = bench.call(method, path, CHAT_BODY, headers)
+    assert (answer.problem["kind"], answer.problem["ran"]) == (kind, "no")
+    assert not bench.gateway.requests
+    assert [refusal.kind for refusal in bench.refusals] == [kind]
+
+
+@pytest.mark.parametrize(
+    "path", ["/../load", "/a/../../x", "/%2e%2e/x", "/a%2f..%2fb", "//x", "/a\\b"]
+)
+def test_a_target_stays_below_its_service(bench, path):
+    """A caller must not reach an endpoint's orders by a path that the endpoint folds up."""
+    headers = {**HEADERS, "Cloverway-Profile": "lookup"}
+    answer = bench.call("GET", "/v1/services/stock" + path, None, headers)
+    assert answer.problem["kind"] in ("malformed", "not_found")
+    assert not bench.gateway.requests
+
+
+def test_a_refusal_before_the_key_is_looked_up_promises_nothing(bench):
+    """A caller repeats a call with its key after a lost answer, and is refused.
+
+    The first request may have run. Were the refusal of the repeat marked `ran: no`, the caller
+    would allocate again with a new key.
+    """
+    headers = {**HEADERS, "Cloverway-Profile": "none", "Idempotency-Key": "k-1"}
+    answer = bench.call("POST", "/v1/services/stock/a", b"{}", headers)
+    assert (answer.problem["kind"], answer.problem["ran"]) == ("forbidden", "unknown")
+
+
+def test_hosts_and_keys(bench):
+    answer = bench.call("GET", "/v1/hosts", headers={})
+    assert [host["host"] for host in json.loads(answer.body)["hosts"]] == ["pl-1-a"]
+    answer = bench.call("POST", "/v1/idempotency-keys", b'{"count": 2}')
+    assert json.loads(answer.body) == {"keys": ["key-1", "key-1"], "lifetime_s": 60.0}
+    assert bench.call("POST", "/v1/idempotency-keys").status == 200
+    answer = bench.call("POST", "/v1/idempotency-keys", b'{"count": 101}')
+    assert answer.problem["kind"] == "malformed"
+    assert bench.call("POST", "/v1/idempotency-keys", headers={}).problem["status"] == 401
