Add a fleet of real processes and a small caller to the tests

Fleet starts a daemon per host, engines, services and, if asked for, the platform, in a block of ports of its own, and ends each by its pid. Each program is started through a small launcher that has the kernel end it with the test process: a test run that is killed can't clean up, and its daemons would stay behind. Links can stand before every endpoint, the platform and each host's peer address. The daemon is not there yet, so only the settings and the published files that a fleet writes are tested.

--- a/cloverway/tests/standins/batching.py
+++ b/cloverway/tests/standins/batching.py
@@ -94,6 +94,7 @@
 
     def __init__(self, identity: str, prompt: str, user: str, total: int, priority: int) -> None:
         self.id = identity
+        self.before = 0  # tokens that the prompt already holds of the answer
         self.words = prompt.split()
         self.user = user
         self.mark = mark(prompt, user)
@@ -106,7 +107,7 @@
         self.task: asyncio.Task[None] | None = None
 
     def tokens(self, start: int, end: int) -> list[str]:
-        return [f"{self.mark}{number} " for number in range(start, end)]
+        return [f"{self.mark}{self.before + n} " for n in range(start, end)]
 
     def note(self) -> None:
         """Wake who waits for this run."""
--- /dev/null
+++ b/cloverway/tests/standins/clients.py
@@ -0,0 +1,144 @@
+"""A small caller: gets keys, sends calls, and checks that an answer is whole and its own."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, NamedTuple
+
+import urllib3
+
+from cloverway.tests.standins.batching import expected_text
+from cloverway.tests.standins.topology import MODEL, SERVICE, key_of
+
+NO_ANSWER = 0
+"""Status of a call that got no answer, or only a part of one."""
+
+
+class Result(NamedTuple):
+    """What a caller saw of one call."""
+
+    status: int
+    body: bytes = b""
+    headers: dict[str, str] = {}
+    text: str = ""
+    whole: bool = False
+    """Whether the answer is complete and belongs to this call."""
+    problem: dict[str, Any] = {}
+    error: str = ""
+
+    @property
+    def kind(self) -> str:
+        return str(self.problem.get("kind", ""))
+
+    @property
+    def ran(self) -> str:
+        return str(self.problem.get("ran", ""))
+
+
+class Caller:
+    """One team's caller at one host."""
+
+    def __init__(self, url: str, team: str = "open", timeout_s: float = 15.0) -> None:
+        self.url = url
+        self.team = team
+        self._http = urllib3.PoolManager(retries=False, timeout=timeout_s, maxsize=32)
+
+    def hosts(self) -> dict[str, Any]:
+        answer = self.request("GET", "/v1/hosts")
+        assert answer.status == 200, answer
+        return json.loads(answer.body)
+
+    def take_key(self, profile: str = "allocate") -> str:
+        """Get an idempotency key from the host."""
+        answer = self.request("POST", "/v1/idempotency-keys", profile=profile, json={})
+        assert answer.status in (200, 201), answer
+        return str(json.loads(answer.body)["key"])
+
+    def chat(
+        self,
+        user: str,
+        *,
+        tokens: int = 8,
+        stream: bool = False,
+        profile: str = "chat",
+        prompt: str = "what is short today?",
+        **options: Any,
+    ) -> Result:
+        """Ask for a completion; `whole` says whether every token of this user's came."""
+        body = {"model": MODEL, "user": user, "max_tokens": tokens, "stream": stream}
+        body["messages"] = [{"role": "user", "content": prompt}]
+        result = self.request("POST", "/v1/chat/completions", profile=profile, json=body, **options)
+        if result.status != 200:
+            return result
+        text, ended = (read_events if stream else read_completion)(result.body)
+        whole = ended and text == expected_text(prompt, user, tokens) and not result.error
+        return result._replace(text=text, whole=whole)
+
+    def serve(
+        self, body: str, *, profile: str = "allocate", path: str = "orders", **options: Any
+    ) -> Result:
+        """Call the plain service; `whole` says whether the answer is to this body."""
+        target = f"/v1/services/{SERVICE}/{path}"
+        result = self.request("POST", target, profile=profile, body=body.encode(), **options)
+        if result.status != 200 or result.error:
+            return result
+        return result._replace(whole=json.loads(result.body)["echo"] == body)
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        profile: str = "",
+        key: str = "",
+        deadline_ms: int | None = None,
+        headers: dict[str, str] | None = None,
+        **options: Any,
+    ) -> Result:
+        """Send one call, once; never raise for what the network does."""
+        sent = {"Authorization": f"Bearer {key_of(self.team)}"}
+        sent |= {"Cloverway-Profile": profile} if profile else {}
+        sent |= {"Idempotency-Key": key} if key else {}
+        sent |= {"Cloverway-Deadline-Ms": str(deadline_ms)} if deadline_ms else {}
+        sent |= headers or {}
+        try:
+            answer = self._http.request(
+                method, self.url + path, headers=sent, preload_content=False, **options
+            )
+        except urllib3.exceptions.HTTPError as error:
+            return Result(NO_ANSWER, error=repr(error))
+        return _read(answer)
+
+
+def _read(answer: Any) -> Result:
+    pieces: list[bytes] = []
+    error = ""
+    try:
+        pieces.extend(answer.stream(4096))
+    except urllib3.exceptions.HTTPError as cut:
+        error = repr(cut)
+        answer.close()
+    finally:
+        answer.release_conn()
+    body = b"".join(pieces)
+    headers = dict(answer.headers)
+    is_problem = answer.headers.get("Content-Type", "").startswith("application/problem+json")
+    problem = json.loads(body) if is_problem and not error else {}
+    return Result(answer.status, body, headers, problem=problem, error=error)
+
+
+def read_events(body: bytes) -> tuple[str, bool]:
+    """Give the text of a stream, and whether its end came."""
+    lines = [line[6:] for line in body.decode().splitlines() if line.startswith("data: ")]
+    ended = lines[-1:] == ["[DONE]"]
+    events = [json.loads(line) for line in lines if line != "[DONE]"]
+    choices = [choice for event in events for choice in event.get("choices", [])]
+    return "".join(choice.get("delta", {}).get("content", "") for choice in choices), ended
+
+
+def read_completion(body: bytes) -> tuple[str, bool]:
+    """Give the text of a completion, and whether it can be read."""
+    try:
+        return json.loads(body)["choices"][0]["message"]["content"], True
+    except (ValueError, LookupError):
+        return "", False
--- a/cloverway/tests/standins/engine.py
+++ b/cloverway/tests/standins/engine.py
@@ -175,13 +175,17 @@
 
     def _make_run(self, request: Request, body: dict[str, Any]) -> Run:
         messages = body.get("messages", [])
-        prompt = str(body.get("prompt", "")) or "\n".join(str(m["content"]) for m in messages)
+        before = messages[-1] if messages and messages[-1]["role"] == "assistant" else None
+        asked = [str(message["content"]) for message in messages if message is not before]
+        prompt = str(body.get("prompt", "")) or "\n".join(asked)
         identity = request.headers.get("x-request-id") or f"run-{next(self._number)}"
         if identity in self.batch.runs:
             identity = f"{identity}+{next(self._number)}"
         priority = int(request.headers.get("cloverway-priority", "1"))
         total = int(body.get("max_tokens", 16))
-        return Run(identity, prompt, str(body.get("user", "")), total, priority)
+        run = Run(identity, prompt, str(body.get("user", "")), total, priority)
+        run.before = len(before["content"].split()) if before else 0
+        return run
 
     async def _answer_run(
         self, run: Run, body: dict[str, Any], form: str, channel: Channel, faults: Faults
--- a/cloverway/tests/standins/platform.py
+++ b/cloverway/tests/standins/platform.py
@@ -220,15 +220,6 @@
         channel.send_json(200, {"revision": self.revision, "calls": dict(self.calls)})
 
 
-def split_documents(tables: dict[str, Any]) -> dict[str, Any]:
-    """Turn whole published tables, as in TOML, into documents by key."""
-    single = {name: tables[name] for name in ("organisation", "objective") if name in tables}
-    parts = ("regions", "domains", "hosts", "endpoints", "profiles", "teams")
-    return single | {
-        f"{part}/{name}": value for part in parts for name, value in tables.get(part, {}).items()
-    }
-
-
 def main() -> None:
     options = parser("The platform.")
     options.add_argument("--documents", help="JSON file with documents by key")
--- /dev/null
+++ b/cloverway/tests/standins/processes.py
@@ -0,0 +1,133 @@
+"""Processes that a test starts, pauses and ends, and ports for them."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+from cloverway.tests.standins.waiting import wait_until
+
+ROOT = Path(__file__).resolve().parents[3]
+BLOCK = 128
+"""Ports that one fleet has to itself."""
+FIRST_PORT, LAST_PORT = 12_000, 32_000
+"""Below the range from which the system gives ports away by itself."""
+LAUNCHER = "cloverway.tests.standins.launch"
+
+
+class Ports:
+    """A block of ports, claimed by listening on its first one until `close`."""
+
+    def __init__(self) -> None:
+        self._claim, base = _claim_block()
+        self._free = itertools.chain(range(base + 1, base + BLOCK))
+
+    def take(self) -> int:
+        return next(port for port in self._free if _is_free(port))
+
+    def close(self) -> None:
+        self._claim.close()
+
+
+def _claim_block() -> tuple[socket.socket, int]:
+    bases = list(range(FIRST_PORT, LAST_PORT, BLOCK))
+    random.SystemRandom().shuffle(bases)
+    for base in bases:
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", base))
+            claim.listen(1)
+        except OSError:
+            claim.close()
+            continue
+        return claim, base
+    raise AssertionError("no block of ports is free")
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
+
+
+class Process:
+    """One Python program of this tree; its output goes to a file."""
+
+    def __init__(self, name: str, module: str, arguments: list[str], folder: Path) -> None:
+        self.name = name
+        self.log = folder / f"{name}.log"
+        self._command = [sys.executable, "-m", LAUNCHER, module, *arguments]
+        self._folder = folder
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        assert self._process is not None
+        return self._process.pid
+
+    @property
+    def running(self) -> bool:
+        return self._process is not None and self._process.poll() is None
+
+    def start(self) -> None:
+        environment = {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
+        with self.log.open("ab") as output:
+            self._process = subprocess.Popen(
+                self._command,
+                stdout=output,
+                stderr=output,
+                stdin=subprocess.DEVNULL,
+                cwd=self._folder,
+                env=environment,
+            )
+
+    def send(self, number: int) -> None:
+        if self.running:
+            os.kill(self.pid, number)
+
+    def kill(self) -> None:
+        self.send(signal.SIGKILL)
+        self.wait()
+
+    def wait(self, timeout_s: float = 10.0) -> int:
+        """Wait until it has ended and give its exit status."""
+        assert self._process is not None
+        return self._process.wait(timeout_s)
+
+    def stop(self, timeout_s: float = 3.0) -> None:
+        """End it: politely, and then by force."""
+        if not self.running:
+            return
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            self.wait(timeout_s)
+        self.kill()
+
+    def tail(self, lines: int = 30) -> str:
+        text = self.log.read_text(errors="replace") if self.log.exists() else ""
+        return "\n".join(text.splitlines()[-lines:])
+
+    def wait_ready(self, check: object, timeout_s: float) -> None:
+        """Wait until `check()` is true; fail at once, with its output, when the process ended."""
+
+        def ready_or_ended() -> bool:
+            return not self.running or bool(check())  # type: ignore[operator]
+
+        try:
+            wait_until(ready_or_ended, timeout_s, f"{self.name} to be ready")
+        except AssertionError as error:
+            raise AssertionError(f"{error}\n{self.tail()}") from error
+        if not self.running:
+            raise AssertionError(f"{self.name} ended with {self.wait()}\n{self.tail()}")
--- a/cloverway/tests/test_standins.py
+++ b/cloverway/tests/test_standins.py
@@ -9,11 +9,15 @@
 import pytest
 import urllib3
 
+from cloverway.config.directory import load_directory
+from cloverway.config.settings import Settings
 from cloverway.tests.standins.batching import Timing, expected_text
 from cloverway.tests.standins.engine import Engine
+from cloverway.tests.standins.fleet import Fleet
 from cloverway.tests.standins.links import TO_CALLER, Link
 from cloverway.tests.standins.platform import Platform
 from cloverway.tests.standins.service import Service
+from cloverway.tests.standins.topology import Topology
 from cloverway.tests.standins.waiting import wait_until
 
 HTTP = urllib3.PoolManager(retries=False, timeout=5.0)
@@ -53,6 +57,18 @@
     assert engine.counts()["ids"] == {"r1": 1}
 
 
+def test_engine_continues_the_text_of_an_answer():
+    start = expected_text("hello", "ann", 2)
+    body = {"model": "clover-assist", "user": "ann", "max_tokens": 2}
+    body["messages"] = [
+        {"role": "user", "content": "hello"},
+        {"role": "assistant", "content": start},
+    ]
+    with Engine() as engine:
+        answer = HTTP.request("POST", f"{engine.url}/v1/chat/completions", json=body).json()
+    assert start + answer["choices"][0]["message"]["content"] == expected_text("hello", "ann", 4)
+
+
 def test_engine_cancels_a_run_whose_caller_left():
     with Engine(timing=Timing(token_s=0.02)) as engine:
         with pytest.raises(urllib3.exceptions.TimeoutError):
@@ -170,3 +186,25 @@
         with Link(address, udp=True) as link:
             target.sendto(b"one", ("127.0.0.1", link.port))
             assert target.recv(16) == b"one"
+
+
+def test_fleet_starts_and_ends_its_processes():
+    topology = Topology(regions=("pl",), hosts=1)
+    with Fleet(topology, platform="http", links=True, daemons=False) as fleet:
+        assert ask(fleet.remotes["pl-a-engine-1"]).status == 200
+        assert fleet.remotes["pl-a-engine-1"].counts()["users"] == {"ann": 1}
+        fleet.kill("pl-a-service-1")
+        fleet.restart("pl-a-service-1")
+        assert fleet.publish({"profiles": {"chat": {"deadline_ms": 700}}}) > 1
+        settings = Settings.from_toml(fleet.folder / "pl-a-host-1.toml")
+        pids = [process.pid for process in fleet.processes.values() if process.running]
+    assert settings.region == "pl"
+    assert len(pids) == 3
+    assert not any(process.running for process in fleet.processes.values())
+
+
+def test_fleet_publishes_a_valid_configuration():
+    with Fleet(daemons=False) as fleet:
+        published = load_directory(fleet.folder / "published")
+    assert len(published.hosts) == 6
+    assert published.revision == 1
