--- a/cloverway/client.py
+++ b/cloverway/client.py
@@ -21,6 +21,7 @@
 
 CONNECT_TIMEOUT_S = 2.0
 LOOKUP_TIMEOUT_S = 3.0
+REQUEST_ID = "x-request-id"
 LARGEST_ANSWER = 64 * 1024 * 1024
 MOVE_ON = (Kind.LEAVING, Kind.STARTING)
 """Kinds that concern one host only: another one is asked at once."""
@@ -103,7 +104,7 @@
     @property
     def request_id(self) -> str:
         """The id by which operators find the request in their logs."""
-        return self.headers.get("cloverway-request-id", "")
+        return self.headers.get(REQUEST_ID, "")
 
     @property
     def is_stream(self) -> bool:
@@ -214,10 +215,10 @@
     def issue_key(self, address: str) -> str:
         """Ask an entry host for an idempotency key."""
         document = self._ask(address, "POST", "/v1/idempotency-keys")
-        key = document.get("key") if isinstance(document, dict) else None
-        if not isinstance(key, str):
+        keys = document.get("keys") if isinstance(document, dict) else None
+        if not keys or not isinstance(keys, list):
             raise CallError(Kind.INTERNAL, "the host gave no key", ran=Ran.NO, host=address)
-        return key
+        return str(keys[0])
 
     def call(self, call: Call, *, once: bool = False) -> Answer:
         """Send a call and give its answer as soon as its head arrives.
@@ -318,7 +319,7 @@
     try:
         hosts = tuple(
             EntryHost(
-                str(host.get("name", "")),
+                str(host.get("host", "")),
                 str(host["address"]),
                 str(host.get("region", "")),
                 str(host.get("domain", "")),
@@ -344,7 +345,7 @@
         ran=outcomes.get(str(problem.get("ran")), Ran.UNKNOWN),
         retry_after=_read_seconds(problem.get("retry_after_s", headers.get("retry-after"))),
         key=key,
-        request_id=str(problem.get("request_id", headers.get("cloverway-request-id", ""))),
+        request_id=str(problem.get("request_id", headers.get(REQUEST_ID, ""))),
         host=host,
     )
 
