Let a link of the tests tell its callers apart

A cut between two hosts, or one way between them, needs to know who opened a connection, for one published address serves all. The link asks the kernel's table of sockets which process a port belongs to, once for each connection and datagram sender.

--- a/cloverway/tests/standins/engine.py
+++ b/cloverway/tests/standins/engine.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import itertools
-import json
 import secrets
 import time
 from collections import Counter, deque
@@ -12,6 +11,12 @@
 
 from cloverway.tests.standins.base import Channel, Request, Server, parser, serve_forever
 from cloverway.tests.standins.batching import Batch, PrefixCache, Run, Timing
+from cloverway.tests.standins.completions import (
+    DONE,
+    make_completion,
+    make_event,
+    make_last_event,
+)
 from cloverway.tests.standins.faults import Faults
 from cloverway.tests.standins.orders import Orders
 from cloverway.tests.standins.service import NOT_STARTED
@@ -206,13 +211,8 @@
         if faults.error or run.state in ("lost", "cancelled"):
             channel.send_json(faults.error or 500, {"error": {"type": "failed"}})
             return
-        text = "".join(run.tokens(0, run.total))
-        choice: dict[str, Any] = {"index": 0, "finish_reason": "length"}
-        choice |= {"message": {"role": "assistant", "content": text}} if form == "chat" else {}
-        choice |= {"text": text} if form == "text" else {}
-        usage = {"prompt_tokens": len(run.words), "completion_tokens": run.total}
-        answer = {"id": run.id, "user": run.user, "choices": [choice], "usage": usage}
-        await channel.send_faulty(faults, "application/json", json.dumps(answer).encode())
+        body = make_completion(run, form)
+        await channel.send_faulty(faults, "application/json", body)
 
     async def _stream(
         self, run: Run, start: int, form: str, channel: Channel, faults: Faults
@@ -229,18 +229,17 @@
             for number, token in enumerate(run.tokens(sent, end), sent):
                 if await self._fail_midway(number, channel, faults):
                     return
-                await channel.send_piece(self._event(run, token, form))
+                await channel.send_piece(make_event(run, token, form))
             if end <= sent:
                 channel.cut()
                 return
             sent = end
-        last = {"id": run.id, "choices": [{"index": 0, "delta": {}, "finish_reason": "length"}]}
-        await channel.send_piece(f"data: {json.dumps(last)}\n\n".encode())
-        await channel.send_piece(b"data: [DONE]\n\n")
+        await channel.send_piece(make_last_event(run))
+        await channel.send_piece(DONE)
         channel.end_stream()
         if faults.duplicate:
             channel.start_stream("text/event-stream")
-            await channel.send_piece(self._event(run, "late ", form))
+            await channel.send_piece(make_event(run, "late ", form))
             channel.end_stream()
 
     async def _fail_midway(self, sent: int, channel: Channel, faults: Faults) -> bool:
@@ -252,12 +251,6 @@
             return True
         return False
 
-    def _event(self, run: Run, token: str, form: str) -> bytes:
-        content = json.dumps(token)
-        part = f'"delta":{{"content":{content}}}' if form == "chat" else f'"text":{content}'
-        choice = f'{{"index":0,{part},"finish_reason":null}}'
-        return f'data: {{"id":"{run.id}","choices":[{choice}]}}\n\n'.encode()
-
     async def _grow_to(self, run: Run, tokens: int, channel: Channel) -> int:
         """Wait until a run has so many tokens, ended, or its reader left."""
         while (
--- a/cloverway/tests/standins/fleet.py
+++ b/cloverway/tests/standins/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import signal
 import tempfile
@@ -10,7 +11,8 @@
 
 import urllib3
 
-from cloverway.tests.standins.links import Link
+from cloverway.tests.standins.links import TO_CALLER, TO_TARGET, Link
+from cloverway.tests.standins.owners import find_owner
 from cloverway.tests.standins.processes import Ports, Process
 from cloverway.tests.standins.topology import (
     MODEL,
@@ -172,6 +174,24 @@
                 self.revision = answer["revision"]
         return self.revision
 
+    def cut(self, left: list[str], right: list[str]) -> None:
+        """Cut every link between two groups of hosts and endpoints."""
+        for near, far in (*itertools.product(left, right), *itertools.product(right, left)):
+            self.links[near].cut(far)
+
+    def silence(self, left: list[str], right: list[str], *, one_way: bool = False) -> None:
+        """Drop what `left` sends to `right`, and what `right` sends unless it is one way."""
+        for sender, receiver in itertools.product(left, right):
+            self.links[receiver].silence(TO_TARGET, source=sender)
+            self.links[sender].silence(TO_CALLER, source=receiver)
+        if not one_way:
+            self.silence(right, left, one_way=True)
+
+    def heal(self) -> None:
+        """Restore every link."""
+        for link in self.links.values():
+            link.restore()
+
     def _start_endpoints(self) -> None:
         engine = ["--models", MODEL, "--slots", str(self.topology.slots)]
         engine += self.topology.engine_options
@@ -218,9 +238,15 @@
         """Put a link before an address, if this fleet has links, and give its address."""
         if not self._with_links:
             return target
-        self.links[name] = Link(target, udp=udp, port=self._ports.take()).start()
+        link = Link(target, udp=udp, port=self._ports.take(), identify=self._identify)
+        self.links[name] = link.start()
         return self.links[name].address
 
+    def _identify(self, kind: str, port: int) -> str:
+        running = [self.processes[name] for name in self.hosts if name in self.processes]
+        pids = {process.name: process.pid for process in running if process.running}
+        return find_owner(kind, port, pids)
+
     def _start_platform(self) -> None:
         if self.platform_kind == "file":
             (self.folder / "published").mkdir()
--- a/cloverway/tests/standins/links.py
+++ b/cloverway/tests/standins/links.py
@@ -3,37 +3,48 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import threading
-from collections.abc import Coroutine
-from typing import Any
+from collections.abc import Callable, Coroutine
+from typing import Any, NamedTuple
 
 PIECE = 64 * 1024
 TO_TARGET, TO_CALLER = "to_target", "to_caller"
 BOTH = (TO_TARGET, TO_CALLER)
 
 
-class State:
-    """What a link does with bytes, for each of its two directions."""
+EVERYONE = ""
+Identify = Callable[[str, int], str]
+"""Gives the name of who uses a local port of a kind ("tcp" or "udp")."""
 
-    def __init__(self) -> None:
-        self.silent = dict.fromkeys(BOTH, False)
-        self.delay_s = dict.fromkeys(BOTH, 0.0)
-        self.bytes_per_s: float | None = None
+
+class Pair(NamedTuple):
+    """The two halves of one connection, and who opened it."""
+
+    source: str
+    near: asyncio.StreamWriter
+    far: asyncio.StreamWriter
 
 
 class Link:
     """Pass TCP connections and UDP datagrams at one port on to a target."""
 
-    def __init__(self, target: str, *, udp: bool = False, port: int = 0) -> None:
+    def __init__(
+        self, target: str, *, udp: bool = False, port: int = 0, identify: Identify | None = None
+    ) -> None:
         host, _, number = target.rpartition(":")
         self.target = (host, int(number))
         self.udp = udp
         self.port = port
-        self.state = State()
         self.connections = 0
         self.passed = dict.fromkeys(BOTH, 0)
-        self._pairs: set[tuple[asyncio.StreamWriter, asyncio.StreamWriter]] = set()
+        self.identify = identify or (lambda _kind, _port: EVERYONE)
+        self._cut: set[str] = set()
+        self._silent: set[tuple[str, str]] = set()
+        self._delay_s = 0.0
+        self._bytes_per_s: float | None = None
+        self._pairs: set[Pair] = set()
         self._listener: asyncio.Server | None = None
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._run, name="link", daemon=True)
@@ -66,15 +77,14 @@
     def __exit__(self, *_: object) -> None:
         self.stop()
 
-    def cut(self) -> None:
-        """Reset open connections and refuse new ones; drop datagrams."""
-        self.state.silent = dict.fromkeys(BOTH, True)
-        self._wait(self._cut())
+    def cut(self, *sources: str) -> None:
+        """Reset the connections of some callers, or of all, and refuse their new ones."""
+        self._cut |= set(sources or {EVERYONE})
+        self._wait(self._reset())
 
-    def silence(self, *directions: str) -> None:
+    def silence(self, *directions: str, source: str = EVERYONE) -> None:
         """Keep connections open and accept new ones, but pass nothing, or nothing one way."""
-        for direction in directions or BOTH:
-            self.state.silent[direction] = True
+        self._silent |= {(source, direction) for direction in directions or BOTH}
 
     def silence_open(self) -> None:
         """Pass nothing more on the connections that are open now; new ones work."""
@@ -82,17 +92,23 @@
 
     def slow(self, delay_s: float, bytes_per_s: float | None = None) -> None:
         """Hold each piece back for a while, and pass only so many bytes a second."""
-        self.state.delay_s = dict.fromkeys(BOTH, delay_s)
-        self.state.bytes_per_s = bytes_per_s
+        self._delay_s = delay_s
+        self._bytes_per_s = bytes_per_s
 
     def restore(self) -> None:
         """Pass everything again; what was dropped stays lost."""
-        self.state.silent = dict.fromkeys(BOTH, False)
-        self.state.delay_s = dict.fromkeys(BOTH, 0.0)
-        self.state.bytes_per_s = None
+        self._cut.clear()
+        self._silent.clear()
+        self.slow(0.0)
         if self._listener is None:
             self._wait(self._listen())
 
+    def is_cut(self, source: str) -> bool:
+        return bool(self._cut & {EVERYONE, source})
+
+    def is_silent(self, source: str, direction: str) -> bool:
+        return bool(self._silent & {(EVERYONE, direction), (source, direction)})
+
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
         self._loop.run_forever()
@@ -115,58 +131,66 @@
             lambda: _Datagrams(self), local_addr=("127.0.0.1", self.port)
         )
 
-    async def _cut(self) -> None:
-        if self._listener is not None:
+    async def _reset(self) -> None:
+        if EVERYONE in self._cut and self._listener is not None:
             self._listener.close()
             self._listener = None
-        for pair in list(self._pairs):
-            for writer in pair:
-                writer.transport.abort()
+        for pair in [pair for pair in self._pairs if self.is_cut(pair.source)]:
+            pair.near.transport.abort()
+            pair.far.transport.abort()
 
     async def _forget_open(self) -> None:
-        for pair in list(self._pairs):
-            for writer in pair:
-                writer.transport.pause_reading()
+        for pair in self._pairs:
+            pair.near.transport.pause_reading()
+            pair.far.transport.pause_reading()
         self._pairs.clear()
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        source = self.identify("tcp", writer.get_extra_info("peername")[1])
+        if self.is_cut(source):
+            writer.transport.abort()
+            return
         try:
             far_reader, far_writer = await asyncio.open_connection(*self.target)
         except OSError:
             writer.transport.abort()
             return
-        pair = (writer, far_writer)
+        pair = Pair(source, writer, far_writer)
         self._pairs.add(pair)
         await asyncio.gather(
-            self._copy(reader, far_writer, TO_TARGET),
-            self._copy(far_reader, writer, TO_CALLER),
+            self._copy(reader, far_writer, source, TO_TARGET),
+            self._copy(far_reader, writer, source, TO_CALLER),
             return_exceptions=True,
         )
         self._pairs.discard(pair)
 
     async def _copy(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, direction: str
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, source: str, way: str
     ) -> None:
         try:
             while piece := await reader.read(PIECE):
-                await self._pass(piece, writer, direction)
+                await self._hold_back(len(piece))
+                if not self.is_silent(source, way):
+                    self.passed[way] += len(piece)
+                    writer.write(piece)
+                    await writer.drain()
         except OSError:
             writer.transport.abort()
             return
-        if not self.state.silent[direction]:
+        if not self.is_silent(source, way):
             writer.close()
 
-    async def _pass(self, piece: bytes, writer: asyncio.StreamWriter, direction: str) -> None:
-        if self.state.delay_s[direction]:
-            await asyncio.sleep(self.state.delay_s[direction])
-        if self.state.bytes_per_s:
-            await asyncio.sleep(len(piece) / self.state.bytes_per_s)
-        if self.state.silent[direction]:
-            return
-        writer.write(piece)
-        self.passed[direction] += len(piece)
-        await writer.drain()
+    async def _hold_back(self, size: int) -> None:
+        if self._delay_s:
+            await asyncio.sleep(self._delay_s)
+        if self._bytes_per_s:
+            await asyncio.sleep(size / self._bytes_per_s)
+
+    def send_later(self, source: str, way: str, send: Callable[[], object]) -> None:
+        """Send a datagram unless the link drops it; on the loop."""
+        if not self.is_cut(source) and not self.is_silent(source, way):
+            self._loop.call_later(self._delay_s, send)
 
 
 class _Datagrams(asyncio.DatagramProtocol):
@@ -175,12 +199,14 @@
     def __init__(self, link: Link) -> None:
         self._link = link
         self._senders: dict[Any, socket.socket] = {}
+        self._names: dict[Any, str] = {}
 
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
 
     def datagram_received(self, data: bytes, sender: Any) -> None:
-        self._later(TO_TARGET, lambda: self._socket_of(sender).send(data))
+        own = self._socket_of(sender)
+        self._link.send_later(self._names[sender], TO_TARGET, lambda: _send(own, data))
 
     def _socket_of(self, sender: Any) -> socket.socket:
         if sender not in self._senders:
@@ -188,8 +214,8 @@
             own.setblocking(False)
             own.connect(self._link.target)
             self._senders[sender] = own
-            loop = asyncio.get_running_loop()
-            loop.add_reader(own, self._answer, own, sender)
+            self._names[sender] = self._link.identify("udp", sender[1])
+            asyncio.get_running_loop().add_reader(own, self._answer, own, sender)
         return self._senders[sender]
 
     def _answer(self, own: socket.socket, sender: Any) -> None:
@@ -197,9 +223,11 @@
             data = own.recv(PIECE)
         except OSError:
             return
-        self._later(TO_CALLER, lambda: self._transport.sendto(data, sender))
+        name = self._names[sender]
+        self._link.send_later(name, TO_CALLER, lambda: self._transport.sendto(data, sender))
+
 
-    def _later(self, direction: str, send: Any) -> None:
-        if not self._link.state.silent[direction]:
-            delay = self._link.state.delay_s[direction]
-            asyncio.get_running_loop().call_later(delay, send)
+def _send(own: socket.socket, data: bytes) -> None:
+    """Send a datagram; one that can't be sent is lost, as on any network."""
+    with contextlib.suppress(OSError):
+        own.send(data)
--- a/cloverway/tests/test_standins.py
+++ b/cloverway/tests/test_standins.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import socket
 import time
 
@@ -15,6 +16,7 @@
 from cloverway.tests.standins.engine import Engine
 from cloverway.tests.standins.fleet import Fleet
 from cloverway.tests.standins.links import TO_CALLER, Link
+from cloverway.tests.standins.owners import find_owner
 from cloverway.tests.standins.platform import Platform
 from cloverway.tests.standins.service import Service
 from cloverway.tests.standins.topology import Topology
@@ -208,3 +210,16 @@
         published = load_directory(fleet.folder / "published")
     assert len(published.hosts) == 6
     assert published.revision == 1
+
+
+def test_link_tells_its_callers_apart():
+    with Service() as service, socket.create_connection(("127.0.0.1", service.port)) as known:
+        port = known.getsockname()[1]
+        assert find_owner("tcp", port, {"other": 1, "own": os.getpid()}) == "own"
+        with Link(service.address, identify=lambda _kind, _port: "own") as link:
+            link.cut("other")
+            assert HTTP.request("POST", f"{link.url}/x", body=b"a").status == 200
+            link.cut("own")
+            with pytest.raises(urllib3.exceptions.HTTPError):
+                HTTP.request("POST", f"{link.url}/x", body=b"b", timeout=1.0)
+    assert service.by_body["b"] == 0
