--- a/cloverway/client.py
+++ b/cloverway/client.py
@@ -21,6 +21,7 @@
 
 CONNECT_TIMEOUT_S = 2.0
 LOOKUP_TIMEOUT_S = 3.0
+END_OF_STREAM = "[DONE]"
 REQUEST_ID = "x-request-id"
 LARGEST_ANSWER = 64 * 1024 * 1024
 MOVE_ON = (Kind.LEAVING, Kind.STARTING)
@@ -139,13 +140,14 @@
         if not self.is_stream:
             yield extract_text(json.loads(self.read()))
             return
+        ended = False
+        # Read on after the closing event: without its last chunk the stream was cut, too.
         for data in parse_events(iter(self)):
-            if data == "[DONE]":
-                return
-            event = json.loads(data)
-            self._raise_if_problem(event)
-            yield extract_text(event)
-        raise self._cut("the stream ended without its closing event")
+            ended = ended or data == END_OF_STREAM
+            if not ended:
+                yield self._read_event(data)
+        if not ended:
+            raise self._cut("the stream ended without its closing event")
 
     def close(self) -> None:
         """Close the connection; the host then cancels what still runs."""
@@ -162,10 +164,15 @@
         else:
             yield from self._response.stream(64 * 1024)
 
-    def _raise_if_problem(self, event: Any) -> None:
+    def _read_event(self, data: str) -> str:
+        try:
+            event = json.loads(data)
+        except ValueError as error:
+            raise self._cut("the stream has an event that is not JSON") from error
         problem = event.get("error") if isinstance(event, dict) else None
         if isinstance(problem, dict):
             raise read_problem(problem, 0, self.headers, self.key, self.host)
+        return extract_text(event)
 
     def _cut(self, detail: str) -> CallError:
         return CallError(
--- a/cloverway/tests/test_client.py
+++ b/cloverway/tests/test_client.py
@@ -65,8 +65,9 @@
         stream_of("one", "two", done=False),
         stream_of("one", "two", done=False, last_chunk=False),
         stream_of("one", "two", last_chunk=False)[:-10],
+        stream_of("one", "two", last_chunk=False),
     ],
-    ids=["no closing event", "connection closed", "within an event"],
+    ids=["no closing event", "connection closed", "within an event", "no last chunk"],
 )
 def test_cut_stream_is_never_taken_for_whole(host: FakeHost, raw: bytes) -> None:
     """The caller sees some text, and then an error, not an end.
