Let stand-ins and links hold a request at a chosen step

A fault at a given step needs the request to stand still there: before the head of the answer, after so many tokens, or with half of its bytes on the way.

--- a/cloverway/tests/standins/base.py
+++ b/cloverway/tests/standins/base.py
@@ -122,10 +122,14 @@
         """Send a whole answer as the switches have it."""
         length = len(body) + (64 if faults.short_body else 0)
         head = self.head(200, content_type, {"Content-Length": length})
-        end = faults.cut_after if faults.cut_after is not None else faults.stall_after
-        self.write(head + body[: len(body) if end is None else end])
+        ends = (faults.cut_after, faults.stall_after, faults.hold_after)
+        end = next((end for end in ends if end is not None), len(body))
+        self.write(head + body[:end])
         if faults.stall_after is not None:
             await self.gone.wait()
+        if faults.hold_after is not None:
+            await self._server.faults.wait_unheld(self.gone)
+            self.write(body[end:])
         if faults.short_body or faults.cut_after is not None:
             self._transport.close()
         if faults.duplicate:
--- a/cloverway/tests/standins/clients.py
+++ b/cloverway/tests/standins/clients.py
@@ -52,7 +52,7 @@
         """Get an idempotency key from the host."""
         answer = self.request("POST", "/v1/idempotency-keys", profile=profile, json={})
         assert answer.status in (200, 201), answer
-        return str(json.loads(answer.body)["key"])
+        return str(json.loads(answer.body)["keys"][0])
 
     def chat(
         self,
--- a/cloverway/tests/standins/engine.py
+++ b/cloverway/tests/standins/engine.py
@@ -207,7 +207,7 @@
 
     async def _answer_whole(self, run: Run, form: str, channel: Channel, faults: Faults) -> None:
         await self._grow_to(run, run.total, channel)
-        await asyncio.sleep(faults.first_byte_s)
+        await self._wait_first(channel, faults)
         if faults.error or run.state in ("lost", "cancelled"):
             channel.send_json(faults.error or 500, {"error": {"type": "failed"}})
             return
@@ -218,7 +218,7 @@
         self, run: Run, start: int, form: str, channel: Channel, faults: Faults
     ) -> None:
         await self._grow_to(run, start + 1, channel)
-        await asyncio.sleep(faults.first_byte_s)
+        await self._wait_first(channel, faults)
         if faults.error:
             channel.send_json(faults.error, {"error": {"type": "failed"}})
             return
@@ -234,6 +234,8 @@
                 channel.cut()
                 return
             sent = end
+        if await self._fail_midway(run.total, channel, faults):
+            return
         await channel.send_piece(make_last_event(run))
         await channel.send_piece(DONE)
         channel.end_stream()
@@ -242,7 +244,14 @@
             await channel.send_piece(make_event(run, "late ", form))
             channel.end_stream()
 
+    async def _wait_first(self, channel: Channel, faults: Faults) -> None:
+        await asyncio.sleep(faults.first_byte_s)
+        if faults.hold:
+            await self.faults.wait_unheld(channel.gone)
+
     async def _fail_midway(self, sent: int, channel: Channel, faults: Faults) -> bool:
+        if faults.hold_after == sent:
+            await self.faults.wait_unheld(channel.gone)
         if faults.stall_after == sent:
             await channel.gone.wait()
             return True
--- a/cloverway/tests/standins/faults.py
+++ b/cloverway/tests/standins/faults.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any, ClassVar
 
+POLL_S = 0.005
+
 
 class Faults:
     """What goes wrong; all switches are off at first."""
@@ -17,6 +20,8 @@
         "stall_after": None,  # as cut_after, but stay open and say nothing
         "short_body": False,  # declare a longer body than is sent, then close
         "close_at_once": False,  # close after the request was read and counted
+        "hold": False,  # wait before the head of the answer until the switch is off
+        "hold_after": None,  # wait after so many tokens (bytes of a body) until the switch is off
         "duplicate": False,  # send the answer twice on one connection
         "token_s": None,  # another interval between tokens
         "times": None,  # how many requests the switches hold for
@@ -34,6 +39,11 @@
     def clear(self) -> None:
         self.__dict__.update(self.DEFAULTS)
 
+    async def wait_unheld(self, gone: asyncio.Event) -> None:
+        """Wait until both holds are off, or the other side left."""
+        while (self.hold or self.hold_after is not None) and not gone.is_set():
+            await asyncio.sleep(POLL_S)
+
     def take(self) -> Faults:
         """Give the switches for one request, and count it against `times`."""
         taken = Faults()
--- a/cloverway/tests/standins/fleet.py
+++ b/cloverway/tests/standins/fleet.py
@@ -195,7 +195,8 @@
     def _start_endpoints(self) -> None:
         engine = ["--models", MODEL, "--slots", str(self.topology.slots)]
         engine += self.topology.engine_options
-        service = ["--services", SERVICE, *self.topology.service_options]
+        service = ["--services", SERVICE, "--slots", str(self.topology.slots)]
+        service += [*self.topology.service_options]
         for name in self.topology.names("engines"):
             self._start_standin(name, "engine", engine)
         for name in self.topology.names("services"):
--- a/cloverway/tests/standins/links.py
+++ b/cloverway/tests/standins/links.py
@@ -10,6 +10,7 @@
 from typing import Any, NamedTuple
 
 PIECE = 64 * 1024
+POLL_S = 0.005
 TO_TARGET, TO_CALLER = "to_target", "to_caller"
 BOTH = (TO_TARGET, TO_CALLER)
 
@@ -44,6 +45,7 @@
         self._silent: set[tuple[str, str]] = set()
         self._delay_s = 0.0
         self._bytes_per_s: float | None = None
+        self._room: int | None = None
         self._pairs: set[Pair] = set()
         self._listener: asyncio.Server | None = None
         self._loop = asyncio.new_event_loop()
@@ -95,10 +97,15 @@
         self._delay_s = delay_s
         self._bytes_per_s = bytes_per_s
 
+    def hold_after(self, to_target: int) -> None:
+        """Pass so many more bytes to the target and hold the rest until restored."""
+        self._room = to_target
+
     def restore(self) -> None:
         """Pass everything again; what was dropped stays lost."""
         self._cut.clear()
         self._silent.clear()
+        self._room = None
         self.slow(0.0)
         if self._listener is None:
             self._wait(self._listen())
@@ -169,8 +176,11 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, source: str, way: str
     ) -> None:
         try:
-            while piece := await reader.read(PIECE):
+            while received := await reader.read(PIECE):
+                piece = received
                 await self._hold_back(len(piece))
+                if way == TO_TARGET and self._room is not None:
+                    piece = await self._pass_part(piece, writer)
                 if not self.is_silent(source, way):
                     self.passed[way] += len(piece)
                     writer.write(piece)
@@ -181,6 +191,17 @@
         if not self.is_silent(source, way):
             writer.close()
 
+    async def _pass_part(self, piece: bytes, writer: asyncio.StreamWriter) -> bytes:
+        """Pass what there is room for, wait for the restoring, and give the rest."""
+        assert self._room is not None
+        part = piece[: self._room]
+        self._room -= len(part)
+        self.passed[TO_TARGET] += len(part)
+        writer.write(part)
+        while self._room is not None and len(part) < len(piece):
+            await asyncio.sleep(POLL_S)
+        return piece[len(part) :]
+
     async def _hold_back(self, size: int) -> None:
         if self._delay_s:
             await asyncio.sleep(self._delay_s)
--- a/cloverway/tests/standins/service.py
+++ b/cloverway/tests/standins/service.py
@@ -18,11 +18,16 @@
     """Answer any path; a call is counted when its work starts."""
 
     def __init__(
-        self, port: int = 0, *, services: tuple[str, ...] = ("allocations",), work_s: float = 0.0
+        self,
+        port: int = 0,
+        *,
+        services: tuple[str, ...] = ("allocations",),
+        work_s: float = 0.0,
+        slots: int = 64,
     ) -> None:
         super().__init__(port)
         self.services = services
-        self.slots = 64
+        self.slots = slots
         self.work_s = work_s
         self.incarnation = secrets.token_hex(8)
         self.leaving = False
@@ -114,6 +119,8 @@
             await channel.gone.wait()
             return
         await asyncio.sleep(self.work_s + faults.first_byte_s)
+        if faults.hold:
+            await self.faults.wait_unheld(channel.gone)
         if faults.error:
             channel.send_json(faults.error, {"error": {"type": "failed"}})
             return
@@ -141,9 +148,10 @@
     options = parser("A plain service that counts its calls.")
     options.add_argument("--services", default="allocations")
     options.add_argument("--work-s", type=float, default=0.0)
+    options.add_argument("--slots", type=int, default=64)
     given = options.parse_args()
     services = tuple(given.services.split(","))
-    serve_forever(Service(given.port, services=services, work_s=given.work_s))
+    serve_forever(Service(given.port, services=services, work_s=given.work_s, slots=given.slots))
 
 
 if __name__ == "__main__":
--- a/cloverway/tests/test_standins.py
+++ b/cloverway/tests/test_standins.py
@@ -6,6 +6,7 @@
 import os
 import socket
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 import urllib3
@@ -223,3 +224,23 @@
             with pytest.raises(urllib3.exceptions.HTTPError):
                 HTTP.request("POST", f"{link.url}/x", body=b"b", timeout=1.0)
     assert service.by_body["b"] == 0
+
+
+def test_engine_holds_a_stream_until_let_go():
+    with Engine() as engine, ThreadPoolExecutor(1) as pool:
+        engine.faults.set(hold_after=2)
+        answer = pool.submit(ask, engine, stream=True)
+        wait_until(lambda: engine.counts()["total"] == 1)
+        assert not answer.done()
+        engine.faults.clear()
+        assert text_of(answer.result(5).data) == expected_text("hello", "ann", 4)
+
+
+def test_link_holds_the_rest_of_a_request():
+    with Service() as service, Link(service.address) as link, ThreadPoolExecutor(1) as pool:
+        link.hold_after(1000)
+        answer = pool.submit(HTTP.request, "POST", f"{link.url}/x", body=b"a" * 100_000)
+        wait_until(lambda: link.passed["to_target"] == 1000)
+        assert service.total == 0
+        link.restore()
+        assert len(answer.result(5).json()["echo"]) == 100_000
