Take only changes whose base is known, and check only what a change touches

A store that applied a delta over a gap, or merged documents by the highest revision alone, held sets that no operator had published. The store now keeps one history: a change needs a known base, a document whose revision is in force must be the one in force (else the platform went back, or two operators used one revision), and refused changes stay pending so that a later one mends them. Cross-document checks look at the changed documents and at an index of claims.

Unknown names were matched against every name of the schema, which for NamedTuples held only titles: no suggestion ever showed. They are now matched against the names of their own table.

--- a/cloverway/config/options.py
+++ b/cloverway/config/options.py
@@ -5,7 +5,8 @@
 import difflib
 import logging
 from collections.abc import Iterable, Mapping
-from typing import Any, TypeVar
+from functools import cache
+from typing import Any, TypeVar, cast, get_type_hints
 
 from pydantic import TypeAdapter, ValidationError
 
@@ -14,21 +15,28 @@
 log = logging.getLogger(__name__)
 
 T = TypeVar("T")
+Location = tuple[int | str, ...]
 
+FORM = "see the configuration reference for its form"
 REMEDIES = {
     "missing": "set it",
     "missing_argument": "set it",
-    "string_pattern_mismatch": "see the configuration reference for its form",
+    "string_pattern_mismatch": FORM,
+    "literal_error": "choose one of these",
+    "enum": "choose one of these",
+    "finite_number": "give a number",
 }
 
 UNKNOWN_NAME = ("extra_forbidden", "unexpected_keyword_argument")
 
 
 class Findings:
-    """Errors and warnings about one source, in the order they were found."""
+    """Errors and warnings about one or several sources, in the order they were found."""
 
-    def __init__(self, source: str = "") -> None:
+    def __init__(self, source: str = "", origins: Mapping[str, str] | None = None) -> None:
         self.source = source
+        self.origins: Mapping[str, str] = origins if origins is not None else {}
+        """The source of each document by its dotted name, where they come from several."""
         self.errors: list[str] = []
         self.warnings: list[str] = []
 
@@ -40,7 +48,7 @@
         """Note and log a warning at a dotted name."""
         text = self._format(where, what)
         self.warnings.append(text)
-        log.warning(text)
+        log.warning("a name is not known", extra={"finding": text})
 
     def raise_if_any(self) -> None:
         """Raise ConfigurationError with all errors, if there are any."""
@@ -48,36 +56,58 @@
             raise ConfigurationError(self.errors)
 
     def _format(self, where: str, what: str) -> str:
-        return ": ".join(part for part in (self.source, where, what) if part)
+        return ": ".join(part for part in (self._source_of(where), where, what) if part)
 
+    def _source_of(self, where: str) -> str:
+        """Give the source of the longest dotted name that `where` starts with."""
+        name = where
+        while name:
+            if name in self.origins:
+                return self.origins[name]
+            name = name.rpartition(".")[0]
+        return self.source
 
-def validate(schema: TypeAdapter[T], values: Mapping[str, Any], findings: Findings) -> T | None:
-    """Check values against a schema; unknown names are warnings, all else is an error.
 
-    Returns None when there is an error; the findings then say why.
+def validate(
+    model: type[T], values: Mapping[str, Any], findings: Findings, where: str = ""
+) -> T | None:
+    """Check a table against a NamedTuple; unknown names are warnings, all else is an error.
+
+    Dotted names in the findings start with `where`. Returns None when there is an error.
     """
+    schema: TypeAdapter[T] = _adapt(cast(Any, model))
+    if not isinstance(values, Mapping):
+        findings.add(where, f"is not a table; write the names of {model.__name__} into one")
+        return None
     try:
         return schema.validate_python(values)
     except ValidationError as error:
-        faults = error.errors(include_url=False)
+        faults = error.errors(include_url=False, include_input=False, include_context=False)
     unknown = [fault["loc"] for fault in faults if fault["type"] in UNKNOWN_NAME]
     known = [fault for fault in faults if fault["type"] not in UNKNOWN_NAME]
     for location in unknown:
-        findings.warn(_join(location), "is not a known name" + _suggest(schema, location, values))
+        remedy = suggest(str(location[-1]), names_at(model, location[:-1]))
+        findings.warn(_join(where, location), f"is not a known name; {remedy}")
     for fault in known:
-        remedy = REMEDIES.get(fault["type"])
+        remedy = REMEDIES.get(fault["type"], "")
         what = fault["msg"] + (f" ({remedy})" if remedy else "")
-        findings.add(_join(fault["loc"]), what)
+        findings.add(_join(where, fault["loc"]), what)
     if known:
         return None
     return schema.validate_python(_without(values, unknown))
 
 
-def _join(location: Iterable[int | str]) -> str:
-    return ".".join(str(part) for part in location)
+def suggest(name: str, known: Iterable[str]) -> str:
+    """Give the remedy for an unknown name: the nearest known one, or to remove it."""
+    close = difflib.get_close_matches(name, sorted(known), n=1)
+    return f"did you mean {close[0]!r}?" if close else "remove it"
+
+
+def _join(where: str, location: Location) -> str:
+    return ".".join(part for part in (where, *map(str, location)) if part)
 
 
-def _without(values: Mapping[str, Any], locations: list[tuple[int | str, ...]]) -> dict[str, Any]:
+def _without(values: Mapping[str, Any], locations: list[Location]) -> dict[str, Any]:
     """Copy nested tables but for the names at some locations."""
     here = {location[0] for location in locations if len(location) == 1}
     deeper = [location for location in locations if len(location) > 1]
@@ -92,20 +122,14 @@
     }
 
 
-def _suggest(
-    schema: TypeAdapter[Any], location: tuple[int | str, ...], values: Mapping[str, Any]
-) -> str:
-    """Give the nearest known name, in the form of a question."""
-    names = _known_names(schema.core_schema)
-    close = difflib.get_close_matches(str(location[-1]), names, n=1)
-    return f"; did you mean {close[0]!r}?" if close else "; remove it"
+def names_at(model: type, location: Location) -> tuple[str, ...]:
+    """List the names that are valid in the table at a location below a NamedTuple."""
+    here: Any = model
+    for step in location:
+        here = get_type_hints(here).get(str(step)) if hasattr(here, "_fields") else None
+    return getattr(here, "_fields", ())
 
 
-def _known_names(part: Any) -> set[str]:
-    """Collect the name of every field of a schema."""
-    if isinstance(part, Mapping):
-        own = {str(part["name"])} if "name" in part and "schema" in part else set()
-        return own.union(*(_known_names(deeper) for deeper in part.values()))
-    if isinstance(part, list):
-        return set().union(*(_known_names(deeper) for deeper in part))
-    return set()
+@cache
+def _adapt(model: Any) -> TypeAdapter[Any]:
+    return TypeAdapter(model)
--- a/cloverway/config/published.py
+++ b/cloverway/config/published.py
@@ -6,17 +6,44 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+import ipaddress
+import re
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
 from enum import IntEnum, StrEnum
+from functools import cached_property
 from typing import Annotated, Any, NamedTuple
 
-from pydantic import Field, TypeAdapter
+from pydantic import AfterValidator, Field
 
-from cloverway.config.options import Findings, validate
+from cloverway.config.checks import Claims, Place, find_faults
+from cloverway.config.options import Findings, suggest, validate
 
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
-Address = Annotated[str, Field(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")]
-Url = Annotated[str, Field(pattern=r"^http://(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")]
+NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
+ADDRESS = re.compile(r"(?P<ip>\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(?P<port>\d{1,5})")
+
+
+def check_address(address: str) -> str:
+    """Raise ValueError unless an address is an IP number and a port."""
+    found = ADDRESS.fullmatch(address)
+    if found is None or not 0 < int(found["port"]) < 2**16:
+        raise ValueError("must be an IP number and a port, such as 10.0.0.1:7000")
+    ipaddress.ip_address(found["ip"].strip("[]"))
+    return address
+
+
+def check_url(url: str) -> str:
+    """Raise ValueError unless an address is http:// with an IP number and a port."""
+    if not url.startswith("http://"):
+        raise ValueError("must be http:// with an IP number and a port")
+    check_address(url.removeprefix("http://"))
+    return url
+
+
+Name = Annotated[str, Field(pattern=f"^{NAME.pattern}$")]
+Address = Annotated[str, AfterValidator(check_address)]
+Url = Annotated[str, AfterValidator(check_url)]
+Share = Annotated[float, Field(ge=0, le=1000, allow_inf_nan=False)]
 KeyHash = Annotated[str, Field(pattern=r"^sha256:[0-9a-f]{64}$")]
 
 
@@ -44,16 +71,16 @@
 class Objective(NamedTuple):
     """What the organisation weighs, as shares that need not add up to one."""
 
-    tail_latency: Annotated[float, Field(ge=0)] = 1.0
-    cost: Annotated[float, Field(ge=0)] = 1.0
-    sent_away: Annotated[float, Field(ge=0)] = 1.0
+    tail_latency: Share = 1.0
+    cost: Share = 1.0
+    sent_away: Share = 1.0
 
 
 class Region(NamedTuple):
     """A region: data may be bound to it."""
 
     title: str = ""
-    trip_ms: Annotated[float, Field(ge=0)] = 50.0
+    trip_ms: Annotated[float, Field(ge=0, le=60_000, allow_inf_nan=False)] = 50.0
     """One-way trip to other regions, in milliseconds, until one is measured."""
 
 
@@ -123,95 +150,136 @@
     """Its part of the capacity when there is not enough for all."""
 
 
-class Published(NamedTuple):
-    """One whole, valid configuration. Look-ups below are dictionaries by name."""
+TABLES: dict[str, type] = {
+    "regions": Region,
+    "domains": Domain,
+    "hosts": Host,
+    "endpoints": Endpoint,
+    "profiles": Profile,
+    "teams": Team,
+}
+"""Tables with documents by name."""
+
+SINGLES: dict[str, type] = {"organisation": Organisation, "objective": Objective}
+"""Documents of which there is one."""
 
-    revision: Annotated[int, Field(ge=1)]
+
+class Tables(NamedTuple):
+    """All documents of one configuration."""
+
+    revision: int
     organisation: Organisation
     objective: Objective = Objective()
-    regions: dict[Name, Region] = {}
-    domains: dict[Name, Domain] = {}
-    hosts: dict[Name, Host] = {}
-    endpoints: dict[Name, Endpoint] = {}
-    profiles: dict[Name, Profile] = {}
-    teams: dict[Name, Team] = {}
+    regions: dict[str, Region] = {}
+    domains: dict[str, Domain] = {}
+    hosts: dict[str, Host] = {}
+    endpoints: dict[str, Endpoint] = {}
+    profiles: dict[str, Profile] = {}
+    teams: dict[str, Team] = {}
+
+
+class Published(Tables):
+    """One whole, valid configuration. Look-ups below are dictionaries by name.
+
+    A class of its own so that indexes are kept with it: a tuple has no place for them.
+    """
 
     @classmethod
     def from_documents(cls, documents: Mapping[str, Any], source: str = "") -> Published:
-        """Validate documents; raise ConfigurationError with every finding, or give the whole."""
+        """Validate nested tables; raise ConfigurationError with all findings, or give the whole."""
         findings = Findings(source)
-        published = validate(SCHEMA, documents, findings)
-        if published is not None:
-            for where, what in _find_faults(published):
-                findings.add(where, what)
+        published = cls.check_documents(documents, findings)
         findings.raise_if_any()
         assert published is not None
         return published
 
+    @classmethod
+    def check_documents(cls, documents: Mapping[str, Any], findings: Findings) -> Published | None:
+        """Validate nested tables; note every finding, and give the whole if there is no error."""
+        revision = documents.get("revision")
+        if not is_revision(revision):
+            findings.add("revision", "must be a whole number over 0; raise it with each change")
+        parsed = {
+            place: parse_document(place, value, findings)
+            for place, value in _list_values(documents, findings)
+        }
+        if Place("organisation") not in parsed:
+            findings.add("organisation", "is missing; publish it")
+        if findings.errors:
+            return None
+        assert isinstance(revision, int)
+        published = cls(**_group(parsed), revision=revision)
+        for fault in find_faults(published, parsed, Claims()):
+            findings.add(*fault)
+        return None if findings.errors else published
+
     def region_of(self, domain: str) -> str:
         """Give the region of a failure domain, or an empty name for an unknown one."""
         found = self.domains.get(domain)
         return found.region if found else ""
 
-    def hosts_of(self, domain: str) -> list[str]:
+    def hosts_of(self, domain: str) -> tuple[str, ...]:
         """List the names of a failure domain's hosts, sorted."""
-        return sorted(name for name, host in self.hosts.items() if host.domain == domain)
+        return self._hosts_by_domain.get(domain, ())
 
-    def endpoints_of(self, domain: str) -> list[str]:
+    def endpoints_of(self, domain: str) -> tuple[str, ...]:
         """List the names of a failure domain's endpoints, sorted."""
-        return sorted(name for name, end in self.endpoints.items() if end.domain == domain)
-
-
-SCHEMA: TypeAdapter[Published] = TypeAdapter(Published)
-
-
-def _find_faults(published: Published) -> Iterator[tuple[str, str]]:
-    """Yield what is wrong between documents that are each valid by themselves."""
-    yield from _find_place_faults(published)
-    yield from _find_profile_faults(published)
-    yield from _find_team_faults(published)
-
-
-def _find_place_faults(published: Published) -> Iterator[tuple[str, str]]:
-    for name, domain in published.domains.items():
-        if domain.region not in published.regions:
-            yield f"domains.{name}.region", f"there is no region {domain.region!r}; publish it"
-    addresses: dict[str, str] = {}
-    for name, host in published.hosts.items():
-        if host.domain not in published.domains:
-            yield f"hosts.{name}.domain", f"there is no domain {host.domain!r}; publish it"
-        for field in ("callers", "admin", "peers"):
-            address = getattr(host, field)
-            other = addresses.setdefault(address, f"hosts.{name}.{field}")
-            if other != f"hosts.{name}.{field}":
-                yield f"hosts.{name}.{field}", f"{address} is taken by {other}; choose another"
-    for name, endpoint in published.endpoints.items():
-        if endpoint.domain not in published.domains:
-            yield f"endpoints.{name}.domain", f"there is no domain {endpoint.domain!r}; publish it"
-        if endpoint.kind is EndpointKind.ENGINE and endpoint.services:
-            yield f"endpoints.{name}.services", 'an engine has models; set kind = "service"'
-        if endpoint.kind is EndpointKind.SERVICE and endpoint.models:
-            yield f"endpoints.{name}.models", 'a service has services; set kind = "engine"'
-
-
-def _find_profile_faults(published: Published) -> Iterator[tuple[str, str]]:
-    for name, profile in published.profiles.items():
-        if (profile.model is None) == (profile.service is None):
-            yield f"profiles.{name}", "name either a model or a service, and not both"
-        for region in profile.regions:
-            if region not in published.regions:
-                yield f"profiles.{name}.regions", f"there is no region {region!r}; publish it"
-
-
-def _find_team_faults(published: Published) -> Iterator[tuple[str, str]]:
-    owners: dict[str, str] = {}
-    for name, team in published.teams.items():
-        if team.home not in published.regions:
-            yield f"teams.{name}.home", f"there is no region {team.home!r}; publish it"
-        for profile in team.profiles:
-            if profile not in published.profiles:
-                yield f"teams.{name}.profiles", f"there is no profile {profile!r}; publish it"
-        for key_hash in team.key_hashes:
-            other = owners.setdefault(key_hash, name)
-            if other != name:
-                yield f"teams.{name}.key_hashes", f"team {other!r} has this key; make a new one"
+        return self._endpoints_by_domain.get(domain, ())
+
+    @cached_property
+    def _hosts_by_domain(self) -> dict[str, tuple[str, ...]]:
+        return _group_by_domain(self.hosts)
+
+    @cached_property
+    def _endpoints_by_domain(self) -> dict[str, tuple[str, ...]]:
+        return _group_by_domain(self.endpoints)
+
+
+def is_revision(value: Any) -> bool:
+    """Tell whether a value is a revision: a whole number from 1 that fits 63 bits."""
+    return isinstance(value, int) and not isinstance(value, bool) and 1 <= value < 2**63
+
+
+def parse_document(place: Place, value: Any, findings: Findings) -> Any:
+    """Give one document as its NamedTuple, or None when the findings say why not."""
+    if place.table in SINGLES:
+        return validate(SINGLES[place.table], value, findings, place.dotted)
+    if NAME.fullmatch(place.name) is None:
+        findings.add(place.dotted, "has a name that can't be used; take a-z, 0-9, '-' and '.'")
+        return None
+    return validate(TABLES[place.table], value, findings, place.dotted)
+
+
+def warn_unknown(table: str, findings: Findings) -> None:
+    """Warn of a table that this release does not know, such as one of a later release."""
+    findings.warn(table, f"is not a known table; {suggest(table, [*TABLES, *SINGLES])}")
+
+
+def _list_values(documents: Mapping[str, Any], findings: Findings) -> Iterable[tuple[Place, Any]]:
+    for table, value in documents.items():
+        if table in SINGLES:
+            yield Place(table), value
+        elif table in TABLES and isinstance(value, Mapping):
+            yield from ((Place(table, str(name)), entry) for name, entry in value.items())
+        elif table in TABLES:
+            findings.add(table, f"is not a table; write [{table}.NAME]")
+        elif table != "revision":
+            warn_unknown(table, findings)
+
+
+def _group(parsed: Mapping[Place, Any]) -> dict[str, Any]:
+    """Sort documents into the fields of `Published`."""
+    tables: dict[str, Any] = {table: {} for table in TABLES}
+    for place, document in parsed.items():
+        if place.name:
+            tables[place.table][place.name] = document
+        else:
+            tables[place.table] = document
+    return tables
+
+
+def _group_by_domain(placed: Mapping[str, Any]) -> dict[str, tuple[str, ...]]:
+    names: dict[str, list[str]] = defaultdict(list)
+    for name in sorted(placed):
+        names[placed[name].domain].append(name)
+    return {domain: tuple(found) for domain, found in names.items()}
--- a/cloverway/config/settings.py
+++ b/cloverway/config/settings.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Annotated, Literal, NamedTuple
 
-from pydantic import Field, TypeAdapter
+from pydantic import Field
 
 from cloverway.config.options import Findings, validate
 from cloverway.config.published import Address, Name
@@ -115,7 +115,7 @@
         except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
             raise ConfigurationError([f"{path}: is not TOML: {error}"]) from error
         findings = Findings(str(path))
-        settings = validate(SCHEMA, values, findings)
+        settings = validate(cls, values, findings)
         if settings is not None:
             _check_platform(settings.platform, findings)
         findings.raise_if_any()
@@ -123,9 +123,6 @@
         return settings
 
 
-SCHEMA: TypeAdapter[Settings] = TypeAdapter(Settings)
-
-
 def _check_platform(platform: PlatformSettings, findings: Findings) -> None:
     if platform.kind == "file" and not platform.directory:
         findings.add("platform.directory", 'set it to the published directory, or kind = "http"')
--- a/cloverway/configuration.py
+++ b/cloverway/configuration.py
@@ -3,18 +3,42 @@
 from __future__ import annotations
 
 import hashlib
-import itertools
-import json
-from collections.abc import Iterable, Mapping
+import logging
+from collections.abc import Iterable
 from enum import StrEnum
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from cloverway.config.published import Published
-from cloverway.errors import ConfigurationError
-from cloverway.platform.port import Changes, Document
-
-SINGLE = ("organisation", "objective")
-"""Documents of which there is one."""
+from cloverway.platform.port import Changes
+from cloverway.revisions import (
+    Accepted,
+    Gap,
+    OfferResult,
+    Rejected,
+    Revisions,
+    Stale,
+    Unchanged,
+)
+
+__all__ = [
+    "Accepted",
+    "ConfigurationStore",
+    "Gap",
+    "OfferResult",
+    "Readiness",
+    "Rejected",
+    "Source",
+    "Stale",
+    "StartGate",
+    "Unchanged",
+    "choose_readers",
+    "log_result",
+]
+
+log = logging.getLogger(__name__)
+
+STALE_AFTER_S = 4.0
+"""A platform that is behind for so long is stale; a change is in force everywhere by then."""
 
 READERS = 2
 """Hosts of a failure domain that read the platform: one may be dead without a gap."""
@@ -27,107 +51,126 @@
     PEER = "peer"
 
 
-class Accepted(NamedTuple):
-    """A new configuration is in force."""
-
-    published: Published
-    changes: Changes
-    """What has changed, as peers are to be told."""
-
-
-class Unchanged(NamedTuple):
-    """The offer holds nothing new."""
-
-    revision: int
-
-
-class Rejected(NamedTuple):
-    """The offer can't be in force; the last good configuration stays."""
-
-    revision: int
-    findings: tuple[str, ...]
-
-
-class Stale(NamedTuple):
-    """The source is behind: it offers less than is known."""
-
-    known: int
-    offered: int
-
-
-class Gap(NamedTuple):
-    """The changes start later than what is known: ask for those after `known`."""
-
-    known: int
-    after: int
-
-
-OfferResult = Accepted | Unchanged | Rejected | Stale | Gap
-
-
 class ConfigurationStore:
-    """Hold every document with its revision; take changes that make a valid whole."""
+    """Hold the configuration in force; judge what the platform and peers offer.
+
+    One task owns it. Until `settle` is called the host serves nobody, and the first whole from a
+    peer takes the place of what the platform alone gave: the peer has it in force, while a
+    platform that was restored from older data may have used the same revisions again.
+    """
 
     def __init__(self) -> None:
-        self._documents: dict[str, Document] = {}
-        self._pending: dict[str, Document] = {}
-        self._published: Published | None = None
+        self._held = Revisions()
+        self._settled = False
+        self._heard_whole = False
         self._platform_revision = 0
+        self._behind_since: float | None = None
+        self._verified = True
         self.platform_stale = False
-        """Whether a peer knows more than the platform answers."""
+        """Whether the platform answers less than is in force, or another history of it."""
 
     @property
     def published(self) -> Published | None:
         """The configuration in force, or None before the first was accepted."""
-        return self._published
+        return self._held.published
 
     @property
     def revision(self) -> int:
         """The revision in force, or 0."""
-        return self._published.revision if self._published else 0
+        return self._held.revision
+
+    @property
+    def served_revision(self) -> int:
+        """The revision to tell peers: 0 until settled, so that no peer builds on it."""
+        return self._held.revision if self._settled else 0
+
+    @property
+    def refused(self) -> Rejected | None:
+        """The latest refusal, until a later revision is in force."""
+        return self._held.refused
+
+    @property
+    def digest(self) -> str:
+        """Summarise the documents in force: equal digests mean equal configurations."""
+        return self._held.documents.digest
 
     @property
     def read_after(self) -> int:
         """The revision after which the platform is to be read next; 0 reads the whole."""
-        return self._platform_revision
+        if not self._verified and self._platform_revision >= self.revision:
+            return 0
+        return self._held.covered
+
+    def ask_peer_after(self, revision: int) -> int | None:
+        """Give the revision after which to ask a peer that has `revision`, or None for not."""
+        if self._held.has_refused(revision) or revision < 1:
+            return None
+        if not self._settled and not self._heard_whole:
+            return 0
+        return self.revision if revision > self.revision else None
+
+    def settle(self) -> None:
+        """Begin to serve: from now on nothing in force is exchanged, only changed."""
+        self._settled = True
+
+    def contradicts(self, revision: int, digest: str) -> bool:
+        """Tell whether a peer holds other documents under the revision that is in force here."""
+        return revision == self.revision and digest != self.digest
+
+    def changes_after(self, revision: int) -> Changes:
+        """Give a peer what it lacks; the whole when it has nothing or is far behind."""
+        return self._held.documents.changes_after(revision, self.revision)
 
     def offer(self, changes: Changes, source: Source, now: float) -> OfferResult:
         """Merge changes; tell whether they are in force, and if not, why."""
-        if changes.revision < self.revision and source is Source.PLATFORM:
+        before = self.revision
+        if source is Source.PLATFORM:
+            result = self._offer_of_platform(changes, now)
+        elif changes.whole and not self._settled and not self._heard_whole:
+            return self._start_from_peer(changes)
+        else:
+            result = self._held.take_from_peer(changes)
+        # A lowered revision would bring back what operators have withdrawn, such as a key.
+        assert self.revision >= before, "the revision in force went down"
+        return result
+
+    def _offer_of_platform(self, changes: Changes, now: float) -> OfferResult:
+        result = self._held.take_published(changes)
+        self._note_lag(changes.revision, now)
+        if changes.whole and not isinstance(result, Stale):
+            self._verified = True
+        if self._held.contradicted:
             self.platform_stale = True
-            return Stale(self.revision, changes.revision)
-        if changes.after > self.revision:
-            return Gap(self.revision, changes.after)
-        if changes.revision <= self.revision:
-            return Unchanged(self.revision)
-        merged = dict(self._documents)
-        for document in itertools.chain(self._pending.values(), changes.documents):
-            known = merged.get(document.key)
-            if known is None or document.revision > known.revision:
-                merged[document.key] = document
-        try:
-            published = Published.from_documents(_nest(merged.values(), changes.revision))
-        except ConfigurationError as error:
-            return Rejected(changes.revision, tuple(error.findings))
-        self._documents = merged
-        self._published = published
-        return Accepted(published, changes)
+        elif self._verified and isinstance(result, Accepted | Unchanged):
+            self.platform_stale = False
+        return result
+
+    def _note_lag(self, offered: int, now: float) -> None:
+        """Mark the platform when it went back, or is behind for longer than a change takes."""
+        went_back = offered < self._platform_revision
+        self._platform_revision = offered
+        if offered >= self.revision:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+        lags = self._behind_since is not None and now - self._behind_since >= STALE_AFTER_S
+        if went_back or lags:
+            self.platform_stale = True
+            self._verified = False
 
-    def changes_after(self, revision: int) -> Changes:
-        """Give a peer what it lacks; the whole when it has nothing."""
-        documents = tuple(
-            document for document in self._documents.values() if document.revision > revision
-        )
-        return Changes(self.revision, revision, documents)
+    def _start_from_peer(self, changes: Changes) -> OfferResult:
+        """Take what a peer has in force in place of what the platform alone gave.
 
-    def digest(self) -> str:
-        """Summarise the documents in force: equal digests mean equal configurations."""
-        lines = sorted(
-            f"{document.key} {json.dumps(document.value, sort_keys=True)}"
-            for document in self._documents.values()
-            if document.value is not None
-        )
-        return hashlib.blake2b("\n".join(lines).encode(), digest_size=16).hexdigest()
+        The platform is then read as a whole again: where it is later it goes on top, and where
+        it contradicts the peer it is refused.
+        """
+        trial = Revisions()
+        result = trial.take_from_peer(changes)
+        if isinstance(result, Accepted):
+            self._held = trial
+            self._heard_whole = True
+            self._verified = False
+        return result
 
 
 class Readiness(NamedTuple):
@@ -136,7 +179,7 @@
     ready: bool
     why: str
     proved: bool = False
-    """Whether both the platform and every expected peer confirmed the revision."""
+    """Whether the platform and every expected peer were heard, and nothing later is known."""
 
 
 class StartGate:
@@ -144,30 +187,34 @@
 
     def __init__(self, started_at: float, wait_s: float = 3.0) -> None:
         self._until = started_at + wait_s
-        self._heard: dict[str, int] = {}
+        self._peers: dict[str, int] = {}
         self._platform: int | None = None
 
     def hear_platform(self, revision: int) -> None:
         """Note the revision that the platform answered."""
-        self._platform = max(revision, self._platform or 0)
+        self._platform = revision
 
     def hear_peer(self, host: str, revision: int) -> None:
-        """Note the revision that a peer has in force."""
-        self._heard[host] = max(revision, self._heard.get(host, 0))
+        """Note the revision that a peer has in force; 0 for one that is starting itself."""
+        self._peers[host] = max(revision, self._peers.get(host, 0))
+
+    def lose_peer(self, host: str) -> None:
+        """Forget a peer that is no longer heard: what it alone had can't be waited for."""
+        self._peers.pop(host, None)
 
     def decide(self, in_force: int, expected: Iterable[str], now: float) -> Readiness:
         """Decide for the revision in force here and the peers that ought to answer."""
-        highest = max(self._heard.values(), default=0)
         if in_force < 1:
             return Readiness(False, "no configuration was accepted yet")
+        highest = max(self._peers.values(), default=0)
         if in_force < highest:
             return Readiness(False, "a peer has a later configuration")
-        missing = set(expected) - set(self._heard)
-        if self._platform is not None and not missing:
-            return Readiness(True, "platform and peers agree", proved=True)
+        heard_all = self._platform is not None and set(expected) <= set(self._peers)
+        if heard_all and in_force >= (self._platform or 0):
+            return Readiness(True, "the platform and all peers were heard", proved=True)
         if now < self._until:
-            return Readiness(False, "platform and peers are being asked")
-        return Readiness(True, "not all answered within the bound")
+            return Readiness(False, "the platform and peers are being asked")
+        return Readiness(True, "not all were heard within the bound")
 
 
 def choose_readers(
@@ -178,19 +225,26 @@
     return tuple(ranked[:count])
 
 
-def _weigh(*parts: str) -> bytes:
-    return hashlib.blake2b("\0".join(parts).encode(), digest_size=8).digest()
+def log_result(result: OfferResult, source: Source) -> None:
+    """Log what became of an offer; a refusal is an error that an operator has to mend."""
+    fields = {"source": str(source)}
+    match result:
+        case Accepted(published, after):
+            log.info(
+                "a configuration is in force",
+                extra=fields | {"revision": published.revision, "after": after},
+            )
+        case Rejected(revision, findings):
+            log.error(
+                "a configuration was refused; the last good one stays in force",
+                extra=fields | {"revision": revision, "findings": list(findings)},
+            )
+        case Stale(known, offered):
+            log.warning(
+                "a configuration that is offered is older than the one in force",
+                extra=fields | {"revision": known, "offered": offered},
+            )
 
 
-def _nest(documents: Iterable[Document], revision: int) -> Mapping[str, Any]:
-    """Give documents as the nested tables that the schema reads."""
-    tables: dict[str, Any] = {"revision": revision}
-    for document in documents:
-        if document.value is None:
-            continue
-        table, _, name = document.key.partition("/")
-        if name:
-            tables.setdefault(table, {})[name] = document.value
-        else:
-            tables[table] = document.value
-    return tables
+def _weigh(*parts: str) -> bytes:
+    return hashlib.blake2b("\0".join(parts).encode(), digest_size=8).digest()
--- /dev/null
+++ b/cloverway/documents.py
@@ -0,0 +1,137 @@
+"""Documents in force, each as the text that peers are given, with its revision."""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple
+
+from cloverway.platform.port import Changes, Document
+
+KEY_LENGTH = 128
+"""The longest key: a table and a name."""
+
+TEXT_BYTES = 1024 * 1024
+"""The longest value, as JSON; the platform holds no longer ones."""
+
+DIGEST_BYTES = 8
+
+
+class Entry(NamedTuple):
+    """A document as it is held: text takes a fifth of the memory of parsed tables."""
+
+    revision: int
+    text: bytes | None
+    """Canonical JSON, so that equal values have equal text; None for a deleted document."""
+    fault: str = ""
+    """Why the value can't be held; such an entry is never in force."""
+
+    @classmethod
+    def from_document(cls, document: Document) -> Entry:
+        """Encode a document; a value that JSON can't carry gives an entry with a fault."""
+        if document.value is None:
+            return cls(document.revision, None)
+        if len(document.key) > KEY_LENGTH:
+            return cls(document.revision, None, f"has a key of over {KEY_LENGTH} characters")
+        try:
+            text = json.dumps(
+                document.value, sort_keys=True, separators=(",", ":"), allow_nan=False
+            ).encode()
+        except (TypeError, ValueError, RecursionError):
+            return cls(document.revision, None, "holds what JSON can't carry, such as a date")
+        if len(text) > TEXT_BYTES:
+            return cls(document.revision, None, f"is longer than {TEXT_BYTES} bytes; split it")
+        return cls(document.revision, text)
+
+    @property
+    def value(self) -> dict[str, Any] | None:
+        """The decoded value; None for a deleted document."""
+        return None if self.text is None else json.loads(self.text)
+
+    def as_document(self, key: str) -> Document:
+        """Decode the document."""
+        return Document(key, self.revision, self.value)
+
+
+class Documents:
+    """The documents of one configuration in the order of their revisions, with deleted ones.
+
+    A deleted document stays as a tombstone so that a delta tells of it. Only the latest
+    tombstones are kept; who lacks more is given the whole, of which nothing needs to be deleted.
+    """
+
+    def __init__(self, tombstones: int = 1000) -> None:
+        self._entries: dict[str, Entry] = {}
+        self._tombstones: dict[str, Entry] = {}
+        self._most_tombstones = tombstones
+        self._horizon: int | None = None
+        """Deltas from an earlier revision would miss a deletion; None while there is nothing."""
+        self._sum = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def __contains__(self, key: object) -> bool:
+        return key in self._entries
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._entries)
+
+    def text(self, key: str) -> bytes | None:
+        """Give the text of a document, or None when there is no such document."""
+        entry = self._entries.get(key)
+        return entry.text if entry else None
+
+    def put(self, changes: Mapping[str, Entry], revision: int) -> None:
+        """Take changes that lead to a revision; all are later than what is held."""
+        if self._horizon is None:
+            self._horizon = revision
+        for key, entry in sorted(changes.items(), key=_by_revision):
+            self._drop(key)
+            if entry.text is None:
+                self._tombstones[key] = entry
+                continue
+            self._entries[key] = entry
+            self._sum += _hash(key, entry.text)
+        self._prune()
+
+    def changes_after(self, after: int, revision: int) -> Changes:
+        """Give the changes from one revision to the present one, or the whole."""
+        if after < (self._horizon or 0) or after > revision:
+            after = 0
+        deleted = _list_later(self._tombstones, after) if after else ()
+        found = sorted([*_list_later(self._entries, after), *deleted], key=_by_revision)
+        return Changes(revision, after, tuple(entry.as_document(key) for key, entry in found))
+
+    @property
+    def digest(self) -> str:
+        """Equal digests mean equal documents; costs nothing, as each change is added to it."""
+        return (self._sum % 2 ** (8 * DIGEST_BYTES)).to_bytes(DIGEST_BYTES).hex()
+
+    def _drop(self, key: str) -> None:
+        self._tombstones.pop(key, None)
+        old = self._entries.pop(key, None)
+        if old is not None and old.text is not None:
+            self._sum -= _hash(key, old.text)
+
+    def _prune(self) -> None:
+        while len(self._tombstones) > self._most_tombstones:
+            oldest = next(iter(self._tombstones))
+            self._horizon = max(self._horizon or 0, self._tombstones.pop(oldest).revision)
+
+
+def _list_later(entries: dict[str, Entry], after: int) -> Iterator[tuple[str, Entry]]:
+    """Yield the entries after a revision; they stand last, so that the others cost nothing."""
+    keys = itertools.takewhile(lambda key: entries[key].revision > after, reversed(entries))
+    return ((key, entries[key]) for key in keys)
+
+
+def _hash(key: str, text: bytes) -> int:
+    data = key.encode() + b"\0" + text
+    return int.from_bytes(hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest())
+
+
+def _by_revision(item: tuple[str, Entry]) -> tuple[int, str]:
+    return (item[1].revision, item[0])
--- a/cloverway/tests/test_configuration.py
+++ b/cloverway/tests/test_configuration.py
@@ -41,6 +41,8 @@
     store = ConfigurationStore()
     store.offer(Changes(5, 0, BASE), Source.PEER, 0.0)
     assert store.offer(Changes(4, 0, BASE), Source.PLATFORM, 0.0) == Stale(5, 4)
+    assert not store.platform_stale, "a moment's lag is no fault"
+    store.offer(Changes(4, 0, BASE), Source.PLATFORM, 4.0)
     assert store.platform_stale
 
 
