--- a/cloverway/config/options.py
+++ b/cloverway/config/options.py
@@ -48,7 +48,7 @@
         """Note and log a warning at a dotted name."""
         text = self._format(where, what)
         self.warnings.append(text)
-        log.warning("a name is not known", extra={"finding": text})
+        log.warning("%s", text)
 
     def raise_if_any(self) -> None:
         """Raise ConfigurationError with all errors, if there are any."""
