Add the operators' listener, metrics by class and tenant, and JSON logs

Operators get a second listener with threads of its own, so that health, metrics and a drain answer while every thread for callers is busy.

One task owns the metrics registry, whose counters are not thread-safe; each request and each stream sends one typed observation when it has ended. The label of a tenant is the team's name for the 48 teams with the most traffic, found by the space-saving algorithm over 512 counts, and one of 16 shared labels for all others. Ruled out: a label for each of 9,000 teams (four histograms of about 20 lines each, per host); first come first served, where quiet teams keep the labels of busy ones; shared labels alone, which tell nobody's latency.

No caller's own text goes into a line: a profile is logged only where one of that name is published.

--- /dev/null
+++ b/cloverway/admin.py
@@ -0,0 +1,183 @@
+"""The operators' interface: health, readiness, metrics, status, explanations and leaving.
+
+It has a listener and threads of its own, so that it answers while every thread for callers is
+busy. It asks for no key: operators keep its address off the callers' network.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from typing import Any, NamedTuple
+
+from cloverway import bodies
+from cloverway.application import Call, Responder, make_json_reply, require_method
+from cloverway.config.settings import Settings
+from cloverway.directory import HostList
+from cloverway.errors import Kind, RequestError
+from cloverway.exchange import Reply
+from cloverway.listener import Bounds, Listener
+from cloverway.metrics import Gauge
+from cloverway.view import View, ViewHolder
+
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+BODY_BYTES = 64 * 1024
+BODY_TIMEOUT_S = 5.0
+RETRY_S = 1.0
+WAITING = 64
+IDLE = 64
+
+
+class Operations(NamedTuple):
+    """What the other parts of the daemon offer to operators."""
+
+    list_hosts: Callable[[], HostList]
+    in_progress: Callable[[], int]
+    render_metrics: Callable[[Sequence[Gauge]], bytes]
+    explain: Callable[[str, str], Mapping[str, Any]]
+    """Gives the decision for a team and a profile."""
+    begin_leaving: Callable[[], None]
+
+
+class AdminServer:
+    """Answers operators."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        holder: ViewHolder,
+        operations: Operations,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._holder = holder
+        self._operations = operations
+        self._clock = clock
+        self._paths: Mapping[str, tuple[str, Callable[[Call], Reply]]] = {
+            "/healthz": ("GET", self._give_health),
+            "/readyz": ("GET", self._give_readiness),
+            "/metrics": ("GET", self._give_metrics),
+            "/v1/hosts": ("GET", self._give_hosts),
+            "/v1/status": ("GET", self._give_status),
+            "/v1/explain": ("POST", self._explain),
+            "/v1/drain": ("POST", self._drain),
+        }
+        responder = Responder(settings.host, self._handle, BODY_BYTES)
+        bounds = Bounds(settings.limits.admin_threads, WAITING, IDLE, settings.limits.header_bytes)
+        self._listener = Listener(
+            settings.listen.admin, responder.make_application(), bounds, "admin"
+        )
+
+    @property
+    def address(self) -> str:
+        """Where operators reach it."""
+        return self._listener.address
+
+    def start(self) -> None:
+        """Bind and serve; raises OSError when the address can't be bound."""
+        self._listener.start()
+
+    def stop(self) -> None:
+        """Close everything."""
+        self._listener.stop()
+
+    def _handle(self, call: Call) -> Reply:
+        if call.path not in self._paths:
+            raise RequestError(Kind.NOT_FOUND, f"use one of {', '.join(self._paths)}")
+        method, give = self._paths[call.path]
+        require_method(call, method)
+        return give(call)
+
+    def _give_health(self, call: Call) -> Reply:
+        return make_json_reply({"healthy": True})
+
+    def _give_readiness(self, call: Call) -> Reply:
+        view = self._holder.current
+        if view.leaving:
+            raise RequestError(Kind.LEAVING)
+        if not view.ready:
+            raise RequestError(Kind.STARTING, retry_after=RETRY_S)
+        return make_json_reply({"ready": True})
+
+    def _give_metrics(self, call: Call) -> Reply:
+        gauges = list(make_gauges(self._holder.current, self._operations.in_progress()))
+        return Reply(200, METRICS_TYPE, self._operations.render_metrics(gauges))
+
+    def _give_hosts(self, call: Call) -> Reply:
+        return make_json_reply(self._operations.list_hosts())
+
+    def _give_status(self, call: Call) -> Reply:
+        view, now = self._holder.current, self._clock()
+        return make_json_reply(describe_status(view, self._operations.in_progress(), now))
+
+    def _explain(self, call: Call) -> Reply:
+        question = bodies.parse_json(self._read_body(call), call.get_header("Content-Type"))
+        team, profile = question.get("team"), question.get("profile")
+        if not isinstance(team, str) or not isinstance(profile, str):
+            raise RequestError(Kind.MALFORMED, 'send {"team": NAME, "profile": NAME}')
+        return make_json_reply(self._operations.explain(team, profile))
+
+    def _drain(self, call: Call) -> Reply:
+        self._read_body(call)
+        self._operations.begin_leaving()
+        return make_json_reply(
+            {"leaving": True, "in_progress": self._operations.in_progress()}, 202
+        )
+
+    def _read_body(self, call: Call) -> bytes:
+        return call.read_body(BODY_BYTES, BODY_TIMEOUT_S)
+
+
+def describe_status(view: View, in_progress: int, now: float) -> dict[str, Any]:
+    """Give what a host knows, with ages in seconds in place of times of its own clock."""
+    return {
+        "host": view.host,
+        "incarnation": view.incarnation,
+        "domain": view.domain,
+        "region": view.region,
+        "revision": view.published.revision if view.published else 0,
+        "ready": view.ready,
+        "leaving": view.leaving,
+        "platform_stale": view.platform_stale,
+        "in_progress": in_progress,
+        "hosts": [_describe(host, now) for host in view.hosts.values()],
+        "endpoints": [_describe(endpoint, now) for endpoint in view.endpoints.values()],
+        "summaries": [_describe(summary, now) for summary in view.summaries.values()],
+    }
+
+
+AGES = {"heard_at": "heard_s_ago", "reported_at": "reported_s_ago", "at": "heard_s_ago"}
+AGES["started_at"] = "started_s_ago"
+
+
+def _describe(state: Any, now: float) -> dict[str, Any]:
+    return dict(_iterate_fields(state._asdict(), now))
+
+
+def _iterate_fields(fields: Mapping[str, Any], now: float) -> Iterator[tuple[str, Any]]:
+    for name, value in fields.items():
+        if name in AGES:
+            # JSON has no infinity, which stands for what was never heard.
+            yield AGES[name], round(now - value, 3) if value > float("-inf") else None
+        else:
+            yield name, value
+
+
+def make_gauges(view: View, in_progress: int) -> Iterator[Gauge]:
+    """Give the figures of this moment."""
+    revision = view.published.revision if view.published else 0
+    yield Gauge("revision", "Revision of the configuration in force", revision)
+    yield Gauge("ready", "Whether the host takes work", float(view.ready))
+    yield Gauge("leaving", "Whether the host is leaving", float(view.leaving))
+    yield Gauge("platform_stale", "Whether peers know more", float(view.platform_stale))
+    yield Gauge("in_progress", "Requests in progress", in_progress)
+    states = Counter(
+        "leaving" if endpoint.leaving else "ready" if endpoint.ready else "unready"
+        for endpoint in view.endpoints.values()
+    )
+    for state in ("ready", "unready", "leaving"):
+        yield Gauge("endpoints", "Endpoints by state", states[state], {"state": state})
+    for endpoint in view.endpoints.values():
+        labels = {"endpoint": endpoint.name}
+        yield Gauge("endpoint_running", "Requests running", endpoint.running, labels)
+        yield Gauge("endpoint_waiting", "Requests waiting", endpoint.waiting, labels)
--- a/cloverway/application.py
+++ b/cloverway/application.py
@@ -12,6 +12,7 @@
 
 import cherrypy
 
+from cloverway import bodies
 from cloverway.errors import Kind, Ran, RequestError
 from cloverway.exchange import Reply, Stream
 from cloverway.listener import CONNECTION_KEY, PROBLEM_TYPE, REQUEST_KEY, Connection
@@ -49,10 +50,20 @@
         """Give a header, or an empty text."""
         return self.headers.get(name, "")
 
-    def mark_body_read(self) -> None:
-        """Note that the body was read to its end, so that the connection can be used again."""
+    def read_body(self, limit: int, seconds: float) -> bytes:
+        """Read the body within a size and a time for the whole; raise RequestError."""
+        self.connection.limit_reading(seconds)
+        body = bodies.read_body(
+            self.connection.rfile,
+            self.headers.get("Content-Length"),
+            self.http.chunked_read,
+            limit,
+        )
+        self.connection.limit_reading(None)
+        # Only now can the connection be used for another request.
         self.http.body_is_read = True
         self.http.rfile.remaining = 0
+        return body
 
 
 Handler = Callable[[Call], Reply]
--- a/cloverway/callers.py
+++ b/cloverway/callers.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable
 from itertools import count
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple
 
 from cloverway import bodies
 from cloverway.application import (
@@ -43,28 +43,15 @@
 HIDDEN_SLASH = re.compile(r"%(2f|5c|00)", re.IGNORECASE)
 
 
-class IssuedKey(Protocol):
-    """An idempotency key, with how long it may be used by its issuer's clock."""
-
-    @property
-    def key(self) -> str:
-        """The key as a caller sends it."""
-        ...
-
-    @property
-    def lifetime_s(self) -> float:
-        """Seconds until it expires."""
-        ...
-
-
 class Refusal(NamedTuple):
     """A request that was refused before it reached the gateway. Times are seconds."""
 
     request_id: str
     method: str
-    path: str
     team: str
+    """The team, or empty where the caller is not known."""
     profile: str
+    """The profile where it is published, or empty: a caller's own text goes into no log."""
     kind: Kind
     ran: Ran
     total_s: float
@@ -78,7 +65,7 @@
         settings: Settings,
         holder: ViewHolder,
         gateway: Gateway,
-        issue: Callable[[], IssuedKey],
+        issue: Callable[[int], list[str]],
         *,
         on_refusal: Callable[[Refusal], None] = lambda refusal: None,
         clock: Callable[[], float] = time.monotonic,
@@ -182,16 +169,7 @@
         )
 
     def _read_body(self, call: Call) -> bytes:
-        call.connection.limit_reading(self._limits.body_timeout_s)
-        body = bodies.read_body(
-            call.connection.rfile,
-            call.headers.get("Content-Length"),
-            call.http.chunked_read,
-            self._limits.body_bytes,
-        )
-        call.connection.limit_reading(None)
-        call.mark_body_read()
-        return body
+        return call.read_body(self._limits.body_bytes, self._limits.body_timeout_s)
 
     def _issue_keys(self, call: Call) -> Reply:
         body = self._read_body(call)
@@ -200,28 +178,34 @@
             wanted = bodies.parse_json(body, call.get_header("Content-Type")).get("count", 1)
         if type(wanted) is not int or not 1 <= wanted <= MAX_KEYS:
             raise RequestError(Kind.MALFORMED, f"'count' must be from 1 to {MAX_KEYS}")
-        issued = [self._issue() for _ in range(wanted)]
-        lifetime_s = min(key.lifetime_s for key in issued)
-        return make_json_reply({"keys": [key.key for key in issued], "lifetime_s": lifetime_s})
+        keys = self._issue(wanted)
+        lifetime_s = self._limits.idempotency_key_s
+        return make_json_reply({"key": keys[0], "keys": keys, "lifetime_s": lifetime_s})
 
     def _note_refusal(self, call: Call, error: RequestError, arrived_at: float) -> None:
         if call.get_header(KEY_HEADER):
             # The key was not looked up: an earlier request with it may have run, and a caller that
             # reads "no" here would do the work again under a new key.
             error.ran = Ran.UNKNOWN
+        team, profile = self._identify(call)
+        total_s = self._clock() - arrived_at
         self._on_refusal(
-            Refusal(
-                request_id=call.id,
-                method=call.method,
-                path=call.path,
-                team="",
-                profile=call.get_header(PROFILE_HEADER),
-                kind=error.kind,
-                ran=error.ran,
-                total_s=self._clock() - arrived_at,
-            )
+            Refusal(call.id, call.method, team, profile, error.kind, error.ran, total_s)
         )
 
+    def _identify(self, call: Call) -> tuple[str, str]:
+        """Give the team and the profile of a refused call, as far as they are known."""
+        published = self._holder.current.published
+        if published is None:
+            return "", ""
+        index = self._authenticator.index_of(published)
+        profile = call.get_header(PROFILE_HEADER)
+        try:
+            team = index.require_team(call.get_header("Authorization"))
+        except RequestError:
+            team = ""
+        return team, profile if profile in published.profiles else ""
+
 
 def check_path(call: Call) -> None:
     """Raise RequestError for a path or a method that there is not."""
--- a/cloverway/directory.py
+++ b/cloverway/directory.py
@@ -17,7 +17,7 @@
 class HostEntry(TypedDict):
     """One host of the list."""
 
-    host: str
+    name: str
     address: str
     domain: str
     region: str
@@ -110,7 +110,7 @@
     assert view.published is not None
     host = view.published.hosts[name]
     return HostEntry(
-        host=name,
+        name=name,
         address=host.callers,
         domain=host.domain,
         region=view.published.region_of(host.domain),
--- /dev/null
+++ b/cloverway/logs.py
@@ -0,0 +1,37 @@
+"""Logs: one JSON object a line on standard error."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import TextIO
+
+from pythonjsonlogger.json import JsonFormatter
+
+FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
+RENAMED = {"asctime": "time", "levelname": "level", "name": "logger"}
+QUIET_LOGGERS = ("urllib3",)
+
+
+def configure_logs(level: str, host: str, incarnation: str, stream: TextIO | None = None) -> None:
+    """Log as JSON, each line with the host and its incarnation.
+
+    Library loggers that write addresses and paths of each call are kept at warnings.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(make_formatter(host, incarnation))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+    for name in QUIET_LOGGERS:
+        logging.getLogger(name).setLevel(logging.WARNING)
+
+
+def make_formatter(host: str, incarnation: str) -> JsonFormatter:
+    """Give the formatter of all lines."""
+    return JsonFormatter(
+        FIELDS,
+        rename_fields=RENAMED,
+        static_fields={"host": host, "incarnation": incarnation},
+        json_default=repr,
+    )
--- /dev/null
+++ b/cloverway/metrics.py
@@ -0,0 +1,239 @@
+"""Histograms and counters of requests, owned by one task.
+
+The registry's counters are not thread-safe, so no other thread touches them: each request and each
+stream sends one typed observation when it has ended, never one for each token.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from concurrent.futures import Future
+from itertools import accumulate
+from typing import Any, NamedTuple
+
+import aioprometheus
+from aioprometheus.histogram import Histogram as Buckets
+
+from cloverway.errors import Kind, Ran
+from cloverway.task import Task
+from cloverway.tenants import TenantLabels
+
+TIME_BOUNDS_S = (
+    *(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75),
+    *(1.0, 1.5, 2.5, 5.0, 10.0, 20.0, 30.0, 60.0, 300.0),
+)
+"""Upper bounds of the buckets of times, in seconds."""
+ENDPOINT_LABELS = 512
+"""Endpoints and failure domains with a label of their own; all further ones share one."""
+OTHER_ENDPOINTS = "_other"
+UNKNOWN_CLASS = "_unknown"
+SUCCESS = "ok"
+RENDER_TIMEOUT_S = 5.0
+
+
+class RequestEnded(NamedTuple):
+    """One request that was answered or refused. Times are seconds."""
+
+    team: str
+    urgency: str
+    kind: Kind | None
+    ran: Ran
+    endpoint: str = ""
+    attempts: int = 0
+    queue_s: float = 0.0
+    first_byte_s: float | None = None
+    total_s: float = 0.0
+
+
+class StreamEnded(NamedTuple):
+    """The gaps between the tokens of one stream, counted by bucket. Times are seconds."""
+
+    team: str
+    urgency: str
+    tokens: int
+    gaps: Sequence[int]
+    """A count for each bound of the gaps, and one for the gaps above them all."""
+    gap_sum_s: float
+
+
+class Gauge(NamedTuple):
+    """A figure that is true at the moment of reading."""
+
+    name: str
+    help: str
+    value: float
+    labels: Mapping[str, str] = {}
+
+
+class _Render(NamedTuple):
+    gauges: Sequence[Gauge]
+
+
+class _Family:
+    """One histogram by class and the same one by tenant."""
+
+    def __init__(
+        self, registry: aioprometheus.Registry, name: str, what: str, bounds: Sequence[float]
+    ) -> None:
+        self.bounds = bounds
+        self.by_class = self._make(registry, f"cloverway_class_{name}", f"{what}, by class")
+        self.by_tenant = self._make(registry, f"cloverway_tenant_{name}", f"{what}, by tenant")
+
+    def observe(self, urgency: str, tenant: str, seconds: float) -> None:
+        """Count one time."""
+        self.by_class.observe({"class": urgency}, seconds)
+        self.by_tenant.observe({"tenant": tenant}, seconds)
+
+    def merge(self, urgency: str, tenant: str, counts: Sequence[int], total_s: float) -> None:
+        """Add counts by bucket."""
+        self._merge(self.by_class, {"class": urgency}, counts, total_s)
+        self._merge(self.by_tenant, {"tenant": tenant}, counts, total_s)
+
+    def drop_tenant(self, tenant: str) -> None:
+        """Forget a tenant whose label is out of use."""
+        self.by_tenant.values.pop({"tenant": tenant}, None)
+
+    def _make(
+        self, registry: aioprometheus.Registry, name: str, what: str
+    ) -> aioprometheus.Histogram:
+        # Without a registry of our own it would go into the library's global one.
+        return aioprometheus.Histogram(name, what, registry=registry, buckets=list(self.bounds))
+
+    def _merge(
+        self,
+        histogram: aioprometheus.Histogram,
+        labels: dict[str, str],
+        counts: Sequence[int],
+        total_s: float,
+    ) -> None:
+        buckets = histogram.values.get(labels)
+        if buckets is None:
+            buckets = Buckets(*self.bounds, float("inf"))
+            histogram.set_value(labels, buckets)
+        for bound, count in zip(buckets.buckets, accumulate(counts), strict=True):
+            buckets.buckets[bound] += count
+        buckets.observations += sum(counts)
+        buckets.sum += total_s
+
+
+class Metrics:
+    """Collects observations and gives them in the text format of Prometheus."""
+
+    def __init__(self, clock: Callable[[], float], gap_bounds_s: Sequence[float]) -> None:
+        self._clock = clock
+        self._labels = TenantLabels(clock())
+        self._endpoints: set[str] = set()
+        self._registry = aioprometheus.Registry()
+        self._make_families(gap_bounds_s)
+        self._make_counters()
+        self._gauges: dict[str, aioprometheus.Gauge] = {}
+        self._task = Task("metrics", self._handle, self._tick, period_s=1.0)
+
+    def start(self) -> None:
+        """Start the task."""
+        self._task.start()
+
+    def stop(self) -> None:
+        """Stop the task after what was sent to it."""
+        self._task.stop()
+
+    def note(self, ended: RequestEnded | StreamEnded) -> None:
+        """Send an observation; never waits."""
+        self._task.send(ended)
+
+    def render(self, gauges: Sequence[Gauge] = ()) -> bytes:
+        """Give all figures, with gauges of this moment."""
+        text: bytes = self._task.ask(_Render(gauges), RENDER_TIMEOUT_S)
+        return text
+
+    def _make_families(self, gap_bounds_s: Sequence[float]) -> None:
+        registry = self._registry
+        self._first = _Family(
+            registry,
+            "first_token_seconds",
+            "Time from arrival to the first byte of the answer",
+            TIME_BOUNDS_S,
+        )
+        self._gap = _Family(
+            registry,
+            "token_gap_seconds",
+            "Time between tokens of a stream",
+            gap_bounds_s,
+        )
+        self._total = _Family(
+            registry, "request_seconds", "Time from arrival to the end", TIME_BOUNDS_S
+        )
+        self._queue = _Family(
+            registry, "queue_seconds", "Time from arrival to the first route", TIME_BOUNDS_S
+        )
+
+    def _make_counters(self) -> None:
+        self._requests = self._make_counter("requests_total", "Requests by kind of outcome")
+        self._attempts = self._make_counter("attempts_total", "Attempts at endpoints, by class")
+        self._outcomes = self._make_counter(
+            "endpoint_requests_total", "Requests by the endpoint that was tried last"
+        )
+        self._tokens = self._make_counter("tokens_total", "Tokens of streams")
+
+    def _make_counter(self, name: str, what: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(f"cloverway_{name}", what, registry=self._registry)
+
+    def _handle(self, message: Any, answer: Future[Any]) -> None:
+        match message:
+            case RequestEnded():
+                self._note_request(message)
+                answer.set_result(None)
+            case StreamEnded():
+                self._note_stream(message)
+                answer.set_result(None)
+            case _Render(gauges):
+                answer.set_result(self._render(gauges))
+
+    def _tick(self) -> None:
+        for tenant in self._labels.review(self._clock()):
+            for family in (self._first, self._gap, self._total, self._queue):
+                family.drop_tenant(tenant)
+
+    def _note_request(self, ended: RequestEnded) -> None:
+        kind = str(ended.kind) if ended.kind is not None else SUCCESS
+        urgency = ended.urgency or UNKNOWN_CLASS
+        self._requests.inc({"class": urgency, "kind": kind, "ran": str(ended.ran)})
+        if ended.endpoint:
+            self._outcomes.inc({"endpoint": self._label_endpoint(ended.endpoint), "kind": kind})
+        if ended.attempts:
+            self._attempts.add({"class": urgency}, ended.attempts)
+        if not ended.team:
+            return
+        tenant = self._labels.choose(ended.team)
+        self._total.observe(urgency, tenant, ended.total_s)
+        if ended.attempts:
+            self._queue.observe(urgency, tenant, ended.queue_s)
+        if ended.first_byte_s is not None:
+            self._first.observe(urgency, tenant, ended.first_byte_s)
+
+    def _note_stream(self, ended: StreamEnded) -> None:
+        urgency = ended.urgency or UNKNOWN_CLASS
+        self._tokens.add({"class": urgency}, ended.tokens)
+        tenant = self._labels.get(ended.team)
+        self._gap.merge(urgency, tenant, ended.gaps, ended.gap_sum_s)
+
+    def _label_endpoint(self, endpoint: str) -> str:
+        """Give the label of an endpoint here, or of the failure domain of one elsewhere."""
+        label = endpoint.partition("/")[0] + "/" if "/" in endpoint else endpoint
+        if label not in self._endpoints and len(self._endpoints) >= ENDPOINT_LABELS:
+            return OTHER_ENDPOINTS
+        self._endpoints.add(label)
+        return label
+
+    def _render(self, gauges: Sequence[Gauge]) -> bytes:
+        for known in self._gauges.values():
+            # An endpoint that is gone must not keep its last figure.
+            known.values.clear()
+        for gauge in gauges:
+            if gauge.name not in self._gauges:
+                self._gauges[gauge.name] = aioprometheus.Gauge(
+                    f"cloverway_{gauge.name}", gauge.help, registry=self._registry
+                )
+            self._gauges[gauge.name].set(dict(gauge.labels), gauge.value)
+        text, _ = aioprometheus.render(self._registry, ["text/plain"])
+        return text
--- /dev/null
+++ b/cloverway/reporting.py
@@ -0,0 +1,136 @@
+"""What is logged and measured of each request: one line and one observation when it has ended.
+
+Neither a body, nor a caller's key, nor an idempotency key is passed on from here.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Sequence
+from typing import Protocol
+
+from cloverway.callers import Refusal
+from cloverway.errors import Kind, Ran
+from cloverway.messages import Request
+from cloverway.metrics import Metrics, RequestEnded, StreamEnded
+from cloverway.view import ViewHolder
+
+log = logging.getLogger(__name__)
+
+MILLISECONDS = 1000
+
+
+class Ended(Protocol):
+    """What the gateway knows of a request that has ended. Times are seconds."""
+
+    @property
+    def request(self) -> Request: ...  # noqa: D102
+    @property
+    def endpoint(self) -> str: ...  # noqa: D102
+    @property
+    def attempts(self) -> int: ...  # noqa: D102
+    @property
+    def first_byte_s(self) -> float | None: ...  # noqa: D102
+    @property
+    def queue_s(self) -> float: ...  # noqa: D102
+    @property
+    def total_s(self) -> float: ...  # noqa: D102
+    @property
+    def kind(self) -> Kind | None: ...  # noqa: D102
+    @property
+    def ran(self) -> Ran: ...  # noqa: D102
+
+
+class Gaps(Protocol):
+    """What the relay knows of a stream that has ended."""
+
+    @property
+    def tokens(self) -> int: ...  # noqa: D102
+    @property
+    def gaps(self) -> Sequence[int]: ...  # noqa: D102
+    @property
+    def gap_sum_s(self) -> float: ...  # noqa: D102
+
+
+class Reporter:
+    """Takes what the parts of the daemon report, and logs and counts it."""
+
+    def __init__(self, metrics: Metrics, holder: ViewHolder) -> None:
+        self._metrics = metrics
+        self._holder = holder
+
+    def note_end(self, ended: Ended) -> None:
+        """Report a request that the gateway has run or refused."""
+        request = ended.request
+        first_ms = _to_ms(ended.first_byte_s) if ended.first_byte_s is not None else None
+        log.info(
+            "request",
+            extra={
+                "request_id": request.id,
+                "team": request.team,
+                "profile": request.profile,
+                "method": request.method,
+                "endpoint": ended.endpoint,
+                "attempts": ended.attempts,
+                "queue_ms": _to_ms(ended.queue_s),
+                "first_byte_ms": first_ms,
+                "total_ms": _to_ms(ended.total_s),
+                "outcome": str(ended.kind or "ok"),
+                "ran": str(ended.ran),
+                "passed_on": request.passed_on,
+            },
+        )
+        self._metrics.note(
+            RequestEnded(
+                team=request.team,
+                urgency=self._find_urgency(request.profile),
+                kind=ended.kind,
+                ran=ended.ran,
+                endpoint=ended.endpoint,
+                attempts=ended.attempts,
+                queue_s=ended.queue_s,
+                first_byte_s=ended.first_byte_s,
+                total_s=ended.total_s,
+            )
+        )
+
+    def note_refusal(self, refusal: Refusal) -> None:
+        """Report a request that was refused before the gateway saw it."""
+        log.info(
+            "request",
+            extra={
+                "request_id": refusal.request_id,
+                "team": refusal.team,
+                "profile": refusal.profile,
+                "method": refusal.method,
+                "attempts": 0,
+                "total_ms": _to_ms(refusal.total_s),
+                "outcome": str(refusal.kind),
+                "ran": str(refusal.ran),
+            },
+        )
+        self._metrics.note(
+            RequestEnded(
+                team=refusal.team,
+                urgency=self._find_urgency(refusal.profile),
+                kind=refusal.kind,
+                ran=refusal.ran,
+                total_s=refusal.total_s,
+            )
+        )
+
+    def note_stream(self, request: Request, gaps: Gaps) -> None:
+        """Report the tokens of a stream that has ended."""
+        urgency = self._find_urgency(request.profile)
+        self._metrics.note(
+            StreamEnded(request.team, urgency, gaps.tokens, gaps.gaps, gaps.gap_sum_s)
+        )
+
+    def _find_urgency(self, profile: str) -> str:
+        published = self._holder.current.published
+        known = published.profiles.get(profile) if published else None
+        return known.urgency if known else ""
+
+
+def _to_ms(seconds: float) -> float:
+    return round(seconds * MILLISECONDS, 1)
--- /dev/null
+++ b/cloverway/tenants.py
@@ -0,0 +1,105 @@
+"""Labels of tenants for histograms: a bounded number of them, however many teams there are.
+
+The teams with the most traffic get a label of their own, and all others share a fixed number of
+labels by a hash of their name. The traffic is counted by the space-saving algorithm, whose table is
+bounded as well: a count is never too low, and too high by at most the error that it carries.
+"""
+
+from __future__ import annotations
+
+import zlib
+from typing import NamedTuple
+
+NAMED = 48
+"""Teams with a label of their own."""
+SHARED = 16
+"""Labels that all other teams share."""
+TRACKED = 512
+"""Teams whose traffic is counted."""
+MIN_REQUESTS = 8
+"""Requests that a team has certainly sent before it gets a free label."""
+REVIEW_S = 300.0
+"""How often labels may move from one team to another, and counts are halved."""
+CLEAR_LEAD = 2
+"""A team takes over a label only with this many times the traffic of its holder."""
+
+
+class _Count(NamedTuple):
+    requests: int = 0
+    error: int = 0
+
+    @property
+    def certain(self) -> int:
+        """Requests that were sent for certain."""
+        return self.requests - self.error
+
+
+class TenantLabels:
+    """Choose the label of each team."""
+
+    def __init__(self, now: float, named: int = NAMED, tracked: int = TRACKED) -> None:
+        self._named_limit = named
+        self._tracked_limit = tracked
+        self._counts: dict[str, _Count] = {}
+        self._named: set[str] = set()
+        self._reviewed_at = now
+
+    def choose(self, team: str) -> str:
+        """Count a request of a team and give its label."""
+        self._count(team)
+        free = len(self._named) < self._named_limit
+        if free and team not in self._named and self._counts[team].certain >= MIN_REQUESTS:
+            self._named.add(team)
+        assert len(self._named) <= self._named_limit and len(self._counts) <= self._tracked_limit
+        return self.get(team)
+
+    def get(self, team: str) -> str:
+        """Give the label of a team without counting."""
+        if team in self._named:
+            return team
+        # A published name never starts with an underscore, so no team can take a shared label.
+        return f"_other_{zlib.crc32(team.encode()) % SHARED:02d}"
+
+    def review(self, now: float) -> list[str]:
+        """Move labels to teams with clearly more traffic; give the labels that are out of use.
+
+        Halves all counts, so that yesterday's peak does not hold a label today.
+        """
+        if now - self._reviewed_at < REVIEW_S:
+            return []
+        self._reviewed_at = now
+        dropped = [holder for holder in self._take_over() if holder not in self._named]
+        self._counts = {
+            team: _Count(count.requests // 2, count.error // 2)
+            for team, count in self._counts.items()
+            if count.requests > 1
+        }
+        return dropped
+
+    def _count(self, team: str) -> None:
+        known = self._counts.get(team)
+        if known is None and len(self._counts) >= self._tracked_limit:
+            smallest = min(self._counts, key=lambda name: self._counts[name].requests)
+            floor = self._counts.pop(smallest).requests
+            known = _Count(floor, floor)
+        known = known or _Count()
+        self._counts[team] = known._replace(requests=known.requests + 1)
+
+    def _take_over(self) -> list[str]:
+        """Give the holders that lost their label."""
+        rising = sorted(
+            (team for team in self._counts if team not in self._named),
+            key=lambda team: (-self._counts[team].certain, team),
+        )
+        holders = sorted(self._named, key=lambda team: (self._requests(team), team))
+        lost = []
+        for team, holder in zip(rising, holders, strict=False):
+            if self._counts[team].certain < CLEAR_LEAD * max(1, self._requests(holder)):
+                break
+            self._named.remove(holder)
+            self._named.add(team)
+            lost.append(holder)
+        return lost
+
+    def _requests(self, team: str) -> int:
+        return self._counts.get(team, _Count()).requests
--- a/cloverway/tests/callers_bench.py
+++ b/cloverway/tests/callers_bench.py
@@ -54,9 +54,8 @@
 STREAM_BODY = b'{"messages": [{"role": "user", "content": "insulin?"}], "stream": true}'
 
 
-class Issued(NamedTuple):
-    key: str = "key-1"
-    lifetime_s: float = 60.0
+def issue(count: int) -> list[str]:
+    return [f"key-{number}" for number in range(count)]
 
 
 class FakeStream:
@@ -146,7 +145,7 @@
             make_settings(**limits),
             self.holder,
             self.gateway,
-            Issued,
+            issue,
             on_refusal=self.refusals.append,
             bounds=bounds,
         )
--- /dev/null
+++ b/cloverway/tests/test_admin.py
@@ -0,0 +1,91 @@
+from __future__ import annotations
+
+import http.client
+import json
+
+import pytest
+
+from cloverway.admin import AdminServer, Operations
+from cloverway.directory import HostList
+from cloverway.tests.callers_bench import make_settings, make_view
+from cloverway.view import EndpointState, HostState, Summary, ViewHolder
+
+
+class AdminBench:
+    def __init__(self):
+        self.left = False
+        self.holder = ViewHolder(make_view())
+        self.server = AdminServer(
+            make_settings(),
+            self.holder,
+            Operations(
+                list_hosts=lambda: HostList(hosts=[], lifetime_s=5.0, revision=3),
+                in_progress=lambda: 2,
+                render_metrics=lambda gauges: "\n".join(g.name for g in gauges).encode(),
+                explain=lambda team, profile: {"team": team, "profile": profile},
+                begin_leaving=self.leave,
+            ),
+            clock=lambda: 100.0,
+        )
+
+    def leave(self):
+        self.left = True
+
+    def ask(self, method, path, document=None):
+        connection = http.client.HTTPConnection(self.server.address, timeout=10)
+        body = json.dumps(document) if document is not None else None
+        connection.request(method, path, body, {"Content-Type": "application/json"})
+        response = connection.getresponse()
+        text = response.read()
+        connection.close()
+        return response.status, text
+
+
+@pytest.fixture(scope="module")
+def admin():
+    bench = AdminBench()
+    bench.server.start()
+    yield bench
+    bench.server.stop()
+
+
+def test_readiness_follows_the_view(admin):
+    assert admin.ask("GET", "/healthz")[0] == 200
+    assert admin.ask("GET", "/readyz")[0] == 200
+    for view, kind in [
+        (make_view(published=None), "starting"),
+        (make_view(leaving=True), "leaving"),
+    ]:
+        admin.holder.current = view
+        status, text = admin.ask("GET", "/readyz")
+        assert (status, json.loads(text)["kind"]) == (503, kind)
+        assert admin.ask("GET", "/healthz")[0] == 200
+    admin.holder.current = make_view()
+
+
+def test_status_has_ages_and_no_infinity(admin):
+    admin.holder.current = make_view(
+        hosts={"a": HostState("a", "pl-1", heard_at=99.5), "b": HostState("b", "pl-1")},
+        endpoints={"e": EndpointState("e", ready=True, reported_at=99.0)},
+        summaries={("cu-1", "m"): Summary("cu-1", "m", 2, 1, 0, 98.0)},
+    )
+    status, text = admin.ask("GET", "/v1/status")
+    document = json.loads(text, parse_constant=pytest.fail)
+    assert (status, document["revision"], document["in_progress"]) == (200, 3, 2)
+    assert [host["heard_s_ago"] for host in document["hosts"]] == [0.5, None]
+    assert document["endpoints"][0]["reported_s_ago"] == 1.0
+    assert document["summaries"][0]["heard_s_ago"] == 2.0
+    assert b"endpoint_running" in admin.ask("GET", "/metrics")[1]
+    admin.holder.current = make_view()
+
+
+def test_explain_drain_and_hosts(admin):
+    question = {"team": "pharmacy", "profile": "chat"}
+    assert json.loads(admin.ask("POST", "/v1/explain", question)[1]) == question
+    assert admin.ask("POST", "/v1/explain", {"team": 1})[0] == 400
+    assert admin.ask("GET", "/v1/drain")[0] == 405
+    assert not admin.left
+    assert admin.ask("POST", "/v1/drain")[0] == 202
+    assert admin.left
+    assert json.loads(admin.ask("GET", "/v1/hosts")[1])["lifetime_s"] == 5.0
+    assert admin.ask("GET", "/v1/nothing")[0] == 404
--- a/cloverway/tests/test_callers.py
+++ b/cloverway/tests/test_callers.py
@@ -173,9 +173,13 @@
 
 def test_hosts_and_keys(bench):
     answer = bench.call("GET", "/v1/hosts", headers={})
-    assert [host["host"] for host in json.loads(answer.body)["hosts"]] == ["pl-1-a"]
+    assert [host["name"] for host in json.loads(answer.body)["hosts"]] == ["pl-1-a"]
     answer = bench.call("POST", "/v1/idempotency-keys", b'{"count": 2}')
-    assert json.loads(answer.body) == {"keys": ["key-1", "key-1"], "lifetime_s": 60.0}
+    assert json.loads(answer.body) == {
+        "key": "key-0",
+        "keys": ["key-0", "key-1"],
+        "lifetime_s": 3600.0,
+    }
     assert bench.call("POST", "/v1/idempotency-keys").status == 200
     answer = bench.call("POST", "/v1/idempotency-keys", b'{"count": 101}')
     assert answer.problem["kind"] == "malformed"
--- /dev/null
+++ b/cloverway/tests/test_logs.py
@@ -0,0 +1,107 @@
+from __future__ import annotations
+
+import io
+import json
+import logging
+
+import pytest
+
+from cloverway.errors import Kind, Ran, RequestError
+from cloverway.exchange import Reply
+from cloverway.gateway import Record
+from cloverway.logs import make_formatter
+from cloverway.metrics import Metrics
+from cloverway.reporting import Reporter
+from cloverway.tests.callers_bench import BEARER, CHAT, HEADERS, Bench, FakeStream
+
+BODY_SECRET = "insulin-for-ward-nine"
+KEY_SECRET = "idempotency-key-of-ward-nine"
+
+
+@pytest.fixture
+def lines():
+    """Everything that is logged by anyone, at every level."""
+    text = io.StringIO()
+    handler = logging.StreamHandler(text)
+    handler.setFormatter(make_formatter("pl-1-a", "i-1"))
+    root = logging.getLogger()
+    level = root.level
+    root.addHandler(handler)
+    root.setLevel(logging.DEBUG)
+    yield lambda: [json.loads(line) for line in text.getvalue().splitlines()]
+    root.removeHandler(handler)
+    root.setLevel(level)
+
+
+def test_no_body_and_no_key_is_ever_logged(lines):
+    """An operator reads the logs of a day on which all went wrong, and learns no patient's data.
+
+    Requests end in every way: answered, refused before the gateway, cut midway, failed by a fault
+    of the gateway itself. Logs go to places with other rules of residency than the data.
+    """
+    body = json.dumps({"messages": [{"content": BODY_SECRET}], "stream": True})
+    headers = {**CHAT, "Idempotency-Key": KEY_SECRET}
+    with Bench() as bench:
+        for answer in (
+            Reply(200, "application/json", BODY_SECRET.encode()),
+            Reply(
+                200, "text/event-stream", stream=FakeStream([b"a"], RequestError(Kind.TRUNCATED))
+            ),
+            Reply(200, "text/event-stream", stream=FakeStream([b"a"], OSError(32, "broken pipe"))),
+            RequestError(Kind.OVERLOADED, retry_after=1.0),
+            RuntimeError("a fault"),
+        ):
+            bench.gateway.answer = answer
+            try:
+                bench.call("POST", "/v1/chat/completions", body, headers)
+            except Exception:
+                logging.getLogger(__name__).debug("cut, as it should be")
+        bench.call("POST", "/v1/chat/completions", body + "}", headers)
+        bench.call("POST", "/v1/chat/completions", body, {**headers, "Authorization": "Bearer no"})
+        bench.call("POST", "/v1/chat/completions", body, {**headers, "Cloverway-Profile": BEARER})
+        with bench.connect() as sock:
+            sock.sendall(f"POST {BODY_SECRET}{BEARER}{KEY_SECRET}\r\n\r\n".encode())
+            assert b"400" in sock.recv(1000)
+        reporter = Reporter(Metrics(lambda: 0.0, (0.1,)), bench.holder)
+        for refusal in bench.refusals:
+            reporter.note_refusal(refusal)
+        for request in bench.gateway.requests:
+            reporter.note_end(Record(request, "e-1", 1, 0.1, 0.0, 0.2, None, Ran.YES))
+    logged = json.dumps(lines())
+    assert len(bench.gateway.requests) == 5
+    assert [refusal.kind for refusal in bench.refusals] == [
+        "malformed",
+        "unauthenticated",
+        "forbidden",
+    ]
+    for secret in (BEARER, BODY_SECRET, KEY_SECRET, HEADERS["Authorization"]):
+        assert secret not in logged
+
+
+def test_one_line_with_all_that_an_operator_asks_for(lines):
+    with Bench() as bench:
+        bench.call("POST", "/v1/chat/completions", b'{"messages": [1]}', CHAT)
+        reporter = Reporter(Metrics(lambda: 0.0, (0.1,)), bench.holder)
+        [request] = bench.gateway.requests
+        reporter.note_end(Record(request, "e-1", 2, 0.1234, 0.01, 0.2, Kind.TRUNCATED, Ran.UNKNOWN))
+    [line] = [line for line in lines() if line["message"] == "request"]
+    assert line.pop("time")
+    assert line == {
+        "level": "INFO",
+        "logger": "cloverway.reporting",
+        "message": "request",
+        "host": "pl-1-a",
+        "incarnation": "i-1",
+        "request_id": request.id,
+        "team": "pharmacy",
+        "profile": "chat",
+        "method": "POST",
+        "endpoint": "e-1",
+        "attempts": 2,
+        "queue_ms": 10.0,
+        "first_byte_ms": 123.4,
+        "total_ms": 200.0,
+        "outcome": "truncated",
+        "ran": "unknown",
+        "passed_on": False,
+    }
--- /dev/null
+++ b/cloverway/tests/test_tenants.py
@@ -0,0 +1,52 @@
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cloverway.tenants import REVIEW_S, SHARED, TenantLabels
+
+
+def feed(labels, traffic):
+    return {
+        label
+        for team, requests in traffic
+        for _ in range(requests)
+        if (label := labels.choose(team))
+    }
+
+
+def test_labels_stay_bounded_at_9000_teams():
+    labels = TenantLabels(0.0)
+    seen = feed(labels, [(f"team-{n}", 1 + 3000 // (n + 1)) for n in range(300)])
+    seen |= feed(labels, [(f"team-{n}", 1) for n in range(9000)])
+    shared = {label for label in seen if label.startswith("_other_")}
+    assert len(shared) == SHARED
+    assert len(seen - shared) == 48
+    assert {f"team-{n}" for n in range(40)} <= seen
+
+
+def test_a_team_that_grows_takes_over_the_label_of_a_quiet_one():
+    labels = TenantLabels(0.0, named=2)
+    feed(labels, [("a", 100), ("b", 20), ("c", 30)])
+    assert labels.get("c").startswith("_other_")
+    assert labels.review(REVIEW_S) == []
+    feed(labels, [("c", 100)])
+    assert labels.review(REVIEW_S * 1.5) == []
+    assert labels.review(REVIEW_S * 2) == ["b"]
+    assert labels.get("c") == "c"
+    assert labels.get("b").startswith("_other_")
+
+
+@settings(max_examples=50)
+@given(st.lists(st.integers(0, 12), max_size=400))
+def test_a_frequent_team_is_never_lost_by_the_count(teams):
+    """Any team with more than one in `tracked` of the requests is in the table."""
+    labels = TenantLabels(0.0, named=2, tracked=4)
+    for team in teams:
+        labels.choose(str(team))
+    for team in set(teams):
+        count = labels._counts.get(str(team))
+        if count is None:
+            assert teams.count(team) <= len(teams) / 4
+        else:
+            assert count.certain <= teams.count(team) <= count.requests
