Name the file and the form of a value in every finding

A finding between documents named the directory only, so that a person had to search its files, and a wrong address was answered by a regular expression. Findings now take the file of each dotted name from the directory's loader, and say the form in words. A caller key that was published in place of its hash is not shown, since findings end in the daemons' logs too.

--- a/cloverway/__main__.py
+++ b/cloverway/__main__.py
@@ -314,10 +314,14 @@
 
 
 def _summarise(report: check.Report) -> str:
-    counts = f"{len(report.errors)} errors, {len(report.warnings)} warnings"
+    counts = f"{_count(report.errors, 'error')}, {_count(report.warnings, 'warning')}"
     return f"ok: {report.summary}; {counts}" if report.passed else f"not valid: {counts}"
 
 
+def _count(items: list[str], noun: str) -> str:
+    return f"{len(items)} {noun}{'' if len(items) == 1 else 's'}"
+
+
 def main() -> None:
     """Run the command line."""
     app()
--- a/cloverway/client.py
+++ b/cloverway/client.py
@@ -407,13 +407,13 @@
     except (NewConnectionError, ConnectTimeoutError) as error:
         connection.close()
         raise CallError(
-            Kind.NO_CAPACITY, f"{host} can't be reached", ran=Ran.NO, key=call.key, host=host
+            Kind.NO_CAPACITY, "the host can't be reached", ran=Ran.NO, key=call.key, host=host
         ) from error
     except (HTTPError, OSError) as error:
         connection.close()
         raise CallError(
             Kind.TIMED_OUT,
-            f"{host} gave no answer ({type(error).__name__})",
+            f"the host gave no answer ({type(error).__name__})",
             key=call.key,
             host=host,
         ) from error
--- a/cloverway/commands/admin.py
+++ b/cloverway/commands/admin.py
@@ -7,14 +7,16 @@
 from typing import Any
 
 from cloverway.client import Call, ask
+from cloverway.config.options import ADDRESS_FORM
 from cloverway.errors import CallError, UserError
 
-ADDRESS = re.compile(r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")
+ADDRESS = re.compile(ADDRESS_FORM)
+MAX_PORT = 65535
 
 
 def check_address(address: str) -> str:
     """Give the address back, or raise UserError when it is not an IP number and a port."""
-    if not ADDRESS.match(address):
+    if not ADDRESS.match(address) or int(address.rpartition(":")[2]) > MAX_PORT:
         raise UserError(f"{address!r} is not an address; give IP:PORT, for example 127.0.0.1:7101")
     return address
 
@@ -43,7 +45,7 @@
 
 def describe_failure(address: str, path: str, error: CallError) -> str:
     """Say what went wrong with a question and what to look at."""
-    if error.host and not error.request_id and error.retry_after is None:
-        hint = f"is cloverwayd running there, and is {address} the listener that serves {path}?"
-        return f"{address}: {error.detail}; {hint}"
-    return f"{address}: {error.detail}"
+    if error.request_id:
+        return f"{address}: {error.detail}"
+    hint = f"is cloverwayd running there, and is it the listener that serves {path}?"
+    return f"{address}: {error.detail}; {hint}"
--- a/cloverway/commands/call.py
+++ b/cloverway/commands/call.py
@@ -88,7 +88,7 @@
         f"ran: {error.ran}. {OUTCOMES[error.ran]}",
         f"Come back in {error.retry_after:.1f} s." if error.retry_after is not None else "",
         _advise_repeat(error),
-        f"request {error.request_id} at {error.host}" if error.request_id else "",
+        _describe_place(error),
     ]
     return "\n".join(line for line in lines if line)
 
@@ -104,6 +104,12 @@
     return ", ".join(f"{name} {value}" for name, value in places.items() if value)
 
 
+def _describe_place(error: CallError) -> str:
+    if error.request_id:
+        return f"Request {error.request_id} at {error.host}."
+    return f"Is cloverwayd running at {error.host}, and is it a callers' address?"
+
+
 def _advise_repeat(error: CallError) -> str:
     if not error.key or error.ran is Ran.NO:
         return ""
--- a/cloverway/commands/check.py
+++ b/cloverway/commands/check.py
@@ -55,12 +55,16 @@
 def describe(published: Published) -> str:
     """Count what is published, in one line."""
     parts = (
-        f"{len(getattr(published, field))} {field}"
+        _count(len(getattr(published, field)), field)
         for field in ("regions", "domains", "hosts", "endpoints", "profiles", "teams")
     )
     return f"{published.organisation.name}, revision {published.revision}: {', '.join(parts)}"
 
 
+def _count(number: int, plural: str) -> str:
+    return f"{number} {plural.removesuffix('s') if number == 1 else plural}"
+
+
 def list_changes(old: Published, new: Published) -> list[str]:
     """List every name that was added, removed or changed, but for the revision."""
     before = dict(_flatten(old._asdict()))
--- a/cloverway/tests/test_main.py
+++ b/cloverway/tests/test_main.py
@@ -53,7 +53,7 @@
 def test_check_passes(published: Path) -> None:
     result = run("check", published)
     assert result.exit_code == 0
-    assert "ok: riviere, revision 1: 1 regions, 1 domains" in result.stdout
+    assert "ok: riviere, revision 1: 1 region, 1 domain" in result.stdout
 
 
 def test_check_shows_every_error_with_file_name_and_remedy(published: Path) -> None:
@@ -62,7 +62,9 @@
     (published / "all.toml").write_text(faults)
     result = run("check", published)
     assert result.exit_code == 1
-    assert "domains.curepipe-a.region: there is no region 'kurepipe'; publish it" in result.stderr
+    file = published / "all.toml"
+    place = f"error: {file}: domains.curepipe-a.region: there is no region 'kurepipe'; publish it"
+    assert place in result.stderr
     assert "profiles.chat: name either a model or a service" in result.stderr
     assert "2 errors" in result.stdout
     assert "Traceback" not in result.output
@@ -73,7 +75,26 @@
     result = run("check", published, "--json")
     report = json.loads(result.stdout)
     assert result.exit_code == 0 and report["passed"]
-    assert "did you mean 'idempotent'" in report["warnings"][0]
+    assert report["warnings"] == [
+        f"{published / 'all.toml'}: profiles.chat.idempotant: is not a known name; "
+        "did you mean 'idempotent'?"
+    ]
+
+
+def test_check_says_the_form_of_a_value(published: Path) -> None:
+    text = DEPLOYMENT + '[hosts.h1]\ndomain = "curepipe-a"\ncallers = "localhost:80"\n'
+    (published / "all.toml").write_text(text)
+    result = run("check", published)
+    assert "hosts.h1.callers: 'localhost:80' has another form; write an IP number" in result.stderr
+    assert "hosts.h1.admin: Field required (set it)" in result.stderr
+
+
+def test_check_does_not_show_a_key_that_stands_in_place_of_its_hash(published: Path) -> None:
+    text = DEPLOYMENT + '[teams.t1]\nhome = "curepipe"\nkey_hashes = ["cw_secret"]\n'
+    (published / "all.toml").write_text(text)
+    result = run("check", published)
+    assert "teams.t1.key_hashes.0: the value has another form; write 'sha256:'" in result.stderr
+    assert "cw_secret" not in result.output
 
 
 def test_check_of_no_directory(tmp_path: Path) -> None:
