Show the file of each finding, and the form of names, key hashes and urgencies in words

The loader of directories knew the file of every document and did not pass it on, so a finding between documents named the directory only. A pattern that does not match was shown as a regular expression. The value itself stays out of findings: a key that was published in place of its hash would end in a log.

--- a/cloverway/commands/admin.py
+++ b/cloverway/commands/admin.py
@@ -3,22 +3,19 @@
 from __future__ import annotations
 
 import json
-import re
 from typing import Any
 
 from cloverway.client import Call, ask
-from cloverway.config.options import ADDRESS_FORM
+from cloverway.config import published
 from cloverway.errors import CallError, UserError
 
-ADDRESS = re.compile(ADDRESS_FORM)
-MAX_PORT = 65535
-
 
 def check_address(address: str) -> str:
     """Give the address back, or raise UserError when it is not an IP number and a port."""
-    if not ADDRESS.match(address) or int(address.rpartition(":")[2]) > MAX_PORT:
-        raise UserError(f"{address!r} is not an address; give IP:PORT, for example 127.0.0.1:7101")
-    return address
+    try:
+        return published.check_address(address)
+    except ValueError as error:
+        raise UserError(f"{address!r}: give IP:PORT, for example 127.0.0.11:8011") from error
 
 
 def ask_host(address: str, path: str, method: str = "GET", document: Any = None) -> Any:
--- a/cloverway/config/directory.py
+++ b/cloverway/config/directory.py
@@ -9,7 +9,6 @@
 
 from cloverway.config.options import Findings
 from cloverway.config.published import Published
-from cloverway.errors import ConfigurationError
 
 TABLES = ("regions", "domains", "hosts", "endpoints", "profiles", "teams")
 """Tables whose entries may be spread over several files."""
@@ -36,11 +35,9 @@
     collected = collect(path, findings)
     if findings.errors:
         return None, findings
-    try:
-        return Published.from_documents(collected.documents, str(path)), findings
-    except ConfigurationError as error:
-        findings.errors += error.findings
-    return None, findings
+    findings.source = str(path)
+    findings.origins = collected.origins
+    return Published.check_documents(collected.documents, findings), findings
 
 
 def collect(path: Path, findings: Findings) -> Collected:
--- a/cloverway/config/options.py
+++ b/cloverway/config/options.py
@@ -27,6 +27,8 @@
     "finite_number": "give a number",
 }
 
+OWN_CHECK = "Value error, "
+"""What stands before the text of a check that is a function of ours."""
 UNKNOWN_NAME = ("extra_forbidden", "unexpected_keyword_argument")
 
 
@@ -90,7 +92,7 @@
         findings.warn(_join(where, location), f"is not a known name; {remedy}")
     for fault in known:
         remedy = REMEDIES.get(fault["type"], "")
-        what = fault["msg"] + (f" ({remedy})" if remedy else "")
+        what = fault["msg"].removeprefix(OWN_CHECK) + (f" ({remedy})" if remedy else "")
         findings.add(_join(where, fault["loc"]), what)
     if known:
         return None
--- a/cloverway/config/published.py
+++ b/cloverway/config/published.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable, Mapping
 from enum import IntEnum, StrEnum
 from functools import cached_property
-from typing import Annotated, Any, NamedTuple
+from typing import Annotated, Any, Literal, NamedTuple
 
 from pydantic import AfterValidator, Field
 
@@ -20,6 +20,7 @@
 from cloverway.config.options import Findings, suggest, validate
 
 NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
+KEY_HASH = re.compile(r"sha256:[0-9a-f]{64}")
 ADDRESS = re.compile(r"(?P<ip>\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(?P<port>\d{1,5})")
 
 
@@ -40,11 +41,25 @@
     return url
 
 
-Name = Annotated[str, Field(pattern=f"^{NAME.pattern}$")]
+def check_name(name: str) -> str:
+    """Raise ValueError unless a name has the form of one."""
+    if not NAME.fullmatch(name):
+        raise ValueError("must be small letters, digits, '.' and '-', such as port-louis-a")
+    return name
+
+
+def check_key_hash(key_hash: str) -> str:
+    """Raise ValueError unless a text has the form of a hash; a key itself is never shown."""
+    if not KEY_HASH.fullmatch(key_hash):
+        raise ValueError("must be sha256: and 64 hexadecimal digits, as `cloverway key` gives it")
+    return key_hash
+
+
+Name = Annotated[str, AfterValidator(check_name)]
 Address = Annotated[str, AfterValidator(check_address)]
 Url = Annotated[str, AfterValidator(check_url)]
 Share = Annotated[float, Field(ge=0, le=1000, allow_inf_nan=False)]
-KeyHash = Annotated[str, Field(pattern=r"^sha256:[0-9a-f]{64}$")]
+KeyHash = Annotated[str, AfterValidator(check_key_hash)]
 
 
 class Urgency(IntEnum):
@@ -119,7 +134,7 @@
 
     model: Name | None = None
     service: Name | None = None
-    urgency: Annotated[str, Field(pattern="^(batch|normal|urgent)$")] = "normal"
+    urgency: Literal["batch", "normal", "urgent"] = "normal"
     idempotent: bool = False
     deadline_ms: Annotated[int, Field(ge=50, le=3_600_000)] = 30_000
     gap_ms: Annotated[int, Field(ge=50, le=600_000)] = 10_000
--- a/cloverway/tests/test_main.py
+++ b/cloverway/tests/test_main.py
@@ -85,7 +85,7 @@
     text = DEPLOYMENT + '[hosts.h1]\ndomain = "curepipe-a"\ncallers = "localhost:80"\n'
     (published / "all.toml").write_text(text)
     result = run("check", published)
-    assert "hosts.h1.callers: 'localhost:80' has another form; write an IP number" in result.stderr
+    assert "hosts.h1.callers: must be an IP number and a port, such as" in result.stderr
     assert "hosts.h1.admin: Field required (set it)" in result.stderr
 
 
@@ -93,7 +93,7 @@
     text = DEPLOYMENT + '[teams.t1]\nhome = "curepipe"\nkey_hashes = ["cw_secret"]\n'
     (published / "all.toml").write_text(text)
     result = run("check", published)
-    assert "teams.t1.key_hashes.0: the value has another form; write 'sha256:'" in result.stderr
+    assert "teams.t1.key_hashes.0: must be sha256: and 64 hexadecimal digits" in result.stderr
     assert "cw_secret" not in result.output
 
 
