Let hosts call each other over authenticated TCP

Claims, settlements, passed-on requests and published changes go in MACed frames, thrift's binary protocol inside. A frame that was changed, replayed, left out or sent back fails its MAC, and a new nonce of the accepting host makes a recorded connection worthless.

The deadline of a passed-on request is counted from when the accepting host sent its nonce, by its own clock: a host that slept with the call in its socket finds it over. No two clocks are compared.

--- /dev/null
+++ b/cloverway/peer_server.py
@@ -0,0 +1,232 @@
+"""Answers the calls of other hosts over TCP."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import socket
+import threading
+import time
+from collections.abc import Iterator, Sequence
+
+from cloverway import wire
+from cloverway.channel import Channel, Identity, split_address
+from cloverway.errors import PeerError, RequestError
+from cloverway.keys import ClaimCall, SettleCall
+from cloverway.passed_on import PassedOnRun, as_refused
+from cloverway.peering import PeerBounds, PeerHandler
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 128
+PAGE_BYTES = 512 * 1024
+PAUSE_S = 0.2
+IDLE_MARGIN_S = 5.0
+"""The accepting end keeps an idle connection longer, so that it is the opening end that drops it
+and no call meets a connection that is about to close."""
+
+
+class _Connection:
+    """One accepted connection and what its thread is doing."""
+
+    def __init__(self, raw: socket.socket) -> None:
+        self.raw = raw
+        self.channel: Channel | None = None
+        self.idle_since: float | None = time.monotonic()
+        """None while a call is served."""
+        self.calls = 0
+        self.running = False
+
+    def shut(self) -> None:
+        """End the connection from another thread."""
+        shut(self.raw)
+
+
+class PeerServer:
+    """Listens for other hosts; one thread for each connection, and a bound on connections."""
+
+    def __init__(
+        self,
+        address: str,
+        me: Identity,
+        secret: bytes,
+        handler: PeerHandler,
+        bounds: PeerBounds,
+    ) -> None:
+        self._me = me
+        self._secret = secret
+        self._handler = handler
+        self._bounds = bounds
+        self._lock = threading.Lock()
+        self._connections: set[_Connection] = set()
+        self._stopping = threading.Event()
+        number, port = split_address(address)
+        family = socket.AF_INET6 if ":" in number else socket.AF_INET
+        self._listener = socket.create_server((number, port), family=family, backlog=BACKLOG)
+        self._threads = [
+            threading.Thread(target=self._accept_all, name="peers", daemon=True),
+            threading.Thread(target=self._ping_all, name="peer-pings", daemon=True),
+        ]
+
+    @property
+    def address(self) -> str:
+        """Where it listens, by IP number and port."""
+        number, port, *_ = self._listener.getsockname()
+        return f"[{number}]:{port}" if ":" in number else f"{number}:{port}"
+
+    @property
+    def connections(self) -> int:
+        """Connections that are open."""
+        return len(self._connections)
+
+    def start(self) -> None:
+        """Start to listen."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self, timeout_s: float = 0.0) -> None:
+        """Accept no more, drop idle connections, and give busy ones some time to end."""
+        deadline = time.monotonic() + timeout_s
+        self._stopping.set()
+        shut(self._listener)
+        with self._lock:
+            idle = [each for each in self._connections if each.idle_since is not None]
+        for connection in idle:
+            connection.shut()
+        while self._connections and time.monotonic() < deadline:
+            time.sleep(0.01)
+        with self._lock:
+            rest = list(self._connections)
+        for connection in rest:
+            connection.shut()
+        for thread in self._threads:
+            if thread.is_alive():
+                thread.join(1.0)
+        self._listener.close()
+
+    def _accept_all(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                raw, _ = self._listener.accept()
+            except OSError:
+                if self._stopping.is_set():
+                    return
+                log.exception("a connection could not be accepted")
+                self._stopping.wait(PAUSE_S)
+                continue
+            self._admit(raw)
+
+    def _admit(self, raw: socket.socket) -> None:
+        connection = _Connection(raw)
+        with self._lock:
+            full = len(self._connections) >= self._bounds.connections
+            if not full:
+                self._connections.add(connection)
+        if full:
+            self._drop_longest_idle()
+            raw.close()
+            return
+        threading.Thread(target=self._serve, args=(connection,), name="peer", daemon=True).start()
+
+    def _drop_longest_idle(self) -> None:
+        """Make room for the next host that connects; this one tries again on a new connection."""
+        with self._lock:
+            idle = [
+                (each.idle_since, id(each), each)
+                for each in self._connections
+                if each.idle_since is not None
+            ]
+        if idle:
+            min(idle)[2].shut()
+
+    def _ping_all(self) -> None:
+        while not self._stopping.wait(self._bounds.ping_s):
+            with self._lock:
+                running = [each.channel for each in self._connections if each.running]
+            for channel in running:
+                if channel is not None:
+                    self._ping(channel)
+
+    def _ping(self, channel: Channel) -> None:
+        if time.monotonic() - channel.sent_at < self._bounds.ping_s / 2:
+            return
+        try:
+            channel.ping()
+        except PeerError:
+            channel.shut()
+
+    def _serve(self, connection: _Connection) -> None:
+        try:
+            channel = Channel.accept(connection.raw, self._me, self._secret, self._bounds.connect_s)
+            connection.channel = channel
+            while not self._stopping.is_set():
+                self._serve_call(connection, channel)
+        except PeerError as error:
+            log.debug("a peer's connection ended", extra={"reason": str(error)})
+        except Exception:
+            log.exception("a peer's call failed")
+        finally:
+            with self._lock:
+                self._connections.discard(connection)
+            connection.raw.close()
+
+    def _serve_call(self, connection: _Connection, channel: Channel) -> None:
+        connection.idle_since = time.monotonic()
+        first = channel.receive_message(connection.idle_since + self._bounds.idle_s + IDLE_MARGIN_S)
+        connection.idle_since = None
+        connection.calls += 1
+        if isinstance(first, wire.RunCall):
+            self._run(connection, channel, first)
+        elif isinstance(first, wire.ChangesCall):
+            self._give_changes(channel, first)
+        else:
+            channel.send_message(self._answer(first), self._send_by())
+
+    def _run(self, connection: _Connection, channel: Channel, call: wire.RunCall) -> None:
+        connection.running = True
+        try:
+            reused = connection.calls > 1
+            PassedOnRun(self._handler, self._bounds, channel, reused).serve(call)
+        finally:
+            connection.running = False
+
+    def _answer(self, message: wire.Message) -> wire.Message:
+        try:
+            if isinstance(message, ClaimCall):
+                return self._handler.claim(message)
+            if isinstance(message, SettleCall):
+                self._handler.settle(message)
+                return wire.Settled()
+        except RequestError as error:
+            return as_refused(error)
+        raise PeerError("the peer does not keep to the protocol")
+
+    def _give_changes(self, channel: Channel, call: wire.ChangesCall) -> None:
+        changes = self._handler.changes(call.after)
+        pages = list(split_pages(changes.changes))
+        for number, page in enumerate(pages, start=1):
+            more = number < len(pages)
+            channel.send_message(wire.ChangesPage(changes.top, page, more), self._send_by())
+
+    def _send_by(self) -> float:
+        return time.monotonic() + self._bounds.send_s
+
+
+def shut(raw: socket.socket) -> None:
+    """End a socket's use by another thread; harmless when it has ended."""
+    with contextlib.suppress(OSError):
+        raw.shutdown(socket.SHUT_RDWR)
+
+
+def split_pages(changes: Sequence[wire.Change]) -> Iterator[tuple[wire.Change, ...]]:
+    """Split changes into pages of bounded size; there is one page at least."""
+    page: list[wire.Change] = []
+    size = 0
+    for change in changes:
+        length = len(change.key) + len(change.value or "")
+        if page and size + length > PAGE_BYTES:
+            yield tuple(page)
+            page, size = [], 0
+        page.append(change)
+        size += length
+    yield tuple(page)
