Watch a directory and a service within bounds

The directory counts only what two looks in a row have found, so that a half-written file is no configuration; contents changed under an old revision are refused. The service is called within a pace: an interval after a success, doubled and jittered delays after failures. Answers are bounded in bytes and in time, and a refused one closes its connection.

--- a/cloverway/config/directory.py
+++ b/cloverway/config/directory.py
@@ -3,21 +3,18 @@
 from __future__ import annotations
 
 import tomllib
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from cloverway.config.options import Findings
-from cloverway.config.published import Published
-
-TABLES = ("regions", "domains", "hosts", "endpoints", "profiles", "teams")
-"""Tables whose entries may be spread over several files."""
+from cloverway.config.published import TABLES, Published
 
 
 class Collected(NamedTuple):
     """The documents of a directory, and which file each dotted name comes from."""
 
-    documents: dict[str, Any]
+    tables: dict[str, Any]
     origins: dict[str, str]
 
 
@@ -32,51 +29,72 @@
 def load(path: Path) -> tuple[Published | None, Findings]:
     """Read and validate a directory; give the configuration, or None and what is wrong."""
     findings = Findings()
-    collected = collect(path, findings)
+    collected = collect(read_files(path, findings), findings)
     if findings.errors:
         return None, findings
     findings.source = str(path)
     findings.origins = collected.origins
-    return Published.check_documents(collected.documents, findings), findings
+    return Published.check_documents(collected.tables, findings), findings
+
+
+def list_files(directory: Path) -> list[Path]:
+    """List the files of a published directory, sorted; those with a leading dot are left out."""
+    return sorted(
+        path for path in directory.glob("*.toml") if path.is_file() and path.name[0] != "."
+    )
 
 
-def collect(path: Path, findings: Findings) -> Collected:
-    """Merge the files of a directory; a name that stands twice is an error."""
+def read_files(directory: Path, findings: Findings) -> dict[Path, bytes]:
+    """Read the files of a published directory."""
+    contents: dict[Path, bytes] = {}
+    for file in list_files(directory):
+        try:
+            contents[file] = file.read_bytes()
+        except OSError as error:
+            findings.add(str(file), f"can't be read: {error.strerror}")
+    if not contents and not findings.errors:
+        findings.add(str(directory), "holds no *.toml file; give the published directory")
+    return contents
+
+
+def collect(contents: Mapping[Path, bytes], findings: Findings) -> Collected:
+    """Merge the contents of files; a name that stands twice is an error."""
     collected = Collected({}, {})
-    files = sorted(path.glob("*.toml"))
-    if not files:
-        findings.add(str(path), "holds no *.toml file; give the published directory")
-    for file in files:
-        for name, value in _read(file, findings):
+    for file, content in contents.items():
+        for name, value in _parse(file, content, findings):
             if name in collected.origins:
-                where = f"{file}: {name}"
-                findings.add(where, f"stands in {collected.origins[name]} too; remove one")
+                other = collected.origins[name]
+                findings.add(f"{file}: {name}", f"stands in {other} too; remove one of them")
                 continue
             collected.origins[name] = str(file)
-            _put(collected.documents, name, value)
+            _put(collected.tables, name, value)
     return collected
 
 
-def _read(file: Path, findings: Findings) -> Iterator[tuple[str, Any]]:
-    """Yield each document of a file by its dotted name."""
-    try:
-        tables = tomllib.loads(file.read_text(encoding="utf-8"))
-    except OSError as error:
-        findings.add(str(file), f"can't be read: {error.strerror}")
-        return
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        findings.add(str(file), f"is not TOML: {error}")
-        return
+def list_documents(tables: Mapping[str, Any]) -> Iterator[tuple[str, Any]]:
+    """Yield each document of nested tables by its key, but for the revision."""
     for table, value in tables.items():
         if table in TABLES and isinstance(value, dict):
-            yield from ((f"{table}.{name}", entry) for name, entry in value.items())
-        else:
+            yield from ((f"{table}/{name}", entry) for name, entry in value.items())
+        elif table != "revision":
             yield table, value
 
 
-def _put(documents: dict[str, Any], name: str, value: Any) -> None:
+def _parse(file: Path, content: bytes, findings: Findings) -> Iterable[tuple[str, Any]]:
+    """List the documents of a file by their dotted names."""
+    try:
+        tables = tomllib.loads(content.decode("utf-8"))
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
+        findings.add(str(file), f"is not TOML: {error}")
+        return []
+    documents = [(key.replace("/", ".", 1), value) for key, value in list_documents(tables)]
+    revision = [("revision", tables["revision"])] if "revision" in tables else []
+    return revision + documents
+
+
+def _put(tables: dict[str, Any], name: str, value: Any) -> None:
     table, _, entry = name.partition(".")
     if entry:
-        documents.setdefault(table, {})[entry] = value
+        tables.setdefault(table, {})[entry] = value
     else:
-        documents[table] = value
+        tables[table] = value
--- a/cloverway/config/published.py
+++ b/cloverway/config/published.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import ipaddress
+import json
 import re
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
@@ -19,6 +20,9 @@
 from cloverway.config.checks import Claims, Place, find_faults
 from cloverway.config.options import Findings, suggest, validate
 
+VALUE_BYTES = 1024 * 1024
+"""The longest document, as JSON; the platform holds no longer ones."""
+
 NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
 KEY_HASH = re.compile(r"sha256:[0-9a-f]{64}")
 ADDRESS = re.compile(r"(?P<ip>\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(?P<port>\d{1,5})")
@@ -214,10 +218,13 @@
         revision = documents.get("revision")
         if not is_revision(revision):
             findings.add("revision", "must be a whole number over 0; raise it with each change")
-        parsed = {
-            place: parse_document(place, value, findings)
-            for place, value in _list_values(documents, findings)
-        }
+        values = dict(_list_values(documents, findings))
+        for place, value in values.items():
+            try:
+                encode_value(value)
+            except ValueError as error:
+                findings.add(place.dotted, str(error))
+        parsed = {place: parse_document(place, value, findings) for place, value in values.items()}
         if Place("organisation") not in parsed:
             findings.add("organisation", "is missing; publish it")
         if findings.errors:
@@ -265,6 +272,20 @@
     return validate(TABLES[place.table], value, findings, place.dotted)
 
 
+def encode_value(value: Any) -> bytes:
+    """Give a document's value as canonical JSON; raise ValueError with the remedy if it can't be.
+
+    Equal values have equal text, so that it serves to compare and to digest as well.
+    """
+    try:
+        text = json.dumps(value, sort_keys=True, separators=(",", ":"), allow_nan=False).encode()
+    except (TypeError, ValueError, RecursionError):
+        raise ValueError("holds what JSON can't carry; use no dates, nan or inf") from None
+    if len(text) > VALUE_BYTES:
+        raise ValueError(f"is longer than {VALUE_BYTES} bytes; split it")
+    return text
+
+
 def warn_unknown(table: str, findings: Findings) -> None:
     """Warn of a table that this release does not know, such as one of a later release."""
     findings.warn(table, f"is not a known table; {suggest(table, [*TABLES, *SINGLES])}")
--- a/cloverway/config/settings.py
+++ b/cloverway/config/settings.py
@@ -34,7 +34,9 @@
     url: str = ""
     """Base address of the service, for kind = "http"."""
     poll_s: Seconds = 0.5
-    """How often the directory is looked at, or the longest wait of a watch."""
+    """How often the directory is looked at."""
+    watch_s: Seconds = 2.0
+    """The longest wait of one call to the service; a silent connection is found 3 s after it."""
 
 
 class Security(NamedTuple):
--- a/cloverway/documents.py
+++ b/cloverway/documents.py
@@ -8,14 +8,12 @@
 from collections.abc import Iterator, Mapping
 from typing import Any, NamedTuple
 
+from cloverway.config.published import encode_value
 from cloverway.platform.port import Changes, Document
 
 KEY_LENGTH = 128
 """The longest key: a table and a name."""
 
-TEXT_BYTES = 1024 * 1024
-"""The longest value, as JSON; the platform holds no longer ones."""
-
 DIGEST_BYTES = 8
 
 
@@ -36,14 +34,9 @@
         if len(document.key) > KEY_LENGTH:
             return cls(document.revision, None, f"has a key of over {KEY_LENGTH} characters")
         try:
-            text = json.dumps(
-                document.value, sort_keys=True, separators=(",", ":"), allow_nan=False
-            ).encode()
-        except (TypeError, ValueError, RecursionError):
-            return cls(document.revision, None, "holds what JSON can't carry, such as a date")
-        if len(text) > TEXT_BYTES:
-            return cls(document.revision, None, f"is longer than {TEXT_BYTES} bytes; split it")
-        return cls(document.revision, text)
+            return cls(document.revision, encode_value(document.value))
+        except ValueError as error:
+            return cls(document.revision, None, str(error))
 
     @property
     def value(self) -> dict[str, Any] | None:
@@ -84,9 +77,12 @@
         entry = self._entries.get(key)
         return entry.text if entry else None
 
-    def put(self, changes: Mapping[str, Entry], revision: int) -> None:
-        """Take changes that lead to a revision; all are later than what is held."""
-        if self._horizon is None:
+    def put(self, changes: Mapping[str, Entry], revision: int, skipped: bool = False) -> None:
+        """Take changes that lead to a revision; all are later than what is held.
+
+        Where revisions were skipped on the way, a document may have come and gone unseen.
+        """
+        if self._horizon is None or skipped:
             self._horizon = revision
         for key, entry in sorted(changes.items(), key=_by_revision):
             self._drop(key)
--- a/cloverway/platform/file.py
+++ b/cloverway/platform/file.py
@@ -3,18 +3,48 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import Any
+from typing import NamedTuple
 
-from cloverway.config.directory import TABLES, collect
+from cloverway.config.directory import Collected, collect, list_documents, list_files, read_files
 from cloverway.config.options import Findings
+from cloverway.config.published import is_revision
+from cloverway.config.settings import PlatformSettings
+from cloverway.documents import Documents, Entry
 from cloverway.errors import PlatformError
 from cloverway.platform.port import Changes, Document, HostList
 
+UNSETTLED_S = 2.0
+"""For so long after a change, contents are compared as well: two writes within one tick of the
+file system's clock can leave the same time and size."""
+
+MOST_NAMED = 10
+"""Names that a refusal lists."""
+
+
+class Mark(NamedTuple):
+    """What tells that a file was changed without reading it."""
+
+    modified_ns: int
+    changed_ns: int
+    inode: int
+    size: int
+
+    @classmethod
+    def from_file(cls, file: Path) -> Mark:
+        """Read the mark of the file that a name leads to now, through links."""
+        stat = file.stat()
+        return cls(stat.st_mtime_ns, stat.st_ctime_ns, stat.st_ino, stat.st_size)
+
 
 class FilePlatform:
-    """Reads a directory; the operator raises `revision` with each change."""
+    """Watches a directory; the operator raises `revision` with each change.
+
+    A new content counts when two looks in a row have found it: a file that is being written, or
+    a directory of which only some files were replaced, is then seen as such. A content that can't
+    be read, or whose revision was not raised, is refused, and the last good one stays.
+    """
 
     def __init__(
         self,
@@ -27,42 +57,96 @@
         self._poll_s = poll_s
         self._clock = clock
         self._sleep = sleep
+        self._marks: dict[Path, Mark] = {}
+        self._contents: dict[Path, bytes] | None = None
+        self._judged: dict[Path, bytes] | None = {}
+        self._changed_at = float("-inf")
+        self._documents = Documents()
+        self._revision = 0
+        self._fault = "the directory has not been read yet"
+
+    @classmethod
+    def from_settings(cls, settings: PlatformSettings) -> FilePlatform:
+        """Watch the directory that the settings name."""
+        return cls(Path(settings.directory), settings.poll_s)
 
     def read(self, after: int, wait_s: float) -> Changes:
-        """Give all documents as soon as the directory's revision is later; see `Platform`."""
+        """Give the documents after a revision; see `Platform`."""
         until = self._clock() + wait_s
         while True:
-            revision, documents = self._load()
-            if revision > after or after == 0 or revision < after:
-                return Changes(revision, 0, documents)
-            if self._clock() >= until:
-                return Changes(revision, after)
-            self._sleep(min(self._poll_s, max(0.0, until - self._clock())))
+            self._look(self._clock())
+            if self._revision and (self._revision > after or after == 0):
+                return self._documents.changes_after(after, self._revision)
+            left = until - self._clock()
+            if left <= 0:
+                break
+            self._sleep(min(self._poll_s, left))
+        if self._fault:
+            raise PlatformError(self._fault)
+        return Changes(self._revision, after)
 
     def list_states(self) -> HostList:
         """Give an empty list: a directory does not know who is live."""
         return HostList()
 
-    def _load(self) -> tuple[int, tuple[Document, ...]]:
+    def _look(self, now: float) -> None:
+        """Read the directory if it may have changed, and judge what stands there for long."""
+        try:
+            marks = {file: Mark.from_file(file) for file in list_files(self._directory)}
+        except OSError:
+            return
+        if marks != self._marks:
+            self._changed_at = now
+            self._marks = marks
+        elif now - self._changed_at > UNSETTLED_S and self._contents == self._judged:
+            return
         findings = Findings()
-        collected = collect(self._directory, findings)
-        revision = collected.documents.get("revision")
-        if not isinstance(revision, int) or revision < 1:
-            findings.add("revision", "set it in one file, and raise it with each change")
-        if findings.errors:
-            raise PlatformError("\n".join(findings.errors))
-        assert isinstance(revision, int)
-        return revision, tuple(_list_documents(collected.documents, revision))
-
-
-def _list_documents(tables: dict[str, Any], revision: int) -> list[Document]:
-    return [
-        document
-        for table, value in tables.items()
-        if table != "revision"
-        for document in (
-            [Document(f"{table}/{name}", revision, entry) for name, entry in value.items()]
-            if table in TABLES and isinstance(value, dict)
-            else [Document(table, revision, value)]
-        )
-    ]
+        contents = read_files(self._directory, findings)
+        settled = contents == self._contents
+        self._contents = contents
+        if settled and contents != self._judged:
+            self._judged = contents
+            self._judge(contents, findings)
+
+    def _judge(self, contents: Mapping[Path, bytes], findings: Findings) -> None:
+        collected = collect(contents, findings)
+        findings.source = str(self._directory)
+        findings.origins = collected.origins
+        revision = collected.tables.get("revision")
+        if not is_revision(revision):
+            findings.add("revision", "must be a whole number over 0, in one file")
+        if not findings.errors:
+            assert isinstance(revision, int)
+            self._take(collected, revision, findings)
+        self._fault = "\n".join(findings.errors)
+
+    def _take(self, collected: Collected, revision: int, findings: Findings) -> None:
+        """Hold a content as the last good one, unless its revision does not allow it."""
+        entries = {
+            key: Entry.from_document(Document(key, revision, value))
+            for key, value in list_documents(collected.tables)
+        }
+        for key, entry in entries.items():
+            if entry.fault:
+                findings.add(key.replace("/", ".", 1), entry.fault)
+        changed = self._list_changed(entries, revision)
+        if revision < self._revision:
+            what = f"went back from {self._revision} to {revision}; raise it over {self._revision}"
+            findings.add("revision", what)
+        elif revision == self._revision and changed:
+            names = ", ".join(sorted(changed)[:MOST_NAMED])
+            findings.add("revision", f"is still {revision} but {names} changed; raise it")
+        if findings.errors or revision == self._revision:
+            return
+        # Who skips a revision can't tell what it changed and changed back, nor what came and
+        # went: hosts that saw it hold the difference. All documents are then marked as new.
+        skipped = revision > self._revision + 1
+        deleted = {key: entry for key, entry in changed.items() if entry.text is None}
+        self._documents.put(entries | deleted if skipped else changed, revision, skipped)
+        self._revision = revision
+
+    def _list_changed(self, entries: Mapping[str, Entry], revision: int) -> dict[str, Entry]:
+        held = self._documents
+        changed = {key: entry for key, entry in entries.items() if entry.text != held.text(key)}
+        deleted = {key: Entry(revision, None) for key in held if key not in entries}
+        return changed | deleted
--- a/cloverway/platform/http.py
+++ b/cloverway/platform/http.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
-import json
-from collections.abc import Mapping
-from typing import Any
+import random
+import time
+from collections.abc import Callable
 
 import urllib3
 
+from cloverway.config.settings import PlatformSettings
 from cloverway.errors import PlatformError
-from cloverway.platform.port import Changes, Document, HostList, Listed
+from cloverway.platform.codec import decode_changes, decode_list
+from cloverway.platform.pace import Pace
+from cloverway.platform.port import Changes, HostList
 
 WHOLE_BYTES = 64 * 1024 * 1024
 """The longest answer that is read: all documents at the two-year size several times over."""
@@ -17,77 +20,102 @@
 LIST_BYTES = 4 * 1024 * 1024
 """The longest list of hosts and endpoints that is read."""
 
+PIECE_BYTES = 64 * 1024
 CONNECT_S = 2.0
-ANSWER_S = 5.0
-"""Seconds that an answer may take beyond the wait that was asked for."""
 
+ANSWER_S = 3.0
+"""Seconds for an answer beyond the wait that was asked for: then the connection is given up."""
 
-class HttpPlatform:
-    """Reads the service with one connection for the watch and one for the list."""
+WHOLE_S = 30.0
+"""Seconds for the whole of an answer, however steadily it comes."""
+
+READ_INTERVAL_S = 0.25
+LIST_INTERVAL_S = 0.5
+"""Least time between two calls: 216 readers then stay below 1,300 calls/s, whatever happens."""
 
-    def __init__(self, url: str) -> None:
+
+class HttpPlatform:
+    """Reads the service over one connection for the watch and one for the list."""
+
+    def __init__(
+        self,
+        url: str,
+        rng: random.Random | None = None,
+        clock: Callable[[], float] = time.monotonic,
+        sleep: Callable[[float], None] = time.sleep,
+    ) -> None:
         self._url = url.rstrip("/")
         self._pool = urllib3.PoolManager(num_pools=1, maxsize=2, retries=False)
+        self._clock = clock
+        self._sleep = sleep
+        rng = rng or random.Random()
+        self._read_pace = Pace(READ_INTERVAL_S, rng)
+        self._list_pace = Pace(LIST_INTERVAL_S, rng)
+
+    @classmethod
+    def from_settings(cls, settings: PlatformSettings) -> HttpPlatform:
+        """Read the service that the settings name."""
+        return cls(settings.url)
 
     def read(self, after: int, wait_s: float) -> Changes:
         """Watch for documents after a revision; see `Platform`."""
-        query = f"?after={after}&wait_s={wait_s:.3f}"
-        body = self._get(f"/v1/config{query}", wait_s + ANSWER_S, WHOLE_BYTES)
-        try:
-            documents = tuple(_parse_document(item) for item in body["documents"])
-            return Changes(_parse_revision(body["revision"]), after, documents)
-        except (KeyError, TypeError, ValueError) as error:
-            raise PlatformError(f"the platform's documents can't be read: {error!r}") from error
+        path = f"/v1/config?after={after}&wait_s={wait_s:.3f}"
+        data = self._get(path, self._read_pace, wait_s + ANSWER_S, WHOLE_BYTES)
+        return decode_changes(data, after)
 
     def list_states(self) -> HostList:
         """Give the list of live and leaving hosts and endpoints."""
-        body = self._get("/v1/hosts", ANSWER_S, LIST_BYTES)
-        try:
-            return HostList(_parse_states(body["hosts"]), _parse_states(body["endpoints"]))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            raise PlatformError(f"the platform's list can't be read: {error!r}") from error
+        return decode_list(self._get("/v1/hosts", self._list_pace, ANSWER_S, LIST_BYTES))
 
-    def _get(self, path: str, timeout_s: float, limit: int) -> Mapping[str, Any]:
+    def _get(self, path: str, pace: Pace, timeout_s: float, limit: int) -> bytes:
+        """Give the body of an answer, within the pace; raise PlatformError for any other end."""
+        self._sleep(pace.delay(self._clock()))
+        started_at = self._clock()
+        retry_after_s = 0.0
         try:
-            response = self._pool.request(
-                "GET",
-                self._url + path,
-                timeout=urllib3.Timeout(connect=CONNECT_S, read=timeout_s),
-                redirect=False,
-                retries=False,
-                preload_content=False,
-            )
+            response = self._open(path, timeout_s)
             try:
-                data = response.read(limit + 1)
+                retry_after_s = _read_retry_after(response)
+                data = self._read(response, limit, started_at + timeout_s + WHOLE_S)
             finally:
-                response.close()
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise PlatformError(f"the platform can't be reached: {error}") from error
-        if response.status != 200:
-            raise PlatformError(f"the platform answered {response.status}")
-        if len(data) > limit:
-            raise PlatformError(f"the platform's answer is longer than {limit} bytes")
+                response.release_conn()
+        except (urllib3.exceptions.HTTPError, OSError, PlatformError) as error:
+            pace.note_failure(self._clock(), retry_after_s)
+            raise PlatformError(f"the platform at {self._url} can't be read: {error}") from error
+        pace.note_success(started_at)
+        return data
+
+    def _open(self, path: str, timeout_s: float) -> urllib3.BaseHTTPResponse:
+        return self._pool.request(
+            "GET",
+            self._url + path,
+            timeout=urllib3.Timeout(connect=CONNECT_S, read=timeout_s),
+            redirect=False,
+            retries=False,
+            preload_content=False,
+            decode_content=False,
+        )
+
+    def _read(self, response: urllib3.BaseHTTPResponse, limit: int, until: float) -> bytes:
+        """Read the body; close the connection when it is refused, so that none is left in it."""
+        data = bytearray()
         try:
-            body = json.loads(data)
-        except (ValueError, RecursionError) as error:
-            raise PlatformError("the platform's answer is not JSON") from error
-        if not isinstance(body, dict):
-            raise PlatformError("the platform's answer is not an object")
-        return body
-
-
-def _parse_document(item: Mapping[str, Any]) -> Document:
-    key, value = item["key"], item["value"]
-    if not isinstance(key, str) or not isinstance(value, dict | None):
-        raise ValueError(f"a document has the key {key!r} or its value is not a table")
-    return Document(key, _parse_revision(item["revision"]), value)
-
-
-def _parse_revision(value: Any) -> int:
-    if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value < 2**63:
-        raise ValueError(f"{value!r} is not a revision")
-    return value
-
-
-def _parse_states(values: Mapping[str, Any]) -> dict[str, Listed]:
-    return {str(name): Listed(entry["state"]) for name, entry in values.items()}
+            if response.status != 200:
+                raise PlatformError(f"it answered {response.status}")
+            if response.headers.get("Content-Encoding", "identity") != "identity":
+                raise PlatformError("its answer is compressed")
+            for piece in response.stream(PIECE_BYTES):
+                data += piece
+                if len(data) > limit:
+                    raise PlatformError(f"its answer is longer than {limit} bytes")
+                if self._clock() > until:
+                    raise PlatformError("its answer does not end")
+        except BaseException:
+            response.close()
+            raise
+        return bytes(data)
+
+
+def _read_retry_after(response: urllib3.BaseHTTPResponse) -> float:
+    value = response.headers.get("Retry-After", "")
+    return float(value) if value.isdecimal() and len(value) < 6 else 0.0
