--- a/cloverway/config/published.py
+++ b/cloverway/config/published.py
@@ -25,7 +25,7 @@
 
 NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
 KEY_HASH = re.compile(r"sha256:[0-9a-f]{64}")
-ADDRESS = re.compile(r"(?P<ip>\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(?P<port>\d{1,5})")
+ADDRESS = re.compile(r"(?P<ip>[0-9]{1,3}(\.[0-9]{1,3}){3}|\[[0-9a-fA-F:]+\]):(?P<port>[0-9]{1,5})")
 
 
 def check_address(address: str) -> str:
