--- a/cloverway/tests/standins/base.py
+++ b/cloverway/tests/standins/base.py
@@ -275,8 +275,9 @@
     return options
 
 
-def serve_forever(server: Server) -> None:
-    """Serve until a signal ends the process."""
+def serve_forever(server: Server, host: str) -> None:
+    """Serve at a host until a signal ends the process."""
+    server.host = host
     server.start()
     print(server.url, flush=True)
     ended = threading.Event()
--- a/cloverway/tests/standins/engine.py
+++ b/cloverway/tests/standins/engine.py
@@ -303,8 +303,8 @@
     given = vars(options.parse_args())
     timing = Timing(*(given.pop(name) for name in Timing._fields))
     models = tuple(filter(None, given.pop("models").split(",")))
-    given.pop("host")
-    serve_forever(Engine(models=models, timing=timing, **given))
+    host = given.pop("host")
+    serve_forever(Engine(models=models, timing=timing, **given), host)
 
 
 if __name__ == "__main__":
--- a/cloverway/tests/standins/platform.py
+++ b/cloverway/tests/standins/platform.py
@@ -227,7 +227,7 @@
     given = options.parse_args()
     documents = json.loads(Path(given.documents).read_text()) if given.documents else {}
     platform = Platform(given.port, documents=documents, list_lag_s=given.list_lag_s)
-    serve_forever(platform)
+    serve_forever(platform, given.host)
 
 
 if __name__ == "__main__":
--- a/cloverway/tests/standins/service.py
+++ b/cloverway/tests/standins/service.py
@@ -151,7 +151,9 @@
     options.add_argument("--slots", type=int, default=64)
     given = options.parse_args()
     services = tuple(given.services.split(","))
-    serve_forever(Service(given.port, services=services, work_s=given.work_s, slots=given.slots))
+    serve_forever(
+        Service(given.port, services=services, work_s=given.work_s, slots=given.slots), given.host
+    )
 
 
 if __name__ == "__main__":
