Add the demo over both example deployments

It sends real calls through every kind of path: a lookup, a stream, a call of a bound team through another region, a refusal, and work that must run once with its repeat. Each is compared with what is expected, and the runs are counted at the services, since a second run would not show in an answer.

--- /dev/null
+++ b/cloverway/tests/demo.py
@@ -0,0 +1,294 @@
+"""Run the two example deployments, one after the other, and send real calls through them.
+
+Each has three regions on this machine: a daemon for every host, a stand-in for every endpoint. The
+answers, and where they ran, are printed; everything that was started is stopped. The exit code is 1
+if an answer is not as expected.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from cloverway.client import Answer, Call, Client
+from cloverway.errors import CallError, Kind, Ran
+from cloverway.tests.standins.deployment import Deployment
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+PATIENCE_S = 20.0
+SHOWN = 160
+TOKENS = 24
+
+
+class Step(NamedTuple):
+    """One call, and what is expected of it."""
+
+    title: str
+    team: str
+    at: str
+    """The region whose hosts the caller knows."""
+    call: Call
+    once: bool = False
+    regions: tuple[str, ...] = ()
+    """Where it may run; empty where that does not matter."""
+    refusal: Kind | None = None
+
+
+class Outcome(NamedTuple):
+    """What came of a call."""
+
+    text: str = ""
+    region: str = ""
+    endpoint: str = ""
+    host: str = ""
+    key: str = ""
+    first_s: float = 0.0
+    total_s: float = 0.0
+    refusal: CallError | None = None
+
+
+class Plan(NamedTuple):
+    """The calls of one deployment."""
+
+    name: str
+    steps: tuple[Step, ...]
+    once: Step
+    """A call that must run once; it is repeated with the same key."""
+
+
+def chat(profile: str, question: str, user: str) -> Call:
+    """Make a streamed question."""
+    messages = [{"role": "user", "content": question}]
+    return Call.for_chat(profile, messages, stream=True, user=user, max_tokens=TOKENS)
+
+
+RIVIERE = Plan(
+    "riviere",
+    (
+        Step(
+            "A pharmacist in Curepipe looks up stock",
+            "pharmacies-curepipe",
+            "curepipe",
+            Call.for_service("stock-lookup", "stock-desk", "/stock", {"item": "insulin"}),
+            regions=("curepipe",),
+        ),
+        Step(
+            "The dispatch office asks about a shortage",
+            "dispatch",
+            "port-louis",
+            chat("stock-question", "Which insulin is short this morning?", "dispatch"),
+        ),
+        Step(
+            "The hospital in Rodrigues asks through Port Louis; its data stays in Rodrigues",
+            "hospital-rodrigues",
+            "port-louis",
+            chat("stock-question", "How much saline is left?", "hospital"),
+            regions=("rodrigues",),
+        ),
+        Step(
+            "A pharmacy asks for a profile that it may not use",
+            "pharmacies-port-louis",
+            "port-louis",
+            chat("night-report", "Sum up the day.", "pharmacy"),
+            refusal=Kind.FORBIDDEN,
+        ),
+    ),
+    Step(
+        "A pharmacist in Port Louis allocates two cartons, once",
+        "pharmacies-port-louis",
+        "port-louis",
+        Call.for_service(
+            "allocation", "stock-desk", "/allocations", {"item": "insulin", "cartons": 2}
+        ),
+        once=True,
+        regions=("port-louis",),
+    ),
+)
+
+CARONI = Plan(
+    "caroni",
+    (
+        Step(
+            "A clerk in San Fernando looks up a request",
+            "branch-san-fernando",
+            "san-fernando",
+            Call.for_service("request-state", "member-portal", "/requests", {"member": 1041}),
+            regions=("san-fernando",),
+        ),
+        Step(
+            "A clerk in Port of Spain reads a dossier against the guidance",
+            "branch-port-of-spain",
+            "port-of-spain",
+            chat("dossier", "Is every page of this dossier sealed? " * 40, "clerk"),
+            regions=("port-of-spain",),
+        ),
+        Step(
+            "A clerk of Scarborough is in San Fernando; the data stays in Scarborough",
+            "branch-scarborough",
+            "san-fernando",
+            chat("document-check", "Is this certificate signed?", "clerk"),
+            regions=("scarborough",),
+        ),
+        Step(
+            "A notary asks for a filing, which is not for notaries",
+            "notaries",
+            "port-of-spain",
+            Call.for_service("filing", "member-portal", "/filings", {"member": 7}),
+            refusal=Kind.FORBIDDEN,
+        ),
+    ),
+    Step(
+        "A clerk in Scarborough files an apostille, once",
+        "branch-scarborough",
+        "scarborough",
+        Call.for_service("filing", "member-portal", "/filings", {"member": 1041, "fee": 50}),
+        once=True,
+        regions=("scarborough",),
+    ),
+)
+
+
+def send(deployment: Deployment, step: Step, key: str = "") -> Outcome:
+    """Send the call of a step and read its answer to the end."""
+    addresses = deployment.callers_in(step.at)
+    client = Client(addresses, f"cw_example-only-{step.team}", patience_s=PATIENCE_S)
+    started_at = time.monotonic()
+    try:
+        answer = client.call(step.call._replace(key=key), once=step.once)
+        return _read(answer, step, started_at)
+    except CallError as error:
+        return Outcome(refusal=error, total_s=time.monotonic() - started_at)
+
+
+def find_faults(step: Step, outcome: Outcome) -> Iterator[str]:
+    """Yield what is not as expected of a call."""
+    if step.refusal is not None:
+        if outcome.refusal is None or outcome.refusal.kind is not step.refusal:
+            yield f"expected the refusal {step.refusal}, got {describe(outcome)}"
+        elif outcome.refusal.ran is not Ran.NO:
+            yield f"expected the promise that it was not run, got ran: {outcome.refusal.ran}"
+        return
+    if outcome.refusal is not None:
+        yield f"expected an answer, got {describe(outcome)}"
+    elif not outcome.text:
+        yield "expected an answer with text"
+    if step.regions and outcome.refusal is None and outcome.region not in step.regions:
+        yield f"expected it to run in {', '.join(step.regions)}, it ran in {outcome.region}"
+
+
+def find_repeat_faults(
+    deployment: Deployment, step: Step, first: Outcome, again: Outcome
+) -> Iterator[str]:
+    """Yield what is not as expected of a call that was sent twice with one key."""
+    runs = deployment.count_runs(step.call.body)
+    if runs != 1:
+        yield f"expected one run at all services together, they counted {runs}"
+    if again.text != first.text:
+        yield f"expected the same answer for the repeat, got {describe(again)}"
+
+
+def describe(outcome: Outcome) -> str:
+    """Give an outcome as a short text."""
+    if outcome.refusal is not None:
+        error = outcome.refusal
+        return f"{error.kind} (ran: {error.ran}): {error.detail}"
+    text = " ".join(outcome.text.split())
+    return text if len(text) <= SHOWN else f"{text[:SHOWN]}..."
+
+
+def run_plan(plan: Plan, say: Callable[[str], Any]) -> list[str]:
+    """Start a deployment, send its calls and stop it; give all faults."""
+    started_at = time.monotonic()
+    with Deployment(EXAMPLES / plan.name) as deployment:
+        published = deployment.published
+        say(
+            f"\n{plan.name}: {len(published.regions)} regions, {len(published.hosts)} hosts and "
+            f"{len(published.endpoints)} endpoints, up in {time.monotonic() - started_at:.1f} s"
+        )
+        for old, new in deployment.moved.items():
+            say(f"  {old} is taken; {new} is used")
+        faults = [fault for step in plan.steps for fault in _run_step(deployment, step, say)]
+        faults += _run_once(deployment, plan.once, say)
+        statuses = deployment.stop()
+    failed = {name: status for name, status in statuses.items() if status != 0}
+    faults += [f"{name} ended with status {status}" for name, status in failed.items()]
+    say(f"  Stopped: {len(statuses)} processes, {len(failed)} with a failure.")
+    return faults
+
+
+def main() -> int:
+    """Run both deployments; give the exit code."""
+    started_at = time.monotonic()
+    faults = [fault for plan in (RIVIERE, CARONI) for fault in run_plan(plan, _say)]
+    for fault in faults:
+        print(f"NOT AS EXPECTED: {fault}", file=sys.stderr)
+    verdict = f"{len(faults)} faults" if faults else "all answers are as expected"
+    _say(f"\n{verdict}; {time.monotonic() - started_at:.0f} s")
+    return 1 if faults else 0
+
+
+def _run_step(deployment: Deployment, step: Step, say: Callable[[str], Any]) -> list[str]:
+    outcome = send(deployment, step)
+    _show(step.title, outcome, say)
+    return list(find_faults(step, outcome))
+
+
+def _run_once(deployment: Deployment, step: Step, say: Callable[[str], Any]) -> list[str]:
+    first = send(deployment, step)
+    _show(step.title, first, say)
+    again = send(deployment, step, first.key)
+    _show("The same call again, with the same idempotency key", again, say)
+    say(f"    the services counted {deployment.count_runs(step.call.body)} run of it")
+    return [
+        *find_faults(step, first),
+        *find_faults(step, again),
+        *find_repeat_faults(deployment, step, first, again),
+    ]
+
+
+def _read(answer: Answer, step: Step, started_at: float) -> Outcome:
+    pieces: list[str] = []
+    first_s = 0.0
+    texts = answer.read_text() if answer.is_stream else iter([answer.read().decode()])
+    for piece in texts:
+        first_s = first_s or time.monotonic() - started_at
+        pieces.append(piece)
+    return Outcome(
+        _extract("".join(pieces), step.call),
+        answer.headers.get("cloverway-region", ""),
+        answer.headers.get("cloverway-endpoint", ""),
+        answer.headers.get("cloverway-host", answer.host),
+        answer.key,
+        first_s,
+        time.monotonic() - started_at,
+    )
+
+
+def _extract(text: str, call: Call) -> str:
+    """Give the part of a stand-in's answer that is the same for each repeat."""
+    if "/services/" not in call.path:
+        return text
+    answer = json.loads(text)
+    return json.dumps({name: answer[name] for name in ("path", "echo", "run")})
+
+
+def _show(title: str, outcome: Outcome, say: Callable[[str], Any]) -> None:
+    say(f"  {title}\n    {describe(outcome)}")
+    if outcome.refusal is None:
+        say(
+            f"    ran in {outcome.region} at {outcome.endpoint}, asked at {outcome.host}; "
+            f"first piece after {outcome.first_s * 1000:.0f} ms, whole after "
+            f"{outcome.total_s * 1000:.0f} ms"
+        )
+
+
+def _say(text: str) -> None:
+    print(text, flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cloverway/tests/standins/deployment.py
@@ -0,0 +1,176 @@
+"""A published directory, run whole on one machine: its daemons, and stand-ins for its endpoints."""
+
+from __future__ import annotations
+
+import contextlib
+import re
+import shutil
+import signal
+import socket
+import subprocess
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import urllib3
+
+from cloverway.config.directory import load_directory
+from cloverway.config.published import Endpoint, EndpointKind, Published
+from cloverway.tests.standins.processes import Process
+from cloverway.tests.standins.topology import PEER_SECRET, to_toml
+
+ADDRESS = re.compile(r"\b(127\.\d+\.\d+\.\d+):(\d+)\b")
+START_S = 60.0
+STOP_S = 15.0
+TOKEN_S = "0.005"
+LIMITS = {"threads": 32, "admin_threads": 4, "admitted": 16, "queued": 8}
+
+
+class Deployment:
+    """Start every process of a published directory, and end each of them by its process id."""
+
+    def __init__(self, directory: Path) -> None:
+        self._directory = directory
+        self._http = urllib3.PoolManager(retries=False, timeout=2.0)
+        self.processes: dict[str, Process] = {}
+        self._hosts: list[str] = []
+        self.moved: dict[str, str] = {}
+        """New addresses by those that were taken."""
+
+    def __enter__(self) -> Deployment:
+        self._folder = Path(tempfile.mkdtemp(prefix="cloverway-"))
+        try:
+            self._copy_published()
+            self.published: Published = load_directory(self._folder / "published")
+            self._start_endpoints()
+            self._start_hosts()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def stop(self) -> dict[str, int]:
+        """End all processes, hosts first; give the exit status of each that was running."""
+        others = [name for name in self.processes if name not in self._hosts]
+        statuses = {**self._end(self._hosts), **self._end(others)}
+        shutil.rmtree(self._folder, ignore_errors=True)
+        return statuses
+
+    def callers_in(self, region: str) -> list[str]:
+        """List the callers' addresses of a region's hosts."""
+        return [
+            host.callers
+            for host in self.published.hosts.values()
+            if self.published.region_of(host.domain) == region
+        ]
+
+    def count_runs(self, body: bytes) -> int:
+        """Count how often all services together have run a call with a body."""
+        return sum(
+            self._get_json(f"{endpoint.url}/test/runs")["bodies"].get(body.decode(), 0)
+            for endpoint in self.published.endpoints.values()
+            if endpoint.kind is EndpointKind.SERVICE
+        )
+
+    def _copy_published(self) -> None:
+        """Copy the files, with other ports where one is taken."""
+        target = self._folder / "published"
+        target.mkdir()
+        for file in sorted(self._directory.glob("*.toml")):
+            text = ADDRESS.sub(self._place, file.read_text())
+            (target / file.name).write_text(text)
+
+    def _place(self, found: re.Match[str]) -> str:
+        host, port = found[1], int(found[2])
+        if is_free(host, port):
+            return found[0]
+        with socket.create_server((host, 0)) as probe:
+            self.moved[found[0]] = f"{host}:{probe.getsockname()[1]}"
+        return self.moved[found[0]]
+
+    def _start_endpoints(self) -> None:
+        for name, endpoint in self.published.endpoints.items():
+            self._start(name, *_make_command(endpoint))
+        for name, endpoint in self.published.endpoints.items():
+            self._wait(name, f"{endpoint.url}/test/runs")
+
+    def _start_hosts(self) -> None:
+        secret = self._folder / "peer-secret"
+        secret.write_bytes(PEER_SECRET)
+        for name in self.published.hosts:
+            path = self._folder / f"{name}.toml"
+            path.write_text(to_toml(self._make_settings(name, secret)))
+            self._hosts.append(name)
+            self._start(name, "cloverway.daemon", ["--settings", str(path)])
+        for name, host in self.published.hosts.items():
+            self._wait(name, f"http://{host.admin}/readyz")
+
+    def _make_settings(self, name: str, secret: Path) -> dict[str, Any]:
+        host = self.published.hosts[name]
+        return {
+            "host": name,
+            "domain": host.domain,
+            "region": self.published.region_of(host.domain),
+            "listen": {"callers": host.callers, "admin": host.admin, "peers": host.peers},
+            "platform": {"kind": "file", "directory": str(self._folder / "published")},
+            "security": {"peer_secret_file": str(secret)},
+            "limits": LIMITS,
+        }
+
+    def _start(self, name: str, module: str, arguments: list[str]) -> None:
+        self.processes[name] = Process(name, module, arguments, self._folder)
+        self.processes[name].start()
+
+    def _wait(self, name: str, url: str) -> None:
+        self.processes[name].wait_ready(lambda: self._answers(url), START_S)
+
+    def _answers(self, url: str) -> bool:
+        try:
+            return self._http.request("GET", url).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def _get_json(self, url: str) -> Any:
+        return self._http.request("GET", url).json()
+
+    def _end(self, names: list[str]) -> dict[str, int]:
+        running = {name: self.processes[name] for name in names if self.processes[name].running}
+        for process in running.values():
+            process.send(signal.SIGTERM)
+        for process in running.values():
+            # One signal only: a second one would cut what a host still has in progress.
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                process.wait(STOP_S)
+            process.kill()
+        return {name: process.wait() for name, process in running.items()}
+
+
+def is_free(host: str, port: int) -> bool:
+    """Tell whether nothing listens at an address, by TCP or UDP."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            if kind == socket.SOCK_STREAM:
+                # Connections of an earlier run that have ended don't take the port.
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((host, port))
+            except OSError:
+                return False
+    return True
+
+
+def _make_command(endpoint: Endpoint) -> tuple[str, list[str]]:
+    host, _, port = endpoint.url.removeprefix("http://").rpartition(":")
+    place = ["--host", host, "--port", port, "--slots", str(endpoint.slots)]
+    if endpoint.kind is EndpointKind.SERVICE:
+        return "cloverway.tests.standins.service", [
+            *place,
+            "--services",
+            ",".join(endpoint.services),
+        ]
+    models = ",".join(endpoint.models)
+    engine = [*place, "--models", models, "--token-s", TOKEN_S]
+    return "cloverway.tests.standins.engine", engine
--- /dev/null
+++ b/cloverway/tests/test_demo.py
@@ -0,0 +1,80 @@
+"""The demo says so when an answer is not as expected; what it starts is not started here."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from cloverway.config.directory import load_directory
+from cloverway.errors import CallError, Kind, Ran
+from cloverway.tests.demo import (
+    CARONI,
+    EXAMPLES,
+    RIVIERE,
+    Outcome,
+    Plan,
+    Step,
+    find_faults,
+    find_repeat_faults,
+)
+
+BOUND = RIVIERE.steps[2]
+REFUSED = RIVIERE.steps[3]
+PLANS = (RIVIERE, CARONI)
+
+
+class CountingDeployment:
+    def __init__(self, runs: int) -> None:
+        self.runs = runs
+
+    def count_runs(self, body: bytes) -> int:
+        return self.runs
+
+
+def refused(kind: Kind, ran: Ran) -> Outcome:
+    return Outcome(refusal=CallError(kind, ran=ran))
+
+
+@pytest.mark.parametrize(
+    ("step", "outcome", "words"),
+    [
+        (BOUND, Outcome("text", "rodrigues"), ""),
+        (BOUND, Outcome("text", "port-louis"), "expected it to run in rodrigues"),
+        (BOUND, Outcome("text", ""), "expected it to run in rodrigues"),
+        (BOUND, Outcome("", "rodrigues"), "expected an answer with text"),
+        (BOUND, refused(Kind.TRUNCATED, Ran.UNKNOWN), "expected an answer, got truncated"),
+        (REFUSED, refused(Kind.FORBIDDEN, Ran.NO), ""),
+        (REFUSED, refused(Kind.FORBIDDEN, Ran.UNKNOWN), "expected the promise"),
+        (REFUSED, refused(Kind.RESIDENCY, Ran.NO), "expected the refusal forbidden"),
+        (REFUSED, Outcome("text", "port-louis"), "expected the refusal forbidden"),
+    ],
+)
+def test_answers_that_are_not_as_expected_are_told(
+    step: Step, outcome: Outcome, words: str
+) -> None:
+    faults = list(find_faults(step, outcome))
+    assert len(faults) == bool(words)
+    assert words in "".join(faults)
+
+
+@pytest.mark.parametrize(
+    ("runs", "again", "count"),
+    [(1, Outcome("one"), 0), (2, Outcome("one"), 1), (1, Outcome("two"), 1), (0, Outcome(), 2)],
+)
+def test_a_second_run_is_told(runs: int, again: Outcome, count: int) -> None:
+    deployment: Any = CountingDeployment(runs)
+    assert len(list(find_repeat_faults(deployment, RIVIERE.once, Outcome("one"), again))) == count
+
+
+@pytest.mark.parametrize("plan", PLANS, ids=lambda plan: plan.name)
+def test_steps_fit_what_is_published(plan: Plan) -> None:
+    published = load_directory(EXAMPLES / plan.name)
+    for step in (*plan.steps, plan.once):
+        team = published.teams[step.team]
+        allowed = step.call.profile in team.profiles
+        assert allowed == (step.refusal is not Kind.FORBIDDEN)
+        assert step.at in published.regions
+        assert set(step.regions) <= published.regions.keys()
+        assert not team.bound or step.refusal or step.regions == (team.home,)
+    assert not published.profiles[plan.once.call.profile].idempotent
