--- /dev/null
+++ b/cloverway/answers.py
@@ -0,0 +1,185 @@
+"""Answers as a caller reads them: whole or known to be cut, and refusals with their promise."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from cloverway.errors import CallError, Kind, Ran
+
+END_OF_STREAM = "[DONE]"
+REQUEST_ID = "x-request-id"
+LARGEST_ANSWER = 64 * 1024 * 1024
+LARGEST_EVENT = 4 * 1024 * 1024
+
+
+class Answer:
+    """An answer whose head has arrived; iterate over it for its pieces.
+
+    Iterating raises CallError with Kind.TRUNCATED when the answer ends before it is whole.
+    """
+
+    def __init__(
+        self,
+        response: urllib3.BaseHTTPResponse,
+        connection: urllib3.HTTPConnectionPool,
+        path: str,
+        key: str = "",
+    ) -> None:
+        self.status = response.status
+        self.content_type = response.headers.get("Content-Type", "")
+        self.headers: dict[str, str] = {
+            name.lower(): value for name, value in response.headers.items()
+        }
+        self.path = path
+        self.key = key
+        self.host = join_address(connection)
+        self._response = response
+        self._connection = connection
+
+    @property
+    def request_id(self) -> str:
+        """The id by which operators find the request in their logs."""
+        return self.headers.get(REQUEST_ID, "")
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer comes as server-sent events."""
+        return self.content_type.startswith("text/event-stream")
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Give the pieces of the body; raise CallError when the answer was cut."""
+        try:
+            yield from self._iterate_framed()
+        except (HTTPError, OSError) as error:
+            raise self._cut(f"the connection ended midway ({type(error).__name__})") from error
+        finally:
+            self.close()
+
+    def read(self) -> bytes:
+        """Give the whole body; raise CallError when the answer was cut or is too large."""
+        pieces: list[bytes] = []
+        size = 0
+        for piece in self:
+            size += len(piece)
+            if size > LARGEST_ANSWER:
+                raise self._cut("the answer is larger than this client takes")
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    def read_text(self) -> Iterator[str]:
+        """Give the generated text of a stream piece by piece, or of a whole answer at once.
+
+        Raises CallError when a stream ends without its closing event.
+        """
+        if not self.is_stream:
+            yield self._read_event(self.read().decode("utf-8", "replace"))
+            return
+        ended = False
+        # Read on after the closing event: without its last chunk the stream was cut, too.
+        for data in parse_events(iter(self)):
+            ended = ended or data == END_OF_STREAM
+            if not ended:
+                yield self._read_event(data)
+        if not ended:
+            raise self._cut("the stream ended without its closing event")
+
+    def close(self) -> None:
+        """Close the connection; the host then cancels what still runs."""
+        self._response.close()
+        self._connection.close()
+
+    def _iterate_framed(self) -> Iterator[bytes]:
+        chunked = "chunked" in self.headers.get("transfer-encoding", "")
+        if not chunked and "content-length" not in self.headers:
+            # Without framing, a lost connection looks just like the end of the answer.
+            raise self._cut("the answer has no framing, so its end can't be known")
+        if chunked:
+            yield from self._response.read_chunked()
+        else:
+            yield from self._response.stream(64 * 1024)
+
+    def _read_event(self, data: str) -> str:
+        try:
+            event = json.loads(data)
+        except ValueError as error:
+            raise self._cut("the answer is not JSON") from error
+        problem = event.get("error") if isinstance(event, dict) else None
+        if isinstance(problem, dict):
+            raise read_problem(problem, 0, self.headers, self.key, self.host)
+        return extract_text(event)
+
+    def _cut(self, detail: str) -> CallError:
+        return CallError(
+            Kind.TRUNCATED, detail, key=self.key, request_id=self.request_id, host=self.host
+        )
+
+
+def read_refusal(answer: Answer) -> CallError:
+    """Read the body of a failed answer."""
+    try:
+        problem = json.loads(answer.read())
+    except (ValueError, CallError):
+        problem = {}
+    if not isinstance(problem, dict):
+        problem = {}
+    return read_problem(problem, answer.status, answer.headers, answer.key, answer.host)
+
+
+def read_problem(
+    problem: Mapping[str, Any], status: int, headers: Mapping[str, str], key: str, host: str
+) -> CallError:
+    """Read problem+json; what it does not say plainly counts as an unknown outcome."""
+    kinds = {str(kind): kind for kind in Kind}
+    outcomes = {str(ran): ran for ran in Ran}
+    kind = kinds.get(str(problem.get("kind")), Kind.INTERNAL)
+    detail = problem.get("detail") or problem.get("title") or f"the host answered {status}"
+    return CallError(
+        kind,
+        str(detail),
+        ran=outcomes.get(str(problem.get("ran")), Ran.UNKNOWN),
+        retry_after=_read_seconds(problem.get("retry_after_s", headers.get("retry-after"))),
+        key=key,
+        request_id=str(problem.get("request_id", headers.get(REQUEST_ID, ""))),
+        host=host,
+    )
+
+
+def parse_events(pieces: Iterator[bytes]) -> Iterator[str]:
+    """Give the data of each server-sent event; an event without its blank line is left out."""
+    buffer = b""
+    for piece in pieces:
+        buffer = (buffer + piece).replace(b"\r\n", b"\n")
+        *events, buffer = buffer.split(b"\n\n")
+        if len(buffer) > LARGEST_EVENT:
+            raise CallError(Kind.TRUNCATED, "an event of the stream is too large")
+        for event in events:
+            lines = [line for line in event.split(b"\n") if line.startswith(b"data:")]
+            if lines:
+                yield "\n".join(line[5:].strip().decode("utf-8", "replace") for line in lines)
+
+
+def extract_text(document: Any) -> str:
+    """Give the text of a completion or of one event of a stream."""
+    choices = document.get("choices") if isinstance(document, dict) else None
+    if not choices:
+        return ""
+    choice = choices[0]
+    part = choice.get("delta") or choice.get("message") or {}
+    return str(part.get("content") or choice.get("text") or "")
+
+
+def join_address(connection: urllib3.HTTPConnectionPool) -> str:
+    """Give the address at the other end, as an IP number and a port."""
+    return f"{connection.host}:{connection.port}"
+
+
+def _read_seconds(value: Any) -> float | None:
+    try:
+        return max(0.0, float(value))
+    except (TypeError, ValueError):
+        return None
--- a/cloverway/commands/call.py
+++ b/cloverway/commands/call.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from cloverway.client import Answer, Call, Client
+from cloverway.answers import Answer
+from cloverway.client import Call, Client
 from cloverway.commands.admin import check_address
 from cloverway.errors import CallError, Ran, UserError
 
--- a/cloverway/tests/demo.py
+++ b/cloverway/tests/demo.py
@@ -14,7 +14,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from cloverway.client import Answer, Call, Client
+from cloverway.answers import Answer
+from cloverway.client import Call, Client
 from cloverway.errors import CallError, Kind, Ran
 from cloverway.tests.standins.deployment import Deployment
 
--- a/cloverway/tests/test_client.py
+++ b/cloverway/tests/test_client.py
@@ -7,7 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cloverway.client import Call, Client, decide_wait, parse_events
+from cloverway.answers import parse_events
+from cloverway.client import Call, Client, decide_wait
 from cloverway.errors import CallError, Kind, Ran
 from cloverway.tests.fake_host import FakeHost, stream_of
 
@@ -92,6 +93,17 @@
     assert raised.value.kind is Kind.TRUNCATED
 
 
+@pytest.mark.parametrize("stream", [True, False])
+def test_answer_that_is_not_json_is_no_answer(host: FakeHost, stream: bool) -> None:
+    kind = b"text/event-stream" if stream else b"application/json"
+    body = b"data: {cut\n\ndata: [DONE]\n\n" if stream else b"{cut"
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n"
+    host.answer(CHAT, head % (kind, len(body)) + body)
+    with pytest.raises(CallError) as raised:
+        list(make_client(host).call(chat(stream)).read_text())
+    assert raised.value.kind is Kind.TRUNCATED
+
+
 def test_body_without_framing_is_refused(host: FakeHost) -> None:
     """A body that ends with its connection can't be told from one that was cut."""
     host.answer(CHAT, b'HTTP/1.1 200 OK\r\n\r\n{"choices": []}')
@@ -119,6 +131,16 @@
     assert waits == [7.0]
 
 
+def test_a_refusal_without_a_wait_makes_no_storm(host: FakeHost) -> None:
+    """Every answer says to come back in 0 s: the attempts are spaced all the same."""
+    host.refuse(CHAT, "overloaded", "no", 429, "Retry-After: 0\r\n")
+    host.refuse(CHAT, "overloaded", "no", 429, "Retry-After: 0\r\n")
+    host.answer(CHAT, stream_of("later"))
+    waits: list[float] = []
+    make_client(host, waits=waits).call(chat()).close()
+    assert len(waits) == 2 and min(waits) >= 0.1
+
+
 @pytest.mark.parametrize("ran", ["unknown", "yes", "", "nonsense"])
 def test_nothing_is_sent_again_without_the_promise(host: FakeHost, ran: str) -> None:
     """The host says that the endpoint failed after the first byte had left.
@@ -208,13 +230,13 @@
     kind=st.sampled_from(Kind),
     ran=st.sampled_from(Ran),
     retry_after=st.none() | st.floats(0, 100),
-    attempt=st.integers(0, 5),
+    others=st.booleans(),
 )
 def test_a_new_attempt_needs_the_promise(
-    kind: Kind, ran: Ran, retry_after: float | None, attempt: int
+    kind: Kind, ran: Ran, retry_after: float | None, others: bool
 ) -> None:
     error = CallError(kind, ran=ran, retry_after=retry_after)
-    wait = decide_wait(error, attempt, 3, now=10.0, give_up_at=40.0)
+    wait = decide_wait(error, others, now=10.0, give_up_at=40.0)
     assert wait is None or (ran is Ran.NO and 0 <= wait < 30)
 
 
