Bound what a caller can hold, and notice callers that leave while they wait

Failures found by tests over real sockets, each red before its mend: - A request beyond all threads and the line for them got no answer at all for ten seconds; it is turned away by the accepting thread at once, without waiting for anything. - A head without Host was answered in HTML, because CherryPy's settings are not looked at that early. - A head with both Content-Length and chunked framing was read as chunked; it is refused, as two readers could take it for two different requests.

A caller that closes its connection while its request waits is reported by its request id, so that its place in the queue can be given to somebody else. The socket is asked again under a lock before the report: the descriptor may be that of the next request by then.

Whatever is refused before its head is known says "unknown" instead of "no": the head may have an idempotency key whose first request ran.

--- a/cloverway/application.py
+++ b/cloverway/application.py
@@ -115,6 +115,12 @@
         """Give the WSGI application."""
         application = cherrypy.Application(None, script_name="", config={"/": self._make_config()})
         application.log = QuietLog()
+        # Set on the class as well, for a head that is rejected before the settings are looked at.
+        application.request_class = type(
+            "Request",
+            (cherrypy.Application.request_class,),
+            {"show_tracebacks": False, "error_page": {"default": self._format_rejection}},
+        )
         return application
 
     def _make_config(self) -> dict[str, Any]:
--- a/cloverway/callers.py
+++ b/cloverway/callers.py
@@ -19,6 +19,7 @@
 )
 from cloverway.authentication import Authenticator, Caller, authenticate, choose_deadline_s
 from cloverway.config.settings import Settings
+from cloverway.departures import Departures
 from cloverway.directory import Freshness, HostList, list_hosts
 from cloverway.errors import Kind, Ran, RequestError
 from cloverway.exchange import Gateway, Reply
@@ -68,6 +69,7 @@
         issue: Callable[[int], list[str]],
         *,
         on_refusal: Callable[[Refusal], None] = lambda refusal: None,
+        on_left: Callable[[str], None] = lambda request_id: None,
         clock: Callable[[], float] = time.monotonic,
         bounds: Bounds | None = None,
     ) -> None:
@@ -78,6 +80,7 @@
         self._issue = issue
         self._on_refusal = on_refusal
         self._clock = clock
+        self._departures = Departures(on_left)
         self._authenticator = Authenticator()
         self._rotation = count()
         self._responder = Responder(settings.host, self._handle, settings.limits.answer_bytes)
@@ -95,6 +98,7 @@
 
     def start(self) -> None:
         """Bind and serve; raises OSError when the address can't be bound."""
+        self._departures.start()
         self._listener.start()
 
     def stop_accepting(self) -> None:
@@ -108,6 +112,7 @@
     def stop(self) -> None:
         """Close everything; call it when nothing is in progress."""
         self._listener.stop()
+        self._departures.stop()
 
     def in_progress(self) -> int:
         """Count the requests whose answers are not written whole yet."""
@@ -132,7 +137,8 @@
             raise
         if isinstance(request, Reply):
             return request
-        return self._gateway.run(request)
+        with self._departures.watch(call.connection.socket, call.id):
+            return self._gateway.run(request)
 
     def _admit(self, call: Call, arrived_at: float) -> Request | Reply:
         """Check a call in the order of what each check costs, and make a request of it."""
--- /dev/null
+++ b/cloverway/departures.py
@@ -0,0 +1,85 @@
+"""Notice callers that leave while their request waits and nobody reads their socket."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import select
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+log = logging.getLogger(__name__)
+
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
+POLL_S = 0.5
+"""How often the thread looks whether it must end."""
+
+
+class _Watched(NamedTuple):
+    sock: socket.socket
+    request_id: str
+
+
+class Departures:
+    """One thread that watches the sockets of callers whose requests wait.
+
+    A caller that closes only its sending half counts as gone: with HTTP that looks the same as
+    one that has closed both, and whoever waits for an answer has no reason to do it.
+    """
+
+    def __init__(self, on_left: Callable[[str], None]) -> None:
+        self._on_left = on_left
+        self._lock = threading.Lock()
+        self._watched: dict[int, _Watched] = {}
+        self._epoll = select.epoll()
+        self._stopping = False
+        self._thread = threading.Thread(target=self._run, name="departures", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the thread."""
+        self._stopping = True
+        if self._thread.is_alive():
+            self._thread.join()
+        self._epoll.close()
+
+    @contextlib.contextmanager
+    def watch(self, sock: socket.socket, request_id: str) -> Iterator[None]:
+        """Watch a caller's socket for the time of the block; `on_left` is called at most once."""
+        descriptor = sock.fileno()
+        with self._lock:
+            self._watched[descriptor] = _Watched(sock, request_id)
+            self._epoll.register(descriptor, select.EPOLLRDHUP | select.EPOLLONESHOT)
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._watched.pop(descriptor, None)
+                self._epoll.unregister(descriptor)
+
+    def _run(self) -> None:
+        while not self._stopping:
+            for descriptor, _ in self._epoll.poll(POLL_S):
+                self._check(descriptor)
+
+    def _check(self, descriptor: int) -> None:
+        # Between the event and this line the request may have ended, and the next one may have
+        # got the same descriptor. The socket is asked again under the lock, so that the wrong
+        # request is never cancelled; it can't be closed before its block has ended.
+        with self._lock:
+            watched = self._watched.get(descriptor)
+            left = watched is not None and _is_gone(watched.sock)
+        if watched is not None and left:
+            log.info("a caller left", extra={"request_id": watched.request_id})
+            self._on_left(watched.request_id)
+
+
+def _is_gone(sock: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return any(event & GONE for _, event in poll.poll(0))
--- a/cloverway/listener.py
+++ b/cloverway/listener.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import io
 import json
 import logging
+import math
 import select
 import socket
 import threading
@@ -36,6 +38,10 @@
 LINGER_S = 0.5
 """How long what a refused caller still sends is read and dropped."""
 LINGER_BYTES = 64 * 1024
+HEAD_BYTES = 64 * 1024
+HEAD_END = b"\r\n\r\n"
+KEY_NAME = b"idempotency-key:"
+RETRY_S = 1.0
 BACKLOG = 128
 EXPIRE_EVERY_S = 0.5
 STOP_S = 5.0
@@ -166,11 +172,26 @@
         self.conn.limit_reading(self.server.bounds.head_timeout_s)
         super().parse_request()
         self.conn.limit_reading(None)
+        if self.ready:
+            self._check_head()
+
+    def _check_head(self) -> None:
+        """Refuse what two readers may take for two different requests."""
+        names = self.inheaders
+        if self.response_protocol != "HTTP/1.0" and b"Host" not in names:
+            self._reject("HTTP/1.1 needs a Host header")
+        if self.chunked_read and b"Content-Length" in names:
+            self._reject("send Content-Length or Transfer-Encoding, not both")
+
+    def _reject(self, detail: str) -> None:
+        self.ready = False
+        self.simple_response("400 Bad Request", detail)
 
     def simple_response(self, status: Any, msg: str = "") -> None:
         """Answer a request that never reached the application, and close."""
         kind = KINDS_BY_STATUS.get(int(str(status)[:3]), Kind.MALFORMED)
-        error = RequestError(kind, msg, ran=Ran.NO)
+        # Whether the head has an idempotency key is not known: an earlier request may have run.
+        error = RequestError(kind, msg, ran=Ran.UNKNOWN)
         self.close_connection = True
         self.sent_headers = True
         self.conn.drain = True
@@ -230,7 +251,10 @@
                 conn.close()
             return
         conn.is_new = False
-        super().process_conn(conn)
+        if self.requests.qsize >= self.bounds.waiting:
+            turn_away(conn)
+        else:
+            super().process_conn(conn)
 
     def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
         """Log what the server reports."""
@@ -279,13 +303,31 @@
     return bool(poll.poll(0))
 
 
+def turn_away(conn: Connection) -> None:
+    """Answer a request that no thread can take, without waiting for anything, and close."""
+    conn.socket.setblocking(False)
+    with contextlib.suppress(OSError):
+        head = conn.socket.recv(HEAD_BYTES)
+        keyless = HEAD_END in head and KEY_NAME not in head.lower()
+        error = RequestError(
+            Kind.OVERLOADED,
+            "every thread is busy",
+            ran=Ran.NO if keyless else Ran.UNKNOWN,
+            retry_after=RETRY_S,
+        )
+        conn.socket.send(format_problem(error, ""))
+        conn.socket.shutdown(socket.SHUT_WR)
+    conn.close()
+
+
 def format_problem(error: RequestError, request_id: str) -> bytes:
     """Give a whole HTTP answer for a request that never reached the application."""
     body = json.dumps(error.as_problem(request_id)).encode()
+    retry = f"Retry-After: {math.ceil(error.retry_after)}\r\n" if error.retry_after else ""
     head = (
         f"HTTP/1.1 {error.status} {error.kind.replace('_', ' ')}\r\n"
         f"Content-Type: {PROBLEM_TYPE}\r\n"
         f"Content-Length: {len(body)}\r\n"
-        "Connection: close\r\n\r\n"
+        f"{retry}Connection: close\r\n\r\n"
     )
     return head.encode("ascii") + body
--- a/cloverway/tests/callers_bench.py
+++ b/cloverway/tests/callers_bench.py
@@ -140,6 +140,7 @@
     def __init__(self, bounds: Bounds | None = None, **limits: Any) -> None:
         self.gateway = FakeGateway()
         self.refusals: list[Any] = []
+        self.left: list[str] = []
         self.holder = ViewHolder(make_view())
         self.server = CallerServer(
             make_settings(**limits),
@@ -147,6 +148,7 @@
             self.gateway,
             issue,
             on_refusal=self.refusals.append,
+            on_left=self.left.append,
             bounds=bounds,
         )
 
@@ -190,6 +192,21 @@
     return b"".join(pieces)
 
 
+def read_until(sock: socket.socket, mark: bytes) -> bytes:
+    """Read until a mark has come, or the other end closes."""
+    text = b""
+    while mark not in text and (piece := sock.recv(4096)):
+        text += piece
+    return text
+
+
+def read_answer(sock: socket.socket) -> Answer:
+    """Read one answer and leave the connection open."""
+    response = http.client.HTTPResponse(sock)
+    response.begin()
+    return Answer(response.status, response.headers, response.read())
+
+
 def wait_until(condition: Callable[[], bool], seconds: float = 5.0) -> bool:
     """Poll a condition for a bounded time; tell whether it came true."""
     pause = threading.Event()
--- /dev/null
+++ b/cloverway/tests/test_listener.py
@@ -0,0 +1,288 @@
+"""Failures between a caller and the listener, over real sockets."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import socket
+import struct
+import threading
+
+import pytest
+
+from cloverway.errors import Kind, RequestError
+from cloverway.exchange import Reply
+from cloverway.listener import Bounds
+from cloverway.tests.callers_bench import (
+    BEARER,
+    CHAT,
+    CHAT_BODY,
+    STREAM_BODY,
+    Bench,
+    FakeStream,
+    read_all,
+    read_answer,
+    read_until,
+    wait_until,
+)
+
+COMPLETIONS = "/v1/chat/completions"
+HEAD = (
+    f"POST {COMPLETIONS} HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {BEARER}\r\n"
+    "Cloverway-Profile: chat\r\nContent-Type: application/json\r\n"
+)
+BOUNDS = Bounds(threads=4, waiting=4, idle=16, header_bytes=4096, head_timeout_s=0.4, idle_s=0.5)
+
+
+def make_bench(**limits):
+    return Bench(bounds=BOUNDS, **{"body_timeout_s": 0.4, "body_bytes": 65536, **limits})
+
+
+@pytest.fixture(scope="module")
+def shared():
+    with make_bench() as bench:
+        yield bench
+
+
+@pytest.fixture
+def bench(shared):
+    shared.gateway.answer = Reply(200, "application/json", b"{}")
+    shared.gateway.requests.clear()
+    shared.gateway.entered.clear()
+    return shared
+
+
+def read_problem(sock):
+    """Read one answer to its end, and give its kind."""
+    head, _, body = read_all(sock).partition(b"\r\n\r\n")
+    assert b"application/problem+json" in head
+    return json.loads(body)
+
+
+def trickle(sock, piece, pace_s=0.05):
+    """Send a byte again and again until the other end answers or closes."""
+    enough = threading.Event()
+
+    def run():
+        with contextlib.suppress(OSError):
+            while not enough.wait(pace_s):
+                sock.sendall(piece)
+
+    thread = threading.Thread(target=run, daemon=True)
+    thread.start()
+    return enough, thread
+
+
+@pytest.mark.parametrize(
+    "head",
+    [HEAD + "Content-Length: 60000\r\n\r\n", HEAD + "Transfer-Encoding: chunked\r\n\r\nFFFF\r\n"],
+)
+def test_a_slow_body_is_refused_after_one_time_for_all_of_it(bench, head):
+    """The caller sends its body byte by byte, and is told that it was too slow.
+
+    Each byte comes long before a timeout for a single read. Were the time counted for each read
+    alone, four such callers would hold all four threads for hours.
+    """
+    with bench.connect() as sock:
+        sock.sendall(head.encode())
+        enough, thread = trickle(sock, b"a")
+        problem = read_problem(sock)
+        enough.set()
+        thread.join()
+    assert (problem["kind"], problem["ran"]) == ("too_slow", "no")
+    assert wait_until(lambda: bench.server.in_progress() == 0)
+
+
+def test_a_slow_head_is_refused(bench):
+    """As above, for a caller that never ends its headers."""
+    with bench.connect() as sock:
+        sock.sendall(HEAD.encode())
+        enough, thread = trickle(sock, b"X: y\r\n")
+        problem = read_problem(sock)
+        enough.set()
+        thread.join()
+    assert problem["kind"] == "too_slow"
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_a_large_body_is_refused_and_the_caller_can_read_why(bench, chunked):
+    """The caller sends all of a body that is too large before it reads the answer.
+
+    The gateway answers and closes while bytes still come. Were they not read, the connection
+    would be reset, and the caller's system could drop the answer.
+    """
+    body = iter([b"x" * 50_000] * 20) if chunked else b"x" * 1_000_000
+    answer = bench.call("POST", COMPLETIONS, body, CHAT)
+    assert (answer.status, answer.problem["kind"]) == (413, "too_large")
+    assert answer.headers["Connection"] == "close"
+
+
+@pytest.mark.parametrize(
+    ("chunks", "kind"),
+    [
+        (b"FFFFFFFFFFF\r\n", "too_large"),
+        (b"1;" + b"x" * 70_000, "malformed"),
+        (b"1;" + b"x" * 300 + b"\r\n", "malformed"),
+        (b"-5\r\n", "malformed"),
+        (b"\r\n", "malformed"),
+        (b"0\r\n" + b"A: b\r\n" * 200, "malformed"),
+        (b"2\r\nabcdef\r\n0\r\n\r\n", "malformed"),
+    ],
+)
+def test_bad_chunks_are_refused_before_they_are_held(bench, chunks, kind):
+    with bench.connect() as sock:
+        sock.sendall(HEAD.encode() + b"Transfer-Encoding: chunked\r\n\r\n" + chunks)
+        assert read_problem(sock)["kind"] == kind
+    assert not bench.gateway.requests
+
+
+@pytest.mark.parametrize(
+    ("text", "kind"),
+    [
+        (b"nonsense\r\n\r\n", "malformed"),
+        (b"GET /v1/hosts HTTP/1.1\r\n\r\n", "malformed"),
+        (b"GET /v1/hosts HTTP/3.7\r\nHost: h\r\n\r\n", "malformed"),
+        (b"GET /" + b"a" * 5000 + b" HTTP/1.1\r\nHost: h\r\n\r\n", "too_large"),
+        (b"GET /v1/hosts HTTP/1.1\r\nHost: h\r\nA: " + b"a" * 5000 + b"\r\n\r\n", "too_large"),
+        (HEAD.encode() + b"Content-Length: -1\r\n\r\n", "malformed"),
+        (HEAD.encode() + b"Content-Length: many\r\n\r\n", "malformed"),
+        (HEAD.encode() + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n", "malformed"),
+        (HEAD.encode() + b"Transfer-Encoding: gzip\r\n\r\n", "malformed"),
+    ],
+)
+def test_a_bad_head_gets_the_same_form_of_answer(bench, text, kind):
+    with bench.connect() as sock:
+        sock.sendall(text)
+        assert read_problem(sock)["kind"] == kind
+
+
+def test_a_refused_body_is_never_taken_for_the_next_request(bench):
+    """A body that was not read holds a second request, which must not be run."""
+    hidden = HEAD.replace(BEARER, "no") + f"Content-Length: {len(HEAD)}\r\n\r\n" + HEAD
+    with bench.connect() as sock:
+        sock.sendall(hidden.encode() + b"Content-Length: 2\r\n\r\n{}")
+        answers = read_all(sock)
+    assert answers.count(b"HTTP/1.1 ") == 1
+    assert not bench.gateway.requests
+
+
+def test_a_body_that_is_cut_never_reaches_the_gateway(bench):
+    with bench.connect() as sock:
+        sock.sendall(HEAD.encode() + b"Content-Length: 500\r\n\r\n" + CHAT_BODY)
+        sock.shutdown(socket.SHUT_WR)
+        assert read_problem(sock)["kind"] == "malformed"
+    assert not bench.gateway.requests
+
+
+def test_idle_connections_cost_no_thread(bench):
+    """A caller gets its answer though many more connections are open than there are threads.
+
+    They were opened and say nothing. Were each given to a thread, which waits for its first byte,
+    four of them would stop the daemon for the length of a timeout.
+    """
+    with contextlib.ExitStack() as stack:
+        for _ in range(12):
+            stack.enter_context(bench.connect())
+        assert bench.call("POST", COMPLETIONS, CHAT_BODY, CHAT).status == 200
+
+
+def test_idle_connections_are_bounded_and_end(bench):
+    with contextlib.ExitStack() as stack:
+        idle = [stack.enter_context(bench.connect()) for _ in range(40)]
+        assert bench.call("GET", "/v1/hosts").status in (200, 503)
+        assert [read_all(sock) for sock in idle] == [b""] * 40
+
+
+def test_a_connection_is_used_again_and_then_closed_when_idle(bench):
+    request = HEAD + f"Content-Length: {len(CHAT_BODY)}\r\n\r\n"
+    with bench.connect() as sock:
+        for _ in range(3):
+            sock.sendall(request.encode() + CHAT_BODY)
+            assert read_answer(sock).status == 200
+        assert sock.recv(1) == b""
+    assert len(bench.gateway.requests) == 3
+
+
+def test_a_refusal_keeps_the_connection_when_its_body_was_read(bench):
+    request = HEAD + "Content-Length: 2\r\n\r\n[]"
+    with bench.connect() as sock:
+        for _ in range(2):
+            sock.sendall(request.encode())
+            assert read_answer(sock).problem["kind"] == "malformed"
+
+
+def test_a_caller_that_leaves_midway_ends_its_stream(bench):
+    """The caller closes after the first piece; the rest has nobody to go to.
+
+    Its thread must come back and the endpoint's work must be given up, or callers that leave
+    would use up both.
+    """
+    stream = FakeStream([b"data: 1\n\n"] + [b"x" * 60_000] * 400)
+    bench.gateway.answer = Reply(200, "text/event-stream", stream=stream)
+    request = HEAD + f"Content-Length: {len(STREAM_BODY)}\r\n\r\n"
+    with bench.connect() as sock:
+        sock.sendall(request.encode() + STREAM_BODY)
+        assert b"data: 1" in read_until(sock, b"data: 1")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    assert stream.closed.wait(5)
+    assert wait_until(lambda: bench.server.in_progress() == 0)
+
+
+def test_a_caller_that_reads_nothing_gives_its_thread_back(bench):
+    bench.gateway.answer = Reply(200, "application/json", b"x" * 20_000_000)
+    request = HEAD + f"Content-Length: {len(CHAT_BODY)}\r\n\r\n"
+    with bench.connect() as sock:
+        sock.sendall(request.encode() + CHAT_BODY)
+        assert bench.gateway.entered.wait(5)
+        assert wait_until(lambda: bench.server.in_progress() == 0)
+
+
+def test_a_caller_that_leaves_while_it_waits_is_noticed():
+    """The caller closes while its request waits for an endpoint, and nobody reads its socket.
+
+    Its place in the queue is of use to somebody else; were it kept until the deadline, a crowd
+    that repeats its calls would fill the queue with requests of callers that are gone.
+    """
+    with make_bench() as bench:
+        bench.gateway.go_on.clear()
+        request = HEAD + f"Content-Length: {len(CHAT_BODY)}\r\n\r\n"
+        with bench.connect() as staying, bench.connect() as leaving:
+            staying.sendall(request.encode() + CHAT_BODY)
+            assert wait_until(lambda: len(bench.gateway.requests) == 1)
+            leaving.sendall(request.encode() + CHAT_BODY)
+            assert wait_until(lambda: len(bench.gateway.requests) == 2)
+            leaving.close()
+            assert wait_until(lambda: bool(bench.left))
+            assert bench.left == [bench.gateway.requests[1].id]
+            bench.gateway.go_on.set()
+            assert read_answer(staying).status == 200
+
+
+def test_more_requests_than_threads_get_an_answer():
+    """Every thread is busy and the line for a thread is full: a new caller is told so at once."""
+    with make_bench() as bench:
+        bench.gateway.go_on.clear()
+        request = (HEAD + f"Content-Length: {len(CHAT_BODY)}\r\n\r\n").encode() + CHAT_BODY
+        with contextlib.ExitStack() as stack:
+            callers = [stack.enter_context(bench.connect()) for _ in range(12)]
+            for number, sock in enumerate(callers[:8]):
+                sock.sendall(request)
+                assert wait_until(lambda n=number: len(bench.gateway.requests) == min(n + 1, 4))
+            for sock in callers[8:]:
+                sock.sendall(request)
+                problem = read_problem(sock)
+                assert (problem["kind"], problem["ran"]) == ("overloaded", "no")
+            bench.gateway.go_on.set()
+            for sock in callers[:8]:
+                assert read_answer(sock).status == 200
+
+
+def test_a_stop_leaves_no_thread():
+    before = threading.active_count()
+    with make_bench() as bench:
+        bench.server.stop_accepting()
+        answer = bench.call("POST", COMPLETIONS, CHAT_BODY, CHAT)
+        assert (answer.status, answer.headers["Connection"]) == (200, "close")
+        bench.gateway.answer = RequestError(Kind.LEAVING, retry_after=1.0)
+        assert bench.call("POST", COMPLETIONS, CHAT_BODY, CHAT).problem["kind"] == "leaving"
+    assert wait_until(lambda: threading.active_count() <= before)
--- a/cloverway/tests/test_logs.py
+++ b/cloverway/tests/test_logs.py
@@ -12,7 +12,7 @@
 from cloverway.logs import make_formatter
 from cloverway.metrics import Metrics
 from cloverway.reporting import Reporter
-from cloverway.tests.callers_bench import BEARER, CHAT, HEADERS, Bench, FakeStream
+from cloverway.tests.callers_bench import BEARER, CHAT, HEADERS, Bench, FakeStream, read_all
 
 BODY_SECRET = "insulin-for-ward-nine"
 KEY_SECRET = "idempotency-key-of-ward-nine"
@@ -61,7 +61,7 @@
         bench.call("POST", "/v1/chat/completions", body, {**headers, "Cloverway-Profile": BEARER})
         with bench.connect() as sock:
             sock.sendall(f"POST {BODY_SECRET}{BEARER}{KEY_SECRET}\r\n\r\n".encode())
-            assert b"400" in sock.recv(1000)
+            assert b"400" in read_all(sock)
         reporter = Reporter(Metrics(lambda: 0.0, (0.1,)), bench.holder)
         for refusal in bench.refusals:
             reporter.note_refusal(refusal)
