Compare all hosts by one status command, and settings with what is published

Two mistakes had no sign: a host that is behind after a change, and a host whose settings name another address than is published, so that nobody finds it.

--- a/cloverway/__main__.py
+++ b/cloverway/__main__.py
@@ -12,7 +12,7 @@
 from typer.core import TyperGroup
 
 from cloverway import __version__
-from cloverway.commands import admin, call, check, key, output, watch
+from cloverway.commands import admin, call, check, key, output, status, watch
 from cloverway.errors import CallError, Kind, UserError
 
 CUT_SHORT = 3
@@ -58,8 +58,8 @@
 EXAMPLES = """\b
     Examples:
       cloverway check published/                      before publishing
-      cloverway hosts --host 127.0.1.1:7100           which entry hosts to use now
-      cloverway call --host 127.0.1.1:7100 --profile chat "Is insulin in stock?"
+      cloverway hosts --host 127.0.0.11:8010           which entry hosts to use now
+      cloverway call --host 127.0.0.11:8010 --profile chat "Is insulin in stock?"
 """
 
 
@@ -110,15 +110,20 @@
 @app.command(
     "settings",
     epilog="""\b
-    Example:
-      cloverway settings /etc/cloverway/settings.toml
+    Examples:
+      cloverway settings settings.toml
+      cloverway settings settings.toml --published published/
     """,
 )
 def _settings(
-    file: Annotated[Path, typer.Argument(help="Settings file of a daemon.")], json: Json = False
+    file: Annotated[Path, typer.Argument(help="Settings file of a daemon.")],
+    published: Annotated[
+        Path | None, typer.Option(help="Check that the host is published as the settings say.")
+    ] = None,
+    json: Json = False,
 ) -> None:
     """Check the settings of a daemon. Exit code 1 on errors."""
-    _print_report(check.check_settings(file), json)
+    _print_report(check.check_settings(file, published), json)
 
 
 @app.command(
@@ -142,23 +147,48 @@
 @app.command(
     "status",
     epilog="""\b
-    Example:
-      cloverway status --host 127.0.1.1:7101
+    Examples:
+      cloverway status --host 127.0.0.11:8011
+      cloverway status --published published/         every host, compared; exit code 1 on faults
     """,
 )
-def _status(host: AdminHost, json: Json = False) -> None:
-    """Show what a host knows.
+def _status(
+    host: Annotated[
+        list[str] | None,
+        typer.Option("--host", help="A host's admin address, as IP:PORT; may be given repeatedly."),
+    ] = None,
+    published: Annotated[
+        Path | None, typer.Option(help="Ask every host of this published directory.")
+    ] = None,
+    json: Json = False,
+) -> None:
+    """Show what hosts know.
 
-    Its configuration, the other hosts, the endpoints and their load.
+    Of one host, its configuration, the other hosts, the endpoints and their load. Of several, a
+    line for each, and what a person should look at; exit code 1 when there is anything.
     """
-    _print_document(admin.ask_host(host, "/v1/status"), json)
+    addresses = status.find_addresses(host or [], published)
+    if len(addresses) == 1:
+        _print_document(admin.ask_host(addresses[0], status.PATH), json)
+        return
+    statuses = status.ask_each(addresses)
+    faults = status.find_faults(statuses)
+    if json:
+        hosts = [one._asdict() for one in statuses]
+        typer.echo(output.format_json({"hosts": hosts, "faults": faults}))
+    else:
+        typer.echo(output.format_table(status.HEAD, map(status.as_cells, statuses)))
+        for fault in faults:
+            typer.echo(f"look at: {fault}", err=True)
+    if faults:
+        raise typer.Exit(1)
 
 
 @app.command(
     "hosts",
     epilog="""\b
     Example:
-      cloverway hosts --host 127.0.1.1:7100
+      cloverway hosts --host 127.0.0.11:8010
     """,
 )
 def _hosts(host: AdminHost, json: Json = False) -> None:
@@ -173,7 +203,7 @@
     "explain",
     epilog="""\b
     Example:
-      cloverway explain --host 127.0.1.1:7101 pharmacy-curepipe stock-lookup
+      cloverway explain --host 127.0.0.11:8011 pharmacy-curepipe stock-lookup
     """,
 )
 def _explain(
@@ -194,7 +224,7 @@
     "drain",
     epilog="""\b
     Example:
-      cloverway drain --host 127.0.1.1:7101
+      cloverway drain --host 127.0.0.11:8011
     """,
 )
 def _drain(host: AdminHost, json: Json = False) -> None:
@@ -209,8 +239,8 @@
     "watch",
     epilog="""\b
     Examples:
-      cloverway watch --host 127.0.1.1:7101 --by tenant
-      cloverway watch --host 127.0.1.1:7101 --count 1 --json
+      cloverway watch --host 127.0.0.11:8011 --by tenant
+      cloverway watch --host 127.0.0.11:8011 --count 1 --json
     """,
 )
 def _watch(
@@ -236,8 +266,8 @@
     epilog="""\b
     Examples:
       export CLOVERWAY_KEY=cw_...
-      cloverway call --host 127.0.1.1:7100 --profile chat "Is insulin in stock?"
-      cloverway call --host 127.0.1.1:7100 --profile allocation --once \\
+      cloverway call --host 127.0.0.11:8010 --profile chat "Is insulin in stock?"
+      cloverway call --host 127.0.0.11:8010 --profile allocation --once \\
           --service stock-desk --path /allocations --data '{"item": "insulin", "cartons": 2}'
     \b
     Exit codes: 0 a whole answer, 1 refused or failed, 3 the answer was cut short.
--- a/cloverway/commands/check.py
+++ b/cloverway/commands/check.py
@@ -30,7 +30,7 @@
 
 def check_directory(directory: Path, against: Path | None = None) -> Report:
     """Validate a published directory, and compare it with an older one where that is given."""
-    old = _load_old(against)
+    old = _load_other(against)
     with collect_warnings() as warnings:
         try:
             new = load_directory(directory)
@@ -41,15 +41,17 @@
     return Report(errors, warnings, changes, describe(new))
 
 
-def check_settings(path: Path) -> Report:
-    """Validate the settings file of a daemon."""
+def check_settings(path: Path, published: Path | None = None) -> Report:
+    """Validate the settings of a daemon, and compare them with what is published of its host."""
+    deployment = _load_other(published)
     with collect_warnings() as warnings:
         try:
             settings = Settings.from_toml(path)
         except ConfigurationError as error:
             return Report(error.findings, warnings, [])
     place = f"host {settings.host} in {settings.domain}, region {settings.region}"
-    return Report([], warnings, [], place)
+    errors = [f"{path}: {fault}" for fault in _find_mismatches(settings, deployment)]
+    return Report(errors, warnings, [], place)
 
 
 def describe(published: Published) -> str:
@@ -103,14 +105,34 @@
         self._texts.append(record.getMessage())
 
 
-def _load_old(against: Path | None) -> Published | None:
-    if against is None:
+def _load_other(directory: Path | None) -> Published | None:
+    if directory is None:
         return None
     with collect_warnings():
         try:
-            return load_directory(against)
+            return load_directory(directory)
         except ConfigurationError as error:
-            raise UserError(f"{against} is not valid itself:\n{error}") from error
+            raise UserError(f"{directory} is not valid itself:\n{error}") from error
+
+
+def _find_mismatches(settings: Settings, published: Published | None) -> Iterator[str]:
+    """Yield where callers or other hosts would look for this host in another place."""
+    if published is None:
+        return
+    host = published.hosts.get(settings.host)
+    if host is None:
+        yield f"host: {settings.host!r} is not published; publish [hosts.{settings.host}]"
+        return
+    pairs = (
+        ("domain", settings.domain, host.domain),
+        ("region", settings.region, published.region_of(host.domain)),
+        ("listen.callers", settings.listen.callers, host.callers),
+        ("listen.admin", settings.listen.admin, host.admin),
+        ("listen.peers", settings.listen.peers, host.peers),
+    )
+    for name, own, other in pairs:
+        if own != other:
+            yield f"{name}: {own!r} is published as {other!r}; make them the same"
 
 
 def _find_revision_faults(old: Published, new: Published, changes: list[str]) -> Iterator[str]:
--- a/cloverway/tests/test_main.py
+++ b/cloverway/tests/test_main.py
@@ -126,6 +126,20 @@
     assert "domain: Field required (set it)" in result.stderr
 
 
+def test_settings_that_differ_from_what_is_published(tmp_path: Path) -> None:
+    """A host that listens elsewhere than published is never found, and nothing says why."""
+    examples = Path(__file__).parents[2] / "examples"
+    text = (examples / "settings.toml").read_text()
+    file = tmp_path / "settings.toml"
+    file.write_text(text.replace('peers = "127.0.0.11:8012"', 'peers = "127.0.0.11:8112"'))
+    result = run("settings", file, "--published", examples / "riviere")
+    assert result.exit_code == 1
+    assert "listen.peers: '127.0.0.11:8112' is published as '127.0.0.11:8012'" in result.stderr
+    file.write_text(text)
+    assert run("settings", file, "--published", examples / "riviere").exit_code == 0
+    assert "is not published" in run("settings", file, "--published", examples / "caroni").stderr
+
+
 def test_key_matches_its_hash() -> None:
     made = json.loads(run("key", "--json").stdout)
     assert made["key"].startswith("cw_")
@@ -148,6 +162,40 @@
     assert json.loads(run("status", "--host", host.address, "--json").stdout) == status
 
 
+def give_status(fake: FakeHost, **fields: object) -> None:
+    document = {"host": "h", "revision": 3, "ready": True, "platform_stale": False, **fields}
+    fake.answer_json("/v1/status", document)
+
+
+def test_status_of_several_hosts_says_what_to_look_at(host: FakeHost) -> None:
+    """One host lags behind, one is gone: the command names both, and a script sees exit code 1."""
+    with FakeHost() as gone:
+        pass
+    with FakeHost() as newer:
+        give_status(host, host="old")
+        give_status(newer, host="new", revision=4, platform_stale=True)
+        addresses = [host.address, newer.address, gone.address]
+        result = run("status", *(word for address in addresses for word in ("--host", address)))
+    assert result.exit_code == 1
+    assert f"look at: gave no answer: {gone.address}" in result.stderr
+    assert "look at: behind revision 4: old" in result.stderr
+    assert "look at: see a platform that is stale: new" in result.stderr
+    assert len(result.stdout.splitlines()) == 4
+
+
+def test_status_of_alike_hosts_is_clean(host: FakeHost) -> None:
+    with FakeHost() as other:
+        give_status(host)
+        give_status(other)
+        result = run("status", "--host", host.address, "--host", other.address, "--json")
+    assert result.exit_code == 0
+    assert json.loads(result.stdout)["faults"] == []
+
+
+def test_status_needs_a_host() -> None:
+    assert "--published DIR" in run("status").stderr
+
+
 def test_explain_asks_for_team_and_profile(host: FakeHost) -> None:
     host.answer_json("/v1/explain", {"route": "e1", "why": "home is free"})
     result = run("explain", "--host", host.address, "pharmacy", "chat")
