--- a/cloverway/listener.py
+++ b/cloverway/listener.py
@@ -43,7 +43,7 @@
 KEY_NAME = b"idempotency-key:"
 RETRY_S = 1.0
 BACKLOG = 128
-EXPIRE_EVERY_S = 0.5
+EXPIRE_EVERY_S = 0.2
 STOP_S = 5.0
 
 KINDS_BY_STATUS = {
