Queue, predict, limit and retry in the dispatcher's core

Requests wait in a bounded queue by urgency and by fair share of teams; one that can't start in time is refused at once with a time to come back from the measured drain rate. An endpoint is chosen by the predicted time to the first token: late reports less the own part, plus what sibling hosts probably added, the prefix that its cache probably holds, its pace. Other regions come in only where home's predicted wait costs more than trip, cold cache and the objective's weight. Retries need a safe outcome, another place and a budget.

A state machine drives the core in virtual time with arrivals, ends, failures, cancels, reports, bindings and pauses. Seen red with the safeguard taken out: denying that an earlier attempt may have run, choosing a leaving endpoint, passing on a passed-on request, leaving the allowed regions, trying the same place again, losing a request.

--- a/cloverway/decisions.py
+++ b/cloverway/decisions.py
@@ -5,21 +5,36 @@
 
 from __future__ import annotations
 
-import itertools
-from collections import Counter
+from collections.abc import Iterator
 from random import Random
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple
 
+from cloverway.admission import Line, Waiting, refuse
+from cloverway.catalogue import Catalogue
+from cloverway.config.published import Objective
 from cloverway.config.settings import Settings
-from cloverway.errors import Kind
-from cloverway.messages import Admitted, Away, Local, Outcome, Refused, Request, Route, Verdict
-from cloverway.residency import allowed_regions
+from cloverway.errors import Kind, Ran
+from cloverway.explanation import Explanation, explain, explain_unready
+from cloverway.messages import Away, Outcome, Refused, Request, Verdict
+from cloverway.outlook import Outlook
+from cloverway.policies import Policy, make_policy
+from cloverway.retries import AFTER, Budget, may_repeat
+from cloverway.routing import Candidate, Knowledge, Router
+from cloverway.tickets import Ticket, Tickets, name_places
 from cloverway.view import View
 
 STARTING_RETRY_S = 1.0
 """When to come back to a host that has no configuration yet."""
 LEAVING_RETRY_S = 0.2
 """When to come back after asking a leaving host: another host can be asked at once."""
+CAPACITY_RETRY_S = 1.0
+"""When to come back where no endpoint is ready: about the lag of a report."""
+LOOK_AHEAD = 8
+"""Waiting requests that are tried for a route at a time: bounds the work for one message."""
+REVIEW_S = 0.25
+"""Period in which waiting requests are weighed again: sent away, or given up."""
+SENDING_S = 2.0
+"""How long after a request was sent away the next one needs no further gain."""
 
 
 class Decided(NamedTuple):
@@ -29,39 +44,14 @@
     verdict: Verdict
 
 
-class Candidate(TypedDict):
-    """One place that could run a request, with its predicted cost, for `cloverway explain`."""
+class Figures(NamedTuple):
+    """Counts of one moment, for other threads to read."""
 
-    route: str
-    """Name of an endpoint, or of another failure domain."""
-    away: bool
-    region: str
-    wait_s: float
-    """Predicted wait for a slot."""
-    cost_s: float
-    """Predicted wait to the first token, with the trip, a cold cache and the objective's weight."""
-    chosen: bool
-    why: str
-
-
-class Explanation(TypedDict):
-    """Why a request of a team and profile would go where."""
-
-    team: str
-    profile: str
-    policy: str
-    allowed_regions: list[str]
-    verdict: str
-    candidates: list[Candidate]
-
-
-class Ticket(NamedTuple):
-    """An attempt in progress."""
-
-    request: Request
-    route: Route
-    target: str
-    admitted_at: float
+    in_flight: int = 0
+    queued: int = 0
+    load: float = 0.0
+    targets: dict[str, int] = {}
+    """Requests in progress by model or service."""
 
 
 def refuse_unready(view: View) -> Refused:
@@ -71,39 +61,63 @@
     return Refused(Kind.STARTING, retry_after=STARTING_RETRY_S)
 
 
+def jitter(seconds: float, random: Random) -> float:
+    """Spread a time to come back, so that callers don't come back together."""
+    return seconds * random.uniform(0.5, 1.5)
+
+
 class Core:
-    """Own the tickets of one host and decide about each request."""
+    """Own the queues, tickets and budgets of one host, and decide about each request."""
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._tickets: dict[int, Ticket] = {}
-        self._numbers = itertools.count(1)
-        self._at_endpoint: Counter[str] = Counter()
-        self._at_target: Counter[str] = Counter()
+        self._knowledge = Knowledge()
+        self._tickets = Tickets(self._knowledge, settings.limits.admitted)
+        self._budget = Budget()
+        self._lines: dict[str, Line] = {}
+        self._catalogue: Catalogue | None = None
+        self._policy: Policy = make_policy(
+            settings.policy, lambda: self._objective, settings.region
+        )
+        self._objective = Objective()
+        self._open: set[str] = set()
+        self._sent_away_at: dict[str, float] = {}
+        self._reviewed_at = float("-inf")
 
     @classmethod
     def from_config(cls, settings: Settings) -> Core:
         """Make the core of one daemon."""
         return cls(settings)
 
-    @property
-    def in_flight(self) -> int:
-        """Count attempts in progress."""
-        return len(self._tickets)
-
-    @property
-    def load(self) -> float:
-        """Give requests in progress over the limit, 0 to 1."""
-        return min(1.0, len(self._tickets) / self._settings.limits.admitted)
+    def figures(self) -> Figures:
+        """Count what is in progress and what waits."""
+        return Figures(
+            in_flight=len(self._tickets),
+            queued=self._count_queued(),
+            load=min(1.0, len(self._tickets) / self._settings.limits.admitted),
+            targets=dict(+self._tickets.targets),
+        )
 
     def arrive(
         self, place: int, request: Request, view: View, now: float, random: Random
     ) -> list[Decided]:
         """Decide about a new request."""
-        return [Decided(place, self._decide(request, view, now, random))]
-
-    def start(self, ticket: int, at: float) -> None:
+        if not view.ready:
+            return [Decided(place, refuse_unready(view))]
+        if request.id in self._open:
+            return [Decided(place, Refused(Kind.MALFORMED, "a request with this id is open"))]
+        outlook = self._look(view, now, random)
+        fault = outlook.find_bar(request)
+        if fault is not None:
+            return [Decided(place, Refused(fault))]
+        entry = outlook.make_entry(place, request)
+        self._open.add(request.id)
+        self._line(entry.target).note_offered(entry.urgency, entry.cost_s, now)
+        return self._settle(self._enqueue(entry, outlook))
+
+    def start(self, ticket: int, view: View, at: float) -> None:
         """Note the first byte of an answer."""
+        self._tickets.start(ticket, view, at)
 
     def finish(
         self,
@@ -116,110 +130,208 @@
         retry: int | None = None,
     ) -> list[Decided]:
         """Note the end of an attempt; `retry` is the place that asks for another route."""
-        ended = self._tickets.pop(ticket, None)
-        assert ended is not None, "a ticket is finished once"
-        self._count(ended, -1)
+        ended = self._tickets.close(ticket, outcome, now)
+        outlook = self._look(view, now, random)
+        line = self._line(ended.entry.target)
+        if outcome is Outcome.DONE:
+            self._budget.note_success(now)
+            line.drain.note_done(ended.entry.cost_s, now)
+        decided: list[Decided] = []
         if retry is None:
-            return []
-        return [Decided(retry, self._decide(ended.request, view, now, random))]
+            self._open.remove(ended.entry.request.id)
+        else:
+            decided += self._repeat(retry, ended, outcome, outlook)
+        decided += self._pump(line, outlook)
+        return self._settle(decided)
 
-    def cancel(self, request_id: str, now: float) -> list[Decided]:
+    def cancel(self, request_id: str) -> list[Decided]:
         """Give up a request that waits in the queue."""
-        return []
+        found = [
+            (line, entry)
+            for line in self._lines.values()
+            for entry in line.waiting.values()
+            if entry.request.id == request_id
+        ]
+        return self._settle(
+            [
+                self._drop(line, entry, refuse(entry, Kind.CALLER_LEFT, None))
+                for line, entry in found
+            ]
+        )
 
     def advance(self, view: View, now: float, random: Random) -> list[Decided]:
         """Decide what time and a changed view have made possible or hopeless."""
-        return []
+        review = now >= self._reviewed_at + REVIEW_S
+        if view.published is None or not (review or self._count_queued()):
+            return []
+        outlook = self._look(view, now, random)
+        decided: list[Decided] = []
+        for line in self._busy_lines():
+            for entry in line.find_hopeless(now):
+                decided.append(self._give_up(line, entry, Kind.DEADLINE, outlook))
+            decided += self._pump(line, outlook)
+        if review:
+            self._reviewed_at = now
+            decided += self._review(outlook)
+        return self._settle(decided)
 
     def explain(self, team: str, profile: str, view: View, now: float) -> Explanation:
-        """Say where a request would go, and why."""
-        allowed = allowed_regions(view.published, team, profile) if view.published else frozenset()
-        return Explanation(
-            team=team,
-            profile=profile,
-            policy=self._settings.policy,
-            allowed_regions=sorted(allowed),
-            verdict="",
-            candidates=[],
-        )
-
-    def count_targets(self) -> dict[str, int]:
-        """Count attempts in progress by model or service."""
-        return dict(+self._at_target)
+        """Say where a request would go, and why; decides nothing."""
+        if not view.ready:
+            return explain_unready(team, profile, self._settings.policy, refuse_unready(view).kind)
+        outlook = self._look(view, now, Random(0))
+        return explain(outlook, self._lines, self._policy, self._settings.policy, (team, profile))
 
-    def _decide(self, request: Request, view: View, now: float, random: Random) -> Verdict:
-        published = view.published
-        if published is None or view.leaving:
-            return refuse_unready(view)
-        if request.deadline <= now:
-            return Refused(Kind.DEADLINE, retry_after=STARTING_RETRY_S)
-        allowed = allowed_regions(published, request.team, request.profile)
-        if not allowed:
-            return Refused(Kind.RESIDENCY)
-        if len(self._tickets) >= self._settings.limits.admitted:
-            return Refused(Kind.OVERLOADED, retry_after=random.uniform(0.5, 1.5))
-        route: Route | None = None
-        if view.region in allowed:
-            route = self._choose_local(request, view)
-        if route is None and not request.passed_on:
-            route = self._choose_away(request, view, allowed, random)
-        if route is None:
-            return Refused(Kind.NO_CAPACITY, retry_after=random.uniform(0.5, 1.5))
-        return self._admit(request, route, view, now)
-
-    def _admit(self, request: Request, route: Route, view: View, now: float) -> Admitted:
-        assert not (request.passed_on and isinstance(route, Away)), "passed on once at most"
-        ticket = next(self._numbers)
-        assert view.published is not None
-        target = view.published.profiles[request.profile].target
-        self._tickets[ticket] = Ticket(request, route, target, now)
-        self._count(self._tickets[ticket], 1)
-        return Admitted(ticket, route)
-
-    def _count(self, ticket: Ticket, change: int) -> None:
-        self._at_target[ticket.target] += change
-        if not isinstance(ticket.route, Local):
-            return
-        self._at_endpoint[ticket.route.endpoint] += change
-        assert self._at_endpoint[ticket.route.endpoint] >= 0, "in flight is never negative"
-
-    def _choose_local(self, request: Request, view: View) -> Local | None:
-        assert view.published is not None
-        target = view.published.profiles[request.profile].target
-        fit = [
-            state
-            for name, state in view.endpoints.items()
-            if name in view.published.endpoints
-            and state.ready
-            and not state.leaving
-            and target in state.models
-        ]
-        if not fit:
-            return None
-        best = min(fit, key=lambda state: self._at_endpoint[state.name] + state.waiting)
-        return Local(best.name, view.published.endpoints[best.name].url)
-
-    def _choose_away(
-        self, request: Request, view: View, allowed: frozenset[str], random: Random
-    ) -> Away | None:
+    def _look(self, view: View, now: float, random: Random) -> Outlook:
         published = view.published
         assert published is not None
-        target = published.profiles[request.profile].target
-        domains = [
-            domain
-            for (domain, offered), summary in view.summaries.items()
-            if offered == target
-            and domain != view.domain
-            and summary.ready > 0
-            and published.region_of(domain) in allowed
-        ]
-        for domain in sorted(domains, key=lambda name: published.region_of(name) != view.region):
-            hosts = [
-                name
-                for name in published.hosts_of(domain)
-                if name not in view.hosts or not view.hosts[name].leaving
-            ]
-            if hosts:
-                host = random.choice(hosts)
-                return Away(domain, host, published.hosts[host].peers)
-        return None
+        if self._catalogue is None or self._catalogue.published is not published:
+            self._catalogue = Catalogue(published)
+            self._objective = published.objective
+        if self._knowledge.ready_at is None:
+            self._knowledge.ready_at = now
+        router = Router(view, self._catalogue, self._knowledge, self._settings.timing, now)
+        return Outlook(router, random)
+
+    def _enqueue(self, entry: Waiting, outlook: Outlook) -> list[Decided]:
+        """Route a request, let it wait, or refuse it; all at once."""
+        line = self._line(entry.target)
+        line.add(entry)
+        decided = self._pump(line, outlook, newcomer=entry)
+        if entry.place not in line.waiting:
+            return decided
+        fault = outlook.find_fault(line, entry)
+        if fault is not None:
+            return [*decided, self._give_up(line, entry, fault, outlook)]
+        if self._count_queued() > self._settings.limits.queued:
+            decided.append(self._displace(outlook))
+        return decided
+
+    def _pump(
+        self, line: Line, outlook: Outlook, newcomer: Waiting | None = None, review: bool = False
+    ) -> list[Decided]:
+        """Admit waiting requests in their order, as long as there is room for them."""
+        decided: list[Decided] = []
+        while line.waiting and not self._tickets.is_full:
+            entry, candidate = next(
+                self._find_routes(line, outlook, newcomer, review), (None, None)
+            )
+            if entry is None or candidate is None:
+                break
+            decided.append(self._admit(line, entry, candidate, outlook))
+        return decided
+
+    def _find_routes(
+        self, line: Line, outlook: Outlook, newcomer: Waiting | None, review: bool
+    ) -> Iterator[tuple[Waiting, Candidate]]:
+        """Yield waiting requests that can be run now, the first in order first.
+
+        Other failure domains are weighed for a newcomer and at reviews only: that costs more, and
+        what is known of them changes slowly.
+        """
+        order = line.order()
+        states = outlook.router.list_local_states(order[0].target)
+        room = outlook.router.has_room(states)
+        for turn, entry in enumerate(order):
+            away = review or entry is newcomer
+            local = states if room and turn < LOOK_AHEAD else []
+            if not local and not away:
+                continue
+            sent_at = self._sent_away_at.get(entry.target, float("-inf"))
+            sending = outlook.now - sent_at < SENDING_S
+            choice = outlook.weigh(line, entry, local, away, sending)
+            candidate = self._policy.choose(choice, outlook.random)
+            if candidate is not None:
+                yield entry, candidate
+
+    def _admit(self, line: Line, entry: Waiting, candidate: Candidate, outlook: Outlook) -> Decided:
+        request = entry.request
+        away = isinstance(candidate.route, Away)
+        assert not (request.passed_on and away), "a passed-on request is never passed on again"
+        assert candidate.region in outlook.allow(request), "run in an allowed region"
+        assert candidate.name not in entry.tried, "a retry goes elsewhere"
+        line.take(entry)
+        if away and candidate.region != outlook.router.view.region:
+            self._sent_away_at[entry.target] = outlook.now
+        admitted = self._tickets.open(entry, candidate, outlook.router.view, outlook.now)
+        return Decided(entry.place, admitted)
+
+    def _displace(self, outlook: Outlook) -> Decided:
+        """Give up one request of a queue that is too long: the least urgent of the longest."""
+        victims = [line.find_victim() for line in self._busy_lines()]
+        longest = max(len(line.waiting) for line in self._lines.values())
+        victim = min(
+            victims,
+            key=lambda entry: (
+                entry.urgency,
+                len(self._line(entry.target).waiting) < longest,
+                -entry.place,
+            ),
+        )
+        line = self._line(victim.target)
+        return self._give_up(line, victim, line.name_shortage(victim), outlook)
+
+    def _review(self, outlook: Outlook) -> list[Decided]:
+        """Send waiting requests away, or give up those that would now wait in vain."""
+        decided: list[Decided] = []
+        for line in self._busy_lines():
+            decided += self._pump(line, outlook, review=True)
+            for entry in list(line.waiting.values()):
+                fault = outlook.find_fault(line, entry)
+                if fault is not None:
+                    decided.append(self._give_up(line, entry, fault, outlook))
+        self._knowledge.prune(outlook.router.view, outlook.now)
+        return decided
+
+    def _repeat(
+        self, place: int, ended: Ticket, outcome: Outcome, outlook: Outlook
+    ) -> list[Decided]:
+        """Find another route for a request whose attempt failed, if that is safe and affordable."""
+        entry = ended.entry
+        ran = Ran.UNKNOWN if Ran.UNKNOWN in (entry.ran, AFTER[outcome]) else AFTER[outcome]
+        places = name_places(ended.candidate)
+        used = places[0] if outcome is Outcome.REFUSED else places[-1]
+        entry = entry._replace(place=place, ran=ran, tried=entry.tried | {used})
+        profile = outlook.published.profiles.get(entry.request.profile)
+        safe = may_repeat(outcome, profile is not None and profile.idempotent)
+        passed_back = outcome is Outcome.REFUSED and len(places) > 1
+        late = entry.give_up_at <= outlook.now
+        if not safe or late or not (passed_back or self._budget.take(outlook.now)):
+            self._open.remove(entry.request.id)
+            back = jitter(CAPACITY_RETRY_S, outlook.random)
+            return [Decided(place, refuse(entry, Kind.ENDPOINT_REFUSED, back))]
+        return self._enqueue(entry, outlook)
+
+    def _give_up(self, line: Line, entry: Waiting, kind: Kind, outlook: Outlook) -> Decided:
+        """Give a waiting request its final answer, with when to come back."""
+        if kind is Kind.RESIDENCY:
+            back = None
+        elif kind in (Kind.NO_CAPACITY, Kind.ENDPOINT_REFUSED):
+            back = jitter(CAPACITY_RETRY_S, outlook.random)
+        else:
+            back = self._book_return(line, entry, outlook)
+        return self._drop(line, entry, refuse(entry, kind, back))
+
+    def _drop(self, line: Line, entry: Waiting, refused: Refused) -> Decided:
+        line.drop(entry)
+        self._open.remove(entry.request.id)
+        return Decided(entry.place, refused)
+
+    def _book_return(self, line: Line, entry: Waiting, outlook: Outlook) -> float:
+        slots = outlook.router.measure_slots(outlook.router.list_local_states(entry.target))
+        queued_s = sum(other.cost_s for other in line.waiting.values())
+        return line.drain.book_return(queued_s, entry.cost_s, slots, outlook.now, outlook.random)
+
+    def _line(self, target: str) -> Line:
+        return self._lines.setdefault(target, Line())
+
+    def _busy_lines(self) -> list[Line]:
+        return [line for line in self._lines.values() if line.waiting]
+
+    def _count_queued(self) -> int:
+        return sum(len(line.waiting) for line in self._lines.values())
+
+    def _settle(self, decided: list[Decided]) -> list[Decided]:
+        """Check that each open request is queued or in flight, so that none is lost."""
+        assert len(self._open) == self._count_queued() + len(self._tickets), "a request is lost"
+        return decided
--- a/cloverway/dispatcher.py
+++ b/cloverway/dispatcher.py
@@ -14,8 +14,9 @@
 from typing import Any, NamedTuple
 
 from cloverway.config.settings import Settings
-from cloverway.decisions import Core, Decided, Explanation
+from cloverway.decisions import Core, Decided, Figures
 from cloverway.errors import Kind
+from cloverway.explanation import Explanation
 from cloverway.messages import (
     Arrival,
     Cancelled,
@@ -57,6 +58,7 @@
         self._random = random
         self._places = itertools.count(1)
         self._waiting: dict[int, Future[Verdict | None]] = {}
+        self._figures = Figures()
         self._task = Task("dispatcher", self._handle, self._tick, TICK_S)
 
     @classmethod
@@ -108,15 +110,19 @@
 
     def load(self) -> float:
         """Give requests in progress over the limit, 0 to 1."""
-        return self._core.load
+        return self._figures.load
 
     def in_flight(self) -> int:
         """Count attempts in progress."""
-        return self._core.in_flight
+        return self._figures.in_flight
+
+    def queued(self) -> int:
+        """Count requests that wait for a route."""
+        return self._figures.queued
 
     def count_targets(self) -> dict[str, int]:
         """Count requests in progress by model or service."""
-        return self._core.count_targets()
+        return self._figures.targets
 
     def _ask_verdict(self, message: Arrival, request: Request) -> Verdict:
         answer = self._task.send(message)
@@ -136,7 +142,7 @@
                 place = self._hold(answer)
                 self._answer(self._core.arrive(place, request, view, now, self._random))
             case Started(ticket, at):
-                self._core.start(ticket, at)
+                self._core.start(ticket, view, at)
                 answer.set_result(None)
             case Finished(ticket, outcome, at, retry):
                 held = self._hold(answer) if retry else None
@@ -145,7 +151,7 @@
                 if held is None:
                     answer.set_result(None)
             case Cancelled(request_id):
-                self._answer(self._core.cancel(request_id, now))
+                self._answer(self._core.cancel(request_id))
                 answer.set_result(None)
             case Explain(team, profile, at):
                 answer.set_result(self._core.explain(team, profile, view, at))
@@ -159,5 +165,6 @@
         return place
 
     def _answer(self, decided: Iterable[Decided]) -> None:
+        self._figures = self._core.figures()
         for place, verdict in decided:
             self._waiting.pop(place).set_result(verdict)
--- /dev/null
+++ b/cloverway/outlook.py
@@ -0,0 +1,110 @@
+"""What lies ahead of one request at one moment: where it may go, how long it would wait here."""
+
+from __future__ import annotations
+
+from random import Random
+
+from cloverway.admission import Line, Waiting
+from cloverway.config.published import Published
+from cloverway.errors import Kind
+from cloverway.messages import Request
+from cloverway.policies import Choice, Home
+from cloverway.prompts import Prefix
+from cloverway.residency import allowed_regions
+from cloverway.routing import Router
+from cloverway.view import EndpointState
+
+PASSED_ON_WAIT_S = 0.25
+"""The longest predicted wait of a passed-on request; its first host may know a better place."""
+MOST_PASSES = 2
+"""Times that one request is passed on to other failure domains, one after the other."""
+LEAST_SLOTS = 0.1
+
+HERE = Home(0.0, True, 0.0)
+NOWHERE = Home(float("inf"), False, float("inf"))
+
+
+class Outlook:
+    """Predict for requests by one view at one moment; changes nothing."""
+
+    def __init__(self, router: Router, random: Random) -> None:
+        self.router = router
+        self.random = random
+        self.now = router.now
+
+    @property
+    def published(self) -> Published:
+        """The configuration of this moment."""
+        return self.router.catalogue.published
+
+    def allow(self, request: Request) -> frozenset[str]:
+        """List the allowed regions by the configuration of now, not of the arrival."""
+        return allowed_regions(self.published, request.team, request.profile)
+
+    def find_bar(self, request: Request) -> Kind | None:
+        """Find why a request may not be taken at all."""
+        allowed = self.allow(request)
+        if not allowed or (request.passed_on and self.router.view.region not in allowed):
+            return Kind.RESIDENCY
+        return Kind.DEADLINE if request.deadline <= self.now else None
+
+    def make_entry(self, place: int, request: Request) -> Waiting:
+        """Note what the queue needs to know of a request that may be taken."""
+        profile = self.published.profiles[request.profile]
+        return Waiting(
+            place=place,
+            request=request,
+            target=profile.target,
+            urgency=profile.priority,
+            weight=self.published.teams[request.team].weight,
+            cost_s=self.router.knowledge.estimates.service_s(request.profile, profile),
+            prefix=Prefix.from_body(request.body if profile.model else b""),
+        )
+
+    def weigh(
+        self, line: Line, entry: Waiting, states: list[EndpointState], away: bool, sending: bool
+    ) -> Choice:
+        """Gather all that a choice for a request is made from."""
+        allowed = self.allow(entry.request)
+        local = []
+        if self.router.view.region in allowed:
+            local = self.router.list_local(entry, states)
+        elsewhere = []
+        if away and not entry.request.passed_on and len(entry.tried) <= MOST_PASSES:
+            elsewhere = self.router.list_away(entry, allowed, self.random)
+        home = self.predict_home(line, entry) if elsewhere or not local else HERE
+        return Choice(entry, local, elsewhere, home, sending)
+
+    def predict_home(self, line: Line, entry: Waiting) -> Home:
+        """Predict what waiting for a slot in this failure domain comes to."""
+        states = [
+            state
+            for state in self.router.list_local_states(entry.target)
+            if state.name not in entry.tried
+        ]
+        if not states or self.router.view.region not in self.allow(entry.request):
+            return NOWHERE
+        slots = line.usable_slots(entry.urgency, self.router.measure_slots(states), self.now)
+        wait_s = (line.work_ahead_s(entry) + entry.cost_s) / max(slots, LEAST_SLOTS)
+        estimates = self.router.knowledge.estimates
+        first_s = estimates.first_s(entry.target, entry.prefix.length / 2)
+        return Home(wait_s + first_s, self.now + wait_s <= entry.give_up_at, wait_s)
+
+    def find_fault(self, line: Line, entry: Waiting) -> Kind | None:
+        """Find why a request without a route would wait in vain; None when it may wait."""
+        home = self.predict_home(line, entry)
+        if home == NOWHERE:
+            return self._find_gap(entry)
+        if entry.give_up_at <= self.now:
+            return Kind.DEADLINE
+        too_long = entry.request.passed_on and home.wait_s > PASSED_ON_WAIT_S
+        return line.name_shortage(entry) if too_long or not home.in_time else None
+
+    def _find_gap(self, entry: Waiting) -> Kind:
+        if entry.tried:
+            return Kind.ENDPOINT_REFUSED
+        allowed = self.allow(entry.request)
+        offers = self.router.catalogue.offers(entry.target)
+        if offers and not any(offer.region in allowed for offer in offers):
+            return Kind.RESIDENCY
+        return Kind.NO_CAPACITY
