--- /dev/null
+++ b/cloverway/heartbeat.thrift
@@ -0,0 +1,50 @@
+// The datagram that hosts send each other. Times travel as ages, never as clock readings: no two
+// clocks are compared. Columns instead of rows: a list element costs its own bytes only.
+
+struct Loads {
+  1: list<i32> endpoints
+  2: list<i32> tags
+  3: list<i16> ages
+  4: list<i16> running
+  5: list<i16> waiting
+}
+
+struct Detail {
+  1: string name
+  2: string incarnation
+  3: byte flags
+  4: i16 slots
+  5: list<string> models
+  6: i32 started
+  7: i16 age
+}
+
+struct Summary {
+  1: string domain
+  2: i16 age
+  3: i64 revision
+  4: list<i32> hosts
+  5: list<i32> tags
+  6: list<byte> levels
+  7: list<i32> targets
+  8: list<i16> ready
+  9: list<i16> free
+  10: list<i16> waiting
+}
+
+struct Heartbeat {
+  1: string host
+  2: i64 incarnation
+  3: i32 sequence
+  4: byte flags
+  5: byte load
+  6: i64 revision
+  7: list<i32> heard
+  8: list<i32> heard_sequences
+  9: list<i32> doubted
+  10: Loads loads
+  11: list<Detail> details
+  12: list<i32> wanted
+  13: list<Summary> summaries
+  14: i64 retired
+}
--- /dev/null
+++ b/cloverway/heartbeats.py
@@ -0,0 +1,289 @@
+"""Heartbeats: what hosts tell each other, and its form on the wire.
+
+Names of endpoints, hosts and models travel as 32-bit identifiers where both sides know the name.
+Every number is cut to the range of its field, so that encoding never fails.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import thriftpy2
+from thriftpy2.protocol import TCyBinaryProtocolFactory
+from thriftpy2.utils import deserialize, serialize
+
+from cloverway.errors import PeerError
+from cloverway.thriftform import check_struct
+
+wire = thriftpy2.load(
+    str(Path(__file__).with_name("heartbeat.thrift")), module_name="heartbeat_thrift"
+)
+_PROTOCOL = TCyBinaryProtocolFactory()
+
+LEAVING = 1
+OVERLOADED = 2
+READY = 4
+
+AGE_STEP_S = 0.01
+STARTED_STEP_S = 0.1
+MAX_I8 = 2**7 - 1
+MAX_I16 = 2**15 - 1
+MAX_I32 = 2**31 - 1
+TAG_MASK = 2**32 - 1
+LEAVING_LEVEL = -1
+"""Level of a host that is leaving or overloaded, in a summary."""
+
+
+class LoadRow(NamedTuple):
+    """Load of one endpoint, of a state that the receiver knows by its tag."""
+
+    endpoint: int
+    tag: int
+    age_s: float
+    running: int
+    waiting: int
+
+
+class Detail(NamedTuple):
+    """The part of an endpoint's state that changes seldom."""
+
+    name: str
+    incarnation: str
+    ready: bool
+    leaving: bool
+    slots: int
+    models: tuple[str, ...]
+    started_age_s: float
+    """Time since this incarnation was first seen ready."""
+    age_s: float
+
+
+class HostLevel(NamedTuple):
+    """One host in the summary of its failure domain."""
+
+    host: int
+    tag: int
+    level: int
+    """Load in hundredths, or LEAVING_LEVEL."""
+
+
+class TargetLevel(NamedTuple):
+    """One model or service in the summary of a failure domain."""
+
+    target: int
+    ready: int
+    free: int
+    waiting: int
+
+
+class DomainSummary(NamedTuple):
+    """What a failure domain tells the others."""
+
+    domain: str
+    age_s: float
+    revision: int
+    hosts: tuple[HostLevel, ...] = ()
+    targets: tuple[TargetLevel, ...] = ()
+
+
+class Heartbeat(NamedTuple):
+    """One datagram."""
+
+    host: str
+    incarnation: int
+    sequence: int
+    leaving: bool = False
+    overloaded: bool = False
+    load: float = 0.0
+    revision: int = 0
+    heard: tuple[tuple[int, int], ...] = ()
+    """(tag of an incarnation, its latest sequence) of hosts that the sender heard itself."""
+    doubted: tuple[int, ...] = ()
+    """Tags of incarnations that the sender asks the receiver about."""
+    loads: tuple[LoadRow, ...] = ()
+    details: tuple[Detail, ...] = ()
+    wanted: tuple[int, ...] = ()
+    """Endpoints whose detail the sender lacks."""
+    summaries: tuple[DomainSummary, ...] = ()
+    retired: int = 0
+    """An incarnation of the receiver's name that the sender knows to be replaced, or 0."""
+
+
+def identify(name: str) -> int:
+    """Give the 32-bit identifier of a name."""
+    return _sign(zlib.crc32(name.encode()))
+
+
+def tag_of(incarnation: int) -> int:
+    """Give the unsigned 32-bit tag of a host's incarnation; it is never 0."""
+    return incarnation & TAG_MASK or 1
+
+
+def parse_incarnation(text: str) -> int:
+    """Give the number of an incarnation of 16 hexadecimal digits."""
+    number = int(text, 16)
+    return number - 2**64 if number >= 2**63 else number
+
+
+def format_incarnation(number: int) -> str:
+    """Give the 16 hexadecimal digits of an incarnation."""
+    return f"{number & (2**64 - 1):016x}"
+
+
+def tag_detail(
+    incarnation: str, ready: bool, leaving: bool, slots: int, models: Iterable[str]
+) -> int:
+    """Give the tag of an endpoint's slowly changing state; a load row names it."""
+    text = "\n".join((incarnation, str(ready), str(leaving), str(slots), *models))
+    return identify(text)
+
+
+def encode(beat: Heartbeat) -> bytes:
+    """Give the bytes of a heartbeat. Empty lists are left out."""
+    message = wire.Heartbeat(
+        host=beat.host,
+        incarnation=beat.incarnation,
+        sequence=beat.sequence,
+        flags=LEAVING * beat.leaving | OVERLOADED * beat.overloaded,
+        load=_cut(beat.load * 100, MAX_I8),
+        revision=beat.revision,
+        heard=[_sign(tag) for tag, _ in beat.heard] or None,
+        heard_sequences=[sequence for _, sequence in beat.heard] or None,
+        doubted=[_sign(tag) for tag in beat.doubted] or None,
+        loads=_encode_loads(beat.loads) if beat.loads else None,
+        details=[_encode_detail(detail) for detail in beat.details] or None,
+        wanted=list(beat.wanted) or None,
+        summaries=[_encode_summary(summary) for summary in beat.summaries] or None,
+        retired=beat.retired or None,
+    )
+    return serialize(message, _PROTOCOL)
+
+
+def decode(body: bytes) -> Heartbeat:
+    """Read a heartbeat; raise PeerError for bytes that are none."""
+    try:
+        check_struct(body)
+        return _decode(deserialize(wire.Heartbeat(), body, _PROTOCOL))
+    except PeerError:
+        raise
+    except Exception as error:
+        # The decoder raises many kinds for bytes of an unknown form; none may end the loop.
+        raise PeerError("a datagram has an unknown form") from error
+
+
+def _decode(message: Any) -> Heartbeat:
+    if not message.host or not message.sequence or message.sequence < 0:
+        raise PeerError("a heartbeat lacks its sender")
+    flags = message.flags or 0
+    return Heartbeat(
+        host=message.host,
+        incarnation=message.incarnation or 0,
+        sequence=message.sequence,
+        leaving=bool(flags & LEAVING),
+        overloaded=bool(flags & OVERLOADED),
+        load=max(0, message.load or 0) / 100,
+        revision=max(0, message.revision or 0),
+        heard=tuple(zip(_unsign(message.heard), message.heard_sequences or (), strict=True)),
+        doubted=tuple(_unsign(message.doubted)),
+        loads=tuple(_decode_loads(message.loads)),
+        details=tuple(_decode_detail(detail) for detail in message.details or ()),
+        wanted=tuple(message.wanted or ()),
+        summaries=tuple(_decode_summary(summary) for summary in message.summaries or ()),
+        retired=message.retired or 0,
+    )
+
+
+def _encode_loads(rows: Sequence[LoadRow]) -> Any:
+    return wire.Loads(
+        endpoints=[row.endpoint for row in rows],
+        tags=[row.tag for row in rows],
+        ages=[_cut(row.age_s / AGE_STEP_S, MAX_I16) for row in rows],
+        running=[_cut(row.running, MAX_I16) for row in rows],
+        waiting=[_cut(row.waiting, MAX_I16) for row in rows],
+    )
+
+
+def _decode_loads(loads: Any) -> Iterable[LoadRow]:
+    if loads is None:
+        return ()
+    columns = zip(
+        loads.endpoints, loads.tags, loads.ages, loads.running, loads.waiting, strict=True
+    )
+    return (
+        LoadRow(endpoint, tag, max(0, age) * AGE_STEP_S, max(0, running), max(0, waiting))
+        for endpoint, tag, age, running, waiting in columns
+    )
+
+
+def _encode_detail(detail: Detail) -> Any:
+    return wire.Detail(
+        name=detail.name,
+        incarnation=detail.incarnation,
+        flags=READY * detail.ready | LEAVING * detail.leaving,
+        slots=_cut(detail.slots, MAX_I16),
+        models=list(detail.models),
+        started=_cut(detail.started_age_s / STARTED_STEP_S, MAX_I32),
+        age=_cut(detail.age_s / AGE_STEP_S, MAX_I16),
+    )
+
+
+def _decode_detail(detail: Any) -> Detail:
+    if not detail.name:
+        raise PeerError("an endpoint's detail lacks its name")
+    return Detail(
+        name=detail.name,
+        incarnation=detail.incarnation or "",
+        ready=bool(detail.flags & READY),
+        leaving=bool(detail.flags & LEAVING),
+        slots=max(1, detail.slots),
+        models=tuple(detail.models or ()),
+        started_age_s=max(0, detail.started) * STARTED_STEP_S,
+        age_s=max(0, detail.age) * AGE_STEP_S,
+    )
+
+
+def _encode_summary(summary: DomainSummary) -> Any:
+    return wire.Summary(
+        domain=summary.domain,
+        age=_cut(summary.age_s / AGE_STEP_S, MAX_I16),
+        revision=summary.revision,
+        hosts=[row.host for row in summary.hosts],
+        tags=[_sign(row.tag) for row in summary.hosts],
+        levels=[max(LEAVING_LEVEL, min(row.level, MAX_I8)) for row in summary.hosts],
+        targets=[row.target for row in summary.targets],
+        ready=[_cut(row.ready, MAX_I16) for row in summary.targets],
+        free=[_cut(row.free, MAX_I16) for row in summary.targets],
+        waiting=[_cut(row.waiting, MAX_I16) for row in summary.targets],
+    )
+
+
+def _decode_summary(summary: Any) -> DomainSummary:
+    if not summary.domain:
+        raise PeerError("a summary lacks its failure domain")
+    hosts = zip(summary.hosts, _unsign(summary.tags), summary.levels, strict=True)
+    targets = zip(summary.targets, summary.ready, summary.free, summary.waiting, strict=True)
+    return DomainSummary(
+        domain=summary.domain,
+        age_s=max(0, summary.age) * AGE_STEP_S,
+        revision=max(0, summary.revision),
+        hosts=tuple(HostLevel(*row) for row in hosts),
+        targets=tuple(
+            TargetLevel(target, max(0, ready), max(0, free), max(0, waiting))
+            for target, ready, free, waiting in targets
+        ),
+    )
+
+
+def _cut(value: float, maximum: int) -> int:
+    return round(max(0, min(value, maximum)))
+
+
+def _sign(number: int) -> int:
+    return number - 2**32 if number >= 2**31 else number
+
+
+def _unsign(numbers: Iterable[int] | None) -> list[int]:
+    return [number & TAG_MASK for number in numbers or ()]
