Test the failures of connections between hosts

Silent, stale, cut, replayed and replaced connections, hosts that sleep at either end, and the bounds. Two faults were found by them and mended: a refusal of a body over the bound was lost when the connection was reset with the body unread (the body is now read and dropped), and a stopped server no longer knew its address.

--- a/cloverway/passed_on.py
+++ b/cloverway/passed_on.py
@@ -16,6 +16,8 @@
 log = logging.getLogger(__name__)
 
 DATA_BYTES = 64 * 1024
+LARGEST_BODY_BYTES = 64 * 1024 * 1024
+"""The largest that a host can be set to take."""
 
 
 class PassedOnRun:
@@ -31,7 +33,12 @@
 
     def serve(self, call: wire.RunCall) -> None:
         """Run the request and send its answer; raise PeerError when the origin is gone."""
+        # Tells the origin at once that this connection is not a silent one.
+        self._channel.ping()
         request = self._receive(call)
+        if len(request.body) < call.body_bytes:
+            self._refuse(Refused(Kind.TOO_LARGE))
+            return
         if time.monotonic() >= request.deadline:
             self._refuse(Refused(Kind.DEADLINE))
             return
@@ -54,22 +61,14 @@
         # errs to the short side, also when this process slept before it read the call. A
         # re-used connection has no such moment; only idempotent requests come on one.
         base = now if self._reused else channel.challenged_at
-        if not 0 <= call.body_bytes <= self._bounds.body_bytes:
-            self._refuse(Refused(Kind.TOO_LARGE))
-            raise PeerError("a body is too large")
-        body = bytearray()
-        while len(body) < call.body_bytes:
-            frame = channel.receive(now + self._bounds.send_s)
-            if frame.kind is not FrameKind.DATA or len(body) + len(frame.payload) > call.body_bytes:
-                raise PeerError("the peer does not keep to the protocol")
-            body += frame.payload
+        body = self._receive_body(call.body_bytes)
         return Request(
             id=call.id,
             team=call.team,
             profile=call.profile,
             path=call.path,
             method=call.method,
-            body=bytes(body),
+            body=body,
             content_type=call.content_type,
             arrived_at=now,
             deadline=base + call.left_s,
@@ -79,6 +78,22 @@
             revision=call.revision,
         )
 
+    def _receive_body(self, size: int) -> bytes:
+        """Read the body; what is over the bound is read too, for the refusal, but not kept."""
+        if not 0 <= size <= LARGEST_BODY_BYTES:
+            raise PeerError("a body is too large")
+        read_by = self._send_by()
+        body = bytearray()
+        received = 0
+        while received < size:
+            frame = self._channel.receive(read_by)
+            received += len(frame.payload)
+            if frame.kind is not FrameKind.DATA or received > size:
+                raise PeerError("the peer does not keep to the protocol")
+            if received <= self._bounds.body_bytes:
+                body += frame.payload
+        return bytes(body)
+
     def _give(self, reply: Reply) -> None:
         streamed = reply.stream is not None
         head = wire.ReplyHead(reply.status, reply.content_type, reply.headers, streamed)
--- a/cloverway/peer_client.py
+++ b/cloverway/peer_client.py
@@ -91,7 +91,7 @@
         channel = self._take(address) if idempotent else None
         lost = None
         if channel is not None:
-            answer = self._exchange(channel, request, start_by, self._bounds.answer_s)
+            answer = self._exchange(channel, request, start_by, self._bounds.reused_answer_s)
             if not isinstance(answer, _Lost):
                 return self._finish(channel, address, answer, request)
             lost = answer
@@ -185,13 +185,16 @@
         channel = self._take(address)
         if channel is not None:
             try:
-                return self._call(channel, address, message)
+                return self._call(channel, address, message, self._bounds.reused_answer_s)
             except PeerError:
                 log.debug("a pooled connection was lost", extra={"peer": host})
-        return self._call(self._connect(host, address), address, message)
+        channel = self._connect(host, address)
+        return self._call(channel, address, message, self._bounds.answer_s)
 
-    def _call(self, channel: Channel, address: str, message: wire.Message) -> wire.Message:
-        deadline = time.monotonic() + self._bounds.answer_s
+    def _call(
+        self, channel: Channel, address: str, message: wire.Message, timeout_s: float
+    ) -> wire.Message:
+        deadline = time.monotonic() + timeout_s
         try:
             channel.send_message(message, deadline)
             answer = channel.receive_message(deadline)
--- a/cloverway/peer_server.py
+++ b/cloverway/peer_server.py
@@ -11,7 +11,7 @@
 
 from cloverway import wire
 from cloverway.channel import Channel, Identity, split_address
-from cloverway.errors import PeerError, RequestError
+from cloverway.errors import PeerError, RequestError, UserError
 from cloverway.keys import ClaimCall, SettleCall
 from cloverway.passed_on import PassedOnRun, as_refused
 from cloverway.peering import PeerBounds, PeerHandler
@@ -62,18 +62,17 @@
         self._stopping = threading.Event()
         number, port = split_address(address)
         family = socket.AF_INET6 if ":" in number else socket.AF_INET
-        self._listener = socket.create_server((number, port), family=family, backlog=BACKLOG)
+        try:
+            self._listener = socket.create_server((number, port), family=family, backlog=BACKLOG)
+        except OSError as error:
+            raise UserError(f"{address}: can't listen for hosts: {error.strerror}") from error
+        self.address = _format_address(self._listener)
+        """Where it listens, by IP number and port."""
         self._threads = [
             threading.Thread(target=self._accept_all, name="peers", daemon=True),
             threading.Thread(target=self._ping_all, name="peer-pings", daemon=True),
         ]
 
-    @property
-    def address(self) -> str:
-        """Where it listens, by IP number and port."""
-        number, port, *_ = self._listener.getsockname()
-        return f"[{number}]:{port}" if ":" in number else f"{number}:{port}"
-
     @property
     def connections(self) -> int:
         """Connections that are open."""
@@ -212,6 +211,11 @@
         return time.monotonic() + self._bounds.send_s
 
 
+def _format_address(listener: socket.socket) -> str:
+    number, port, *_ = listener.getsockname()
+    return f"[{number}]:{port}" if ":" in number else f"{number}:{port}"
+
+
 def shut(raw: socket.socket) -> None:
     """End a socket's use by another thread; harmless when it has ended."""
     with contextlib.suppress(OSError):
--- a/cloverway/peering.py
+++ b/cloverway/peering.py
@@ -44,8 +44,10 @@
 
     connect_s: float = 1.0
     """Connecting and authenticating, at either end."""
-    answer_s: float = 0.8
-    """Waiting for a small call's answer, on each of at most two connections."""
+    answer_s: float = 1.5
+    """Waiting for a small call's answer on a new connection."""
+    reused_answer_s: float = 0.8
+    """The same on a re-used connection, which may be silent; a new one is tried after that."""
     send_s: float = 10.0
     """Until the other end has room for a frame."""
     ping_s: float = 1.0
--- /dev/null
+++ b/cloverway/tests/peers.py
@@ -0,0 +1,188 @@
+"""Fakes for the tests of the protocol between hosts."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+import time
+
+from cloverway import wire
+from cloverway.channel import HEADER, Channel, Identity
+from cloverway.exchange import Reply
+from cloverway.keys import ClaimCall, Grant
+from cloverway.messages import Request
+from cloverway.peer_server import PeerServer
+from cloverway.peering import Changes, PeerBounds
+
+SECRET = b"s" * 32
+PATIENCE_S = 10.0
+BOUNDS = PeerBounds(
+    connect_s=5.0, answer_s=5.0, reused_answer_s=5.0, silence_s=5.0, ping_s=0.05, dead_s=0.01
+)
+ME = Identity("h1", "i1")
+PEER = Identity("h2", "i2")
+CLAIM = ClaimCall("k", "t", "p", b"d", "c", 10.0)
+
+
+def wait_until(condition):
+    deadline = time.monotonic() + PATIENCE_S
+    step = threading.Event()
+    while not condition():
+        assert time.monotonic() < deadline, "it did not come"
+        step.wait(0.005)
+
+
+class Stream:
+    """Pieces of an answer; an item that is an error is raised, an event is waited for."""
+
+    def __init__(self, *items):
+        self.items = items
+        self.closed = threading.Event()
+
+    def __iter__(self):
+        for item in self.items:
+            if isinstance(item, Exception):
+                raise item
+            if isinstance(item, threading.Event):
+                item.wait(PATIENCE_S)
+            else:
+                yield item
+
+    def close(self):
+        self.closed.set()
+
+
+class Handler:
+    def __init__(self):
+        self.claims = []
+        self.settled = []
+        self.requests = []
+        self.reply = Reply(200, "application/json", b"{}", headers=(("Ran-At", "h2"),))
+        self.error = None
+        self.gate = None
+        self.all_changes = Changes(0)
+
+    def claim(self, call):
+        self.claims.append(call)
+        if self.error:
+            raise self.error
+        return Grant(call.left_s)
+
+    def settle(self, call):
+        self.settled.append(call)
+
+    def run(self, request):
+        self.requests.append(request)
+        if self.gate:
+            self.gate.wait(PATIENCE_S)
+        if self.error:
+            raise self.error
+        return self.reply
+
+    def changes(self, after):
+        return self.all_changes
+
+
+class Link:
+    """A link whose connections a test can make silent: what is read is kept back."""
+
+    def __init__(self, target):
+        self.target = target
+        self.silent = False
+        """Whether connections are silent from their start."""
+        self.recorded = bytearray()
+        self.connections = []
+        self._flags = []
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def silence(self):
+        """Make the connections that are open now silent for good."""
+        for flag in self._flags:
+            flag.set()
+
+    def _accept(self):
+        while True:
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            number, port = self.target.split(":")
+            far = socket.create_connection((number, int(port)))
+            flag = threading.Event()
+            if self.silent:
+                flag.set()
+            self._flags.append(flag)
+            self.connections += [near, far]
+            self._start_copy(near, far, flag, self.recorded)
+            self._start_copy(far, near, flag, bytearray())
+
+    def _start_copy(self, *arguments):
+        threading.Thread(target=self._copy, args=arguments, daemon=True).start()
+
+    def _copy(self, source, sink, flag, recorded):
+        with contextlib.suppress(OSError):
+            while data := source.recv(65536):
+                recorded += data
+                if not flag.is_set():
+                    sink.sendall(data)
+        for each in (source, sink):
+            with contextlib.suppress(OSError):
+                each.shutdown(socket.SHUT_RDWR)
+
+    def close(self):
+        for each in (self._listener, *self.connections):
+            with contextlib.suppress(OSError):
+                each.shutdown(socket.SHUT_RDWR)
+            each.close()
+
+
+def make_request(body=b"{}", left_s=10.0, **more):
+    now = time.monotonic()
+    return Request("r1", "t", "p", "/x?y=1", "POST", body, "text/x", now, now + left_s, **more)
+
+
+class Dialer:
+    """A raw connection that keeps to no protocol but the test's."""
+
+    def __init__(self, address):
+        number, port = address.split(":")
+        self.raw = socket.create_connection((number, int(port)), PATIENCE_S)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.raw.close()
+
+    def send_open(self, message):
+        payload = wire.encode(message)
+        self.raw.sendall(HEADER.pack(len(payload), 0) + payload)
+
+    def read_open(self):
+        length, _ = HEADER.unpack(self.raw.recv(HEADER.size, socket.MSG_WAITALL))
+        return wire.decode(self.raw.recv(length, socket.MSG_WAITALL))
+
+    def wait_for_close(self):
+        try:
+            while self.raw.recv(4096):
+                pass
+        except ConnectionResetError:
+            pass
+        return True
+
+
+def start_server(handler, me=PEER, bounds=BOUNDS):
+    server = PeerServer("127.0.0.1:0", me, SECRET, handler, bounds)
+    server.start()
+    return server
+
+
+def connect(server):
+    return Channel.connect(server.address, ME, "h2", SECRET, PATIENCE_S)
+
+
+def soon():
+    return time.monotonic() + PATIENCE_S
--- /dev/null
+++ b/cloverway/tests/test_peer_failures.py
@@ -0,0 +1,439 @@
+from __future__ import annotations
+
+import socket
+import threading
+import time
+
+import pytest
+
+from cloverway import wire
+from cloverway.channel import Channel, FrameKind, Identity
+from cloverway.claims import Claims, KeyTask, Replayed
+from cloverway.errors import Kind, PeerError, Ran, RequestError
+from cloverway.exchange import Reply
+from cloverway.keys import Bounds, Grant, Ledger
+from cloverway.messages import Outcome, Refused
+from cloverway.passed_on import PassedOnRun
+from cloverway.peer_client import PeerClient
+from cloverway.tests.peers import (
+    BOUNDS,
+    CLAIM,
+    ME,
+    PATIENCE_S,
+    PEER,
+    SECRET,
+    Handler,
+    Link,
+    Stream,
+    connect,
+    make_request,
+    soon,
+    start_server,
+    wait_until,
+)
+
+SHORT_S = 0.1
+"""A timeout that a test waits out; nothing that must succeed depends on it."""
+
+
+@pytest.fixture
+def handler():
+    return Handler()
+
+
+@pytest.fixture
+def server(handler):
+    server = start_server(handler)
+    yield server
+    server.stop()
+
+
+@pytest.fixture
+def client():
+    client = PeerClient(ME, SECRET, BOUNDS)
+    yield client
+    client.close()
+
+
+@pytest.fixture
+def link(server):
+    link = Link(server.address)
+    yield link
+    link.close()
+
+
+def run_refused(client, address, request=None, **more):
+    with pytest.raises(RequestError) as error:
+        client.run("h2", address, request or make_request(), **more)
+    return error.value.kind, error.value.ran
+
+
+def test_pooled_connection_gone_silent(server, handler, link):
+    """A firewall has forgotten the pooled connection: what is sent on it vanishes.
+
+    The claim is asked again on a new connection, before the issuer is called dead.
+    """
+    client = PeerClient(ME, SECRET, BOUNDS._replace(reused_answer_s=SHORT_S))
+    client.claim("h2", link.address, CLAIM)
+    link.silence()
+    assert client.claim("h2", link.address, CLAIM) == Grant(10.0)
+    client.close()
+
+
+def test_dead_host_is_not_waited_for_by_every_caller(server, handler, link):
+    """The link is cut; one caller waits out the timeout, those right behind it do not."""
+    client = PeerClient(ME, SECRET, BOUNDS._replace(connect_s=SHORT_S, dead_s=PATIENCE_S))
+    link.silent = True
+    for _ in range(3):
+        with pytest.raises(PeerError):
+            client.claim("h2", link.address, CLAIM)
+    assert run_refused(client, link.address) == (Kind.ENDPOINT_REFUSED, Ran.NO)
+    wait_until(lambda: link.connections)
+    assert len(link.connections) == 2
+    assert not handler.claims
+
+
+def test_connection_gone_silent_after_the_request(server, handler, link):
+    """The request arrived, then the link goes silent for good.
+
+    The origin gives up within the silence limit, not at the deadline, and says "unknown".
+    """
+    client = PeerClient(ME, SECRET, BOUNDS._replace(silence_s=SHORT_S))
+    handler.gate = threading.Event()
+    threading.Thread(target=lambda: (wait_until(lambda: handler.requests), link.silence())).start()
+    request = make_request(left_s=1_000.0)
+    assert run_refused(client, link.address, request) == (Kind.ENDPOINT_FAILED, Ran.UNKNOWN)
+    handler.gate.set()
+
+
+def test_pings_while_the_endpoint_thinks(server, handler):
+    """A long prompt is silent for longer than the limit; pings keep the connection alive."""
+    handler.gate = threading.Event()
+    channel = connect(server)
+    channel.send_message(make_call(), soon())
+    assert [channel.receive(soon()).kind for _ in range(3)] == [FrameKind.PING] * 3
+    handler.gate.set()
+    assert isinstance(channel.receive_message(soon()), wire.ReplyHead)
+    channel.close()
+
+
+def make_call(left_s=10.0, body_bytes=0):
+    return wire.RunCall("r", "t", "p", "/x", "POST", "", False, "", 1, left_s, body_bytes)
+
+
+@pytest.mark.parametrize("ran", list(Ran))
+def test_stream_cut_at_the_endpoint(server, handler, client, ran):
+    """The endpoint fails mid-stream: the caller never takes a part for the whole answer.
+
+    The head has come, so "no" can't be true any more, whatever the other host says.
+    """
+    error = RequestError(Kind.TRUNCATED, "cut", ran=ran)
+    handler.reply = Reply(200, "text/event-stream", stream=Stream(b"one", error))
+    reply = client.run("h2", server.address, make_request())
+    pieces = []
+    with pytest.raises(RequestError) as caught:
+        pieces.extend(reply.stream)
+    assert caught.value.kind is Kind.TRUNCATED
+    assert caught.value.ran is (Ran.UNKNOWN if ran is Ran.NO else ran)
+
+
+def test_whole_body_cut_between_hosts(server, handler, client, link):
+    """The host dies after the head of a JSON answer; the part that came is not given out."""
+    gate = threading.Event()
+    handler.reply = Reply(200, "text/event-stream", stream=Stream(b"one", gate, b"two"))
+    reply = client.run("h2", link.address, make_request())
+    pieces = iter(reply.stream)
+    assert next(pieces) == b"one"
+    for each in link.connections:
+        each.shutdown(socket.SHUT_RDWR)
+    with pytest.raises(RequestError) as error:
+        next(pieces)
+    assert (error.value.kind, error.value.ran) == (Kind.TRUNCATED, Ran.UNKNOWN)
+    gate.set()
+
+
+class ScriptedHost:
+    """The accepting end of one connection, which sends what a test tells it to."""
+
+    def __init__(self, *frames):
+        self.frames = frames
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.thread = threading.Thread(target=self._serve, daemon=True)
+        self.thread.start()
+
+    def _serve(self):
+        raw, _ = self.listener.accept()
+        channel = Channel.accept(raw, PEER, SECRET, PATIENCE_S)
+        channel.receive_message(soon())
+        for frame in self.frames:
+            if isinstance(frame, bytes):
+                channel.send(FrameKind.DATA, frame, soon())
+            else:
+                channel.send_message(frame, soon())
+        self.listener.close()
+        channel.close()
+
+
+HEAD = wire.ReplyHead(200, "text/plain", (), False)
+
+
+@pytest.mark.parametrize(
+    "frames",
+    [
+        pytest.param((HEAD, b"one"), id="closed without an end"),
+        pytest.param((HEAD, b"one", wire.End(4)), id="a piece is missing"),
+        pytest.param((HEAD, b"one", HEAD), id="a second head"),
+    ],
+)
+def test_answer_that_is_not_whole(client, frames):
+    host = ScriptedHost(*frames)
+    request = make_request(body=b"")
+    assert run_refused(client, host.address, request) == (Kind.TRUNCATED, Ran.UNKNOWN)
+
+
+@pytest.mark.parametrize("frames", [(), (wire.Settled(),), (b"data before a head",)])
+def test_no_head(client, frames):
+    """The host dies, or talks nonsense, after the request was sent: nobody knows what it did."""
+    host = ScriptedHost(*frames)
+    request = make_request(body=b"")
+    assert run_refused(client, host.address, request) == (Kind.ENDPOINT_FAILED, Ran.UNKNOWN)
+
+
+def test_answer_that_is_too_large():
+    client = PeerClient(ME, SECRET, BOUNDS._replace(answer_bytes=10))
+    host = ScriptedHost(HEAD, b"x" * 11, wire.End(11))
+    request = make_request(body=b"")
+    assert run_refused(client, host.address, request) == (Kind.TRUNCATED, Ran.UNKNOWN)
+
+
+def test_request_that_is_not_idempotent_goes_on_a_new_connection(server, client):
+    """A connection from the pool may be stale, and then nobody can tell what arrived."""
+    client.claim("h2", server.address, CLAIM)
+    assert server.connections == 1
+    client.run("h2", server.address, make_request())
+    assert server.connections == 2
+    client.run("h2", server.address, make_request(), idempotent=True)
+    assert server.connections == 2
+
+
+def test_idempotent_request_on_a_stale_connection(server, handler, link, client):
+    """The other host was replaced; the pooled connection leads to the process that is gone."""
+    client.claim("h2", link.address, CLAIM)
+    new = start_server(handler, Identity("h2", "i3"))
+    link.target = new.address
+    server.stop()
+    reply = client.run("h2", link.address, make_request(), idempotent=True)
+    assert reply == handler.reply
+    new.stop()
+
+
+def test_refusal_after_a_lost_attempt(server, handler, link):
+    """An idempotent request vanishes on a pooled connection, where it may have been run.
+
+    The second attempt is refused. "No" is true for it, and false for the request.
+    """
+    client = PeerClient(ME, SECRET, BOUNDS._replace(reused_answer_s=SHORT_S))
+    client.claim("h2", link.address, CLAIM)
+    link.silence()
+    handler.error = RequestError(Kind.NO_CAPACITY)
+    refused = run_refused(client, link.address, idempotent=True)
+    assert refused == (Kind.NO_CAPACITY, Ran.UNKNOWN)
+
+
+class FailingChannel:
+    """Stands for a connection that fails at its nth frame."""
+
+    def __init__(self, fails_at):
+        self.left = fails_at
+
+    def send(self, kind, payload, deadline):
+        self.left -= 1
+        if self.left == 0:
+            raise PeerError("the connection failed")
+
+    def close(self):
+        pass
+
+
+@pytest.mark.parametrize(("fails_at", "ran"), [(1, Ran.NO), (2, Ran.NO), (3, Ran.UNKNOWN)])
+def test_send_that_fails(client, monkeypatch, fails_at, ran):
+    """The connection fails while a request of three frames is sent.
+
+    The other host runs nothing before it has the whole, so before the last frame "no" is certain.
+    """
+    monkeypatch.setattr(Channel, "connect", lambda *_: FailingChannel(fails_at))
+    request = make_request(body=b"x" * 300_000)
+    assert run_refused(client, "127.0.0.1:1", request)[1] is ran
+
+
+def test_origin_that_slept_past_the_grant(server, handler, client):
+    """The origin is paused after it has connected and wakes when its grant has ended.
+
+    It checks once more just before the last frame and sends nothing that could run.
+    """
+    start_by = time.monotonic()
+    refused = run_refused(client, server.address, start_by=start_by)
+    assert refused == (Kind.DEADLINE, Ran.NO)
+    wait_until(lambda: server.connections == 0)
+    assert not handler.requests
+
+
+def test_host_that_slept_with_the_request_in_its_socket(handler):
+    """The accepting host is paused before it reads the request, and wakes late.
+
+    The caller has long been told "unknown" and may have called the pharmacy. The deadline counts
+    from when this host sent its nonce, by its own clock, so the request is not run late.
+    """
+    near, far = make_channels()
+    far.challenged_at = time.monotonic() - 60.0
+    near.send_message(make_call(left_s=30.0), soon())
+    PassedOnRun(handler, BOUNDS, far, reused=False).serve(far.receive_message(soon()))
+    assert near.receive_message(soon()) == Refused(Kind.DEADLINE)
+    assert not handler.requests
+
+
+def test_origin_that_gave_up_before_the_run(handler):
+    """The origin closed its connection while the request waited in the host's socket."""
+    near, far = make_channels()
+    far.challenged_at = time.monotonic()
+    near.send_message(make_call(), soon())
+    near.close()
+    with pytest.raises(PeerError):
+        PassedOnRun(handler, BOUNDS, far, reused=False).serve(far.receive_message(soon()))
+    assert not handler.requests
+
+
+def make_channels():
+    return [Channel(each) for each in socket.socketpair()]
+
+
+def test_body_that_is_too_large(server, handler, client):
+    body = b"x" * (BOUNDS.body_bytes + 1)
+    assert run_refused(client, server.address, make_request(body)) == (Kind.TOO_LARGE, Ran.NO)
+    assert not handler.requests
+
+
+def test_caller_that_leaves(server, handler, client):
+    """The caller closes its connection mid-stream; the endpoint's work is given up."""
+    gate = threading.Event()
+    stream = Stream(b"one", gate, *[b"more"] * 1_000)
+    handler.reply = Reply(200, "text/event-stream", stream=stream)
+    reply = client.run("h2", server.address, make_request())
+    caller, ours = socket.socketpair()
+    results = []
+
+    def hand_over():
+        try:
+            reply.stream.hand_over(ours)
+        except RequestError as error:
+            results.append(error.kind)
+
+    thread = threading.Thread(target=hand_over)
+    thread.start()
+    assert caller.recv(100) == b"3\r\none\r\n"
+    caller.close()
+    thread.join(PATIENCE_S)
+    assert results == [Kind.CALLER_LEFT]
+    gate.set()
+    assert stream.closed.wait(PATIENCE_S)
+    ours.close()
+
+
+def test_whole_stream_is_handed_over(server, handler, client):
+    """Chunks reach the caller without the last one, which its own server writes."""
+    handler.reply = Reply(200, "text/event-stream", stream=Stream(b"one", b"two"))
+    reply = client.run("h2", server.address, make_request())
+    caller, ours = socket.socketpair()
+    caller.send(b"GET /next")
+    reply.stream.hand_over(ours)
+    ours.close()
+    assert caller.recv(100) == b"3\r\none\r\n3\r\ntwo\r\n"
+    caller.close()
+
+
+def test_too_many_connections(handler):
+    """More hosts connect than there are threads; the one that was idle longest makes room."""
+    server = start_server(handler, bounds=BOUNDS._replace(connections=2))
+    first, second = connect(server), connect(server)
+    wait_until(lambda: server.connections == 2)
+    with pytest.raises(PeerError):
+        connect(server)
+    wait_until(lambda: server.connections == 1)
+    third = connect(server)
+    third.send_message(CLAIM, soon())
+    assert third.receive_message(soon()) == Grant(10.0)
+    for each in (first, second, third):
+        each.close()
+    server.stop()
+
+
+def test_stop_lets_a_request_end(handler, client):
+    """A host is stopped while it runs a passed-on request; the answer still arrives whole."""
+    server = start_server(handler)
+    handler.gate = threading.Event()
+    replies = []
+    request = make_request()
+    run = threading.Thread(target=lambda: replies.append(client.run("h2", server.address, request)))
+    run.start()
+    wait_until(lambda: handler.requests)
+    stop = threading.Thread(target=server.stop, args=(PATIENCE_S,))
+    stop.start()
+    wait_until(server._stopping.is_set)
+    handler.gate.set()
+    run.join(PATIENCE_S)
+    stop.join(PATIENCE_S)
+    assert replies == [handler.reply]
+
+
+class KeyHost:
+    """A host with a ledger that its peers reach over TCP."""
+
+    def __init__(self, name, incarnation, addresses):
+        bounds = Bounds(100, 100.0, 10_000, 1_000)
+        ledger = Ledger(name, incarnation, name.encode() * 8, bounds, time.monotonic())
+        me = Identity(name, incarnation)
+        self.keys = KeyTask(ledger, lambda *_: True)
+        self.client = PeerClient(me, SECRET, BOUNDS)
+        self.claims = Claims(self.keys, self.client, addresses.get, lambda *_: True)
+        handler = Handler()
+        handler.claim = self.keys.claim
+        handler.settle = self.keys.settle
+        self.server = start_server(handler, me)
+        self.keys.start()
+        self.claims.start()
+
+    def stop(self):
+        self.claims.stop()
+        self.server.stop()
+        self.keys.stop()
+        self.client.close()
+
+
+def test_keys_between_hosts():
+    """The caller's answer from h1 is lost; it repeats at h2, and again when h1 was replaced.
+
+    h2 first gives the recorded answer of h1. The new process at h1's address can't know, so the
+    outcome is then unknown, and nothing is run a second time.
+    """
+    addresses = {}
+    first, second = KeyHost("h1", "i1", addresses), KeyHost("h2", "i1", addresses)
+    link = Link(first.server.address)
+    addresses["h1"] = link.address
+    (key,) = first.keys.issue(1)
+    request = make_request(key=key)
+    granted = second.claims.claim(request)
+    second.claims.settle(granted, Outcome.DONE, Reply(200, "text/plain", b"picked once"))
+    wait_until(lambda: first.keys.count().outstanding == 0)
+    again = second.claims.claim(request)
+    assert isinstance(again, Replayed)
+    assert again.reply.body == b"picked once"
+    replaced = KeyHost("h1", "i2", addresses)
+    link.target = replaced.server.address
+    first.stop()
+    with pytest.raises(RequestError) as error:
+        second.claims.claim(request)
+    assert (error.value.kind, error.value.ran) == (Kind.KEY_OWNER_LOST, Ran.UNKNOWN)
+    second.stop()
+    replaced.stop()
+    link.close()
--- a/cloverway/tests/test_peering.py
+++ b/cloverway/tests/test_peering.py
@@ -1,88 +1,31 @@
 from __future__ import annotations
 
-import contextlib
-import socket
-import threading
-import time
-
 import pytest
 
 from cloverway import wire
-from cloverway.channel import HEADER, Channel, FrameKind, Identity
+from cloverway.channel import HEADER, FrameKind
 from cloverway.errors import Kind, PeerError, Ran, RequestError
 from cloverway.exchange import Reply
-from cloverway.keys import ClaimCall, Grant, SettleCall, Settlement
-from cloverway.messages import Request
+from cloverway.keys import Grant, SettleCall, Settlement
 from cloverway.peer_client import PeerClient
-from cloverway.peer_server import PeerServer, split_pages
-from cloverway.peering import Changes, PeerBounds
-
-SECRET = b"s" * 32
-PATIENCE_S = 10.0
-BOUNDS = PeerBounds(connect_s=5.0, answer_s=5.0, silence_s=5.0, ping_s=0.05, dead_s=0.01)
-QUICK = BOUNDS._replace(connect_s=0.1, answer_s=0.1, silence_s=0.1, ping_s=0.02)
-ME = Identity("h1", "i1")
-PEER = Identity("h2", "i2")
-CLAIM = ClaimCall("k", "t", "p", b"d", "c", 10.0)
-
-
-def wait_until(condition):
-    deadline = time.monotonic() + PATIENCE_S
-    step = threading.Event()
-    while not condition():
-        assert time.monotonic() < deadline, "it did not come"
-        step.wait(0.005)
-
-
-class Stream:
-    """Pieces of an answer; an item that is an error is raised, an event is waited for."""
-
-    def __init__(self, *items):
-        self.items = items
-        self.closed = threading.Event()
-
-    def __iter__(self):
-        for item in self.items:
-            if isinstance(item, Exception):
-                raise item
-            if isinstance(item, threading.Event):
-                item.wait(PATIENCE_S)
-            else:
-                yield item
-
-    def close(self):
-        self.closed.set()
-
-
-class Handler:
-    def __init__(self):
-        self.claims = []
-        self.settled = []
-        self.requests = []
-        self.reply = Reply(200, "application/json", b"{}", headers=(("Ran-At", "h2"),))
-        self.error = None
-        self.gate = None
-        self.all_changes = Changes(0)
-
-    def claim(self, call):
-        self.claims.append(call)
-        if self.error:
-            raise self.error
-        return Grant(call.left_s)
-
-    def settle(self, call):
-        self.settled.append(call)
-
-    def run(self, request):
-        self.requests.append(request)
-        if self.gate:
-            self.gate.wait(PATIENCE_S)
-        if self.error:
-            raise self.error
-        return self.reply
-
-    def changes(self, after):
-        return self.all_changes
+from cloverway.peer_server import split_pages
+from cloverway.peering import Changes
+from cloverway.tests.peers import (
+    BOUNDS,
+    CLAIM,
+    ME,
+    PATIENCE_S,
+    SECRET,
+    Dialer,
+    Handler,
+    Link,
+    Stream,
+    connect,
+    make_request,
+    soon,
+    start_server,
+    wait_until,
+)
 
 
 @pytest.fixture
@@ -92,8 +35,7 @@
 
 @pytest.fixture
 def server(handler):
-    server = PeerServer("127.0.0.1:0", PEER, SECRET, handler, BOUNDS)
-    server.start()
+    server = start_server(handler)
     yield server
     server.stop()
 
@@ -105,54 +47,6 @@
     client.close()
 
 
-class Link:
-    """A link that a test can make silent: bytes are read and kept back."""
-
-    def __init__(self, target):
-        self.target = target
-        self.silent = False
-        self.recorded = []
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.accepted = []
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self):
-        while True:
-            try:
-                near, _ = self.listener.accept()
-            except OSError:
-                return
-            number, port = self.target.split(":")
-            far = socket.create_connection((number, int(port)))
-            self.accepted.append((near, far))
-            silent = [self.silent]
-            for source, sink in ((near, far), (far, near)):
-                threading.Thread(
-                    target=self._copy, args=(source, sink, silent), daemon=True
-                ).start()
-
-    def _copy(self, source, sink, silent):
-        try:
-            while data := source.recv(65536):
-                if source is not self.accepted[-1][1]:
-                    self.recorded.append(data)
-                if not silent[0]:
-                    sink.sendall(data)
-        except OSError:
-            pass
-        finally:
-            for each in (source, sink):
-                with contextlib.suppress(OSError):
-                    each.shutdown(socket.SHUT_RDWR)
-
-    def close(self):
-        self.listener.close()
-        for pair in self.accepted:
-            for each in pair:
-                each.close()
-
-
 @pytest.fixture
 def link(server):
     link = Link(server.address)
@@ -160,11 +54,6 @@
     link.close()
 
 
-def make_request(body=b"{}", left_s=10.0, **more):
-    now = time.monotonic()
-    return Request("r1", "t", "p", "/x?y=1", "POST", body, "text/x", now, now + left_s, **more)
-
-
 def test_claim_and_settle(server, handler, client):
     assert client.claim("h2", server.address, CLAIM) == Grant(10.0)
     settle = SettleCall("k", "t", "p", "c", Settlement.UNKNOWN)
@@ -246,7 +135,7 @@
     """
     settle = SettleCall("k", "t", "p", "c", Settlement.NOT_RUN)
     client.settle("h2", link.address, settle)
-    recorded = b"".join(link.recorded)
+    recorded = bytes(link.recorded)
     with Dialer(server.address) as dialer:
         dialer.raw.sendall(recorded)
         assert dialer.wait_for_close()
@@ -259,35 +148,32 @@
     settle = SettleCall("k", "t", "p", "c", Settlement.NOT_RUN)
     frame = channel._seal(FrameKind.MESSAGE, wire.encode(settle))
     channel.socket.send(frame + frame)
-    channel.receive_message(time.monotonic() + PATIENCE_S)
+    channel.receive_message(soon())
     with pytest.raises(PeerError):
-        channel.receive_message(time.monotonic() + PATIENCE_S)
+        channel.receive_message(soon())
     assert handler.settled == [settle]
 
 
 def test_changed_frame(server, handler):
     channel = connect(server)
     frame = bytearray(channel._seal(FrameKind.MESSAGE, wire.encode(CLAIM)))
-    frame[-MAC_AT] ^= 1
+    frame[-20] ^= 1
     channel.socket.send(frame)
     with pytest.raises(PeerError):
-        channel.receive_message(time.monotonic() + PATIENCE_S)
+        channel.receive_message(soon())
     assert not handler.claims
 
 
-MAC_AT = 20
-
-
 def test_frame_sent_back(server, handler):
     """A frame of the server's own is returned to it: each direction has its own key."""
     channel = connect(server)
-    channel.send_message(CLAIM, time.monotonic() + PATIENCE_S)
+    channel.send_message(CLAIM, soon())
     length = HEADER.size + len(wire.encode(Grant(10.0))) + 16
-    channel._wait(1, time.monotonic() + PATIENCE_S)
+    channel._wait(1, soon())
     answer = channel.socket.recv(length)
     channel.socket.send(answer)
     with pytest.raises(PeerError):
-        channel.receive_message(time.monotonic() + PATIENCE_S)
+        channel.receive_message(soon())
     assert len(handler.claims) == 1
 
 
@@ -306,48 +192,13 @@
 
 def test_stranger_that_says_nothing(handler):
     """A connection that never greets is dropped in bounded time and frees its thread."""
-    server = PeerServer("127.0.0.1:0", PEER, SECRET, handler, QUICK)
-    server.start()
+    server = start_server(handler, bounds=BOUNDS._replace(connect_s=0.1))
     with Dialer(server.address) as dialer:
         assert dialer.wait_for_close()
     wait_until(lambda: server.connections == 0)
     server.stop()
 
 
-def connect(server):
-    return Channel.connect(server.address, ME, "h2", SECRET, PATIENCE_S)
-
-
-class Dialer:
-    """A raw connection that keeps to no protocol but the test's."""
-
-    def __init__(self, address):
-        number, port = address.split(":")
-        self.raw = socket.create_connection((number, int(port)), PATIENCE_S)
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, *_):
-        self.raw.close()
-
-    def send_open(self, message):
-        payload = wire.encode(message)
-        self.raw.sendall(HEADER.pack(len(payload), 0) + payload)
-
-    def read_open(self):
-        length, _ = HEADER.unpack(self.raw.recv(HEADER.size, socket.MSG_WAITALL))
-        return wire.decode(self.raw.recv(length, socket.MSG_WAITALL))
-
-    def wait_for_close(self):
-        try:
-            while self.raw.recv(4096):
-                pass
-        except ConnectionResetError:
-            pass
-        return True
-
-
 def test_pages_of_changes(server, handler, client):
     changes = tuple(wire.Change(f"k{n}", n, "x" * 200_000) for n in range(10))
     handler.all_changes = Changes(99, changes)
