Copy streams in one relay task and test what cuts them

A stream's worker hands both sockets to one loop, which copies whole events, pauses the endpoint while bytes wait for the caller, keeps the gap limit and the deadline, and sees a caller leave while the endpoint is silent.

--- a/cloverway/endpoints.py
+++ b/cloverway/endpoints.py
@@ -21,11 +21,13 @@
     TimedSocket,
     parse_address,
 )
+from cloverway.copiers import Copier, EndpointStream, RelayCopier
 from cloverway.errors import CloverwayError, Kind, Ran, RequestError
 from cloverway.exchange import Reply
 from cloverway.framing import BodyParser, ChunkedBody, EventStream, LengthBody, make_malformed
 from cloverway.messages import Request
-from cloverway.relay import RelayedStream, StreamStats
+from cloverway.meters import StreamStats
+from cloverway.relay import Relay
 
 log = logging.getLogger(__name__)
 
@@ -70,21 +72,21 @@
 class EndpointClient:
     """Sends requests to endpoints and keeps the connections to them."""
 
-    def __init__(
-        self, limits: Limits, observe: Observer | None = None, pool: ConnectionPool | None = None
-    ) -> None:
+    def __init__(self, limits: Limits, copier: Copier, observe: Observer | None = None) -> None:
         self._limits = limits
+        self._copier = copier
         self._observe = observe
-        self._pool = pool or ConnectionPool()
+        self._pool = ConnectionPool()
         self._canceller = Canceller.start()
 
     @classmethod
     def from_settings(cls, limits: Limits, observe: Observer | None = None) -> EndpointClient:
         """Make a client; `observe` is told of each stream when it has ended."""
-        return cls(limits, observe)
+        return cls(limits, RelayCopier(Relay.start()), observe)
 
     def close(self) -> None:
-        """Close the idle connections."""
+        """End the tasks and close the idle connections; streams in progress are cut."""
+        self._copier.close()
         self._canceller.stop()
         self._pool.close()
 
@@ -174,7 +176,7 @@
 
     def _make_stream(
         self, call: Call, connection: Connection, head: Head, events: EventStream
-    ) -> RelayedStream:
+    ) -> EndpointStream:
         def finish(whole: bool, stats: StreamStats) -> None:
             clean = whole and head.reusable and not events.body.rest
             self._keep_or_close(call.address, connection, clean)
@@ -184,7 +186,7 @@
                 self._observe(call.request, stats)
 
         connection.timed.silence_s = call.gap_s
-        return RelayedStream(connection.timed, events, head.rest, finish)
+        return EndpointStream(connection.timed, events, head.rest, finish, self._copier)
 
     def _read_whole(self, connection: Connection, head: Head, body: BodyParser) -> bytes:
         pieces = [body.feed(head.rest)]
--- a/cloverway/framing.py
+++ b/cloverway/framing.py
@@ -20,6 +20,7 @@
 
 CRLF = b"\r\n"
 _SIZE_LINE = re.compile(rb"([0-9a-fA-F]{1,8})[ \t]*(?:;[^\r\n]*)?\r\n")
+LONGEST_EVENT_END = 4
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 
 
@@ -181,40 +182,41 @@
 
     def feed(self, data: bytes) -> bytes:
         """Take received bytes and give the whole events to forward; raise RequestError."""
+        was_whole = self.whole
         payload = self.body.feed(data)
-        if self._pending:
-            payload = self._pending + payload
-            self._pending = b""
         events = self._split(payload) if payload else b""
-        if self.body.ended:
+        if self.body.ended and not was_whole:
             self._check_end()
             return events + self._done
         return events
 
     def _split(self, payload: bytes) -> bytes:
         """Give the whole events in front and keep the rest."""
+        if self._done:
+            self._refuse_more(payload)
+            return b""
+        searched = max(0, len(self._pending) - LONGEST_EVENT_END + 1)
+        payload = self._pending + payload
         end = 0
-        for mark in _EVENT_END.finditer(payload):
+        for mark in _EVENT_END.finditer(payload, searched):
             event = payload[end : mark.end()]
-            if self._done:
-                raise make_malformed("an event follows its last one")
             if DONE in event and _read_data(event) == DONE:
                 self._done = event
-                self._pending = payload[mark.end() :]
-                self._check_pending()
+                self._pending = b""
+                self._refuse_more(payload[mark.end() :])
                 return payload[:end]
             if event.startswith(b"data") or b"\ndata" in event:
                 self.tokens += 1
             end = mark.end()
         self._pending = payload[end:]
-        self._check_pending()
+        if len(self._pending) > MAX_EVENT:
+            raise make_malformed("an event is too long")
         return payload[:end]
 
-    def _check_pending(self) -> None:
-        if self._done and self._pending.strip():
+    def _refuse_more(self, payload: bytes) -> None:
+        """Raise when anything but blank lines follows the last event."""
+        if payload.strip():
             raise make_malformed("an event follows its last one")
-        if len(self._pending) > MAX_EVENT:
-            raise make_malformed("an event is too long")
 
     def _check_end(self) -> None:
         if not self._done:
--- /dev/null
+++ b/cloverway/meters.py
@@ -0,0 +1,47 @@
+"""Figures of one stream, counted where its bytes pass and delivered once, when it has ended."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from typing import NamedTuple
+
+GAP_BOUNDS_S = (0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+"""Upper bounds of the buckets in which gaps between tokens are counted, in seconds."""
+
+
+class StreamStats(NamedTuple):
+    """What is known of a stream when it has ended. Times are monotonic seconds."""
+
+    tokens: int
+    first_at: float | None
+    ended_at: float
+    gaps: tuple[int, ...]
+    """Gaps by the buckets of GAP_BOUNDS_S, and in the end those above them all."""
+    gap_sum_s: float
+
+
+class Meter:
+    """Counts the tokens of one stream and the gaps between them."""
+
+    def __init__(self) -> None:
+        self._tokens = 0
+        self._first_at: float | None = None
+        self._last_at = 0.0
+        self._gaps = [0] * (len(GAP_BOUNDS_S) + 1)
+
+    def note(self, tokens: int, now: float) -> None:
+        """Note how many tokens there are by now; those that came together have one gap."""
+        if tokens == self._tokens:
+            return
+        self._tokens = tokens
+        if self._first_at is None:
+            self._first_at = now
+        else:
+            self._gaps[bisect_left(GAP_BOUNDS_S, now - self._last_at)] += 1
+        self._last_at = now
+
+    def summarise(self, now: float) -> StreamStats:
+        """Give the figures of the stream, which ended now."""
+        first_at = self._first_at
+        spread = self._last_at - first_at if first_at is not None else 0.0
+        return StreamStats(self._tokens, first_at, now, tuple(self._gaps), spread)
--- a/cloverway/relay.py
+++ b/cloverway/relay.py
@@ -1,136 +1,281 @@
-"""Copy a stream from an endpoint to a caller, and know whether it is whole."""
+"""The relay task: one loop that copies every stream from its endpoint to its caller.
+
+A worker hands both sockets over and sleeps until it is told how the stream ended. Meanwhile the
+loop alone reads and writes them; a thread that woke for each token would cost several times more.
+"""
 
 from __future__ import annotations
 
-import bisect
 import logging
+import select
 import socket
+import threading
 import time
-from collections.abc import Callable, Iterator
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import Future
+from contextlib import suppress
+from functools import partial
 from typing import NamedTuple
 
-from cloverway.connections import TimedSocket
 from cloverway.errors import Kind, RequestError
 from cloverway.framing import EventStream
+from cloverway.meters import Meter
 
 log = logging.getLogger(__name__)
 
 READ_BYTES = 16 * 1024
+SWEEP_S = 0.1
+"""How often silent streams are looked for; limits are kept to about this much."""
 CALLER_STALL_S = 30.0
 """How long a caller may take no byte of its stream, in seconds."""
 
-GAP_BOUNDS_S = (0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
-"""Upper bounds of the buckets in which gaps between tokens are counted, in seconds."""
-
-
-class StreamStats(NamedTuple):
-    """What is known of a stream when it has ended. Times are monotonic seconds."""
+Handler = Callable[[int, float], None]
 
-    tokens: int
-    first_at: float | None
-    ended_at: float
-    gaps: tuple[int, ...]
-    """Gaps by the buckets of GAP_BOUNDS_S, and those above them all."""
-    gap_sum_s: float
+_receive = socket.socket.recv
+"""Receiving without the time bounds of a TimedSocket: the loop keeps them itself."""
 
 
-class Meter:
-    """Counts the tokens of one stream and the gaps between them."""
-
-    def __init__(self) -> None:
-        self.tokens = 0
-        self._first_at: float | None = None
-        self._last_at = 0.0
-        self._gaps = [0] * (len(GAP_BOUNDS_S) + 1)
-
-    def note(self, tokens: int, now: float) -> None:
-        """Note how many tokens there are by now; those that came together have one gap."""
-        if tokens == self.tokens:
-            return
-        self.tokens = tokens
-        if self._first_at is None:
-            self._first_at = now
-        else:
-            self._gaps[bisect.bisect_left(GAP_BOUNDS_S, now - self._last_at)] += 1
-        self._last_at = now
+class Bounds(NamedTuple):
+    """How long a stream may last and be silent."""
 
-    def summarise(self, now: float) -> StreamStats:
-        """Give the counts of the stream, which ended now."""
-        first_at = self._first_at
-        spread = self._last_at - first_at if first_at is not None else 0.0
-        return StreamStats(self.tokens, first_at, now, tuple(self._gaps), spread)
+    deadline: float
+    """Monotonic time."""
+    gap_s: float
 
 
-Finish = Callable[[bool, StreamStats], None]
-"""Told once whether the stream was read whole, and its figures."""
+class Link:
+    """One stream that was handed over: its sockets, its parser and what the caller owes to take.
 
-
-class RelayedStream:
-    """A stream read by the worker that runs the request."""
+    The endpoint is read only while nothing waits for the caller, so a caller that is slow slows
+    the endpoint down, and what is held here is bounded by one read and one event.
+    """
 
     def __init__(
-        self, endpoint: TimedSocket, events: EventStream, received: bytes, finish: Finish
+        self,
+        endpoint: socket.socket,
+        caller: socket.socket,
+        events: EventStream,
+        meter: Meter,
+        bounds: Bounds,
     ) -> None:
-        self._endpoint = endpoint
+        self.endpoint = endpoint
+        self.caller = caller
+        self.ended: Future[None] = Future()
         self._events = events
-        self._received = received
-        self._finish: Finish | None = finish
-        self._meter = Meter()
-        self._pieces = self._read()
-
-    def __iter__(self) -> Iterator[bytes]:
-        """Give the whole events as they come; raise RequestError when the stream is cut."""
-        return self._pieces
-
-    def hand_over(self, caller: socket.socket) -> None:
-        """Copy the rest to the caller in chunked framing, without the last chunk."""
-        timeout = caller.gettimeout()
-        caller.settimeout(CALLER_STALL_S)
-        try:
-            for piece in self._pieces:
-                send_chunk(caller, piece)
-        finally:
-            caller.settimeout(timeout)
-            self.close()
+        self._meter = meter
+        self._bounds = bounds
+        self._unsent = b""
+        self._heard_at = 0.0
+        self._taken_at = 0.0
+
+    @property
+    def waits_for_caller(self) -> bool:
+        """Whether bytes wait for the caller."""
+        return bool(self._unsent)
 
-    def close(self) -> None:
-        """Give the rest up. Harmless when the stream has ended."""
-        self._end(False)
+    @property
+    def whole(self) -> bool:
+        """Whether the caller was given the whole stream."""
+        return self._events.whole and not self._unsent
 
-    def _read(self) -> Iterator[bytes]:
+    def begin(self, piece: bytes, now: float) -> None:
+        """Start with a piece that was read before the sockets were handed over."""
+        self._heard_at = self._taken_at = now
+        if piece:
+            self._forward(piece, now)
+
+    def read(self, now: float) -> None:
+        """Read what the endpoint sent and give it to the caller; raise RequestError."""
         try:
-            yield from self._read_events()
-        except TimeoutError as error:
-            raise RequestError(Kind.TIMED_OUT, "the stream was silent for too long") from error
+            data = _receive(self.endpoint, READ_BYTES)
+        except BlockingIOError:
+            return
         except OSError as error:
             raise RequestError(Kind.TRUNCATED, "the connection failed in the stream") from error
-        finally:
-            self._end(self._events.whole)
-
-    def _read_events(self) -> Iterator[bytes]:
-        data = self._received
-        while True:
-            piece = self._events.feed(data)
-            self._meter.note(self._events.tokens, time.monotonic())
-            if self._events.whole:
-                self._end(True)
-            if piece:
-                yield piece
-            if self._events.whole:
-                return
-            data = self._endpoint.recv(READ_BYTES)
-            if not data:
-                raise RequestError(Kind.TRUNCATED, "the connection ended within the stream")
-
-    def _end(self, whole: bool) -> None:
-        finish, self._finish = self._finish, None
-        if finish is not None:
-            finish(whole, self._meter.summarise(time.monotonic()))
-
-
-def send_chunk(caller: socket.socket, piece: bytes) -> None:
-    """Send one chunk; raise RequestError when the caller left or takes nothing."""
-    try:
-        caller.sendall(b"%x\r\n%b\r\n" % (len(piece), piece))
-    except OSError as error:
-        raise RequestError(Kind.CALLER_LEFT, "the caller takes no more of its stream") from error
+        if not data:
+            raise RequestError(Kind.TRUNCATED, "the connection ended within the stream")
+        self._heard_at = now
+        events = self._events
+        piece = events.feed(data)
+        self._meter.note(events.tokens, now)
+        if piece:
+            self._forward(piece, now)
+
+    def write(self, now: float) -> None:
+        """Give the caller what it takes of the bytes that wait; raise RequestError."""
+        try:
+            count = self.caller.send(self._unsent)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            raise RequestError(Kind.CALLER_LEFT, "the caller left within its stream") from error
+        self._taken_at = now
+        self._unsent = self._unsent[count:]
+        if not self._unsent:
+            self._heard_at = now
+
+    def check(self, now: float) -> None:
+        """Raise RequestError when a limit is passed.
+
+        While the caller is waited for, the endpoint is not read and its silence is not counted.
+        """
+        if now >= self._bounds.deadline:
+            raise RequestError(Kind.TIMED_OUT, "the stream did not end before its deadline")
+        if self._unsent:
+            if now - self._taken_at >= CALLER_STALL_S:
+                raise RequestError(Kind.CALLER_LEFT, "the caller takes no more of its stream")
+        elif now - self._heard_at >= self._bounds.gap_s:
+            raise RequestError(Kind.TIMED_OUT, "the stream was silent for too long")
+
+    def _forward(self, piece: bytes, now: float) -> None:
+        self._unsent = b"%x\r\n%b\r\n" % (len(piece), piece)
+        self._taken_at = now
+        self.write(now)
+
+
+class Relay:
+    """A task that owns the sockets of all streams that were handed over to it."""
+
+    def __init__(self) -> None:
+        self._poll = select.epoll()
+        self._handlers: dict[int, Handler] = {}
+        self._links: set[Link] = set()
+        self._inbox: deque[tuple[Link, bytes]] = deque()
+        self._waker, self._woken = socket.socketpair()
+        self._waker.setblocking(False)
+        self._woken.setblocking(False)
+        self._stopping = False
+        self._thread = threading.Thread(target=self._run, name="relay", daemon=True)
+
+    @classmethod
+    def start(cls) -> Relay:
+        """Make a relay and start its thread."""
+        relay = cls()
+        relay._register(relay._woken, select.EPOLLIN, relay._note_wake)
+        relay._thread.start()
+        return relay
+
+    def stop(self, timeout_s: float = 5.0) -> None:
+        """End the thread; streams that are still copied are cut."""
+        self._stopping = True
+        self._wake()
+        self._thread.join(timeout_s)
+
+    def take(self, link: Link, piece: bytes) -> None:
+        """Take over the sockets of a stream, and a piece of it to begin with.
+
+        They belong to the loop until `link.ended` is done.
+        """
+        self._inbox.append((link, piece))
+        self._wake()
+
+    def _wake(self) -> None:
+        with suppress(BlockingIOError):  # It is full of wake-ups already.
+            self._waker.send(b"\0")
+
+    def _note_wake(self, mask: int, now: float) -> None:
+        with suppress(BlockingIOError):
+            self._woken.recv(4096)
+
+    def _run(self) -> None:
+        swept_at = time.monotonic()
+        while not self._stopping:
+            # Limits are checked by the time before the poll: a process that slept between the
+            # two finds what arrived meanwhile before it calls any stream silent.
+            before = time.monotonic()
+            ready = self._poll.poll(SWEEP_S)
+            now = time.monotonic()
+            for descriptor, mask in ready:
+                handler = self._handlers.get(descriptor)
+                if handler is not None:
+                    handler(mask, now)
+            # Only after the batch, for a new stream may have a descriptor that is named in it.
+            self._take_new(now)
+            if before - swept_at >= SWEEP_S:
+                swept_at = before
+                self._sweep(before)
+        for link in list(self._links):
+            self._end(link, RequestError(Kind.TRUNCATED, "the host stopped"))
+        self._poll.close()
+
+    def _take_new(self, now: float) -> None:
+        while self._inbox:
+            link, piece = self._inbox.popleft()
+            self._links.add(link)
+            self._guard(link, partial(self._begin, link, piece, now))
+
+    def _begin(self, link: Link, piece: bytes, now: float) -> None:
+        link.endpoint.setblocking(False)
+        link.caller.setblocking(False)
+        self._register(link.caller, select.EPOLLRDHUP, self._make_caller_handler(link))
+        self._register(link.endpoint, select.EPOLLIN, self._make_endpoint_handler(link))
+        link.begin(piece, now)
+        self._follow(link, False)
+
+    def _make_endpoint_handler(self, link: Link) -> Handler:
+        def handle(mask: int, now: float) -> None:
+            try:
+                link.read(now)
+                if link.waits_for_caller or link.whole:
+                    self._follow(link, False)
+            except Exception as error:
+                self._end(link, error)
+
+        return handle
+
+    def _make_caller_handler(self, link: Link) -> Handler:
+        def handle(mask: int, now: float) -> None:
+            try:
+                if mask & ~select.EPOLLOUT:
+                    raise RequestError(Kind.CALLER_LEFT, "the caller left within its stream")
+                link.write(now)
+                self._follow(link, True)
+            except Exception as error:
+                self._end(link, error)
+
+        return handle
+
+    def _follow(self, link: Link, waited: bool) -> None:
+        """Watch the side that the stream waits for now."""
+        if link.whole:
+            self._end(link, None)
+        elif link.waits_for_caller and not waited:
+            # Not a mask of zero: a reset is reported whatever the mask, over and over.
+            self._unregister(link.endpoint)
+            self._poll.modify(link.caller, select.EPOLLOUT | select.EPOLLRDHUP)
+        elif waited and not link.waits_for_caller:
+            self._poll.modify(link.caller, select.EPOLLRDHUP)
+            self._register(link.endpoint, select.EPOLLIN, self._make_endpoint_handler(link))
+
+    def _sweep(self, now: float) -> None:
+        for link in list(self._links):
+            self._guard(link, partial(link.check, now))
+
+    def _guard(self, link: Link, step: Callable[[], None]) -> None:
+        try:
+            step()
+        except Exception as error:
+            self._end(link, error)
+
+    def _end(self, link: Link, error: Exception | None) -> None:
+        """Give the sockets back to the worker and tell it how the stream ended."""
+        if link not in self._links:
+            return
+        self._links.discard(link)
+        self._unregister(link.endpoint)
+        self._unregister(link.caller)
+        if error is None:
+            link.ended.set_result(None)
+            return
+        if not isinstance(error, RequestError):
+            log.error("a stream could not be copied", exc_info=error)
+        link.ended.set_exception(error)
+
+    def _register(self, sock: socket.socket, mask: int, handler: Handler) -> None:
+        self._handlers[sock.fileno()] = handler
+        self._poll.register(sock, mask)
+
+    def _unregister(self, sock: socket.socket) -> None:
+        if self._handlers.pop(sock.fileno(), None) is not None:
+            self._poll.unregister(sock)
--- a/cloverway/tests/raw_endpoint.py
+++ b/cloverway/tests/raw_endpoint.py
@@ -46,6 +46,7 @@
         self.number = number
         self.requests: list[bytes] = []
         sock.settimeout(PATIENCE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def read_request(self) -> bytes:
         """Read one whole request; empty when the other side closed."""
--- a/cloverway/tests/test_endpoints.py
+++ b/cloverway/tests/test_endpoints.py
@@ -1,15 +1,25 @@
 from __future__ import annotations
 
+import socket
+import threading
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
 from cloverway.config.settings import Limits
+from cloverway.connections import IDLE_PER_ADDRESS, Connection, ConnectionPool
 from cloverway.endpoints import EndpointClient
 from cloverway.errors import Kind, Ran, RequestError
 from cloverway.exchange import Reply
 from cloverway.messages import Request
-from cloverway.tests.raw_endpoint import Conversation, RawEndpoint, make_request, wait_until
+from cloverway.tests.raw_endpoint import (
+    PATIENCE_S,
+    Conversation,
+    RawEndpoint,
+    make_request,
+    wait_until,
+)
 
 
 @pytest.fixture
@@ -99,3 +109,237 @@
         for event in (b"data: 0\n\n", b"data: 1\n\n", b"data: 2\n\n", b"data: [DONE]\n\n"):
             conversation.send(b"%x\r\n%b\r\n" % (len(event), event))
         conversation.send(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    ("answer", "kind", "ran"),
+    [
+        (b"503 Busy\r\nCloverway-Ran: no\r\nRetry-After: 2", Kind.ENDPOINT_REFUSED, Ran.NO),
+        (b"429 Busy\r\nCloverway-Ran: no\r\nRetry-After: 2", Kind.ENDPOINT_REFUSED, Ran.NO),
+        (b"503 Busy", Kind.ENDPOINT_FAILED, Ran.UNKNOWN),
+        (b"500 Broken\r\nCloverway-Ran: no", Kind.ENDPOINT_FAILED, Ran.UNKNOWN),
+        (b"302 Elsewhere\r\nLocation: http://10.0.0.1/", Kind.ENDPOINT_FAILED, Ran.UNKNOWN),
+        (b"103 Early Hints", Kind.ENDPOINT_FAILED, Ran.UNKNOWN),
+    ],
+)
+def test_answers_that_are_not_for_the_caller(client, answer, kind, ran) -> None:
+    failure = fail(client, lambda c: c.answer(b"{}", answer), idempotent=False)
+    assert (failure.kind, failure.ran) == (kind, ran)
+    assert failure.retry_after == (2.0 if ran is Ran.NO else None)
+
+
+def test_endpoint_errors_of_the_caller_pass_through(client: EndpointClient) -> None:
+    hops = b"Connection: x-hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\nX-Own: 2\r\n"
+    with RawEndpoint(lambda c: c.answer(b"no", b"422 Wrong", hops)) as endpoint:
+        reply = send(client, endpoint.url)
+    assert (reply.status, reply.body, reply.headers) == (422, b"no", (("X-Own", "2"),))
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\n\r\nno length: whether it is whole can't be known",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n" + b"x" * 90000,
+        b"HTTP/1.1 200",
+        b"SMTP ready\r\n\r\n",
+        b"",
+    ],
+)
+def test_answers_that_are_not_whole(answer: bytes) -> None:
+    """The caller sees an error that says the outcome is unknown, never a part of an answer.
+
+    The endpoint takes the request, sends what it sends and closes: it may well have run.
+    """
+
+    def play(conversation: Conversation) -> None:
+        conversation.read_request()
+        conversation.send(answer)
+
+    client = EndpointClient.from_settings(Limits(answer_bytes=65536))
+    failure = fail(client, play, idempotent=False)
+    client.close()
+    assert failure.ran is Ran.UNKNOWN
+    assert failure.kind in {Kind.ENDPOINT_FAILED, Kind.TRUNCATED}
+
+
+def test_nothing_is_sent_when_the_check_refuses(client: EndpointClient) -> None:
+    """A caller that is told "not run" was not run.
+
+    The process sleeps between the decision and the send and wakes up past the deadline. The last
+    check before the first byte refuses, so the endpoint sees a connection and no request.
+    """
+
+    def refuse() -> None:
+        raise RequestError(Kind.DEADLINE)
+
+    with RawEndpoint(answer_forever) as endpoint:
+        with pytest.raises(RequestError) as failure:
+            send(client, endpoint.url, idempotent=False, check=refuse)
+        wait_until(lambda: endpoint.ended == 1, "close")
+        assert endpoint.requests == []
+    assert failure.value.ran is Ran.NO
+
+
+def test_a_deadline_that_passed_sends_nothing(client: EndpointClient) -> None:
+    with RawEndpoint(answer_forever) as endpoint:
+        send(client, endpoint.url)
+        for request in (make_request(-1), make_request(id="two\nlines")):
+            with pytest.raises(RequestError) as failure:
+                send(client, endpoint.url, request)
+            assert failure.value.ran is Ran.NO
+        assert len(endpoint.requests) == 1
+
+
+def test_stale_connection_and_a_request_that_may_run_once(client: EndpointClient) -> None:
+    """The filing runs once, though a pooled connection to its endpoint is dead.
+
+    The endpoint closes each connection when its second request arrives. Sent on the pooled
+    connection, the filing would fail with no telling whether it ran. It goes on a new one.
+    """
+    with RawEndpoint(answer_once) as endpoint:
+        send(client, endpoint.url)
+        assert send(client, endpoint.url, idempotent=False).body == b"{}"
+        assert [len(each.requests) for each in endpoint.conversations] == [1, 1]
+
+
+def answer_once(conversation: Conversation) -> None:
+    conversation.answer(b"{}")
+    conversation.read_request()
+
+
+def test_stale_connection_and_an_idempotent_request(client: EndpointClient) -> None:
+    """The lookup is answered though the pooled connection it went on was dead.
+
+    The endpoint closes each connection when its second request arrives. Nothing of an answer
+    came, so the lookup is sent once more on a new connection before the endpoint is blamed.
+    """
+    with RawEndpoint(answer_once) as endpoint:
+        send(client, endpoint.url)
+        assert send(client, endpoint.url).body == b"{}"
+        assert [len(each.requests) for each in endpoint.conversations] == [2, 1]
+
+
+def test_connection_that_went_silent(client: EndpointClient) -> None:
+    """The lookup is answered though its pooled connection lost its other end without a sign.
+
+    The second request on it gets no byte. After the gap limit, well before the deadline, the
+    lookup goes on a new connection, which works.
+    """
+
+    def fall_silent(conversation: Conversation) -> None:
+        conversation.answer(b"{}")
+        conversation.read_request()
+        conversation.wait_for_close()
+
+    with RawEndpoint(fall_silent) as endpoint:
+        send(client, endpoint.url)
+        assert send(client, endpoint.url, gap_s=0.1).body == b"{}"
+        assert len(endpoint.conversations) == 2
+
+
+def test_failure_on_a_new_connection_is_not_repeated(client: EndpointClient) -> None:
+    with RawEndpoint(lambda conversation: conversation.read_request()) as endpoint:
+        for idempotent in (True, False):
+            with pytest.raises(RequestError) as failure:
+                send(client, endpoint.url, idempotent=idempotent)
+            assert failure.value.ran is Ran.UNKNOWN
+        assert len(endpoint.requests) == 2
+
+
+@pytest.mark.parametrize("at_once", [True, False])
+def test_a_second_answer_is_read_by_no_one(client: EndpointClient, at_once: bool) -> None:
+    """Each caller gets the answer to its own request, though the endpoint answers one twice.
+
+    The second answer comes behind the first one, or later, while the connection is idle. Were
+    the connection used again, the next caller would read it as its own.
+    """
+    sent = threading.Event()
+    closed: list[bool] = []
+
+    def answer_twice(conversation: Conversation) -> None:
+        conversation.read_request()
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+        conversation.send(whole * 2 if at_once else whole)
+        if not at_once:
+            conversation.send(whole)
+        sent.set()
+        closed.append(conversation.wait_for_close())
+
+    with RawEndpoint(answer_twice, answer_forever) as endpoint:
+        assert send(client, endpoint.url).body == b"first"
+        assert sent.wait(PATIENCE_S)
+        assert send(client, endpoint.url).body == b'{"n": 0}'
+        wait_until(lambda: closed == [True], "close without a second request")
+
+
+def test_an_abandoned_answer_is_read_by_no_one(client: EndpointClient) -> None:
+    """A caller whose deadline passed leaves an answer behind; the next caller never sees it.
+
+    The endpoint answers the first request after its deadline. That connection was closed, not
+    pooled, and the engine was told to give the request up.
+    """
+
+    def answer_late(conversation: Conversation) -> None:
+        conversation.read_request()
+        assert conversation.wait_for_close()
+        conversation.answer(b"late")
+
+    with RawEndpoint(answer_late, answer_forever) as endpoint:
+        with pytest.raises(RequestError) as failure:
+            send(client, endpoint.url, make_request(0.1))
+        assert (failure.value.kind, failure.value.ran) == (Kind.TIMED_OUT, Ran.UNKNOWN)
+        assert send(client, endpoint.url).body == b'{"n": 0}'
+        wait_until(lambda: len(endpoint.cancels) == 1, "cancel")
+
+
+@pytest.mark.parametrize("head", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n"])
+def test_a_dripping_answer_keeps_to_the_deadline(client: EndpointClient, head: bytes) -> None:
+    """The caller gets its final answer at the deadline, though bytes keep coming.
+
+    Each byte arrives well within any limit on a single read; only the total tells.
+    """
+
+    def drip(conversation: Conversation) -> None:
+        conversation.read_request()
+        conversation.send(head)
+        conversation.sock.settimeout(0.01)
+        while not conversation.wait_for_close():
+            conversation.send(b"H")
+
+    failure = fail(client, drip, request=make_request(0.2))
+    assert failure.kind is Kind.TIMED_OUT
+
+
+def test_requests_at_once_are_never_mixed(client: EndpointClient) -> None:
+    def echo(conversation: Conversation) -> None:
+        while request := conversation.read_request():
+            body = request.partition(b"\r\n\r\n")[2]
+            conversation.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+            conversation.send(body)
+
+    def ask(number: int) -> bool:
+        body = b"%d" % number * 3000
+        return send(client, endpoint.url, make_request(body=body)).body == body
+
+    with RawEndpoint(echo) as endpoint, ThreadPoolExecutor(8) as workers:
+        assert all(workers.map(ask, range(200)))
+        assert len(endpoint.conversations) <= 8
+
+
+def test_idle_connections_expire_and_are_bounded(client: EndpointClient) -> None:
+    pool = ConnectionPool(idle_s=4.0)
+    address = ("127.0.0.1", 1)
+    left, right = socket.socketpair()
+    with left, right:
+        connection = Connection.from_address(address, 1.0)
+        connection.sock = left
+        pool.put(address, connection, now=100.0)
+        assert pool.take(address, now=103.9) is connection
+        pool.put(address, connection, now=100.0)
+        assert pool.take(address, now=104.0) is None
+        assert left.fileno() == -1
+        for _ in range(IDLE_PER_ADDRESS + 5):
+            pool.put(address, Connection.from_address(address, 1.0), now=100.0)
+        assert len(pool._idle[address]) == IDLE_PER_ADDRESS
