Give a thread only to a request whose head is whole, and bound one team's slow bodies

The accepting thread now collects heads without waiting, up to the header limit and within one time for the whole head; what a client sent beyond its last request is put back in front.

Bodies come after the key was checked, so they are bounded by team: one team's bodies hold at most a quarter of the threads, and its next one is refused as team_limit with ran "no".

Ruled out: peeking at the socket's buffer, which a head over its size never fits; a thread of its own for heads, which the connection manager's selector makes needless.

--- a/cloverway/callers.py
+++ b/cloverway/callers.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import re
+import threading
 import time
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterator
 from itertools import count
 from typing import Any, NamedTuple
 
@@ -39,6 +42,9 @@
 MAX_KEYS = 100
 MAX_KEY_CHARACTERS = 255
 STARTING_RETRY_S = 1.0
+READER_RETRY_S = 1.0
+READER_PARTS = 4
+"""One team's bodies may hold one in this many of the threads."""
 SAFE_TARGET = re.compile(r"/[A-Za-z0-9/._~!$&'()*+,;=:@%?-]*")
 DOT_SEGMENT = re.compile(r"/(\.|%2e){1,2}(/|$)", re.IGNORECASE)
 HIDDEN_SLASH = re.compile(r"%(2f|5c|00)", re.IGNORECASE)
@@ -58,6 +64,36 @@
     total_s: float
 
 
+class Readers:
+    """Bounds how many threads read the bodies of one team at a time.
+
+    A body may come slowly for some seconds. Without a bound for each team, one whose callers are
+    on a bad link could have every thread wait for its bodies.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._lock = threading.Lock()
+        self._reading: Counter[str] = Counter()
+
+    @contextlib.contextmanager
+    def enter(self, team: str) -> Iterator[None]:
+        """Count a body for the time of the block; raise RequestError TEAM_LIMIT."""
+        with self._lock:
+            if self._reading[team] >= self._limit:
+                raise RequestError(
+                    Kind.TEAM_LIMIT, "too many bodies are on their way", retry_after=READER_RETRY_S
+                )
+            self._reading[team] += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._reading[team] -= 1
+                if not self._reading[team]:
+                    del self._reading[team]
+
+
 class CallerServer:
     """Takes requests from callers, and hands each to the gateway."""
 
@@ -81,6 +117,7 @@
         self._on_refusal = on_refusal
         self._clock = clock
         self._departures = Departures(on_left)
+        self._readers = Readers(max(1, settings.limits.threads // READER_PARTS))
         self._authenticator = Authenticator()
         self._rotation = count()
         self._responder = Responder(settings.host, self._handle, settings.limits.answer_bytes)
@@ -148,15 +185,14 @@
             raise RequestError(Kind.STARTING, retry_after=STARTING_RETRY_S)
         index = self._authenticator.index_of(published)
         if call.path == KEYS_PATH:
-            index.require_team(call.get_header("Authorization"))
-            return self._issue_keys(call)
+            return self._issue_keys(call, index.require_team(call.get_header("Authorization")))
         caller = authenticate(
             index, call.get_header("Authorization"), call.get_header(PROFILE_HEADER)
         )
         check_target(call, caller)
         key = read_key(call, caller)
         deadline_s = choose_deadline_s(caller.profile, call.get_header(DEADLINE_HEADER))
-        body = self._read_body(call)
+        body = self._read_body(call, caller.team)
         content_type = call.get_header("Content-Type")
         field = COMPLETION_FIELDS.get(call.path)
         return Request(
@@ -174,11 +210,12 @@
             revision=published.revision,
         )
 
-    def _read_body(self, call: Call) -> bytes:
-        return call.read_body(self._limits.body_bytes, self._limits.body_timeout_s)
+    def _read_body(self, call: Call, team: str) -> bytes:
+        with self._readers.enter(team):
+            return call.read_body(self._limits.body_bytes, self._limits.body_timeout_s)
 
-    def _issue_keys(self, call: Call) -> Reply:
-        body = self._read_body(call)
+    def _issue_keys(self, call: Call, team: str) -> Reply:
+        body = self._read_body(call, team)
         wanted: Any = 1
         if body:
             wanted = bodies.parse_json(body, call.get_header("Content-Type")).get("count", 1)
--- a/cloverway/listener.py
+++ b/cloverway/listener.py
@@ -1,7 +1,7 @@
 """The HTTP server below the callers' and the operators' interfaces: cheroot with bounds.
 
-A connection has a thread only while a request is being read, run and answered. One that says
-nothing is parked with the connection manager, so that many idle connections cost no thread.
+A connection has a thread only from when the head of a request is whole until it is answered. Until
+then it is parked with the connection manager, so that idle and slow connections cost no thread.
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterable
+from enum import Enum, auto
 from typing import Any, NamedTuple
 
 from cheroot import wsgi
@@ -23,7 +24,7 @@
 from cheroot.server import HTTPConnection, HTTPRequest
 
 from cloverway.config.settings import Limits
-from cloverway.errors import Kind, Ran, RequestError
+from cloverway.errors import ANSWERS, Kind, Ran, RequestError
 
 log = logging.getLogger(__name__)
 
@@ -38,7 +39,6 @@
 LINGER_S = 0.5
 """How long what a refused caller still sends is read and dropped."""
 LINGER_BYTES = 64 * 1024
-HEAD_BYTES = 64 * 1024
 HEAD_END = b"\r\n\r\n"
 KEY_NAME = b"idempotency-key:"
 RETRY_S = 1.0
@@ -83,6 +83,17 @@
         )
 
 
+class Collected(Enum):
+    """How much of the head of a request has come."""
+
+    WHOLE = auto()
+    PART = auto()
+    LATE = auto()
+    """A part, and its time is up."""
+    LEFT = auto()
+    """The caller closed before the head was whole."""
+
+
 class TimedIO(socket.SocketIO):
     """Reads from a socket until a deadline that holds for all reads together.
 
@@ -94,12 +105,16 @@
         super().__init__(sock, "r")
         self.deadline = float("inf")
         self.hold = False
+        self.pending = bytearray()
+        """What was received before a thread had the connection."""
         self._socket = sock
 
     def readinto(self, buffer: Any) -> int | None:
         """Read what is there; raise TimeoutError when the deadline has passed."""
         if self.hold:
             return None
+        if self.pending:
+            return self._take_pending(memoryview(buffer))
         left = self.deadline - time.monotonic()
         if left <= 0:
             raise TimeoutError("timed out")
@@ -107,6 +122,20 @@
             self._socket.settimeout(left)
         return super().readinto(buffer)
 
+    def collect(self, limit: int) -> bool:
+        """Receive what is there without waiting; tell whether the caller may send more."""
+        if len(self.pending) >= limit or not is_readable(self._socket):
+            return True
+        data = self._socket.recv(limit - len(self.pending))
+        self.pending += data
+        return bool(data)
+
+    def _take_pending(self, buffer: memoryview) -> int:
+        count = min(len(buffer), len(self.pending))
+        buffer[:count] = self.pending[:count]
+        del self.pending[:count]
+        return count
+
 
 class TimedReader(io.BufferedReader):
     """The reading half of a connection."""
@@ -118,10 +147,15 @@
         super().__init__(self.source)
 
     def has_data(self) -> bool:
-        """Tell whether there is something in the buffer, without reading."""
+        """Tell whether the head of a request has been received, without reading."""
+        self._give_back()
+        return HEAD_END in self.source.pending
+
+    def _give_back(self) -> None:
+        """Put what was read beyond the last request back before the next."""
         self.source.hold = True
         try:
-            return bool(self.peek(1))
+            self.source.pending[:0] = self.read1(len(self.peek(1)))
         finally:
             self.source.hold = False
 
@@ -132,8 +166,9 @@
     def __init__(self, server: Any, sock: socket.socket, makefile: Any = MakeFile) -> None:
         super().__init__(server, sock, makefile)
         self.rfile = TimedReader(sock)
-        self.is_new = True
         self.drain = False
+        self.head_until = float("inf")
+        """When the head that has begun to come must be whole."""
 
     def limit_reading(self, seconds: float | None) -> None:
         """Bound all reads from now on together, or lift the bound."""
@@ -141,6 +176,22 @@
         self.rfile.source.deadline = deadline
         self.socket.settimeout(self.server.timeout)
 
+    def collect_head(self, bounds: Bounds, now: float) -> Collected:
+        """Receive what has come of a head, without waiting."""
+        source = self.rfile.source
+        try:
+            more = source.collect(bounds.header_bytes)
+        except OSError:
+            more = False
+        if HEAD_END in source.pending or len(source.pending) >= bounds.header_bytes:
+            self.head_until = float("inf")
+            return Collected.WHOLE
+        if not more:
+            return Collected.LEFT
+        if source.pending:
+            self.head_until = min(self.head_until, now + bounds.head_timeout_s)
+        return Collected.LATE if now >= self.head_until else Collected.PART
+
     def close(self) -> None:
         """Close, after a caller that was refused midway had a chance to read why."""
         if self.drain:
@@ -242,19 +293,22 @@
         self.expiration_interval = EXPIRE_EVERY_S
 
     def process_conn(self, conn: Connection) -> None:
-        """Hand a connection to a thread, or park it while it says nothing."""
-        if conn.is_new and not is_readable(conn.socket):
-            conn.is_new = False
-            if self.can_add_keepalive_connection:
+        """Hand a connection to a thread once the head of a request is there, or park it.
+
+        Callers that open connections and say nothing, or send a head byte by byte, cost a place
+        in a bounded table of parked connections, and no thread.
+        """
+        match conn.collect_head(self.bounds, time.monotonic()):
+            case Collected.WHOLE if self.requests.qsize < self.bounds.waiting:
+                super().process_conn(conn)
+            case Collected.WHOLE:
+                turn_away(conn, Kind.OVERLOADED, "every thread is busy")
+            case Collected.LATE:
+                turn_away(conn, Kind.TOO_SLOW, "the head did not arrive in time")
+            case Collected.PART if self.can_add_keepalive_connection:
                 self.put_conn(conn)
-            else:
+            case _:
                 conn.close()
-            return
-        conn.is_new = False
-        if self.requests.qsize >= self.bounds.waiting:
-            turn_away(conn)
-        else:
-            super().process_conn(conn)
 
     def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
         """Log what the server reports."""
@@ -303,18 +357,15 @@
     return bool(poll.poll(0))
 
 
-def turn_away(conn: Connection) -> None:
-    """Answer a request that no thread can take, without waiting for anything, and close."""
-    conn.socket.setblocking(False)
+def turn_away(conn: Connection, kind: Kind, detail: str) -> None:
+    """Answer a request that no thread takes, without waiting for anything, and close."""
+    head = conn.rfile.source.pending
+    keyless = HEAD_END in head and KEY_NAME not in head.lower()
+    retry_after = RETRY_S if ANSWERS[kind].come_back else None
+    ran = Ran.NO if keyless else Ran.UNKNOWN
+    error = RequestError(kind, detail, ran=ran, retry_after=retry_after)
     with contextlib.suppress(OSError):
-        head = conn.socket.recv(HEAD_BYTES)
-        keyless = HEAD_END in head and KEY_NAME not in head.lower()
-        error = RequestError(
-            Kind.OVERLOADED,
-            "every thread is busy",
-            ran=Ran.NO if keyless else Ran.UNKNOWN,
-            retry_after=RETRY_S,
-        )
+        conn.socket.setblocking(False)
         conn.socket.send(format_problem(error, ""))
         conn.socket.shutdown(socket.SHUT_WR)
     conn.close()
--- a/cloverway/tests/callers_bench.py
+++ b/cloverway/tests/callers_bench.py
@@ -45,7 +45,12 @@
             "home": "port-louis",
             "profiles": ["chat", "lookup", "allocate"],
             "key_hashes": [hash_key(BEARER)],
-        }
+        },
+        "hospital": {
+            "home": "curepipe",
+            "profiles": ["chat"],
+            "key_hashes": [hash_key("other-key")],
+        },
     },
 }
 HEADERS = {"Authorization": f"Bearer {BEARER}", "Content-Type": "application/json"}
--- a/cloverway/tests/test_listener.py
+++ b/cloverway/tests/test_listener.py
@@ -186,6 +186,54 @@
         assert bench.call("POST", COMPLETIONS, CHAT_BODY, CHAT).status == 200
 
 
+def test_unfinished_heads_cost_no_thread():
+    """A caller gets its answer while many others have sent a part of a head and wait.
+
+    They need no key for it. Were a thread given to each, to wait for the rest, a handful of
+    connections would stop the daemon for as long as they like.
+    """
+    bounds = BOUNDS._replace(head_timeout_s=30, idle_s=30)
+    with Bench(bounds=bounds) as bench, contextlib.ExitStack() as stack:
+        for _ in range(12):
+            stack.enter_context(bench.connect()).sendall(HEAD.encode())
+        slow = stack.enter_context(bench.connect())
+        answers = [bench.call("POST", COMPLETIONS, CHAT_BODY, CHAT).status for _ in range(3)]
+        assert answers == [200, 200, 200]
+        for byte in (HEAD + f"Content-Length: {len(CHAT_BODY)}\r\n\r\n").encode():
+            slow.sendall(bytes([byte]))
+        slow.sendall(CHAT_BODY)
+        assert read_answer(slow).status == 200
+
+
+def test_slow_bodies_of_one_team_leave_threads_for_others():
+    """A team's bodies come slowly, many at a time; its own next call is refused, others go on."""
+    bounds = BOUNDS._replace(idle_s=30)
+    with Bench(bounds=bounds) as bench, contextlib.ExitStack() as stack:
+        head = (HEAD + "Content-Length: 100\r\n\r\n").encode()
+        slow = stack.enter_context(bench.connect())
+        slow.sendall(head)
+        assert wait_until(lambda: bench.server.in_progress() == 1)
+        answer = bench.call("POST", COMPLETIONS, CHAT_BODY, CHAT)
+        assert (answer.problem["kind"], answer.problem["ran"]) == ("team_limit", "no")
+        assert answer.headers["Retry-After"] == "1"
+        other = {**CHAT, "Authorization": "Bearer other-key"}
+        assert bench.call("POST", COMPLETIONS, CHAT_BODY, other).status == 200
+        slow.sendall(CHAT_BODY.ljust(100))
+        assert read_answer(slow).status == 200
+        assert bench.call("POST", COMPLETIONS, CHAT_BODY, CHAT).status == 200
+
+
+def test_requests_that_come_together_are_answered_in_order(bench):
+    """A second head that came with the first, whole or in part, is neither lost nor mixed up."""
+    request = (HEAD + f"Content-Length: {len(CHAT_BODY)}\r\n\r\n").encode() + CHAT_BODY
+    with bench.connect() as sock:
+        sock.sendall(request + request + request[:40])
+        assert wait_until(lambda: len(bench.gateway.requests) == 2)
+        sock.sendall(request[40:])
+        assert read_all(sock).count(b"HTTP/1.1 200") == 3
+    assert [taken.body for taken in bench.gateway.requests] == [CHAT_BODY] * 3
+
+
 def test_idle_connections_are_bounded_and_end(bench):
     with contextlib.ExitStack() as stack:
         idle = [stack.enter_context(bench.connect()) for _ in range(40)]
