Put the daemon together and run the whole path in separate processes

`cloverwayd` starts the tasks of one entry host: listeners for callers, operators and peers, the dispatcher, the key ledger and the control loop, and drains at SIGTERM.

The first run refused the bound team at the first host: the gateway applied the rule of the region of the host that got the call. Cause: that check is for the host that runs a request. It is made now for a passed-on request and, just before the first byte leaves, for the domain that the route leads to.

Documents between hosts carry the revision that they start from: without it a whole was taken for a delta, and deleted documents would have stayed. The control loop is a first one: it reads the platform and the endpoints, and does not yet hear other hosts.

--- /dev/null
+++ b/cloverway/daemon.py
@@ -0,0 +1,264 @@
+"""The daemon `cloverwayd`: puts the tasks of one entry host together, runs and drains them."""
+
+from __future__ import annotations
+
+import logging
+import secrets
+import signal
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from cloverway import __version__, residency
+from cloverway.admin import AdminServer, Operations
+from cloverway.callers import CallerServer
+from cloverway.channel import Identity
+from cloverway.claims import Claims, KeyTask
+from cloverway.config.settings import Settings
+from cloverway.configuration import ConfigurationStore
+from cloverway.control import ControlLoop
+from cloverway.dispatcher import Dispatcher
+from cloverway.endpoints import EndpointClient
+from cloverway.errors import ConfigurationError, RequestError, UserError
+from cloverway.gateway import Ports, RequestGateway
+from cloverway.handlers import PeerRequests, make_fetch
+from cloverway.logs import configure_logs
+from cloverway.metrics import Metrics
+from cloverway.peer_client import PeerClient
+from cloverway.peer_server import PeerServer
+from cloverway.peering import PeerBounds
+from cloverway.relay import GAP_BOUNDS_S
+from cloverway.reporting import Reporter
+from cloverway.view import View, ViewHolder
+
+log = logging.getLogger(__name__)
+
+INCARNATION_BYTES = 8
+SECRET_BYTES = 32
+DRAIN_POLL_S = 0.05
+HEARTBEATS_TO_NOTICE = 4
+"""Heartbeat periods that other hosts and callers are given to notice that this host leaves."""
+STACK_BYTES = 256 * 1024
+"""Stack of each thread; hundreds of them wait for callers."""
+
+
+def read_secret(path: Path) -> bytes:
+    """Read the secret that all hosts share; raise ConfigurationError."""
+    try:
+        secret = path.read_bytes().strip()
+    except OSError as error:
+        raise ConfigurationError([f"{path}: can't be read: {error.strerror}"]) from error
+    if len(secret) < SECRET_BYTES:
+        raise ConfigurationError([f"{path}: is shorter than {SECRET_BYTES} bytes; make a new one"])
+    return secret
+
+
+class Daemon:
+    """One entry host: all its tasks, started and ended together."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.holder = ViewHolder(
+            View(settings.host, self.incarnation, settings.domain, settings.region)
+        )
+        self._leaving = threading.Event()
+        self._pause = threading.Event()
+        self._make_tasks(read_secret(Path(settings.security.peer_secret_file)))
+
+    @classmethod
+    def from_config(cls, path: Path) -> Daemon:
+        """Make a daemon from its settings file; raise ConfigurationError."""
+        return cls(Settings.from_toml(path))
+
+    def start(self) -> None:
+        """Start every task; raises OSError when an address can't be bound."""
+        self.metrics.start()
+        self.dispatcher.start()
+        self.keys.start()
+        self.claims.start()
+        self.peer_server.start()
+        self.control.start()
+        self.admin.start()
+        self.callers.start()
+        log.info("started", extra={"version": __version__, "callers": self.callers.address})
+
+    def begin_leaving(self) -> None:
+        """Take no new work from now on; `wait_for_leave` sees it."""
+        self.control.begin_leaving()
+        self.keys.leave()
+        self.callers.stop_accepting()
+        self._leaving.set()
+
+    def wait_for_leave(self) -> None:
+        """Wait until a signal or an operator asks the daemon to leave."""
+        self._leaving.wait()
+
+    def drain(self, is_cut: Callable[[], bool], now: Callable[[], float] = time.monotonic) -> int:
+        """Wait for all requests in progress, and give how many were cut.
+
+        Each request ends by its own deadline, so the wait is bounded. Until other hosts and
+        callers have noticed, new requests are still answered: refused, with when to come back.
+        """
+        noticed_at = now() + HEARTBEATS_TO_NOTICE * self.settings.timing.heartbeat_s
+        warn_at = now() + self.settings.limits.drain_s
+        while (self.count_in_progress() or now() < noticed_at) and not is_cut():
+            if now() >= warn_at:
+                warn_at = now() + self.settings.limits.drain_s
+                count = self.count_in_progress()
+                log.warning("still waiting for requests in progress", extra={"count": count})
+            self._pause.wait(DRAIN_POLL_S)
+        return self.count_in_progress()
+
+    def count_in_progress(self) -> int:
+        """Count requests of callers, and those passed on by other hosts."""
+        return max(self.callers.in_progress(), self.dispatcher.in_flight())
+
+    def stop(self) -> None:
+        """End every task, the listeners first."""
+        self.callers.stop()
+        self.admin.stop()
+        self.peer_server.stop()
+        self.claims.stop()
+        self.control.stop()
+        self.dispatcher.stop()
+        self.keys.stop()
+        self.peer_client.close()
+        self.endpoints.close()
+        self.metrics.stop()
+
+    def _make_tasks(self, secret: bytes) -> None:
+        settings, holder = self.settings, self.holder
+        bounds = PeerBounds.from_limits(settings.limits)
+        self.metrics = Metrics(time.monotonic, GAP_BOUNDS_S)
+        reporter = Reporter(self.metrics, holder)
+        self.peer_client = PeerClient(Identity(settings.host, self.incarnation), secret, bounds)
+        self.dispatcher = Dispatcher.from_config(settings, holder)
+        self.keys = KeyTask.from_settings(settings, self.incarnation, self._may_hold)
+        self.claims = Claims(self.keys, self.peer_client, self._find_address, self._may_hold)
+        self.endpoints = EndpointClient.from_settings(settings.limits, reporter.note_stream)
+        self.gateway = RequestGateway(
+            Ports(holder, self.dispatcher, self.endpoints, self.peer_client, self.claims),
+            time.monotonic,
+            reporter.note_end,
+            settings.limits.recorded_answer_bytes,
+        )
+        self.control = ControlLoop.from_settings(
+            settings,
+            holder,
+            store=ConfigurationStore(),
+            secret=secret,
+            fetch_changes=make_fetch(self.peer_client.changes),
+            load=self.dispatcher.load,
+        )
+        handler = PeerRequests(self.keys, self.gateway, self.control.changes_after)
+        self.peer_server = PeerServer(
+            settings.listen.peers,
+            Identity(settings.host, self.incarnation),
+            secret,
+            handler,
+            bounds,
+        )
+        self._make_listeners(reporter)
+
+    def _make_listeners(self, reporter: Reporter) -> None:
+        self.callers = CallerServer(
+            self.settings,
+            self.holder,
+            self.gateway,
+            self.keys.issue,
+            on_refusal=reporter.note_refusal,
+        )
+        operations = Operations(
+            list_hosts=self.callers.list_hosts,
+            in_progress=self.count_in_progress,
+            render_metrics=self.metrics.render,
+            explain=self._explain,
+            begin_leaving=self.begin_leaving,
+        )
+        self.admin = AdminServer(self.settings, self.holder, operations)
+
+    def _explain(self, team: str, profile: str) -> Any:
+        return self.dispatcher.explain(team, profile, time.monotonic())
+
+    def _find_address(self, host: str) -> str | None:
+        published = self.holder.current.published
+        found = published.hosts.get(host) if published else None
+        return found.peers if found else None
+
+    def _may_hold(self, team: str, profile: str, host: str) -> bool:
+        """Tell whether data of a team may be held at a host; unknown counts as no."""
+        published = self.holder.current.published
+        if published is None or host not in published.hosts:
+            return False
+        region = published.region_of(published.hosts[host].domain)
+        try:
+            return region in residency.allowed_regions(published, team, profile)
+        except RequestError:
+            return False
+
+
+def run(path: Path) -> int:
+    """Run a daemon until it has left; give its exit status."""
+    daemon = Daemon.from_config(path)
+    configure_logs(daemon.settings.log_level, daemon.settings.host, daemon.incarnation)
+    signals = _count_signals(daemon)
+    daemon.start()
+    daemon.wait_for_leave()
+    cut = daemon.drain(lambda: len(signals) > 1)
+    if cut:
+        log.error("requests in progress are cut by a second signal", extra={"count": cut})
+    daemon.stop()
+    log.info("stopped")
+    return 1 if cut else 0
+
+
+def _count_signals(daemon: Daemon) -> list[int]:
+    """Leave at the first SIGTERM or SIGINT; the list given grows with each signal."""
+    signals: list[int] = []
+
+    def take_signal(number: int, frame: object) -> None:
+        signals.append(number)
+        if len(signals) == 1:
+            # The handler interrupts the main thread, which may hold a lock that leaving needs.
+            threading.Thread(target=daemon.begin_leaving, name="leave").start()
+
+    signal.signal(signal.SIGTERM, take_signal)
+    signal.signal(signal.SIGINT, take_signal)
+    return signals
+
+
+app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+
+@app.command()
+def serve(
+    settings: Annotated[Path, typer.Option(help="TOML file with the settings of this host.")],
+) -> None:
+    """Run one entry host of cloverway.
+
+    SIGTERM makes it leave: no request in progress is cut. A second SIGTERM cuts what is left.
+    """
+    threading.stack_size(STACK_BYTES)
+    try:
+        status = run(settings)
+    except UserError as error:
+        typer.echo(f"cloverwayd: {error}", err=True)
+        raise typer.Exit(1) from None
+    except OSError as error:
+        typer.echo(f"cloverwayd: can't start: {error}", err=True)
+        raise typer.Exit(1) from None
+    raise typer.Exit(status)
+
+
+def main() -> None:
+    """Enter from the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- a/cloverway/gateway.py
+++ b/cloverway/gateway.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import hashlib
 import logging
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 from cloverway import residency
+from cloverway.claims import Granted, Replayed
 from cloverway.config.published import Profile, Published
 from cloverway.errors import Kind, Ran, RequestError
 from cloverway.exchange import Reply
@@ -25,6 +25,9 @@
 
 RAN_ORDER = (Ran.NO, Ran.UNKNOWN, Ran.YES)
 
+SETTLED = {Ran.NO: Outcome.NOT_SENT, Ran.UNKNOWN: Outcome.FAILED, Ran.YES: Outcome.DONE}
+"""What the issuer of a key is told, by what is known of the run."""
+
 SAFE_KINDS = frozenset({Kind.ENDPOINT_REFUSED, Kind.LEAVING, Kind.STARTING, Kind.NO_CAPACITY})
 """Refusals before the start, after which another endpoint may be tried for any profile."""
 
@@ -45,23 +48,15 @@
     ran: Ran = Ran.YES
 
 
-class Grant(Protocol):
-    """The right to run a request with an idempotency key."""
-
-    def is_valid(self, now: float) -> bool:
-        """Tell whether the right still holds at a time of the own clock."""
-        ...
-
-
-class Claims(Protocol):
+class KeyClaims(Protocol):
     """Asks the issuer of a key for the right to use it."""
 
-    def claim(self, request: Request, digest: str) -> Grant | Reply:
+    def claim(self, request: Request) -> Granted | Replayed:
         """Give the right, or the recorded answer of the first use; raise RequestError."""
         ...
 
-    def settle(self, grant: Grant, ran: Ran, reply: Reply | None) -> None:
-        """Tell the issuer how the use ended; never raises."""
+    def settle(self, granted: Granted, outcome: Outcome, reply: Reply | None = None) -> None:
+        """Tell the issuer how the use ended; returns at once."""
         ...
 
 
@@ -101,7 +96,15 @@
 class Peers(Protocol):
     """Passes requests on to hosts of other failure domains."""
 
-    def run(self, address: str, request: Request, *, idempotent: bool, check: Check) -> Reply:
+    def run(
+        self,
+        host: str,
+        address: str,
+        request: Request,
+        *,
+        idempotent: bool = False,
+        start_by: float | None = None,
+    ) -> Reply:
         """Pass on and give the answer; raise RequestError with `ran` set."""
         ...
 
@@ -113,13 +116,7 @@
     router: Router
     endpoints: Endpoints
     peers: Peers
-    claims: Claims
-
-
-def make_digest(request: Request) -> str:
-    """Digest what makes two requests the same: the key is bound to it."""
-    head = f"{request.method} {request.path} {request.content_type}\n".encode()
-    return hashlib.sha256(head + request.body).hexdigest()
+    claims: KeyClaims
 
 
 def take_worse(first: Ran, second: Ran) -> Ran:
@@ -162,20 +159,23 @@
     def __init__(self, gateway: RequestGateway, request: Request) -> None:
         self.gateway = gateway
         self.request = request
-        self.grant: Grant | None = None
+        self.grant: Granted | None = None
         self.ran = Ran.NO
         self.record = Record(request)
         self.ended = False
 
     def run(self) -> Reply:
         published = self._get_published()
-        residency.check_here(published, self.request, self.gateway.ports.holder.current.region)
-        profile = published.profiles[self.request.profile]
+        if self.request.passed_on:
+            residency.check_here(published, self.request, self._get_region())
+        profile = published.profiles.get(self.request.profile)
+        if profile is None:
+            raise RequestError(Kind.FORBIDDEN, "the profile is not published")
         if self.request.key and not profile.idempotent and not self.request.passed_on:
-            claimed = self.gateway.ports.claims.claim(self.request, make_digest(self.request))
-            if isinstance(claimed, Reply):
+            claimed = self.gateway.ports.claims.claim(self.request)
+            if isinstance(claimed, Replayed):
                 self.end(None)
-                return claimed
+                return claimed.reply
             self.grant = claimed
         verdict: Verdict | None = self.gateway.ports.router.submit(self.request)
         while True:
@@ -202,7 +202,7 @@
             error.ran = take_worse(self.ran, error.ran)
         ran = error.ran if error is not None else Ran.YES
         if self.grant is not None:
-            self.gateway.ports.claims.settle(self.grant, ran, reply)
+            self.gateway.ports.claims.settle(self.grant, SETTLED[ran], reply)
         total_s = self.gateway.clock() - self.request.arrived_at
         kind = error.kind if error is not None else None
         self.gateway.observe(self.record._replace(total_s=total_s, kind=kind, ran=ran))
@@ -213,6 +213,9 @@
             raise RequestError(Kind.STARTING, retry_after=1.0)
         return view.published
 
+    def _get_region(self) -> str:
+        return self.gateway.ports.holder.current.region
+
     def _take(self, verdict: Verdict | None) -> Admitted:
         assert verdict is not None
         if isinstance(verdict, Refused):
@@ -233,8 +236,13 @@
         route = admitted.route
         if isinstance(route, Away):
             assert not self.request.passed_on, "a passed-on request is never passed on again"
+            self._check(route.domain)
             return gateway.ports.peers.run(
-                route.address, self.request, idempotent=profile.idempotent, check=self._check
+                route.host,
+                route.address,
+                self.request,
+                idempotent=profile.idempotent,
+                start_by=self.grant.start_by if self.grant is not None else None,
             )
         return gateway.ports.endpoints.send(
             route.url,
@@ -242,10 +250,10 @@
             idempotent=profile.idempotent,
             gap_s=profile.gap_ms / 1000,
             priority=int(profile.priority),
-            check=self._check,
+            check=lambda: self._check(gateway.ports.holder.current.domain),
         )
 
-    def _check(self) -> None:
+    def _check(self, domain: str) -> None:
         """Refuse just before the first byte leaves what may no longer be run.
 
         A process that was paused wakes up here: its deadline has passed or its right to use the
@@ -255,10 +263,10 @@
         now = self.gateway.clock()
         if now >= self.request.deadline:
             raise RequestError(Kind.DEADLINE, "the deadline passed before it was sent")
-        if self.grant is not None and not self.grant.is_valid(now):
-            raise RequestError(Kind.DEADLINE, "the right to use the key ran out", retry_after=1.0)
+        if self.grant is not None:
+            self.grant.check(now)
         published = self._get_published()
-        residency.check_here(published, self.request, self.gateway.ports.holder.current.region)
+        residency.check_here(published, self.request, published.region_of(domain))
 
     def _finish_failed(
         self, admitted: Admitted, profile: Profile, error: RequestError
--- /dev/null
+++ b/cloverway/handlers.py
@@ -0,0 +1,84 @@
+"""What this host does for its peers, and how documents travel between hosts."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+from cloverway import peering, wire
+from cloverway.claims import KeyTask
+from cloverway.errors import PeerError
+from cloverway.exchange import Gateway, Reply
+from cloverway.keys import ClaimCall, ClaimResult, SettleCall
+from cloverway.messages import Request
+from cloverway.platform.port import Changes, Document
+
+ChangesAfter = Callable[[int], Changes]
+Fetch = Callable[[str, str, int], peering.Changes]
+
+
+class PeerRequests:
+    """Hands each call of a peer to the part of the daemon that answers it."""
+
+    def __init__(self, keys: KeyTask, gateway: Gateway, changes_after: ChangesAfter) -> None:
+        self._keys = keys
+        self._gateway = gateway
+        self._changes_after = changes_after
+
+    def claim(self, call: ClaimCall) -> ClaimResult:
+        """Decide a claim of a key that this host issued."""
+        return self._keys.claim(call)
+
+    def settle(self, call: SettleCall) -> None:
+        """Note how a run ended."""
+        self._keys.settle(call)
+
+    def run(self, request: Request) -> Reply:
+        """Run a passed-on request here, or refuse it."""
+        return self._gateway.run(request)
+
+    def changes(self, after: int) -> peering.Changes:
+        """Give the documents that changed after a revision."""
+        return encode_changes(self._changes_after(after))
+
+
+def encode_changes(changes: Changes) -> peering.Changes:
+    """Give changes in the form that travels between hosts."""
+    documents = tuple(
+        wire.Change(document.key, document.revision, _encode_value(document))
+        for document in changes.documents
+    )
+    return peering.Changes(changes.revision, documents, changes.after)
+
+
+def decode_changes(changes: peering.Changes) -> Changes:
+    """Read changes that came from a peer; raise PeerError for any other form."""
+    documents = tuple(_decode_change(change) for change in changes.changes)
+    return Changes(changes.top, changes.after, documents)
+
+
+def make_fetch(fetch: Fetch) -> Callable[[str, str, int], Changes]:
+    """Make a call that asks a host at an address for the changes after a revision."""
+
+    def fetch_changes(host: str, address: str, after: int) -> Changes:
+        return decode_changes(fetch(host, address, after))
+
+    return fetch_changes
+
+
+def _encode_value(document: Document) -> str | None:
+    if document.value is None:
+        return None
+    return json.dumps(document.value, separators=(",", ":"))
+
+
+def _decode_change(change: wire.Change) -> Document:
+    if change.value is None:
+        return Document(change.key, change.revision, None)
+    try:
+        value = json.loads(change.value)
+    except (ValueError, RecursionError) as error:
+        raise PeerError(f"the value of {change.key[:80]!r} is not JSON") from error
+    if not isinstance(value, dict):
+        raise PeerError(f"the value of {change.key[:80]!r} is not a table")
+    return Document(change.key, change.revision, value)
--- a/cloverway/peer.thrift
+++ b/cloverway/peer.thrift
@@ -98,6 +98,7 @@
   1: i64 top
   2: list<Change> changes
   3: bool more
+  4: i64 after
 }
 
 struct Message {
--- a/cloverway/peer_server.py
+++ b/cloverway/peer_server.py
@@ -205,7 +205,8 @@
         pages = list(split_pages(changes.changes))
         for number, page in enumerate(pages, start=1):
             more = number < len(pages)
-            channel.send_message(wire.ChangesPage(changes.top, page, more), self._send_by())
+            message = wire.ChangesPage(changes.top, page, more, changes.after)
+            channel.send_message(message, self._send_by())
 
     def _send_by(self) -> float:
         return time.monotonic() + self._bounds.send_s
--- a/cloverway/peering.py
+++ b/cloverway/peering.py
@@ -17,6 +17,8 @@
     top: int
     """The highest revision that it knows."""
     changes: tuple[Change, ...] = ()
+    after: int = 0
+    """The revision that the changes start from; 0 when they are all documents."""
 
 
 class PeerHandler(Protocol):
--- a/cloverway/wire.py
+++ b/cloverway/wire.py
@@ -109,6 +109,8 @@
     """The highest revision that the host knows."""
     changes: tuple[Change, ...]
     more: bool
+    after: int = 0
+    """The revision that the changes start from; 0 when they are all documents."""
 
 
 Message = (
