--- a/cloverway/daemon.py
+++ b/cloverway/daemon.py
@@ -27,11 +27,11 @@
 from cloverway.gateway import Ports, RequestGateway
 from cloverway.handlers import PeerRequests, make_fetch
 from cloverway.logs import configure_logs
+from cloverway.meters import GAP_BOUNDS_S
 from cloverway.metrics import Metrics
 from cloverway.peer_client import PeerClient
 from cloverway.peer_server import PeerServer
 from cloverway.peering import PeerBounds
-from cloverway.relay import GAP_BOUNDS_S
 from cloverway.reporting import Reporter
 from cloverway.view import View, ViewHolder
 
