Refuse settings under which a refusal would wait for a thread

limits.threads must be over admitted + queued: a request that waits in the listener's own line is invisible to admission and can't be refused at once.

--- a/cloverway/config/settings.py
+++ b/cloverway/config/settings.py
@@ -120,6 +120,7 @@
         settings = validate(cls, values, findings)
         if settings is not None:
             _check_platform(settings.platform, findings)
+            _check_limits(settings.limits, findings)
         findings.raise_if_any()
         assert settings is not None
         return settings
@@ -130,3 +131,12 @@
         findings.add("platform.directory", 'set it to the published directory, or kind = "http"')
     if platform.kind == "http" and not platform.url:
         findings.add("platform.url", 'set it to the service\'s address, or kind = "file"')
+
+
+def _check_limits(limits: Limits, findings: Findings) -> None:
+    needed = limits.admitted + limits.queued
+    if limits.threads <= needed:
+        findings.add(
+            "limits.threads",
+            f"must be over admitted + queued, which are {needed}, so that a refusal finds a thread",
+        )
