--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test check venv
+.PHONY: demo test check matrix venv
 
 venv: $(VENV)/.installed
 
@@ -22,3 +22,6 @@
 
 demo: venv
 	$(BIN)/python -m cloverway.tests.demo
+
+matrix: venv
+	$(BIN)/python -m cloverway.tests.matrix
--- a/cloverway/tests/standins/clients.py
+++ b/cloverway/tests/standins/clients.py
@@ -93,9 +93,13 @@
         key: str = "",
         deadline_ms: int | None = None,
         headers: dict[str, str] | None = None,
+        pieces: list[bytes] | None = None,
         **options: Any,
     ) -> Result:
-        """Send one call, once; never raise for what the network does."""
+        """Send one call, once; never raise for what the network does.
+
+        The pieces of the answer's body are put into `pieces` as they come.
+        """
         sent = {"Authorization": f"Bearer {key_of(self.team)}"}
         sent |= {"Cloverway-Profile": profile} if profile else {}
         sent |= {"Idempotency-Key": key} if key else {}
@@ -107,14 +111,13 @@
             )
         except urllib3.exceptions.HTTPError as error:
             return Result(NO_ANSWER, error=repr(error))
-        return _read(answer)
+        return _read(answer, [] if pieces is None else pieces)
 
 
-def _read(answer: Any) -> Result:
-    pieces: list[bytes] = []
+def _read(answer: Any, pieces: list[bytes]) -> Result:
     error = ""
     try:
-        pieces.extend(answer.stream(4096))
+        pieces.extend(iter(lambda: answer.read1(4096), b""))
     except urllib3.exceptions.HTTPError as cut:
         error = repr(cut)
         answer.close()
--- a/cloverway/tests/standins/completions.py
+++ b/cloverway/tests/standins/completions.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from typing import Any
 
+from cloverway.tests.standins.base import Channel
 from cloverway.tests.standins.batching import Run
+from cloverway.tests.standins.faults import Faults
 
 DONE = b"data: [DONE]\n\n"
 
@@ -33,3 +36,98 @@
     """Give the event that tells why the answer ended."""
     last = {"id": run.id, "choices": [{"index": 0, "delta": {}, "finish_reason": "length"}]}
     return f"data: {json.dumps(last)}\n\n".encode()
+
+
+class Answer:
+    """Send what a run produces over one connection, as the fault switches have it."""
+
+    def __init__(
+        self, run: Run, form: str, channel: Channel, faults: Faults, *, live: Faults
+    ) -> None:
+        self._run = run
+        self._form = form
+        self._channel = channel
+        self._faults = faults
+        self._live = live
+
+    async def send(self, *, stream: bool) -> None:
+        """Answer as a stream or whole."""
+        if self._faults.close_at_once:
+            await self._grow_to(1)
+            self._channel.cut()
+        elif self._faults.silent:
+            await self._channel.gone.wait()
+        elif stream:
+            await self.stream(0)
+        else:
+            await self._send_whole()
+
+    async def _send_whole(self) -> None:
+        await self._grow_to(self._run.total)
+        await self._wait_first()
+        if self._faults.error or self._run.state in ("lost", "cancelled"):
+            self._channel.send_json(self._faults.error or 500, {"error": {"type": "failed"}})
+            return
+        body = make_completion(self._run, self._form)
+        await self._channel.send_faulty(self._faults, "application/json", body)
+
+    async def stream(self, start: int) -> None:
+        """Send the tokens from one on as they come, and the end."""
+        await self._grow_to(start + 1)
+        await self._wait_first()
+        if self._faults.error:
+            self._channel.send_json(self._faults.error, {"error": {"type": "failed"}})
+            return
+        self._channel.start_stream("text/event-stream")
+        sent = start
+        while sent < self._run.total:
+            end = min(await self._grow_to(sent + 1), self._run.total)
+            for number, token in enumerate(self._run.tokens(sent, end), sent):
+                if await self._fail_midway(number):
+                    return
+                await self._channel.send_piece(make_event(self._run, token, self._form))
+            if end <= sent:
+                self._channel.cut()
+                return
+            sent = end
+        if await self._fail_midway(self._run.total):
+            return
+        await self._channel.send_piece(make_last_event(self._run))
+        await self._channel.send_piece(DONE)
+        self._channel.end_stream()
+        if self._faults.duplicate:
+            self._channel.start_stream("text/event-stream")
+            await self._channel.send_piece(make_event(self._run, "late ", self._form))
+            self._channel.end_stream()
+
+    async def _wait_first(self) -> None:
+        await asyncio.sleep(self._faults.first_byte_s)
+        if self._faults.hold:
+            await self._live.wait_unheld(self._channel.gone)
+
+    async def _fail_midway(self, sent: int) -> bool:
+        if self._faults.hold_after == sent:
+            await self._live.wait_unheld(self._channel.gone)
+        if self._faults.stall_after == sent:
+            await self._channel.gone.wait()
+            return True
+        if self._faults.cut_after == sent:
+            self._channel.close()
+            return True
+        return False
+
+    async def _grow_to(self, tokens: int) -> int:
+        """Wait until a run has so many tokens, ended, or its reader left."""
+        while (
+            self._run.produced < min(tokens, self._run.total)
+            and not self._run.ended
+            and self._run.state != "interrupted"
+        ):
+            grown = asyncio.ensure_future(self._run.grown.wait())
+            gone = asyncio.ensure_future(self._channel.gone.wait())
+            await asyncio.wait((grown, gone), return_when=asyncio.FIRST_COMPLETED)
+            grown.cancel()
+            gone.cancel()
+            if self._channel.gone.is_set():
+                raise ConnectionError("the reader left")
+        return self._run.produced
--- a/cloverway/tests/standins/engine.py
+++ b/cloverway/tests/standins/engine.py
@@ -11,17 +11,20 @@
 
 from cloverway.tests.standins.base import Channel, Request, Server, parser, serve_forever
 from cloverway.tests.standins.batching import Batch, PrefixCache, Run, Timing
-from cloverway.tests.standins.completions import (
-    DONE,
-    make_completion,
-    make_event,
-    make_last_event,
-)
+from cloverway.tests.standins.completions import Answer
 from cloverway.tests.standins.faults import Faults
 from cloverway.tests.standins.orders import Orders
 from cloverway.tests.standins.service import NOT_STARTED
 
 SAMPLE_S = 0.02
+NUMBERS = {
+    "slots": 8,
+    "cache_blocks": 1024,
+    "report_lag_s": 0.0,
+    "event_lag_s": 0.0,
+    "gap_every": 0,
+}
+"""Options of the program that are numbers, with their defaults."""
 COMPLETIONS = {"/v1/chat/completions": "chat", "/v1/completions": "text"}
 
 
@@ -173,7 +176,8 @@
         self.by_user[run.user] += 1
         self.batch.add(run, faults.token_s)
         try:
-            await self._answer_run(run, body, COMPLETIONS[request.path], channel, faults)
+            answer = Answer(run, COMPLETIONS[request.path], channel, faults, live=self.faults)
+            await answer.send(stream=bool(body.get("stream")))
         finally:
             if channel.gone.is_set() or run.state == "running":
                 self.batch.interrupt(run)
@@ -192,88 +196,6 @@
         run.before = len(before["content"].split()) if before else 0
         return run
 
-    async def _answer_run(
-        self, run: Run, body: dict[str, Any], form: str, channel: Channel, faults: Faults
-    ) -> None:
-        if faults.close_at_once:
-            await self._grow_to(run, 1, channel)
-            channel.cut()
-        elif faults.silent:
-            await channel.gone.wait()
-        elif body.get("stream"):
-            await self._stream(run, 0, form, channel, faults)
-        else:
-            await self._answer_whole(run, form, channel, faults)
-
-    async def _answer_whole(self, run: Run, form: str, channel: Channel, faults: Faults) -> None:
-        await self._grow_to(run, run.total, channel)
-        await self._wait_first(channel, faults)
-        if faults.error or run.state in ("lost", "cancelled"):
-            channel.send_json(faults.error or 500, {"error": {"type": "failed"}})
-            return
-        body = make_completion(run, form)
-        await channel.send_faulty(faults, "application/json", body)
-
-    async def _stream(
-        self, run: Run, start: int, form: str, channel: Channel, faults: Faults
-    ) -> None:
-        await self._grow_to(run, start + 1, channel)
-        await self._wait_first(channel, faults)
-        if faults.error:
-            channel.send_json(faults.error, {"error": {"type": "failed"}})
-            return
-        channel.start_stream("text/event-stream")
-        sent = start
-        while sent < run.total:
-            end = min(await self._grow_to(run, sent + 1, channel), run.total)
-            for number, token in enumerate(run.tokens(sent, end), sent):
-                if await self._fail_midway(number, channel, faults):
-                    return
-                await channel.send_piece(make_event(run, token, form))
-            if end <= sent:
-                channel.cut()
-                return
-            sent = end
-        if await self._fail_midway(run.total, channel, faults):
-            return
-        await channel.send_piece(make_last_event(run))
-        await channel.send_piece(DONE)
-        channel.end_stream()
-        if faults.duplicate:
-            channel.start_stream("text/event-stream")
-            await channel.send_piece(make_event(run, "late ", form))
-            channel.end_stream()
-
-    async def _wait_first(self, channel: Channel, faults: Faults) -> None:
-        await asyncio.sleep(faults.first_byte_s)
-        if faults.hold:
-            await self.faults.wait_unheld(channel.gone)
-
-    async def _fail_midway(self, sent: int, channel: Channel, faults: Faults) -> bool:
-        if faults.hold_after == sent:
-            await self.faults.wait_unheld(channel.gone)
-        if faults.stall_after == sent:
-            await channel.gone.wait()
-            return True
-        if faults.cut_after == sent:
-            channel.close()
-            return True
-        return False
-
-    async def _grow_to(self, run: Run, tokens: int, channel: Channel) -> int:
-        """Wait until a run has so many tokens, ended, or its reader left."""
-        while (
-            run.produced < min(tokens, run.total) and not run.ended and run.state != "interrupted"
-        ):
-            grown = asyncio.ensure_future(run.grown.wait())
-            gone = asyncio.ensure_future(channel.gone.wait())
-            await asyncio.wait((grown, gone), return_when=asyncio.FIRST_COMPLETED)
-            grown.cancel()
-            gone.cancel()
-            if channel.gone.is_set():
-                raise ConnectionError("the reader left")
-        return run.produced
-
     async def _resume(self, request: Request, channel: Channel, faults: Faults) -> None:
         run = self.batch.runs.get(request.query.get("id", ""))
         if run is None or run.state in ("cancelled", "lost"):
@@ -282,7 +204,8 @@
         self.batch.resume(run)
         try:
             start = int(request.query.get("from", "0"))
-            await self._stream(run, start, request.query.get("form", "chat"), channel, faults)
+            form = request.query.get("form", "chat")
+            await Answer(run, form, channel, faults, live=self.faults).stream(start)
         finally:
             if channel.gone.is_set():
                 self.batch.interrupt(run)
@@ -291,12 +214,9 @@
 def main() -> None:
     options = parser("A model engine.")
     options.add_argument("--models", default="clover-assist")
-    options.add_argument("--slots", type=int, default=8)
-    options.add_argument("--cache-blocks", type=int, default=1024)
-    options.add_argument("--report-lag-s", type=float, default=0.0)
-    options.add_argument("--event-lag-s", type=float, default=0.0)
-    options.add_argument("--gap-every", type=int, default=0)
     options.add_argument("--fencing", action="store_true")
+    for name, default in NUMBERS.items():
+        options.add_argument(f"--{name.replace('_', '-')}", type=type(default), default=default)
     for name in Timing._fields:
         default = Timing._field_defaults[name]
         options.add_argument(f"--{name.replace('_', '-')}", type=float, default=default)
--- a/cloverway/tests/standins/fleet.py
+++ b/cloverway/tests/standins/fleet.py
@@ -154,10 +154,7 @@
         """Start an ended process at its old address and wait until it is ready."""
         self.processes[name].kill()
         self.processes[name].start()
-        if name in self.hosts:
-            self.wait_ready(name)
-        else:
-            self._wait_open(name)
+        self.wait_open(name)
 
     def publish(self, changes: dict[str, Any]) -> int:
         """Publish changes to the tables, nested as in TOML; give the revision."""
@@ -202,7 +199,7 @@
         for name in self.topology.names("services"):
             self._start_standin(name, "service", service)
         for name in list(self.remotes):
-            self._wait_open(name)
+            self.wait_open(name)
 
     def _start_standin(self, name: str, program: str, options: list[str]) -> None:
         port = self._ports.take()
@@ -212,7 +209,11 @@
         self.processes[name].start()
         self.remotes[name] = Remote(f"http://127.0.0.1:{port}")
 
-    def _wait_open(self, name: str) -> None:
+    def wait_open(self, name: str) -> None:
+        """Wait until a process that was started serves."""
+        if name in self.hosts:
+            self.wait_ready(name)
+            return
         url = f"{self.remotes[name].url}/test/{'state' if name == 'platform' else 'runs'}"
 
         def is_open() -> bool:
@@ -256,7 +257,7 @@
         documents = self.folder / "documents.json"
         documents.write_text(json.dumps(to_documents(self.tables)))
         self._start_standin("platform", "platform", ["--documents", str(documents)])
-        self._wait_open("platform")
+        self.wait_open("platform")
 
     def _write_published(self) -> None:
         self.revision += 1
--- a/cloverway/tests/standins/links.py
+++ b/cloverway/tests/standins/links.py
@@ -11,6 +11,7 @@
 
 PIECE = 64 * 1024
 POLL_S = 0.005
+LARGE = 4096
 TO_TARGET, TO_CALLER = "to_target", "to_caller"
 BOTH = (TO_TARGET, TO_CALLER)
 
@@ -39,13 +40,14 @@
         self.udp = udp
         self.port = port
         self.connections = 0
+        self.held = 0
         self.passed = dict.fromkeys(BOTH, 0)
         self.identify = identify or (lambda _kind, _port: EVERYONE)
         self._cut: set[str] = set()
         self._silent: set[tuple[str, str]] = set()
         self._delay_s = 0.0
         self._bytes_per_s: float | None = None
-        self._room: int | None = None
+        self._passing: int | None = None
         self._pairs: set[Pair] = set()
         self._listener: asyncio.Server | None = None
         self._loop = asyncio.new_event_loop()
@@ -97,15 +99,22 @@
         self._delay_s = delay_s
         self._bytes_per_s = bytes_per_s
 
-    def hold_after(self, to_target: int) -> None:
-        """Pass so many more bytes to the target and hold the rest until restored."""
-        self._room = to_target
+    def hold_large(self, passing: int) -> None:
+        """Of each large piece to the target pass so many bytes, and hold the rest until restored.
+
+        Small requests, such as those for load reports, go on as before.
+        """
+        self._passing = passing
+
+    def let_go(self) -> None:
+        """Pass what is held back, and leave other faults as they are."""
+        self._passing = None
 
     def restore(self) -> None:
         """Pass everything again; what was dropped stays lost."""
         self._cut.clear()
         self._silent.clear()
-        self._room = None
+        self._passing = None
         self.slow(0.0)
         if self._listener is None:
             self._wait(self._listen())
@@ -179,7 +188,7 @@
             while received := await reader.read(PIECE):
                 piece = received
                 await self._hold_back(len(piece))
-                if way == TO_TARGET and self._room is not None:
+                if way == TO_TARGET and len(piece) > LARGE and self._passing is not None:
                     piece = await self._pass_part(piece, writer)
                 if not self.is_silent(source, way):
                     self.passed[way] += len(piece)
@@ -192,13 +201,12 @@
             writer.close()
 
     async def _pass_part(self, piece: bytes, writer: asyncio.StreamWriter) -> bytes:
-        """Pass what there is room for, wait for the restoring, and give the rest."""
-        assert self._room is not None
-        part = piece[: self._room]
-        self._room -= len(part)
+        """Pass a part of a piece, wait for the restoring, and give the rest."""
+        part = piece[: self._passing]
         self.passed[TO_TARGET] += len(part)
+        self.held += 1
         writer.write(part)
-        while self._room is not None and len(part) < len(piece):
+        while self._passing is not None and not writer.is_closing():
             await asyncio.sleep(POLL_S)
         return piece[len(part) :]
 
--- a/cloverway/tests/test_standins.py
+++ b/cloverway/tests/test_standins.py
@@ -238,9 +238,10 @@
 
 def test_link_holds_the_rest_of_a_request():
     with Service() as service, Link(service.address) as link, ThreadPoolExecutor(1) as pool:
-        link.hold_after(1000)
+        link.hold_large(1000)
         answer = pool.submit(HTTP.request, "POST", f"{link.url}/x", body=b"a" * 100_000)
-        wait_until(lambda: link.passed["to_target"] == 1000)
+        wait_until(lambda: link.held == 1)
+        assert HTTP.request("GET", f"{link.url}/load").status == 200
         assert service.total == 0
         link.restore()
         assert len(answer.result(5).json()["echo"]) == 100_000
