Add membership, readings of endpoints and the control loop

Hosts of a failure domain exchange sealed heartbeats; each endpoint is read by two of them. The deciding core (membership, readings, summaries, gossip) is pure and takes the time as an argument; the control loop owns the socket and the timers, and makes blocking calls on threads of its own.

A datagram names the incarnation it is meant for. A recorded datagram carries a good seal, and a host that has just started knows no sequence yet to compare: only who has heard this incarnation can name it, so nothing from before the start is believed.

The platform's list names no incarnation. A sign from it binds for the incarnation that is there, but not just after a replacement: a list that lags would shut the new incarnation out for good.

--- a/cloverway/heartbeat.thrift
+++ b/cloverway/heartbeat.thrift
@@ -24,7 +24,7 @@
   2: i16 age
   3: i64 revision
   4: list<i32> hosts
-  5: list<i32> tags
+  5: list<i64> incarnations
   6: list<byte> levels
   7: list<i32> targets
   8: list<i16> ready
--- a/cloverway/heartbeats.py
+++ b/cloverway/heartbeats.py
@@ -65,7 +65,7 @@
     """One host in the summary of its failure domain."""
 
     host: int
-    tag: int
+    incarnation: int
     level: int
     """Load in hundredths, or LEAVING_LEVEL."""
 
@@ -251,7 +251,7 @@
         age=_cut(summary.age_s / AGE_STEP_S, MAX_I16),
         revision=summary.revision,
         hosts=[row.host for row in summary.hosts],
-        tags=[_sign(row.tag) for row in summary.hosts],
+        incarnations=[row.incarnation for row in summary.hosts],
         levels=[max(LEAVING_LEVEL, min(row.level, MAX_I8)) for row in summary.hosts],
         targets=[row.target for row in summary.targets],
         ready=[_cut(row.ready, MAX_I16) for row in summary.targets],
@@ -263,7 +263,7 @@
 def _decode_summary(summary: Any) -> DomainSummary:
     if not summary.domain:
         raise PeerError("a summary lacks its failure domain")
-    hosts = zip(summary.hosts, _unsign(summary.tags), summary.levels, strict=True)
+    hosts = zip(summary.hosts, summary.incarnations, summary.levels, strict=True)
     targets = zip(summary.targets, summary.ready, summary.free, summary.waiting, strict=True)
     return DomainSummary(
         domain=summary.domain,
--- /dev/null
+++ b/cloverway/membership.py
@@ -0,0 +1,247 @@
+"""Who is alive in a failure domain, as one host knows it. Pure: no socket, clock or random source.
+
+A host is known by its incarnation, which it draws when it starts. Within one incarnation the
+sequence only grows and leaving is never taken back; another incarnation retires the one before.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterable, Mapping
+from enum import StrEnum
+from typing import NamedTuple
+
+from cloverway.heartbeats import Heartbeat, format_incarnation, tag_of
+from cloverway.view import HostState
+
+RETIRED_INCARNATIONS = 16
+"""Replaced incarnations that are remembered for one name."""
+RETIRED_S = 30.0
+"""How long a replaced incarnation stays refused when the one after it has fallen silent."""
+NEVER = float("-inf")
+
+
+class Merged(StrEnum):
+    """What became of a heartbeat."""
+
+    NEWS = "news"
+    """A host has joined, was replaced, or is leaving: others are to know at once."""
+    KNOWN = "known"
+    STRANGER = "stranger"
+    """The sender is not in the configuration."""
+    UNPROVEN = "unproven"
+    """It was not meant for this incarnation; it may be a replay from before this host started."""
+    REPLAYED = "replayed"
+    RETIRED = "retired"
+    """The sender was replaced by a later incarnation."""
+    OWN_NAME = "own_name"
+    """Another process uses this host's name."""
+
+
+class Member(NamedTuple):
+    """What is known of one incarnation of a host."""
+
+    incarnation: int
+    sequence: int
+    leaving: bool
+    overloaded: bool
+    load: float
+    revision: int
+    heard_at: float
+    """When it was last heard, by this host or by one that told so."""
+    direct_at: float
+    """When it was last heard by this host itself."""
+    relayed: int = 0
+    """The highest sequence that another host told of."""
+    grace_until: float = NEVER
+    """Until when its silence is not held against it."""
+
+
+class Retired(NamedTuple):
+    """A replaced incarnation."""
+
+    sequence: int
+    at: float
+
+
+class Membership:
+    """The hosts of one failure domain, without the host itself."""
+
+    def __init__(self, host: str, incarnation: int, suspect_s: float) -> None:
+        self.host = host
+        self.incarnation = incarnation
+        self.tag = tag_of(incarnation)
+        self.suspect_s = suspect_s
+        self._members: dict[str, Member | None] = {}
+        self._tags: dict[int, str] = {}
+        self._retired: dict[str, dict[int, Retired]] = {}
+        self._doubted: dict[int, float] = {}
+
+    def adopt(self, names: Iterable[str]) -> None:
+        """Take the published hosts of the failure domain; forget hosts that are gone."""
+        known = self._members
+        self._members = {name: known.get(name) for name in names if name != self.host}
+        self._retired = {name: self._retired.get(name, {}) for name in self._members}
+        self._index()
+
+    def merge(self, beat: Heartbeat, to: int, at: float) -> Merged:
+        """Take in a heartbeat that was sent at or after a time, for the incarnation tagged `to`."""
+        if beat.host == self.host:
+            return Merged.KNOWN if beat.incarnation == self.incarnation else Merged.OWN_NAME
+        if beat.host not in self._members:
+            return Merged.STRANGER
+        if to != self.tag:
+            # A recorded datagram is as well sealed as a new one. Only a host that has heard this
+            # incarnation can name it, so nothing from before this process started is believed.
+            return Merged.UNPROVEN
+        known = self._members[beat.host]
+        if known and known.incarnation == beat.incarnation and beat.sequence <= known.sequence:
+            return Merged.REPLAYED
+        if self._is_retired(beat, known, at):
+            return Merged.RETIRED
+        return self._take(beat, known, at)
+
+    def is_live(self, name: str, now: float) -> bool:
+        """Tell whether a host was heard lately enough to be used."""
+        member = self._members.get(name)
+        return member is not None and _is_live(member, now, self.suspect_s)
+
+    def live(self, now: float) -> list[str]:
+        """List the hosts that are alive, with those that are leaving, but for this one."""
+        return [name for name in self._members if self.is_live(name, now)]
+
+    def staying(self, now: float) -> list[str]:
+        """List the hosts that are alive and not leaving, with this one; its caller knows of it."""
+        members = self._members
+        stay = [name for name in self.live(now) if not (m := members[name]) or not m.leaving]
+        return [*stay, self.host]
+
+    def silent(self, now: float) -> list[str]:
+        """List the published hosts that are not heard."""
+        return [name for name in self._members if not self.is_live(name, now)]
+
+    def tag_for(self, name: str) -> int:
+        """Give the tag of a host's present incarnation, or 0."""
+        member = self._members.get(name)
+        return tag_of(member.incarnation) if member else 0
+
+    def states(self, domain: str, now: float) -> dict[str, HostState]:
+        """Give the live hosts for the view."""
+        return {
+            name: HostState(
+                name=name,
+                domain=domain,
+                incarnation=format_incarnation(member.incarnation),
+                leaving=member.leaving,
+                overloaded=member.overloaded,
+                load=member.load,
+                revision=member.revision,
+                heard_at=member.heard_at,
+            )
+            for name, member in self._members.items()
+            if member and _is_live(member, now, self.suspect_s)
+        }
+
+    def revisions(self) -> Mapping[str, int]:
+        """Give the configuration revision of each host that was heard."""
+        return {name: member.revision for name, member in self._members.items() if member}
+
+    def doubts(self, now: float) -> tuple[int, ...]:
+        """Give the tags of hosts that have been silent for half the time that counts as dead."""
+        return tuple(
+            tag_of(member.incarnation)
+            for member in self._members.values()
+            if member and self.suspect_s / 2 < now - member.heard_at < 2 * self.suspect_s
+        )
+
+    def hear_doubts(self, tags: tuple[int, ...], now: float) -> None:
+        """Note which incarnations another host asks about."""
+        self._doubted = {tag: at for tag, at in self._doubted.items() if now - at < self.suspect_s}
+        known = (tag for tag in tags if tag in self._tags)
+        self._doubted.update(zip(known, itertools.repeat(now)))
+
+    def heard(self, now: float) -> tuple[tuple[int, int], ...]:
+        """Give what this host itself heard lately of the hosts that others ask about."""
+        members = (
+            self._members[self._tags[tag]]
+            for tag, at in self._doubted.items()
+            if tag in self._tags and now - at < self.suspect_s
+        )
+        return tuple(
+            (tag_of(member.incarnation), member.sequence)
+            for member in members
+            if member and now - member.direct_at < self.suspect_s / 2
+        )
+
+    def hear_relayed(self, heard: tuple[tuple[int, int], ...], at: float) -> None:
+        """Take another host's word for it that some hosts are alive.
+
+        Without it, a link that loses datagrams between two hosts makes each of them call the
+        other one dead. A sequence that has not grown proves nothing and changes nothing.
+        """
+        for tag, sequence in heard:
+            name = self._tags.get(tag)
+            member = self._members.get(name) if name else None
+            if name and member and sequence > max(member.sequence, member.relayed):
+                self._members[name] = member._replace(
+                    heard_at=max(member.heard_at, at), relayed=sequence
+                )
+
+    def resume(self, paused_at: float, now: float) -> None:
+        """Note that this process did not run between two times.
+
+        Others were not silent, this process was deaf: who was alive before gets the whole time
+        once more. When each was heard stays as it was, so nothing looks newer than it is.
+        """
+        for name, member in self._members.items():
+            if member and _is_live(member, paused_at, self.suspect_s):
+                self._members[name] = member._replace(grace_until=now + self.suspect_s)
+
+    def _is_retired(self, beat: Heartbeat, known: Member | None, at: float) -> bool:
+        retired = self._retired[beat.host].get(beat.incarnation)
+        if retired is None:
+            return False
+        if known and _is_live(known, at, self.suspect_s):
+            return True
+        # A host that started between two incarnations can take them in the wrong order, and
+        # would refuse the true one for ever. Datagrams are not late by as much as RETIRED_S.
+        return at - retired.at < RETIRED_S or beat.sequence <= retired.sequence
+
+    def _take(self, beat: Heartbeat, known: Member | None, at: float) -> Merged:
+        same = known if known and known.incarnation == beat.incarnation else None
+        if known and not same:
+            self._retire(beat.host, known, at)
+        member = Member(
+            incarnation=beat.incarnation,
+            sequence=beat.sequence,
+            leaving=beat.leaving or bool(same and same.leaving),
+            overloaded=beat.overloaded,
+            load=beat.load,
+            revision=beat.revision,
+            heard_at=max(at, same.heard_at) if same else at,
+            direct_at=max(at, same.direct_at) if same else at,
+            relayed=same.relayed if same else 0,
+            grace_until=same.grace_until if same else NEVER,
+        )
+        assert not same or (member.sequence > same.sequence and member.leaving >= same.leaving)
+        self._members[beat.host] = member
+        if same is None:
+            self._retired[beat.host].pop(beat.incarnation, None)
+            self._index()
+            return Merged.NEWS
+        return Merged.NEWS if member.leaving > same.leaving else Merged.KNOWN
+
+    def _retire(self, name: str, member: Member, at: float) -> None:
+        retired = self._retired[name]
+        retired[member.incarnation] = Retired(member.sequence, at)
+        while len(retired) > RETIRED_INCARNATIONS:
+            del retired[next(iter(retired))]
+
+    def _index(self) -> None:
+        self._tags = {
+            tag_of(member.incarnation): name for name, member in self._members.items() if member
+        }
+
+
+def _is_live(member: Member, now: float, suspect_s: float) -> bool:
+    return now - member.heard_at < suspect_s or now < member.grace_until
--- /dev/null
+++ b/cloverway/reports.py
@@ -0,0 +1,222 @@
+"""Reads the load reports of endpoints: by blocking calls on few threads, each bounded."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import logging
+import socket
+import threading
+from collections.abc import Callable
+from concurrent.futures import Future
+from queue import SimpleQueue
+from typing import Any, NotRequired, TypedDict
+from urllib.parse import urlsplit
+
+import urllib3.exceptions
+from urllib3.connection import HTTPConnection
+
+from cloverway.config.published import Endpoint, EndpointKind
+from cloverway.errors import PeerError
+from cloverway.readings import Report
+
+log = logging.getLogger(__name__)
+
+CONNECT_S = 1.0
+ANSWER_S = 1.0
+REPORT_BYTES = 64 * 1024
+TEXT_LENGTH = 128
+"""The longest incarnation or name that is taken from a report."""
+MODELS = 64
+COUNT = 2**15 - 1
+PATHS = {EndpointKind.ENGINE: "/v1/load", EndpointKind.SERVICE: "/load"}
+
+
+class ReportBody(TypedDict):
+    """The JSON that an endpoint answers."""
+
+    incarnation: str
+    ready: bool
+    leaving: NotRequired[bool]
+    running: NotRequired[int]
+    waiting: NotRequired[int]
+    slots: NotRequired[int]
+    models: NotRequired[list[str]]
+    services: NotRequired[list[str]]
+    kv_used: NotRequired[float]
+    report_age_ms: NotRequired[float]
+
+
+def parse_report(data: bytes, endpoint: Endpoint) -> Report:
+    """Read a report; raise PeerError for anything that is none."""
+    try:
+        body = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise PeerError("a load report is not JSON") from error
+    if not isinstance(body, dict) or not isinstance(body.get("ready"), bool):
+        raise PeerError("a load report does not say whether the endpoint is ready")
+    incarnation = body.get("incarnation")
+    if not isinstance(incarnation, str) or not _is_text(incarnation):
+        raise PeerError("a load report has no incarnation")
+    offered = body.get("models" if endpoint.kind is EndpointKind.ENGINE else "services", [])
+    if not isinstance(offered, list):
+        raise PeerError("a load report has no list of what is offered")
+    return Report(
+        incarnation=incarnation,
+        ready=body["ready"],
+        # Anything but a plain "no" stops new work: that costs little, the other error a request.
+        leaving=body.get("leaving", False) is not False,
+        running=_take_count(body.get("running", 0), "running"),
+        waiting=_take_count(body.get("waiting", 0), "waiting"),
+        slots=max(1, _take_count(body.get("slots", endpoint.slots), "slots")),
+        models=tuple(name for name in offered[:MODELS] if _is_text(name)),
+        age_s=_take_count(body.get("report_age_ms", 0), "report_age_ms", 2**31) / 1000,
+    )
+
+
+class EndpointReader:
+    """Reads one endpoint, over one connection that is kept. One thread at a time calls `read`."""
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self.endpoint = endpoint
+        parts = urlsplit(endpoint.url)
+        self._host = parts.hostname or ""
+        self._port = parts.port
+        self._path = PATHS[endpoint.kind]
+        self._connection: HTTPConnection | None = None
+        self._guard = threading.Lock()
+
+    def read(self) -> Report:
+        """Read a report; raise PeerError when it can't be had on a new connection either.
+
+        A kept connection can go silent for good while new ones work, so its failure says nothing
+        about the endpoint.
+        """
+        if self._connection is not None:
+            with contextlib.suppress(PeerError):
+                return self._read()
+        return self._read()
+
+    def abort(self) -> None:
+        """End a read in another thread: an endpoint that sends byte by byte meets no timeout."""
+        with self._guard:
+            raw = getattr(self._connection, "sock", None)
+        if raw is not None:
+            with contextlib.suppress(OSError):
+                raw.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Drop the connection."""
+        with self._guard:
+            connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.close()
+
+    def _read(self) -> Report:
+        try:
+            report = parse_report(self._get(), self.endpoint)
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            self.close()
+            raise PeerError(f"the endpoint's load can't be read: {error}") from error
+        except BaseException:
+            self.close()
+            raise
+        return report
+
+    def _get(self) -> bytes:
+        connection = self._connect()
+        connection.request("GET", self._path, preload_content=False, decode_content=False)
+        response = connection.getresponse()
+        data = response.read(REPORT_BYTES + 1)
+        if response.status != 200:
+            raise PeerError(f"the endpoint answered {response.status}")
+        if len(data) > REPORT_BYTES:
+            raise PeerError("a load report is too long")
+        if response.headers.get("Connection", "").lower() == "close":
+            self.close()
+        return data
+
+    def _connect(self) -> HTTPConnection:
+        if self._connection is None:
+            connection = HTTPConnection(self._host, self._port, timeout=CONNECT_S)
+            with self._guard:
+                self._connection = connection
+            connection.connect()
+            connection.sock.settimeout(ANSWER_S)
+        return self._connection
+
+
+class Workers:
+    """A few threads that make blocking calls; they end with the process."""
+
+    def __init__(self, name: str, count: int) -> None:
+        self._inbox: SimpleQueue[Callable[[], None] | None] = SimpleQueue()
+        self._threads = [
+            threading.Thread(target=self._run, name=f"{name}-{number}", daemon=True)
+            for number in range(count)
+        ]
+
+    def start(self) -> None:
+        """Start the threads."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Let each thread end after its present call, without waiting for it."""
+        for _ in self._threads:
+            self._inbox.put(None)
+
+    def submit(self, call: Callable[..., Any], *arguments: Any) -> Future[Any]:
+        """Make a call on one of the threads."""
+        answer: Future[Any] = Future()
+
+        def run() -> None:
+            if not answer.set_running_or_notify_cancel():
+                return
+            try:
+                answer.set_result(call(*arguments))
+            except BaseException as error:
+                answer.set_exception(error)
+
+        self._inbox.put(run)
+        return answer
+
+    def _run(self) -> None:
+        while (call := self._inbox.get()) is not None:
+            call()
+
+
+class Rounds:
+    """Which endpoints are due to be read. Pure."""
+
+    def __init__(self, offset: Callable[[], float]) -> None:
+        self._offset = offset
+        self._due: dict[str, float] = {}
+        self._busy: dict[str, float] = {}
+
+    def take_due(self, names: list[str], interval_s: float, now: float) -> list[str]:
+        """Give the endpoints to read now, and plan the next time of each."""
+        self._due = {name: self._due.get(name, now + self._offset() * interval_s) for name in names}
+        due = [name for name, at in self._due.items() if at <= now and name not in self._busy]
+        for name in due:
+            self._due[name] = max(self._due[name] + interval_s, now)
+            self._busy[name] = now
+        return due
+
+    def finish(self, name: str) -> None:
+        """Note that a read has ended."""
+        self._busy.pop(name, None)
+
+    def overdue(self, limit_s: float, now: float) -> list[str]:
+        """List the reads that have taken too long."""
+        return [name for name, since in self._busy.items() if now - since > limit_s]
+
+
+def _is_text(value: object) -> bool:
+    return isinstance(value, str) and 0 < len(value) <= TEXT_LENGTH
+
+
+def _take_count(value: object, name: str, most: int = COUNT) -> int:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 0:
+        raise PeerError(f"{name} of a load report is not a count")
+    return int(min(value, most))
--- /dev/null
+++ b/cloverway/tests/test_control.py
@@ -0,0 +1,256 @@
+"""Control loops of several hosts in one process, with real sockets on the loopback."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+
+import pytest
+
+from cloverway.config.settings import Listen, PlatformSettings, Security, Settings, Timing
+from cloverway.configuration import ConfigurationStore
+from cloverway.control import ControlLoop
+from cloverway.errors import PeerError, PlatformError
+from cloverway.platform.port import Changes, Document, HostList, Listed
+from cloverway.tests.standins.service import Service
+from cloverway.tests.standins.waiting import wait_until
+from cloverway.view import View, ViewHolder
+
+SECRET = b"a secret of the tests that all hosts share"
+TIMING = Timing(heartbeat_s=0.05, suspect_s=0.6, report_s=0.05, summary_s=0.1, list_s=0.05)
+REGIONS = {"a-1": "a", "b-1": "b"}
+
+
+class FakePlatform:
+    """Published documents in memory; hosts are cut off from it one by one."""
+
+    def __init__(self) -> None:
+        self.documents: dict[str, Document] = {}
+        self.revision = 0
+        self.down = threading.Event()
+        self.states = HostList()
+        self.reads = 0
+
+    def publish(self, values):
+        self.revision += 1
+        new = {key: Document(key, self.revision, value) for key, value in values.items()}
+        self.documents = {**self.documents, **new}
+
+    def read(self, after, wait_s):
+        self.reads += 1
+        if self.down.is_set() or not self.revision:
+            threading.Event().wait(0.02)
+            raise PlatformError("the platform is down")
+        if after >= self.revision:
+            threading.Event().wait(0.05)
+        found = tuple(doc for doc in self.documents.values() if doc.revision > after)
+        return Changes(self.revision, after, found)
+
+    def list_states(self):
+        if self.down.is_set():
+            raise PlatformError("the platform is down")
+        return self.states
+
+
+class CutOff(FakePlatform):
+    """A platform that one host can't reach."""
+
+    def read(self, after, wait_s):
+        threading.Event().wait(0.02)
+        raise PlatformError("no route to the platform")
+
+
+class Cluster:
+    """Hosts that fetch from each other directly, by address."""
+
+    def __init__(self) -> None:
+        self.platform = FakePlatform()
+        self.loops: dict[str, ControlLoop] = {}
+        self.holders: dict[str, ViewHolder] = {}
+        self.endpoints: dict[str, dict] = {}
+        self.stack = contextlib.ExitStack()
+
+    def add(self, name, domain, number, platform=None, address="127.0.0.1:0"):
+        settings = Settings(
+            host=name,
+            domain=domain,
+            region=REGIONS[domain],
+            listen=Listen("127.0.0.1:1", "127.0.0.1:2", address),
+            platform=PlatformSettings(directory="none", poll_s=0.05),
+            security=Security("none"),
+            timing=TIMING,
+        )
+        holder = ViewHolder(View(name, f"{number:016x}", domain, REGIONS[domain]))
+        loop = ControlLoop.from_settings(
+            settings,
+            holder,
+            store=ConfigurationStore(),
+            fetch_changes=self.fetch,
+            secret=SECRET,
+            platform=platform or self.platform,
+        )
+        loop.start()
+        self.stack.callback(loop.stop)
+        self.loops[name], self.holders[name] = loop, holder
+        return loop
+
+    def fetch(self, host, address, after):
+        for loop in self.loops.values():
+            if loop.address == address:
+                return loop.changes_after(after)
+        raise PeerError("no such host")
+
+    def publish(self, **more):
+        port = iter(range(1, 1000))
+        self.platform.publish(
+            {
+                "organisation": {"name": "riviere"},
+                **{f"regions/{name}": {} for name in REGIONS.values()},
+                **{f"domains/{name}": {"region": reg} for name, reg in REGIONS.items()},
+                **{
+                    f"hosts/{name}": {
+                        "domain": self.holders[name].current.domain,
+                        "callers": f"127.0.0.1:{next(port)}",
+                        "admin": f"127.0.0.1:{next(port)}",
+                        "peers": loop.address,
+                    }
+                    for name, loop in self.loops.items()
+                },
+                **self.endpoints,
+                **more,
+            }
+        )
+
+    def serve(self, name, domain):
+        service = Service(services=("allocations",))
+        self.stack.enter_context(service)
+        self.endpoints[f"endpoints/{name}"] = {
+            "domain": domain,
+            "url": service.url,
+            "kind": "service",
+            "services": ["allocations"],
+        }
+        return service
+
+    def view(self, name) -> View:
+        return self.holders[name].current
+
+
+@pytest.fixture
+def cluster():
+    made = Cluster()
+    with made.stack:
+        yield made
+
+
+def start_three(cluster):
+    for number in (1, 2, 3):
+        cluster.add(f"a-h{number}", "a-1", number)
+    cluster.publish()
+    wait_until(lambda: all(len(cluster.view(name).hosts) == 2 for name in cluster.loops))
+
+
+def test_hosts_find_each_other_and_a_change_reaches_the_one_that_is_cut_off(cluster):
+    """A host that can't reach the platform still has each change within seconds.
+
+    It starts with nothing; its siblings know its address from what is published, and tell it
+    their revision. It fetches the documents from them, at its start and after each change.
+    """
+    cluster.add("a-h1", "a-1", 1)
+    cluster.add("a-h2", "a-1", 2)
+    cluster.add("a-h3", "a-1", 3, platform=CutOff())
+    cluster.publish()
+    wait_until(lambda: all(cluster.view(name).published for name in cluster.loops))
+    wait_until(lambda: all(len(cluster.view(name).hosts) == 2 for name in cluster.loops))
+    cluster.platform.publish({"profiles/chat": {"service": "allocations"}})
+    wait_until(lambda: "chat" in cluster.view("a-h3").published.profiles)
+
+
+def test_a_starting_host_shows_no_configuration_before_it_asked(cluster):
+    loop = cluster.add("a-h1", "a-1", 1, platform=CutOff())
+    assert cluster.view("a-h1").published is None
+    assert not cluster.view("a-h1").ready
+    assert loop.status()["revision"] == 0
+
+
+def test_a_leaving_host_is_seen_as_such_by_all(cluster):
+    start_three(cluster)
+    cluster.loops["a-h1"].begin_leaving()
+    assert cluster.view("a-h1").leaving
+    wait_until(lambda: cluster.view("a-h2").hosts["a-h1"].leaving)
+    wait_until(lambda: cluster.view("a-h3").hosts["a-h1"].leaving)
+
+
+def test_a_dead_host_leaves_the_view_and_its_replacement_enters(cluster):
+    """Callers are sent to a host that died, or never to the one that took its place.
+
+    The process is gone without a word; another one starts with the same name and address, and
+    another incarnation.
+    """
+    start_three(cluster)
+    address = cluster.loops["a-h1"].address
+    cluster.loops["a-h1"].stop()
+    wait_until(lambda: "a-h1" not in cluster.view("a-h2").hosts)
+    cluster.add("a-h1", "a-1", 99, address=address)
+    wait_until(lambda: "a-h1" in cluster.view("a-h2").hosts)
+    assert cluster.view("a-h2").hosts["a-h1"].incarnation == f"{99:016x}"
+
+
+def test_two_failure_domains_tell_each_other_what_they_offer(cluster):
+    cluster.serve("a-s1", "a-1")
+    cluster.add("a-h1", "a-1", 1)
+    cluster.add("b-h1", "b-1", 2)
+    cluster.add("b-h2", "b-1", 3)
+    cluster.publish()
+    key = ("a-1", "allocations")
+    wait_until(lambda: all(key in cluster.view(name).summaries for name in ("b-h1", "b-h2")))
+    assert cluster.view("b-h2").summaries[key].ready == 1
+    wait_until(lambda: "a-h1" in cluster.view("b-h2").hosts)
+    assert cluster.view("b-h2").endpoints == {}
+
+
+def test_an_endpoint_that_leaves_is_known_to_every_host(cluster):
+    """An endpoint that is leaving gets new work from the hosts that do not read its load.
+
+    Two of the three hosts read it; the third one learns of it from them only.
+    """
+    service = cluster.serve("a-s1", "a-1")
+    start_three(cluster)
+    wait_until(lambda: all(cluster.view(name).endpoints["a-s1"].ready for name in cluster.loops))
+    service.set_state(leaving=True)
+    wait_until(lambda: all(cluster.view(name).endpoints["a-s1"].leaving for name in cluster.loops))
+    service.set_state(leaving=False)
+    wait_until(lambda: cluster.loops["a-h1"].status()["reports"] > 0)
+    assert all(cluster.view(name).endpoints["a-s1"].leaving for name in cluster.loops)
+
+
+def test_the_platforms_list_counts_once_and_its_lag_takes_nothing_back(cluster):
+    """An endpoint gets new work again because a stale list names it as live.
+
+    The list says once that it is leaving, then an older copy of the list is served.
+    """
+    cluster.serve("a-s1", "a-1")
+    start_three(cluster)
+    wait_until(lambda: all(cluster.view(name).endpoints["a-s1"].ready for name in cluster.loops))
+    wait_until(lambda: any(loop.gossip.readings._list_said for loop in cluster.loops.values()))
+    cluster.platform.states = HostList(endpoints={"a-s1": Listed.LEAVING})
+    wait_until(lambda: all(cluster.view(name).endpoints["a-s1"].leaving for name in cluster.loops))
+    cluster.platform.states = HostList(endpoints={"a-s1": Listed.LIVE})
+    reads = cluster.platform.reads
+    wait_until(lambda: cluster.platform.reads > reads + 6)
+    assert all(cluster.view(name).endpoints["a-s1"].leaving for name in cluster.loops)
+
+
+def test_bytes_from_strangers_end_nothing(cluster):
+    start_three(cluster)
+    loop = cluster.loops["a-h1"]
+    host, port = loop.address.split(":")
+    before = loop.status()["refused"]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+        for data in (b"", b"x", b"\1" * 100, b"\0" * 1400, b"y" * 3000):
+            stranger.sendto(data, (host, int(port)))
+    wait_until(lambda: loop.status()["refused"] >= before + 5)
+    sequence = loop.gossip._sequence
+    wait_until(lambda: loop.gossip._sequence > sequence)
+    assert len(cluster.view("a-h1").hosts) == 2
--- a/cloverway/tests/test_heartbeats.py
+++ b/cloverway/tests/test_heartbeats.py
@@ -22,6 +22,7 @@
 
 NAMES = st.from_regex(r"[a-z0-9][a-z0-9.-]{0,20}", fullmatch=True)
 I32 = st.integers(-(2**31), 2**31 - 1)
+I64 = st.integers(-(2**63), 2**63 - 1)
 TAGS = st.integers(1, 2**32 - 1)
 COUNTS = st.integers(0, 2**15 - 1)
 AGES = st.integers(0, 2**15 - 1).map(lambda steps: steps * heartbeats.AGE_STEP_S)
@@ -42,7 +43,7 @@
     NAMES,
     AGES,
     st.integers(0, 2**62),
-    st.lists(st.builds(HostLevel, I32, TAGS, st.integers(-1, 127)), max_size=3).map(tuple),
+    st.lists(st.builds(HostLevel, I32, I64, st.integers(-1, 127)), max_size=3).map(tuple),
     st.lists(st.builds(TargetLevel, I32, COUNTS, COUNTS, COUNTS), max_size=3).map(tuple),
 )
 BEATS = st.builds(
