--- a/cloverway/bodies.py
+++ b/cloverway/bodies.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Iterator
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from cloverway.errors import Kind, RequestError
 
@@ -114,12 +114,32 @@
     raise ValueError(f"{name} is not JSON")
 
 
-def parse_completion(body: bytes, content_type: str, field: str) -> bool:
-    """Check the body of a completion that needs a field; tell whether it asks for a stream."""
+class Completion(NamedTuple):
+    """A completion as an endpoint gets it."""
+
+    body: bytes
+    stream: bool
+
+
+def parse_completion(body: bytes, content_type: str, field: str, model: str) -> Completion:
+    """Check the body of a completion that needs a field, and put the profile's model in it.
+
+    The profile decides on the model, not the caller. The body is written anew from what was
+    checked: with a name that stands twice, an endpoint could read another value than this host did.
+    """
     document = parse_json(body, content_type)
     if not document.get(field):
         raise RequestError(Kind.MALFORMED, f"the body has no {field!r}")
     stream = document.get("stream", False)
     if not isinstance(stream, bool | None):
         raise RequestError(Kind.MALFORMED, "'stream' must be true or false")
-    return bool(stream)
+    document["model"] = model
+    return Completion(_write(document), bool(stream))
+
+
+def _write(document: dict[str, Any]) -> bytes:
+    try:
+        return json.dumps(document, separators=(",", ":"), allow_nan=False).encode()
+    except (ValueError, RecursionError) as error:
+        # A number such as 1e999 is JSON, and is read as an infinity, which is not.
+        raise RequestError(Kind.MALFORMED, "the body has a number that is too large") from error
--- a/cloverway/callers.py
+++ b/cloverway/callers.py
@@ -194,7 +194,10 @@
         deadline_s = choose_deadline_s(caller.profile, call.get_header(DEADLINE_HEADER))
         body = self._read_body(call, caller.team)
         content_type = call.get_header("Content-Type")
-        field = COMPLETION_FIELDS.get(call.path)
+        stream = False
+        if call.path in COMPLETION_FIELDS:
+            field, model = COMPLETION_FIELDS[call.path], caller.profile.target
+            body, stream = bodies.parse_completion(body, content_type, field, model)
         return Request(
             id=call.id,
             team=caller.team,
@@ -205,7 +208,7 @@
             content_type=content_type,
             arrived_at=arrived_at,
             deadline=arrived_at + deadline_s,
-            stream=bodies.parse_completion(body, content_type, field) if field else False,
+            stream=stream,
             key=key,
             revision=published.revision,
         )
--- a/cloverway/tests/callers_bench.py
+++ b/cloverway/tests/callers_bench.py
@@ -56,6 +56,10 @@
 HEADERS = {"Authorization": f"Bearer {BEARER}", "Content-Type": "application/json"}
 CHAT = {**HEADERS, "Cloverway-Profile": "chat"}
 CHAT_BODY = b'{"messages": [{"role": "user", "content": "insulin?"}]}'
+PASSED_BODY = json.dumps(
+    {**json.loads(CHAT_BODY), "model": "clover-7b"}, separators=(",", ":")
+).encode()
+"""The same with the profile's model, as an endpoint gets it."""
 STREAM_BODY = b'{"messages": [{"role": "user", "content": "insulin?"}], "stream": true}'
 
 
--- /dev/null
+++ b/cloverway/tests/test_bodies.py
@@ -0,0 +1,64 @@
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cloverway.bodies import parse_completion
+from cloverway.errors import Kind, RequestError
+
+JSON_TYPE = "application/json"
+VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
+    max_leaves=10,
+)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"messages": [1]}',
+        b'{"messages": [1], "model": "other"}',
+        b'{"model": "clover-desk", "messages": [1], "model": "other"}',
+        b'{"model": "other", "messages": [1], "model": "clover-desk"}',
+    ],
+)
+def test_the_profile_names_the_model(body: bytes) -> None:
+    """A caller names a model that its profile does not grant, or one name twice.
+
+    The host chooses an endpoint for the profile's model. Passed on as it came, the body would run
+    another model there, or, without a model, be refused by the engine.
+    """
+    completion = parse_completion(body, JSON_TYPE, "messages", "clover-desk")
+    pairs = json.loads(completion.body, object_pairs_hook=list)
+    assert [value for name, value in pairs if name == "model"] == ["clover-desk"]
+
+
+def test_what_was_checked_is_what_an_endpoint_reads() -> None:
+    body = b'{"messages": [1], "stream": true, "stream": false}'
+    completion = parse_completion(body, JSON_TYPE, "messages", "m")
+    assert not completion.stream
+    assert completion.body.count(b'"stream"') == 1
+
+
+def test_a_number_that_no_endpoint_could_read_is_refused() -> None:
+    with pytest.raises(RequestError) as raised:
+        parse_completion(b'{"messages": [1], "seed": 1e999}', JSON_TYPE, "messages", "m")
+    assert raised.value.kind is Kind.MALFORMED
+
+
+@given(st.dictionaries(st.text(), VALUES, max_size=4))
+def test_nothing_else_is_changed(fields: dict[str, Any]) -> None:
+    document = {**fields, "messages": ["a question"], "stream": True}
+    body = json.dumps(document).encode()
+    completion = parse_completion(body, JSON_TYPE, "messages", "m")
+    assert json.loads(completion.body) == {**document, "model": "m"}
+    assert completion.stream
