--- a/cloverway/claims.py
+++ b/cloverway/claims.py
@@ -242,7 +242,7 @@
             team=request.team,
             profile=request.profile,
             digest=compute_digest(request.method, request.path, request.body),
-            claimant=self._name_claimant(request.id),
+            claimant=self._name_claimant(),
             left_s=request.deadline - asked_at,
         )
         result = self._claim_from(name, call)
@@ -283,10 +283,10 @@
             return None
         return Recorded(reply.status, reply.content_type, reply.body, reply.headers)
 
-    def _name_claimant(self, request_id: str) -> str:
-        """Name one attempt. A request's id is not enough: a caller may send the same id twice."""
+    def _name_claimant(self) -> str:
+        """Name one attempt. A request's id would not do: a caller may send the same id twice."""
         keys = self._keys
-        return f"{keys.host}/{keys.incarnation}/{next(self._attempts)}/{request_id[:64]}"
+        return f"{keys.host}/{keys.incarnation}/{next(self._attempts)}"
 
     def _claim_from(self, name: KeyName, call: ClaimCall) -> ClaimResult:
         try:
@@ -303,14 +303,19 @@
                 raise
             log.info("an issuer could not be asked", extra={"issuer": name.host})
             raise RequestError(
-                Kind.KEY_OWNER_LOST, ran=Ran.UNKNOWN, retry_after=RETRY_AFTER_S
+                Kind.KEY_OWNER_LOST,
+                "this request was not run; an earlier one with the key may have been",
+                ran=Ran.UNKNOWN,
+                retry_after=RETRY_AFTER_S,
             ) from error
 
     def _claim_from_peer(self, host: str, call: ClaimCall) -> ClaimResult:
         address = self._address_of(host)
         if address is None:
             # Not proof of a forged key: the host may have been taken off the list since.
-            return Refused(Kind.KEY_OWNER_LOST, "its host is not published", ran=Ran.UNKNOWN)
+            return Refused(
+                Kind.KEY_OWNER_LOST, "the host that issued it is not published", ran=Ran.UNKNOWN
+            )
         return self._issuers.claim(host, address, call)
 
     def _send(self, call: SettleCall, issuer: str) -> None:
--- a/cloverway/keys.py
+++ b/cloverway/keys.py
@@ -22,6 +22,7 @@
 SEPARATOR = "_"
 NONCE_BYTES = 12
 MAC_BYTES = 16
+BINDING_BYTES = 16
 LONGEST_KEY = 256
 MARGIN_MS = 1_000
 """After a request's deadline, until a repeat is told that the outcome is unknown."""
@@ -220,7 +221,8 @@
         assert name is not None
         entry = self._entries.get(name.nonce)
         expired = now_ms - name.issued_ms >= self._lifetime_ms
-        binding = _hash_parts(call.team.encode(), call.profile.encode(), call.digest)
+        parts = (call.team.encode(), call.profile.encode(), call.digest)
+        binding = _hash_parts(*parts)[:BINDING_BYTES]
         if entry is None:
             return self._claim_unused(name, binding, call, expired)
         if not hmac.compare_digest(entry.binding, binding):
@@ -244,6 +246,7 @@
         if entry.state is not State.GRANTED:
             return entry.state is SETTLED_STATES[call.settlement]
         entry.state = SETTLED_STATES[call.settlement]
+        entry.ends_ms = 0
         if call.settlement is Settlement.DONE and call.recorded is not None:
             self._record(name.nonce, entry, call.recorded)
         return True
