Tell two histories of revisions apart, and never mix them

A platform that was restored from older data uses revisions again. A delta on top of what is in force then fits by its numbers and gives a set that nobody published; a peer that went on from another revision of the same number does the same. Deltas of peers now carry the digest of the whole, a platform that was out of reach for 10 s has to tell the latest document again, and one that went back has to show all of them. What contradicts a revision in force is refused until it is published again under a later one.

--- a/cloverway/configuration.py
+++ b/cloverway/configuration.py
@@ -5,7 +5,7 @@
 import hashlib
 import logging
 from collections.abc import Iterable
-from enum import StrEnum
+from enum import Enum, StrEnum
 from typing import NamedTuple
 
 from cloverway.config.published import Published
@@ -40,6 +40,9 @@
 STALE_AFTER_S = 4.0
 """A platform that is behind for so long is stale; a change is in force everywhere by then."""
 
+CONTACT_S = 10.0
+"""A platform that was out of reach for so long may have been restored from older data."""
+
 READERS = 2
 """Hosts of a failure domain that read the platform: one may be dead without a gap."""
 
@@ -51,6 +54,16 @@
     PEER = "peer"
 
 
+class Check(Enum):
+    """What the platform has to show before its changes are taken."""
+
+    NONE = 0
+    LATEST = 1
+    """The latest document in force: it was out of reach, and may have come back as another."""
+    WHOLE = 2
+    """All documents: it went back, and may be using revisions again."""
+
+
 class ConfigurationStore:
     """Hold the configuration in force; judge what the platform and peers offer.
 
@@ -63,9 +76,11 @@
         self._held = Revisions()
         self._settled = False
         self._heard_whole = False
+        self._asks_whole = False
         self._platform_revision = 0
+        self._platform_at = float("-inf")
         self._behind_since: float | None = None
-        self._verified = True
+        self._check = Check.NONE
         self.platform_stale = False
         """Whether the platform answers less than is in force, or another history of it."""
 
@@ -97,7 +112,9 @@
     @property
     def read_after(self) -> int:
         """The revision after which the platform is to be read next; 0 reads the whole."""
-        if not self._verified and self._platform_revision >= self.revision:
+        if self._check is Check.LATEST:
+            return self._held.documents.anchor
+        if self._check is Check.WHOLE and self._platform_revision >= self.revision:
             return 0
         return self._held.covered
 
@@ -107,6 +124,8 @@
             return None
         if not self._settled and not self._heard_whole:
             return 0
+        if self._asks_whole and revision >= self.revision:
+            return 0
         return self.revision if revision > self.revision else None
 
     def settle(self) -> None:
@@ -124,31 +143,43 @@
     def offer(self, changes: Changes, source: Source, now: float) -> OfferResult:
         """Merge changes; tell whether they are in force, and if not, why."""
         before = self.revision
+        if fault := self._held.find_shape_fault(changes):
+            return Rejected(before, (fault,))
         if source is Source.PLATFORM:
             result = self._offer_of_platform(changes, now)
         elif changes.whole and not self._settled and not self._heard_whole:
             return self._start_from_peer(changes)
         else:
             result = self._held.take_from_peer(changes)
+            self._asks_whole = isinstance(result, Gap) and result.known == 0 < self.revision
         # A lowered revision would bring back what operators have withdrawn, such as a key.
         assert self.revision >= before, "the revision in force went down"
         return result
 
     def _offer_of_platform(self, changes: Changes, now: float) -> OfferResult:
+        self._note_contact(changes.revision, now)
+        if changes.revision >= self.revision and not self._passes_check(changes):
+            return Gap(self.read_after, changes.after)
         result = self._held.take_published(changes)
-        self._note_lag(changes.revision, now)
-        if changes.whole and not isinstance(result, Stale):
-            self._verified = True
         if self._held.contradicted:
             self.platform_stale = True
-        elif self._verified and isinstance(result, Accepted | Unchanged):
+        elif self._check is Check.NONE and isinstance(result, Accepted | Unchanged):
             self.platform_stale = False
         return result
 
-    def _note_lag(self, offered: int, now: float) -> None:
+    def _passes_check(self, changes: Changes) -> bool:
+        """Tell whether changes reach back as far as they have to."""
+        if changes.whole or (self._check is Check.LATEST and changes.after <= self.read_after):
+            self._check = Check.NONE
+        return self._check is Check.NONE
+
+    def _note_contact(self, offered: int, now: float) -> None:
         """Mark the platform when it went back, or is behind for longer than a change takes."""
         went_back = offered < self._platform_revision
+        if now - self._platform_at > CONTACT_S and self._check is Check.NONE:
+            self._check = Check.LATEST
         self._platform_revision = offered
+        self._platform_at = now
         if offered >= self.revision:
             self._behind_since = None
         elif self._behind_since is None:
@@ -156,7 +187,7 @@
         lags = self._behind_since is not None and now - self._behind_since >= STALE_AFTER_S
         if went_back or lags:
             self.platform_stale = True
-            self._verified = False
+            self._check = Check.WHOLE
 
     def _start_from_peer(self, changes: Changes) -> OfferResult:
         """Take what a peer has in force in place of what the platform alone gave.
@@ -169,7 +200,7 @@
         if isinstance(result, Accepted):
             self._held = trial
             self._heard_whole = True
-            self._verified = False
+            self._check = Check.WHOLE
         return result
 
 
--- a/cloverway/documents.py
+++ b/cloverway/documents.py
@@ -25,6 +25,8 @@
     """Canonical JSON, so that equal values have equal text; None for a deleted document."""
     fault: str = ""
     """Why the value can't be held; such an entry is never in force."""
+    implied: bool = False
+    """Deleted because a whole lacked it, and not by a revision of its own."""
 
     @classmethod
     def from_document(cls, document: Document) -> Entry:
@@ -77,12 +79,9 @@
         entry = self._entries.get(key)
         return entry.text if entry else None
 
-    def put(self, changes: Mapping[str, Entry], revision: int, skipped: bool = False) -> None:
-        """Take changes that lead to a revision; all are later than what is held.
-
-        Where revisions were skipped on the way, a document may have come and gone unseen.
-        """
-        if self._horizon is None or skipped:
+    def put(self, changes: Mapping[str, Entry], revision: int) -> None:
+        """Take changes that lead to a revision; all are later than what is held."""
+        if self._horizon is None:
             self._horizon = revision
         for key, entry in sorted(changes.items(), key=_by_revision):
             self._drop(key)
@@ -99,17 +98,34 @@
             after = 0
         deleted = _list_later(self._tombstones, after) if after else ()
         found = sorted([*_list_later(self._entries, after), *deleted], key=_by_revision)
-        return Changes(revision, after, tuple(entry.as_document(key) for key, entry in found))
+        documents = tuple(entry.as_document(key) for key, entry in found)
+        return Changes(revision, after, documents, self.digest)
+
+    @property
+    def anchor(self) -> int:
+        """The revision after which the latest document lies: a delta from there holds it again."""
+        return self._entries[next(reversed(self._entries))].revision - 1 if self._entries else 0
+
+    def list_later(self, after: int) -> Iterator[str]:
+        """Yield the keys of the documents that were written after a revision."""
+        return (key for key, _ in _list_later(self._entries, after))
 
     @property
     def digest(self) -> str:
         """Equal digests mean equal documents; costs nothing, as each change is added to it."""
-        return (self._sum % 2 ** (8 * DIGEST_BYTES)).to_bytes(DIGEST_BYTES).hex()
+        return _format_digest(self._sum)
+
+    def digest_with(self, changes: Mapping[str, Entry]) -> str:
+        """Give the digest that changes lead to."""
+        difference = sum(
+            _hash(key, entry.text) - _hash(key, self.text(key)) for key, entry in changes.items()
+        )
+        return _format_digest(self._sum + difference)
 
     def _drop(self, key: str) -> None:
         self._tombstones.pop(key, None)
         old = self._entries.pop(key, None)
-        if old is not None and old.text is not None:
+        if old is not None:
             self._sum -= _hash(key, old.text)
 
     def _prune(self) -> None:
@@ -124,10 +140,17 @@
     return ((key, entries[key]) for key in keys)
 
 
-def _hash(key: str, text: bytes) -> int:
+def _hash(key: str, text: bytes | None) -> int:
+    """Give what one document adds to the sum; a deleted one adds nothing."""
+    if text is None:
+        return 0
     data = key.encode() + b"\0" + text
     return int.from_bytes(hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest())
 
 
 def _by_revision(item: tuple[str, Entry]) -> tuple[int, str]:
     return (item[1].revision, item[0])
+
+
+def _format_digest(total: int) -> str:
+    return (total % 2 ** (8 * DIGEST_BYTES)).to_bytes(DIGEST_BYTES).hex()
--- a/cloverway/platform/codec.py
+++ b/cloverway/platform/codec.py
@@ -16,6 +16,7 @@
     body = {
         "revision": changes.revision,
         "after": changes.after,
+        "digest": changes.digest,
         "documents": [document._asdict() for document in changes.documents],
     }
     return json.dumps(body, separators=(",", ":")).encode()
@@ -35,6 +36,7 @@
         _parse_revision(body.get("revision"), least=0),
         _parse_revision(start, least=0),
         tuple(_parse_document(item) for item in documents),
+        str(body.get("digest", "")),
     )
 
 
--- a/cloverway/platform/file.py
+++ b/cloverway/platform/file.py
@@ -11,7 +11,7 @@
 from cloverway.config.options import Findings
 from cloverway.config.published import is_revision
 from cloverway.config.settings import PlatformSettings
-from cloverway.documents import Documents, Entry
+from cloverway.documents import Entry
 from cloverway.errors import PlatformError
 from cloverway.platform.port import Changes, Document, HostList
 
@@ -61,7 +61,7 @@
         self._contents: dict[Path, bytes] | None = None
         self._judged: dict[Path, bytes] | None = {}
         self._changed_at = float("-inf")
-        self._documents = Documents()
+        self._entries: dict[str, Entry] = {}
         self._revision = 0
         self._fault = "the directory has not been read yet"
 
@@ -76,7 +76,7 @@
         while True:
             self._look(self._clock())
             if self._revision and (self._revision > after or after == 0):
-                return self._documents.changes_after(after, self._revision)
+                return self._give_whole()
             left = until - self._clock()
             if left <= 0:
                 break
@@ -89,6 +89,10 @@
         """Give an empty list: a directory does not know who is live."""
         return HostList()
 
+    def _give_whole(self) -> Changes:
+        documents = tuple(entry.as_document(key) for key, entry in self._entries.items())
+        return Changes(self._revision, 0, documents)
+
     def _look(self, now: float) -> None:
         """Read the directory if it may have changed, and judge what stands there for long."""
         try:
@@ -122,6 +126,7 @@
 
     def _take(self, collected: Collected, revision: int, findings: Findings) -> None:
         """Hold a content as the last good one, unless its revision does not allow it."""
+        held = self._entries
         entries = {
             key: Entry.from_document(Document(key, revision, value))
             for key, value in list_documents(collected.tables)
@@ -129,7 +134,7 @@
         for key, entry in entries.items():
             if entry.fault:
                 findings.add(key.replace("/", ".", 1), entry.fault)
-        changed = self._list_changed(entries, revision)
+        changed = {key for key in entries.keys() | held.keys() if _differ(key, entries, held)}
         if revision < self._revision:
             what = f"went back from {self._revision} to {revision}; raise it over {self._revision}"
             findings.add("revision", what)
@@ -138,15 +143,15 @@
             findings.add("revision", f"is still {revision} but {names} changed; raise it")
         if findings.errors or revision == self._revision:
             return
-        # Who skips a revision can't tell what it changed and changed back, nor what came and
-        # went: hosts that saw it hold the difference. All documents are then marked as new.
-        skipped = revision > self._revision + 1
-        deleted = {key: entry for key, entry in changed.items() if entry.text is None}
-        self._documents.put(entries | deleted if skipped else changed, revision, skipped)
+        # Who skips a revision can't tell what it changed and changed back, while other hosts may
+        # have seen it. All documents then count as new: none is older here than it is there.
+        if revision == self._revision + 1:
+            entries |= {key: held[key] for key in entries if key not in changed}
+        self._entries = entries
         self._revision = revision
 
-    def _list_changed(self, entries: Mapping[str, Entry], revision: int) -> dict[str, Entry]:
-        held = self._documents
-        changed = {key: entry for key, entry in entries.items() if entry.text != held.text(key)}
-        deleted = {key: Entry(revision, None) for key in held if key not in entries}
-        return changed | deleted
+
+def _differ(key: str, entries: Mapping[str, Entry], held: Mapping[str, Entry]) -> bool:
+    if key not in entries or key not in held:
+        return True
+    return entries[key].text != held[key].text
--- a/cloverway/platform/port.py
+++ b/cloverway/platform/port.py
@@ -28,6 +28,8 @@
     Of a whole, a document that is missing was deleted at or before `revision`.
     """
     documents: tuple[Document, ...] = ()
+    digest: str = ""
+    """Digest of all documents at `revision`, where the source tells it."""
 
     @property
     def whole(self) -> bool:
--- a/cloverway/revisions.py
+++ b/cloverway/revisions.py
@@ -120,8 +120,6 @@
 
     def take_published(self, changes: Changes) -> OfferResult:
         """Take the platform's changes, on top of those that were refused before."""
-        if fault := self._find_shape_fault(changes):
-            return Rejected(self.revision, (fault,))
         if changes.after > self.covered:
             return Gap(self.covered, changes.after)
         if changes.revision < max(self.revision, changes.after):
@@ -131,7 +129,7 @@
         if on_top and not changes.documents and changes.revision == pending.revision:
             return Unchanged(self.revision)
         entries = self._encode(changes, pending.entries if on_top else {})
-        result = self._judge(entries, changes.revision)
+        result = self._judge(entries, changes)
         if isinstance(result, Rejected):
             self._pending = _Pending(changes.revision, entries, result.contradicts)
         elif on_top or changes.whole or pending.revision <= self.revision:
@@ -140,18 +138,16 @@
 
     def take_from_peer(self, changes: Changes) -> OfferResult:
         """Take changes that a peer has in force."""
-        if fault := self._find_shape_fault(changes):
-            return Rejected(self.revision, (fault,))
         if changes.after > self.revision:
             return Gap(self.revision, changes.after)
         if changes.revision < self.revision:
             return Stale(self.revision, changes.revision)
-        result = self._judge(self._encode(changes, {}), changes.revision)
+        result = self._judge(self._encode(changes, {}), changes)
         if isinstance(result, Accepted) and self._pending.revision <= self.revision:
             self._pending = NOTHING
         return result
 
-    def _find_shape_fault(self, changes: Changes) -> str:
+    def find_shape_fault(self, changes: Changes) -> str:
         """Say what makes changes unreadable, or give an empty text."""
         if not is_revision(changes.revision):
             return f"{changes.revision!r} is not a revision"
@@ -166,29 +162,37 @@
 
     def _encode(self, changes: Changes, below: Mapping[str, Entry]) -> dict[str, Entry]:
         """Give changes as entries on top of others, with the deletions that a whole implies."""
-        entries = dict(below)
+        entries = {
+            key: entry._replace(revision=changes.revision) if entry.implied else entry
+            for key, entry in below.items()
+        }
         for document in changes.documents:
             known = entries.get(document.key)
             if known is None or known.revision <= document.revision:
                 entries[document.key] = Entry.from_document(document)
         if changes.whole:
-            deleted = Entry(changes.revision, None)
+            deleted = Entry(changes.revision, None, implied=True)
             entries |= {key: deleted for key in self.documents if key not in entries}
         return entries
 
-    def _judge(self, entries: Mapping[str, Entry], revision: int) -> OfferResult:
+    def _judge(self, entries: Mapping[str, Entry], changes: Changes) -> OfferResult:
         """Put entries in force if they make a valid whole, or refuse them all."""
+        revision = changes.revision
         findings = Findings(f"revision {revision}")
-        self._check_history(entries, revision, findings)
+        self._check_history(entries, changes, findings)
+        late = {key: entry for key, entry in entries.items() if entry.revision > self.revision}
+        if changes.digest and self.documents.digest_with(late) != changes.digest:
+            if not changes.whole:
+                return Gap(0, changes.after)
+            findings.add("", "the documents don't have the digest that the source tells")
         if findings.errors:
             return self._refuse(revision, findings, contradicts=True)
         if revision == self.revision:
             return Unchanged(revision)
-        late = {key: entry for key, entry in entries.items() if entry.revision > self.revision}
         return self._advance(late, revision, findings)
 
     def _check_history(
-        self, entries: Mapping[str, Entry], revision: int, findings: Findings
+        self, entries: Mapping[str, Entry], changes: Changes, findings: Findings
     ) -> None:
         """Note each document that a revision in force holds with other content.
 
@@ -196,12 +200,17 @@
         operators published the same revision. To take it would withdraw what was accepted, and
         hosts that saw the other one first would differ for good: the one in force stays.
         """
-        remedy = f"publish it again with a revision over {revision}"
-        for key, entry in entries.items():
-            if entry.revision > self.revision or entry.text == self.documents.text(key):
-                continue
-            what = f"revision {entry.revision} is in force with other content; {remedy}"
-            findings.add(_dot(key), what)
+        remedy = f"publish it again with a revision over {changes.revision}"
+        different = [
+            key
+            for key, entry in entries.items()
+            if entry.revision <= self.revision and entry.text != self.documents.text(key)
+        ]
+        if not changes.whole:
+            later = self.documents.list_later(changes.after)
+            different += [key for key in later if key not in entries]
+        for key in different:
+            findings.add(_dot(key), f"is in force with other content; {remedy}")
 
     def _advance(
         self, late: Mapping[str, Entry], revision: int, findings: Findings
--- a/cloverway/tests/test_configuration.py
+++ b/cloverway/tests/test_configuration.py
@@ -1,53 +1,317 @@
-"""Tests of the configuration in force."""
+"""Failures that the configuration in force must survive, one by one."""
 
 from __future__ import annotations
 
+from typing import Any
+
 from cloverway.configuration import (
     Accepted,
     ConfigurationStore,
+    Gap,
     Rejected,
     Source,
     Stale,
+    StartGate,
+    Unchanged,
     choose_readers,
 )
 from cloverway.platform.port import Changes, Document
 
-BASE = (
-    Document("organisation", 1, {"name": "riviere"}),
-    Document("regions/curepipe", 1, {}),
-    Document("domains/curepipe-a", 1, {"region": "curepipe"}),
-)
+PLATFORM, PEER = Source.PLATFORM, Source.PEER
 
 
-def test_offer_takes_whole_then_delta() -> None:
-    store = ConfigurationStore()
-    verdict = store.offer(Changes(1, 0, BASE), Source.PLATFORM, 0.0)
-    assert isinstance(verdict, Accepted)
-    later = Changes(2, 1, (Document("regions/rodrigues", 2, {}),))
-    assert isinstance(store.offer(later, Source.PEER, 1.0), Accepted)
-    assert store.revision == 2
-    assert set(store.published.regions) == {"curepipe", "rodrigues"}
+def region(name: str, revision: int, title: str = "") -> Document:
+    return Document(f"regions/{name}", revision, {"title": title})
 
 
-def test_offer_refuses_an_invalid_change_whole() -> None:
-    store = ConfigurationStore()
-    store.offer(Changes(1, 0, BASE), Source.PLATFORM, 0.0)
-    bad = Changes(2, 1, (Document("domains/curepipe-b", 2, {"region": "nowhere"}),))
-    assert isinstance(store.offer(bad, Source.PLATFORM, 0.0), Rejected)
-    assert store.revision == 1
+def team(name: str, revision: int, key: str = "1", home: str = "curepipe") -> Document:
+    value = {"home": home, "key_hashes": ["sha256:" + key * 64]}
+    return Document(f"teams/{name}", revision, value)
+
+
+def deleted(key: str, revision: int) -> Document:
+    return Document(key, revision, None)
 
 
-def test_offer_never_goes_back() -> None:
+BASE = (Document("organisation", 1, {"name": "riviere"}), region("curepipe", 2))
+
+
+def start(*documents: Document, settled: bool = True) -> ConfigurationStore:
+    """Give a store that has read the platform's whole."""
     store = ConfigurationStore()
-    store.offer(Changes(5, 0, BASE), Source.PEER, 0.0)
-    assert store.offer(Changes(4, 0, BASE), Source.PLATFORM, 0.0) == Stale(5, 4)
-    assert not store.platform_stale, "a moment's lag is no fault"
-    store.offer(Changes(4, 0, BASE), Source.PLATFORM, 4.0)
+    everything = (*BASE, *documents)
+    last = max(document.revision for document in everything)
+    assert isinstance(store.offer(Changes(last, 0, everything), PLATFORM, 0.0), Accepted)
+    if settled:
+        store.settle()
+    return store
+
+
+def test_a_change_is_in_force_and_handed_to_peers() -> None:
+    """A host that reads the platform tells a peer what changed since the peer's revision."""
+    reader, peer = start(), start()
+    change = (region("rodrigues", 3),)
+    assert isinstance(reader.offer(Changes(3, 2, change), PLATFORM, 1.0), Accepted)
+    after = peer.ask_peer_after(reader.served_revision)
+    assert after == 2
+    told = reader.changes_after(after)
+    assert told.documents == change
+    assert isinstance(peer.offer(told, PEER, 1.0), Accepted)
+    assert peer.digest == reader.digest
+    assert isinstance(peer.offer(told, PEER, 1.0), Unchanged), "a duplicate does no harm"
+
+
+def test_deletion_reaches_a_peer() -> None:
+    """A withdrawn team must not go on at hosts that are told deltas only."""
+    reader, peer = start(team("a", 3)), start(team("a", 3))
+    reader.offer(Changes(4, 3, (deleted("teams/a", 4),)), PLATFORM, 1.0)
+    peer.offer(reader.changes_after(3), PEER, 1.0)
+    assert peer.published and not peer.published.teams
+
+
+def test_peer_behind_the_kept_tombstones_is_given_the_whole() -> None:
+    """Tombstones are bounded: a peer that was cut off for long would keep withdrawn documents."""
+    reader, peer = start(team("a", 3)), start(team("a", 3))
+    reader._held.documents._most_tombstones = 2
+    for revision in range(4, 8):
+        key = "teams/a" if revision == 4 else f"regions/gone-{revision}"
+        reader.offer(Changes(revision, revision - 1, (deleted(key, revision),)), PLATFORM, 1.0)
+    told = reader.changes_after(3)
+    assert told.whole
+    peer.offer(told, PEER, 1.0)
+    assert peer.published and not peer.published.teams
+
+
+def test_invalid_revision_is_refused_whole_and_mended_by_a_later_one() -> None:
+    """An operator publishes a team without its region, then the region.
+
+    The good change of the same revision must not come in force by itself; the team must not be
+    lost when the region comes, though the platform tells of it only once.
+    """
+    store = start()
+    batch = (team("a", 3, home="rodrigues"), region("port-louis", 3))
+    refusal = store.offer(Changes(3, 2, batch), PLATFORM, 1.0)
+    assert isinstance(refusal, Rejected)
+    assert "teams.a.home: there is no region 'rodrigues'" in refusal.findings[0]
+    assert store.revision == 2 and store.refused == refusal
+    assert store.published and "port-louis" not in store.published.regions
+    assert store.read_after == 3, "the same change is not read again and again"
+    assert isinstance(
+        store.offer(Changes(4, 3, (region("rodrigues", 4),)), PLATFORM, 1.0), Accepted
+    )
+    assert store.revision == 4 and store.refused is None
+    assert set(store.published.teams) == {"a"}
+
+
+def test_refused_revision_is_not_asked_of_peers_again() -> None:
+    """A peer of another release has in force what is refused here; each heartbeat tells of it."""
+    store = start()
+    bad = Changes(3, 2, (team("a", 3, home="nowhere"),))
+    assert isinstance(store.offer(bad, PEER, 1.0), Rejected)
+    assert store.ask_peer_after(3) is None
+    assert store.ask_peer_after(4) == 2
+
+
+def test_key_of_another_team_is_refused_in_a_delta() -> None:
+    """Two teams with one key: a caller would be taken for the other team, with its residency."""
+    store = start(team("a", 3))
+    assert isinstance(store.offer(Changes(4, 3, (team("b", 4),)), PLATFORM, 1.0), Rejected)
+    moved = (team("a", 5, key="2"),)
+    assert isinstance(store.offer(Changes(5, 4, moved), PLATFORM, 1.0), Accepted)
+    assert isinstance(store.offer(Changes(6, 5, (team("c", 6),)), PLATFORM, 1.0), Rejected)
+
+
+def test_region_that_is_in_use_can_not_be_deleted() -> None:
+    """Only the region is in the delta, but it is the team that becomes invalid."""
+    store = start(team("a", 3))
+    refusal = store.offer(Changes(4, 3, (deleted("regions/curepipe", 4),)), PLATFORM, 1.0)
+    assert isinstance(refusal, Rejected) and "teams.a.home" in refusal.findings[0]
+
+
+def test_delta_with_a_gap_is_not_applied() -> None:
+    """A lost delta would be missing for good once a later revision is held."""
+    store = start()
+    assert store.offer(Changes(9, 8, (region("rodrigues", 9),)), PEER, 1.0) == Gap(2, 8)
+    assert store.offer(Changes(9, 8, (region("rodrigues", 9),)), PLATFORM, 1.0) == Gap(2, 8)
+
+
+def test_stale_platform_is_marked_and_takes_nothing_back() -> None:
+    """The platform serves old data while peers have a later revision, for longer than a change
+    takes: it is marked; a moment's lag is not. Later data of one history clears the mark."""
+    store = start(region("rodrigues", 3))
+    old = Changes(2, 3, ())
+    assert store.offer(old, PLATFORM, 1.0) == Stale(3, 2)
+    store = start(region("rodrigues", 3))
+    store.offer(Changes(5, 3, (team("a", 5),)), PEER, 1.0)
+    behind = Changes(4, 5, ())
+    assert store.offer(behind, PLATFORM, 1.0) == Stale(5, 4)
+    assert not store.platform_stale
+    assert store.offer(behind, PLATFORM, 6.0) == Stale(5, 4)
+    assert store.platform_stale and store.revision == 5
+    assert store.offer(Changes(5, 5, ()), PLATFORM, 7.0) == Gap(0, 5)
+    assert store.read_after == 0
+    whole = Changes(5, 0, (*BASE, region("rodrigues", 3), team("a", 5)))
+    assert isinstance(store.offer(whole, PLATFORM, 7.0), Unchanged)
+    assert not store.platform_stale and store.read_after == 5
+
+
+def test_restored_platform_that_uses_revisions_again_is_refused() -> None:
+    """The platform restarts with older data, and an operator publishes other content under
+    revisions that are in force already. The first accepted stays until it is published anew."""
+    store = start(region("rodrigues", 3, "first"))
+    store.offer(Changes(2, 3, ()), PLATFORM, 1.0)
+    other = Changes(3, 0, (*BASE, region("rodrigues", 3, "second")))
+    store.offer(Changes(3, 3, ()), PLATFORM, 2.0)
+    assert store.read_after == 0
+    refusal = store.offer(other, PLATFORM, 2.0)
+    assert isinstance(refusal, Rejected) and refusal.contradicts
+    assert "publish it again with a revision over 3" in refusal.findings[0]
+    assert store.published and store.published.regions["rodrigues"].title == "first"
     assert store.platform_stale
+    later = Changes(4, 3, (team("a", 4),))
+    assert isinstance(store.offer(later, PLATFORM, 3.0), Rejected), "no mixture of two histories"
+    again = Changes(5, 4, (region("rodrigues", 5, "second"),))
+    assert isinstance(store.offer(again, PLATFORM, 4.0), Accepted)
+    assert not store.platform_stale
+
+
+def test_platform_restored_while_out_of_reach_is_noticed() -> None:
+    """A cut-off domain reads the platform after an hour. Its revision is higher, but it was
+    restored in between: a delta on top of what is in force would mix two histories."""
+    store = start(region("rodrigues", 3, "first"))
+    mixed = Changes(4, 3, (team("a", 4),))
+    assert store.offer(mixed, PLATFORM, 3600.0) == Gap(2, 3)
+    anchored = Changes(4, 2, (region("port-louis", 3), team("a", 4)))
+    refusal = store.offer(anchored, PLATFORM, 3600.1)
+    assert isinstance(refusal, Rejected) and refusal.contradicts
+    assert store.revision == 3
+
+
+def test_platform_that_only_was_out_of_reach_goes_on() -> None:
+    """The same outage without a restoration: the next read tells the latest document again."""
+    store = start(region("rodrigues", 3))
+    assert store.offer(Changes(3, 3, ()), PLATFORM, 3600.0) == Gap(2, 3)
+    assert store.read_after == 2
+    again = Changes(4, 2, (region("rodrigues", 3), team("a", 4)))
+    assert isinstance(store.offer(again, PLATFORM, 3600.1), Accepted)
+    assert store.read_after == 4
+
+
+def test_racing_operators_the_first_accepted_stays() -> None:
+    """Two operators publish revision 3 with different content; two hosts saw one each. Neither
+    takes the other's; revision 4 mends both."""
+    left, right = start(region("rodrigues", 3, "left")), start(region("rodrigues", 3, "right"))
+    assert left.contradicts(right.revision, right.digest)
+    refusal = left.offer(right.changes_after(0), PEER, 1.0)
+    assert isinstance(refusal, Rejected) and refusal.contradicts
+    right.offer(Changes(4, 3, (region("rodrigues", 4, "both"),)), PLATFORM, 1.0)
+    assert isinstance(left.offer(right.changes_after(3), PEER, 1.0), Accepted)
+    assert left.digest == right.digest
+
+
+def test_peer_of_another_history_is_not_mixed_in() -> None:
+    """A peer went on from another revision 3. Its delta alone fits, so the digest has to tell:
+    the whole is asked for, and refused."""
+    left, right = start(region("rodrigues", 3, "left")), start(region("rodrigues", 3, "right"))
+    right.offer(Changes(4, 3, (team("a", 4),)), PLATFORM, 1.0)
+    assert left.offer(right.changes_after(3), PEER, 1.0) == Gap(0, 3)
+    assert left.ask_peer_after(4) == 0
+    refusal = left.offer(right.changes_after(0), PEER, 1.0)
+    assert isinstance(refusal, Rejected) and left.revision == 3
+    assert left.ask_peer_after(4) is None
+
+
+def test_document_lost_by_a_restored_platform_can_be_withdrawn() -> None:
+    """The restored platform does not know a team that is in force. Once it has published past
+    the revision in force, a whole without the team withdraws it."""
+    store = start(team("a", 3))
+    store.offer(Changes(2, 3, ()), PLATFORM, 1.0)
+    store.offer(Changes(3, 3, ()), PLATFORM, 2.0)
+    whole = Changes(3, 0, (*BASE, region("rodrigues", 3)))
+    assert isinstance(store.offer(whole, PLATFORM, 2.0), Rejected)
+    again = Changes(4, 3, (region("rodrigues", 4),))
+    assert isinstance(store.offer(again, PLATFORM, 3.0), Accepted)
+    assert store.published and not store.published.teams
+
+
+def test_start_with_nothing_while_the_platform_is_stale() -> None:
+    """A new host hears a stale platform first and a peer later. It must not serve the old
+    configuration in between, and ends with the peer's."""
+    peer = start(region("rodrigues", 3))
+    store = start(settled=False)
+    gate = StartGate(0.0, wait_s=3.0)
+    gate.hear_platform(2)
+    assert not gate.decide(store.revision, ["peer"], 1.0).ready
+    gate.hear_peer("peer", peer.served_revision)
+    assert not gate.decide(store.revision, ["peer"], 9.0).ready, "a later one is known"
+    store.offer(peer.changes_after(store.ask_peer_after(3) or 0), PEER, 1.0)
+    ready = gate.decide(store.revision, ["peer"], 1.5)
+    assert ready.ready and ready.proved
+
+
+def test_start_with_a_restored_platform_follows_the_peers() -> None:
+    """The restored platform is at a higher revision of another history, which nobody has in
+    force. A new host that took it would differ from all others."""
+    peer = start(region("rodrigues", 3, "first"))
+    other = Changes(4, 0, (*BASE, region("rodrigues", 3, "second"), team("a", 4)))
+    store = ConfigurationStore()
+    store.offer(other, PLATFORM, 0.0)
+    assert store.ask_peer_after(peer.served_revision) == 0
+    store.offer(peer.changes_after(0), PEER, 0.1)
+    assert store.read_after == 0
+    assert isinstance(store.offer(other, PLATFORM, 0.2), Rejected)
+    assert store.digest == peer.digest and store.platform_stale
+
+
+def test_start_gate_is_bounded() -> None:
+    """Peers that are dead or cut off must not keep a host from its own callers."""
+    gate = StartGate(0.0, wait_s=3.0)
+    assert not gate.decide(0, [], 99.0).ready, "nothing answered: there is nothing to serve"
+    gate.hear_platform(5)
+    assert not gate.decide(5, ["dead"], 2.9).ready
+    late = gate.decide(5, ["dead"], 3.0)
+    assert late.ready and not late.proved
+    gate.hear_peer("lost", 7)
+    assert not gate.decide(5, ["dead", "lost"], 3.0).ready
+    gate.lose_peer("lost")
+    assert gate.decide(5, ["dead", "lost"], 3.0).ready
+
+
+def test_first_hosts_of_a_fleet_start_together() -> None:
+    """Nobody has a configuration in force; each hears the others' 0 and goes by the platform."""
+    gate = StartGate(0.0)
+    gate.hear_platform(2)
+    gate.hear_peer("other", 0)
+    assert gate.decide(2, ["other"], 0.1).proved
+
+
+def test_unreadable_changes_are_refused() -> None:
+    store = start()
+    bad: Any
+    for bad in (2**70, -1, 0, True):
+        assert isinstance(store.offer(Changes(bad, 0, ()), PLATFORM, 1.0), Rejected)
+    beyond = Changes(3, 2, (region("rodrigues", 4),))
+    assert isinstance(store.offer(beyond, PLATFORM, 1.0), Rejected)
+    for value in ({"title": float("nan")}, {"title": {1, 2}}, {"title": "x" * 2**20}):
+        change = Changes(3, 2, (Document("regions/rodrigues", 3, value),))
+        assert isinstance(store.offer(change, PEER, 1.0), Rejected)
+    assert store.revision == 2
+
+
+def test_table_of_a_later_release_is_carried_along() -> None:
+    """During an upgrade old hosts pass on documents that they don't know yet."""
+    store = start()
+    change = Changes(3, 2, (Document("adapters/legal", 3, {"rank": 8}),))
+    accepted = store.offer(change, PLATFORM, 1.0)
+    assert isinstance(accepted, Accepted) and "adapters" in accepted.warnings[0]
+    assert store.changes_after(2).documents == change.documents
 
 
 def test_choose_readers_changes_little() -> None:
+    """When a reader dies the next takes its place and the other goes on."""
     hosts = [f"h{i}" for i in range(10)]
     first = choose_readers(hosts, "a")
     assert len(first) == 2
     assert choose_readers([h for h in hosts if h != first[0]], "a")[0] == first[1]
+    assert choose_readers(reversed(hosts), "a") == first
+    assert choose_readers(["only"], "a") == ("only",)
