--- a/cloverway/client.py
+++ b/cloverway/client.py
@@ -242,7 +242,7 @@
     try:
         hosts = tuple(
             EntryHost(
-                str(host.get("host", "")),
+                str(host.get("name", "")),
                 str(host["address"]),
                 str(host.get("region", "")),
                 str(host.get("domain", "")),
--- a/cloverway/commands/call.py
+++ b/cloverway/commands/call.py
@@ -11,17 +11,28 @@
 from cloverway.answers import Answer
 from cloverway.client import Call, Client
 from cloverway.commands.admin import check_address
-from cloverway.errors import CallError, Ran, UserError
+from cloverway.errors import CallError, Kind, Ran, UserError
 
 KEY_VARIABLE = "CLOVERWAY_KEY"
 
 OUTCOMES = {
-    Ran.NO: "It was not run; it is safe to send it again.",
+    Ran.NO: "It was not run.",
     Ran.YES: "It was run.",
     Ran.UNKNOWN: "Nobody can say whether it was run.",
 }
 
 
+ADVICE = {
+    Kind.UNAUTHENTICATED: "Give the key of your team; `cloverway key` makes one for operators.",
+    Kind.FORBIDDEN: "Name a profile that operators have published for your team.",
+    Kind.RESIDENCY: "Ask operators for a profile or an endpoint in the team's home region.",
+    Kind.KEY_REQUIRED: "Give --once.",
+    Kind.KEY_MISMATCH: "Repeat exactly the call that the key was used with.",
+    Kind.KEY_INVALID: "Leave --idempotency-key out and give --once.",
+}
+"""What helps with a refusal that waiting does not mend."""
+
+
 class Choice(NamedTuple):
     """What the command line asks for."""
 
@@ -87,7 +98,6 @@
     lines = [
         f"{error.kind}: {error.detail}",
         f"ran: {error.ran}. {OUTCOMES[error.ran]}",
-        f"Come back in {error.retry_after:.1f} s." if error.retry_after is not None else "",
         _advise_repeat(error),
         _describe_place(error),
     ]
@@ -112,12 +122,14 @@
 
 
 def _advise_repeat(error: CallError) -> str:
-    if not error.key or error.ran is Ran.NO:
-        return ""
-    return (
-        f"A repeat with --idempotency-key {error.key} does not run it a second time and gives "
-        "the answer if one is held."
-    )
+    """Say what to do now."""
+    when = f" in {error.retry_after:.1f} s" if error.retry_after is not None else ""
+    if error.key and error.ran is not Ran.NO:
+        return (
+            f"Repeat it{when} with --idempotency-key {error.key}: it does not run a second time, "
+            "and the answer of the first run is given if it is held."
+        )
+    return f"Send it again{when}." if when else ADVICE.get(error.kind, "")
 
 
 def _read_data(choice: Choice) -> Any:
--- a/cloverway/commands/status.py
+++ b/cloverway/commands/status.py
@@ -85,4 +85,4 @@
     try:
         return HostStatus(address, ask_host(address, PATH))
     except UserError as error:
-        return HostStatus(address, {}, str(error).removeprefix(f"{address}: "))
+        return HostStatus(address, {}, str(error).removeprefix(f"{address}: ").partition(";")[0])
--- a/cloverway/tests/test_main.py
+++ b/cloverway/tests/test_main.py
@@ -277,6 +277,24 @@
     assert "cw_test" not in result.output
 
 
+@pytest.mark.parametrize(
+    ("kind", "ran", "status", "headers", "words"),
+    [
+        ("overloaded", "no", 429, "Retry-After: 60\r\n", "Send it again in 60.0 s."),
+        ("key_in_use", "unknown", 409, "Retry-After: 2\r\n", "Send it again in 2.0 s."),
+        ("forbidden", "no", 403, "", "Name a profile that operators have published"),
+    ],
+)
+def test_call_says_what_to_do(  # noqa: PLR0917
+    host: FakeHost, kind: str, ran: str, status: int, headers: str, words: str
+) -> None:
+    host.refuse(CHAT, kind, ran, status, headers)
+    words_sent = ("call", "--host", host.address, "--profile", "chat", "Insulin?")
+    result = run(*words_sent, CLOVERWAY_KEY="cw_test")
+    assert result.exit_code == 1
+    assert f"ran: {ran}" in result.stderr and words in result.stderr
+
+
 def test_call_without_a_key_says_what_to_set(host: FakeHost) -> None:
     words = ("call", "--host", host.address, "--profile", "chat", "Insulin?")
     result = run(*words, CLOVERWAY_KEY="")
