Bound the time of a whole answer, and log what is refused before the application sees it

A caller that takes a few bytes of its answer now and then made each write succeed and held its thread for as long as it liked; a write now has one time for all of its bytes, by a slowest rate of 64 KiB/s. Requests that are turned away for want of a thread, or with a head that is late or bad, get a request id, a line in the log and a count. The line says the truth on that request (not run); the caller of a repeat is told "unknown", since its key was not looked up.

--- a/cloverway/application.py
+++ b/cloverway/application.py
@@ -5,7 +5,6 @@
 import json
 import logging
 import math
-import secrets
 import threading
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Any, NamedTuple
@@ -13,14 +12,19 @@
 import cherrypy
 
 from cloverway import bodies
+from cloverway.caller_connection import (
+    OLD_PROTOCOL,
+    PROBLEM_TYPE,
+    Connection,
+    make_request_id,
+)
 from cloverway.errors import Kind, Ran, RequestError
 from cloverway.exchange import Reply, Stream
-from cloverway.listener import CONNECTION_KEY, PROBLEM_TYPE, REQUEST_KEY, Connection
+from cloverway.listener import CONNECTION_KEY, REQUEST_KEY
 
 log = logging.getLogger(__name__)
 
 JSON_TYPE = "application/json"
-OLD_PROTOCOL = "HTTP/1.0"
 FRAMING_HEADERS = frozenset(
     {"connection", "content-length", "content-type", "keep-alive", "transfer-encoding", "upgrade"}
 )
@@ -227,7 +231,7 @@
     environ = request.wsgi_environ
     http = environ[REQUEST_KEY]
     return Call(
-        id=secrets.token_hex(12),
+        id=make_request_id(),
         method=request.method,
         path=environ["PATH_INFO"],
         target=http.uri.decode("latin-1"),
--- /dev/null
+++ b/cloverway/caller_connection.py
@@ -0,0 +1,298 @@
+"""A caller's connection: heads collected without waiting, reads and writes bounded in time."""
+
+from __future__ import annotations
+
+import io
+import json
+import logging
+import math
+import secrets
+import select
+import socket
+import time
+from collections.abc import Callable
+from enum import Enum, auto
+from http import HTTPStatus
+from typing import Any, NamedTuple
+
+from cheroot.makefile import MakeFile
+from cheroot.server import HTTPConnection, HTTPRequest
+
+from cloverway.errors import Kind, Ran, RequestError
+
+log = logging.getLogger(__name__)
+
+PROBLEM_TYPE = "application/problem+json"
+OLD_PROTOCOL = "HTTP/1.0"
+HEAD_END = b"\r\n\r\n"
+SLOWEST_BYTES_PER_S = 64 * 1024
+"""A caller that takes its whole answer more slowly than this is given up."""
+PIECE_BYTES = 64 * 1024
+LINGER_S = 0.5
+"""How long what a refused caller still sends is read and dropped."""
+LINGER_BYTES = 64 * 1024
+REQUEST_ID_BYTES = 12
+
+KINDS_BY_STATUS = {
+    400: Kind.MALFORMED,
+    404: Kind.NOT_FOUND,
+    405: Kind.METHOD_NOT_ALLOWED,
+    408: Kind.TOO_SLOW,
+    413: Kind.TOO_LARGE,
+    414: Kind.TOO_LARGE,
+    500: Kind.INTERNAL,
+    503: Kind.OVERLOADED,
+}
+
+
+class Early(NamedTuple):
+    """A request that was answered before the application saw it."""
+
+    request_id: str
+    kind: Kind
+
+
+OnEarly = Callable[[Early], None]
+
+
+class HeadBounds(NamedTuple):
+    """What the head of a request may take."""
+
+    bytes: int
+    seconds: float
+    """Time for all of it, from its first byte."""
+
+
+class Collected(Enum):
+    """How much of the head of a request has come."""
+
+    WHOLE = auto()
+    PART = auto()
+    LATE = auto()
+    """A part, and its time is up."""
+    LEFT = auto()
+    """The caller closed before the head was whole."""
+
+
+class TimedIO(socket.SocketIO):
+    """Reads from a socket until a deadline that holds for all reads together.
+
+    A timeout for each read alone would let a caller that sends one byte at a time hold a thread
+    for as long as it likes.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__(sock, "r")
+        self.deadline = float("inf")
+        self.hold = False
+        self.pending = bytearray()
+        """What was received before a thread had the connection."""
+        self._socket = sock
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read what is there; raise TimeoutError when the deadline has passed."""
+        if self.hold:
+            return None
+        if self.pending:
+            return self._take_pending(memoryview(buffer))
+        left = self.deadline - time.monotonic()
+        if left <= 0:
+            raise TimeoutError("timed out")
+        if left != float("inf"):
+            self._socket.settimeout(left)
+        return super().readinto(buffer)
+
+    def collect(self, limit: int) -> bool:
+        """Receive what is there without waiting; tell whether the caller may send more."""
+        if len(self.pending) >= limit or not is_readable(self._socket):
+            return True
+        data = self._socket.recv(limit - len(self.pending))
+        self.pending += data
+        return bool(data)
+
+    def _take_pending(self, buffer: memoryview) -> int:
+        count = min(len(buffer), len(self.pending))
+        buffer[:count] = self.pending[:count]
+        del self.pending[:count]
+        return count
+
+
+class TimedReader(io.BufferedReader):
+    """The reading half of a connection."""
+
+    bytes_read = 0
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.source = TimedIO(sock)
+        super().__init__(self.source)
+
+    def has_data(self) -> bool:
+        """Tell whether the head of a request has been received, without reading."""
+        self._give_back()
+        return HEAD_END in self.source.pending
+
+    def _give_back(self) -> None:
+        """Put what was read beyond the last request back before the next."""
+        self.source.hold = True
+        try:
+            self.source.pending[:0] = self.read1(len(self.peek(1)))
+        finally:
+            self.source.hold = False
+
+
+class TimedWriter(io.RawIOBase):
+    """The writing half of a connection: each write has one time for all of its bytes as well.
+
+    A caller that takes a byte now and then would otherwise hold a thread for as long as it likes.
+    """
+
+    bytes_written = 0
+
+    def __init__(self, sock: socket.socket, patience_s: float) -> None:
+        super().__init__()
+        self._socket = sock
+        self._patience_s = patience_s
+
+    def writable(self) -> bool:
+        """Say that this is for writing."""
+        return True
+
+    def write(self, data: Any) -> int:
+        """Send everything; raise TimeoutError when the caller takes nothing, or too slowly."""
+        until = time.monotonic() + self._patience_s + len(data) / SLOWEST_BYTES_PER_S
+        view = memoryview(data)
+        for start in range(0, len(data), PIECE_BYTES):
+            left = min(self._patience_s, until - time.monotonic())
+            if left <= 0:
+                raise TimeoutError("timed out")
+            self._socket.settimeout(left)
+            self._socket.sendall(view[start : start + PIECE_BYTES])
+        return len(data)
+
+
+class Connection(HTTPConnection):
+    """A caller's connection."""
+
+    def __init__(self, server: Any, sock: socket.socket, makefile: Any = MakeFile) -> None:
+        super().__init__(server, sock, makefile)
+        self.rfile = TimedReader(sock)
+        self.wfile = TimedWriter(sock, server.timeout)
+        self.drain = False
+        self.head_until = float("inf")
+        """When the head that has begun to come must be whole."""
+
+    def limit_reading(self, seconds: float | None) -> None:
+        """Bound all reads from now on together, or lift the bound."""
+        deadline = float("inf") if seconds is None else time.monotonic() + seconds
+        self.rfile.source.deadline = deadline
+        self.socket.settimeout(self.server.timeout)
+
+    def collect_head(self, bounds: HeadBounds, now: float) -> Collected:
+        """Receive what has come of a head, without waiting."""
+        source = self.rfile.source
+        try:
+            more = source.collect(bounds.bytes)
+        except OSError:
+            more = False
+        if HEAD_END in source.pending or len(source.pending) >= bounds.bytes:
+            self.head_until = float("inf")
+            return Collected.WHOLE
+        if not more:
+            return Collected.LEFT
+        if source.pending:
+            self.head_until = min(self.head_until, now + bounds.seconds)
+        return Collected.LATE if now >= self.head_until else Collected.PART
+
+    def close(self) -> None:
+        """Close, after a caller that was refused midway had a chance to read why."""
+        if self.drain:
+            self._drain()
+        super().close()
+
+    def _drain(self) -> None:
+        """Read and drop what still comes, for a short while.
+
+        To close with unread bytes resets the connection, and the caller's system may then drop
+        the answer that it has not read yet.
+        """
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            self.limit_reading(LINGER_S)
+            while self.rfile.read1(LINGER_BYTES):
+                continue
+        except (OSError, ValueError):
+            return
+
+
+class Request(HTTPRequest):
+    """A caller's request, whose early failures get the same form of answer as all others."""
+
+    body_is_read = False
+
+    def parse_request(self) -> None:
+        """Read the head within its time."""
+        self.conn.limit_reading(self.server.head_bounds.seconds)
+        super().parse_request()
+        self.conn.limit_reading(None)
+        if self.ready:
+            self._check_head()
+
+    def _check_head(self) -> None:
+        """Refuse what two readers may take for two different requests."""
+        names = self.inheaders
+        if self.response_protocol != OLD_PROTOCOL and b"Host" not in names:
+            self._reject("HTTP/1.1 needs a Host header")
+        if self.chunked_read and b"Content-Length" in names:
+            self._reject("send Content-Length or Transfer-Encoding, not both")
+
+    def _reject(self, detail: str) -> None:
+        self.ready = False
+        self.simple_response("400 Bad Request", detail)
+
+    def simple_response(self, status: Any, msg: str = "") -> None:
+        """Answer a request that never reached the application, and close."""
+        kind = KINDS_BY_STATUS.get(int(str(status)[:3]), Kind.MALFORMED)
+        # Whether the head has an idempotency key is not known: an earlier request may have run.
+        error = RequestError(kind, msg, ran=Ran.UNKNOWN)
+        request_id = make_request_id()
+        self.close_connection = True
+        self.sent_headers = True
+        self.conn.drain = True
+        try:
+            self.conn.wfile.write(format_problem(error, request_id))
+            self.conn.wfile.flush()
+        except OSError:
+            log.debug("a refused caller had left")
+        self.server.on_early(Early(request_id, kind))
+
+
+Connection.RequestHandlerClass = Request
+
+
+def is_readable(sock: socket.socket) -> bool:
+    """Tell whether a read would not block."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
+REASONS = {status.value: status.phrase for status in HTTPStatus}
+
+
+def make_request_id() -> str:
+    """Make the id by which a request is found in the logs."""
+    return secrets.token_hex(REQUEST_ID_BYTES)
+
+
+def format_problem(error: RequestError, request_id: str) -> bytes:
+    """Give a whole HTTP answer for a request that never reached the application."""
+    body = json.dumps(error.as_problem(request_id)).encode()
+    retry = f"Retry-After: {math.ceil(error.retry_after)}\r\n" if error.retry_after else ""
+    head = (
+        f"HTTP/1.1 {error.status} {REASONS.get(error.status, 'Failed')}\r\n"
+        f"X-Request-Id: {request_id}\r\n"
+        f"Content-Type: {PROBLEM_TYPE}\r\n"
+        f"Content-Length: {len(body)}\r\n"
+        f"{retry}Connection: close\r\n\r\n"
+    )
+    return head.encode("ascii") + body
--- a/cloverway/callers.py
+++ b/cloverway/callers.py
@@ -21,6 +21,7 @@
     require_method,
 )
 from cloverway.authentication import Authenticator, Caller, authenticate, choose_deadline_s
+from cloverway.caller_connection import Early
 from cloverway.config.settings import Settings
 from cloverway.departures import Departures
 from cloverway.directory import Freshness, HostList, list_hosts
@@ -55,6 +56,7 @@
 
     request_id: str
     method: str
+    """The method, or empty where the head was not read."""
     team: str
     """The team, or empty where the caller is not known."""
     profile: str
@@ -126,6 +128,7 @@
             self._responder.make_application(),
             bounds or Bounds.from_limits(settings.limits),
             "callers",
+            self._note_early,
         )
 
     @property
@@ -228,16 +231,20 @@
         lifetime_s = self._limits.idempotency_key_s
         return make_json_reply({"key": keys[0], "keys": keys, "lifetime_s": lifetime_s})
 
+    def _note_early(self, early: Early) -> None:
+        ran = Ran.UNKNOWN if early.kind is Kind.INTERNAL else Ran.NO
+        self._on_refusal(Refusal(early.request_id, "", "", "", early.kind, ran, 0.0))
+
     def _note_refusal(self, call: Call, error: RequestError, arrived_at: float) -> None:
+        # What is logged is the truth on this request; what the caller is told covers its key.
+        ran = error.ran
         if call.get_header(KEY_HEADER):
             # The key was not looked up: an earlier request with it may have run, and a caller that
             # reads "no" here would do the work again under a new key.
             error.ran = Ran.UNKNOWN
         team, profile = self._identify(call)
         total_s = self._clock() - arrived_at
-        self._on_refusal(
-            Refusal(call.id, call.method, team, profile, error.kind, error.ran, total_s)
-        )
+        self._on_refusal(Refusal(call.id, call.method, team, profile, error.kind, ran, total_s))
 
     def _identify(self, call: Call) -> tuple[str, str]:
         """Give the team and the profile of a refused call, as far as they are known."""
--- a/cloverway/tests/test_listener.py
+++ b/cloverway/tests/test_listener.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from cloverway import caller_connection
 from cloverway.errors import Kind, RequestError
 from cloverway.exchange import Reply
 from cloverway.listener import Bounds
@@ -286,6 +287,20 @@
         assert wait_until(lambda: bench.server.in_progress() == 0)
 
 
+def test_a_caller_that_reads_byte_by_byte_gives_its_thread_back(bench, monkeypatch):
+    """A caller that takes a little of its answer now and then has one time for all of it."""
+    monkeypatch.setattr(caller_connection, "SLOWEST_BYTES_PER_S", 40_000_000)
+    bench.gateway.answer = Reply(200, "application/json", b"x" * 20_000_000)
+    request = HEAD + f"Content-Length: {len(CHAT_BODY)}\r\n\r\n"
+    with bench.connect() as sock:
+        sock.sendall(request.encode() + CHAT_BODY)
+        assert bench.gateway.entered.wait(5)
+        pause = threading.Event()
+        while bench.server.in_progress():
+            assert sock.recv(2000)
+            pause.wait(0.01)
+
+
 def test_a_caller_that_leaves_while_it_waits_is_noticed():
     """The caller closes while its request waits for an endpoint, and nobody reads its socket.
 
@@ -321,6 +336,7 @@
                 sock.sendall(request)
                 problem = read_problem(sock)
                 assert (problem["kind"], problem["ran"]) == ("overloaded", "no")
+            assert [refusal.kind for refusal in bench.refusals] == ["overloaded"] * 4
             bench.gateway.go_on.set()
             for sock in callers[:8]:
                 assert read_answer(sock).status == 200
--- a/cloverway/tests/test_logs.py
+++ b/cloverway/tests/test_logs.py
@@ -73,6 +73,7 @@
         "malformed",
         "unauthenticated",
         "forbidden",
+        "malformed",
     ]
     for secret in (BEARER, BODY_SECRET, KEY_SECRET, HEADERS["Authorization"]):
         assert secret not in logged
