Count only bodies that come slowly against their team's part of the threads

The bound of one team's bodies refused honest calls that came together: a thread that is about to read a body that is there already counted like one that waits for it. A body counts now when it has not come within a quarter of a second, for all of its reads together.

--- a/cloverway/application.py
+++ b/cloverway/application.py
@@ -54,9 +54,14 @@
         """Give a header, or an empty text."""
         return self.headers.get(name, "")
 
-    def read_body(self, limit: int, seconds: float) -> bytes:
-        """Read the body within a size and a time for the whole; raise RequestError."""
-        self.connection.limit_reading(seconds)
+    def read_body(
+        self, limit: int, seconds: float, on_slow: Callable[[], object] | None = None
+    ) -> bytes:
+        """Read the body within a size and a time for the whole; raise RequestError.
+
+        `on_slow` is called when the body does not come promptly.
+        """
+        self.connection.limit_reading(seconds, on_slow)
         body = bodies.read_body(
             self.connection.rfile,
             self.headers.get("Content-Length"),
--- a/cloverway/caller_connection.py
+++ b/cloverway/caller_connection.py
@@ -28,6 +28,8 @@
 SLOWEST_BYTES_PER_S = 64 * 1024
 """A caller that takes its whole answer more slowly than this is given up."""
 PIECE_BYTES = 64 * 1024
+PROMPT_S = 0.25
+"""What has come within this time was not slow, for all that is read together."""
 LINGER_S = 0.5
 """How long what a refused caller still sends is read and dropped."""
 LINGER_BYTES = 64 * 1024
@@ -87,6 +89,9 @@
         self.hold = False
         self.pending = bytearray()
         """What was received before a thread had the connection."""
+        self.on_slow: Callable[[], object] | None = None
+        """Called once when what is read has not all come promptly; may raise."""
+        self.prompt_until = 0.0
         self._socket = sock
 
     def readinto(self, buffer: Any) -> int | None:
@@ -95,6 +100,7 @@
             return None
         if self.pending:
             return self._take_pending(memoryview(buffer))
+        self._check_prompt()
         left = self.deadline - time.monotonic()
         if left <= 0:
             raise TimeoutError("timed out")
@@ -110,6 +116,14 @@
         self.pending += data
         return bool(data)
 
+    def _check_prompt(self) -> None:
+        if self.on_slow is None:
+            return
+        wait_s = max(0.0, self.prompt_until - time.monotonic())
+        if not is_readable(self._socket, wait_s):
+            on_slow, self.on_slow = self.on_slow, None
+            on_slow()
+
     def _take_pending(self, buffer: memoryview) -> int:
         count = min(len(buffer), len(self.pending))
         buffer[:count] = self.pending[:count]
@@ -181,10 +195,18 @@
         self.head_until = float("inf")
         """When the head that has begun to come must be whole."""
 
-    def limit_reading(self, seconds: float | None) -> None:
-        """Bound all reads from now on together, or lift the bound."""
-        deadline = float("inf") if seconds is None else time.monotonic() + seconds
-        self.rfile.source.deadline = deadline
+    def limit_reading(
+        self, seconds: float | None, on_slow: Callable[[], object] | None = None
+    ) -> None:
+        """Bound all reads from now on together, or lift the bound.
+
+        `on_slow` is called when they have to wait for longer than a moment.
+        """
+        now = time.monotonic()
+        source = self.rfile.source
+        source.deadline = float("inf") if seconds is None else now + seconds
+        source.on_slow = on_slow
+        source.prompt_until = now + PROMPT_S
         self.socket.settimeout(self.server.timeout)
 
     def collect_head(self, bounds: HeadBounds, now: float) -> Collected:
@@ -269,11 +291,11 @@
 Connection.RequestHandlerClass = Request
 
 
-def is_readable(sock: socket.socket) -> bool:
-    """Tell whether a read would not block."""
+def is_readable(sock: socket.socket, wait_s: float = 0.0) -> bool:
+    """Tell whether a read would not block, now or within some time."""
     poll = select.poll()
     poll.register(sock, select.POLLIN)
-    return bool(poll.poll(0))
+    return bool(poll.poll(wait_s * 1000))
 
 
 REASONS = {status.value: status.phrase for status in HTTPStatus}
--- a/cloverway/callers.py
+++ b/cloverway/callers.py
@@ -67,10 +67,10 @@
 
 
 class Readers:
-    """Bounds how many threads read the bodies of one team at a time.
+    """Bounds how many threads wait for slow bodies of one team at a time.
 
-    A body may come slowly for some seconds. Without a bound for each team, one whose callers are
-    on a bad link could have every thread wait for its bodies.
+    A body may take some seconds. Without a bound for each team, one whose callers are on a bad
+    link could have every thread wait for its bodies. Bodies that come promptly are not counted.
     """
 
     def __init__(self, limit: int) -> None:
@@ -84,7 +84,7 @@
         with self._lock:
             if self._reading[team] >= self._limit:
                 raise RequestError(
-                    Kind.TEAM_LIMIT, "too many bodies are on their way", retry_after=READER_RETRY_S
+                    Kind.TEAM_LIMIT, "too many bodies come slowly", retry_after=READER_RETRY_S
                 )
             self._reading[team] += 1
         try:
@@ -217,8 +217,12 @@
         )
 
     def _read_body(self, call: Call, team: str) -> bytes:
-        with self._readers.enter(team):
-            return call.read_body(self._limits.body_bytes, self._limits.body_timeout_s)
+        with contextlib.ExitStack() as stack:
+
+            def count_slow() -> None:
+                stack.enter_context(self._readers.enter(team))
+
+            return call.read_body(self._limits.body_bytes, self._limits.body_timeout_s, count_slow)
 
     def _issue_keys(self, call: Call, team: str) -> Reply:
         body = self._read_body(call, team)
