Grant nothing to a claimant that has left, and no team the whole ledger

An issuer that slept found a claim in its socket, granted it to a claimant that had given up long before, and spent the key: the caller's repeat was told "unknown" of a request nobody ran (test red before). It looks whether the other end is still there first.

One team could fill the table for an hour and have all others refused; it is refused now at half of it with team_limit.

--- a/cloverway/keys.py
+++ b/cloverway/keys.py
@@ -9,6 +9,8 @@
 import hashlib
 import hmac
 import logging
+import sys
+from collections import Counter
 from collections.abc import Iterable
 from enum import StrEnum
 from typing import NamedTuple
@@ -24,6 +26,8 @@
 MAC_BYTES = 16
 BINDING_BYTES = 16
 LONGEST_KEY = 256
+TEAM_SHARE = 0.5
+"""The part of the table that one team may fill; the rest stays open to all others."""
 MARGIN_MS = 1_000
 """After a request's deadline, until a repeat is told that the outcome is unknown."""
 LONGEST_RETRY_AFTER_S = 60.0
@@ -144,9 +148,10 @@
 class _Entry:
     """One key that was claimed."""
 
-    __slots__ = ("binding", "claimant", "ends_ms", "expires_ms", "recorded", "state")
+    __slots__ = ("binding", "claimant", "ends_ms", "expires_ms", "recorded", "state", "team")
 
-    def __init__(self, binding: bytes, expires_ms: int) -> None:
+    def __init__(self, team: str, binding: bytes, expires_ms: int) -> None:
+        self.team = team
         self.binding = binding
         self.expires_ms = expires_ms
         self.state = State.FREE
@@ -188,6 +193,7 @@
         self._epoch = now
         self._now_ms = 0
         self._entries: dict[bytes, _Entry] = {}
+        self._teams: Counter[str] = Counter()
         self._sizes: dict[bytes, int] = {}
         self._recorded_bytes = 0
 
@@ -267,8 +273,14 @@
                 break
             self._forget_answer(nonce)
             del self._entries[nonce]
+            self._uncount(entry.team)
         return self._now_ms
 
+    def _uncount(self, team: str) -> None:
+        self._teams[team] -= 1
+        if not self._teams[team]:
+            del self._teams[team]
+
     def _sign(self, issued_ms: int, nonce: bytes) -> str:
         name = KeyName(self.host, self.incarnation, issued_ms, nonce, b"")
         return name._replace(mac=self._compute_mac(name)).text
@@ -297,9 +309,13 @@
             return Refused(Kind.DEADLINE)
         if len(self._entries) >= self._bounds.keys:
             return Refused(Kind.OVERLOADED, "too many keys are in use", self._compute_wait())
+        if self._teams[call.team] >= max(1, int(self._bounds.keys * TEAM_SHARE)):
+            return Refused(Kind.TEAM_LIMIT, "the team uses too many keys", self._compute_wait())
         # First claim plus lifetime is never before issue plus lifetime: once the entry goes,
         # its key has expired, and it can't be granted a second time.
-        entry = _Entry(binding, self._now_ms + self._lifetime_ms)
+        team = sys.intern(call.team)
+        entry = _Entry(team, binding, self._now_ms + self._lifetime_ms)
+        self._teams[team] += 1
         self._entries[name.nonce] = entry
         return self._grant(entry, call)
 
--- a/cloverway/peer_server.py
+++ b/cloverway/peer_server.py
@@ -179,6 +179,10 @@
         elif isinstance(first, wire.ChangesCall):
             self._give_changes(channel, first)
         else:
+            if isinstance(first, ClaimCall) and channel.broken:
+                # This process slept, and the claimant has given up: a grant would go to nobody,
+                # and the caller's repeat would find the key taken.
+                raise PeerError("the claimant has given the claim up")
             channel.send_message(self._answer(first), self._send_by())
 
     def _run(self, connection: _Connection, channel: Channel, call: wire.RunCall) -> None:
--- a/cloverway/tests/test_peer_failures.py
+++ b/cloverway/tests/test_peer_failures.py
@@ -15,6 +15,7 @@
 from cloverway.messages import Outcome, Refused
 from cloverway.passed_on import PassedOnRun, as_cut
 from cloverway.peer_client import PeerClient
+from cloverway.peer_server import PeerServer, _Connection
 from cloverway.tests.peers import (
     BOUNDS,
     CLAIM,
@@ -319,6 +320,22 @@
     assert not handler.requests
 
 
+def test_issuer_that_slept_with_a_claim_in_its_socket(handler):
+    """The issuer is paused; the claimant gives up, and its caller is told to come back.
+
+    The issuer wakes and reads the claim. Granting it would spend the key for nobody, so that the
+    repeat would be told "unknown" about a request that nobody ever ran.
+    """
+    near, far = make_channels()
+    near.send_message(CLAIM, soon())
+    near.close()
+    server = PeerServer("127.0.0.1:0", PEER, SECRET, handler, BOUNDS)
+    with pytest.raises(PeerError):
+        server._serve_call(_Connection(far.socket), far)
+    assert not handler.claims
+    server.stop()
+
+
 def make_channels():
     """Give the two ends of one TCP connection."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
