--- a/cloverway/config/checks.py
+++ b/cloverway/config/checks.py
@@ -41,22 +41,21 @@
 
 
 class Claims:
-    """Who holds each address and each hash of a key in one valid configuration."""
+    """Which document holds each address and each hash of a key in one valid configuration."""
 
     def __init__(self) -> None:
-        self._holders: dict[str, Claim] = {}
+        self._holders: dict[str, Place] = {}
 
-    def holder(self, value: str) -> Claim | None:
-        """Give the claim on a value, if there is one."""
+    def holder(self, value: str) -> Place | None:
+        """Give the document that holds a value, if there is one."""
         return self._holders.get(value)
 
     def replace(self, place: Place, old: Any, new: Any) -> None:
         """Take over what a document claims now in place of what it claimed before."""
         for claim in list_claims(place, old):
-            holder = self._holders.get(claim.value)
-            if holder is not None and holder.place == place:
+            if self._holders.get(claim.value) == place:
                 del self._holders[claim.value]
-        self._holders.update((claim.value, claim) for claim in list_claims(place, new))
+        self._holders.update((claim.value, place) for claim in list_claims(place, new))
 
 
 Changed = Mapping[Place, Any]
@@ -104,19 +103,18 @@
         for claim in list_claims(place, document):
             other = taken.setdefault(claim.value, claim)
             if other[1:] != claim[1:]:
-                yield _refuse(claim, other)
+                yield _refuse(claim, other.place)
                 continue
             holder = claims.holder(claim.value)
-            if holder is not None and holder.place not in changed:
+            if holder is not None and holder not in changed:
                 yield _refuse(claim, holder)
 
 
-def _refuse(claim: Claim, holder: Claim) -> Fault:
+def _refuse(claim: Claim, holder: Place) -> Fault:
     where = f"{claim.place.dotted}.{claim.field}"
     if claim.place.table == "teams":
-        return Fault(where, f"team {holder.place.name!r} has this key; make a new one")
-    taken_by = f"{holder.place.dotted}.{holder.field}"
-    return Fault(where, f"{claim.value} is taken by {taken_by}; choose another")
+        return Fault(where, f"team {holder.name!r} has this key; make a new one")
+    return Fault(where, f"{claim.value} is taken by {holder.dotted}; choose another")
 
 
 def _find_own_faults(published: Published, place: Place, document: Any) -> Iterator[Fault]:
--- a/cloverway/config/published.py
+++ b/cloverway/config/published.py
@@ -9,6 +9,7 @@
 import ipaddress
 import json
 import re
+import sys
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from enum import IntEnum, StrEnum
@@ -23,6 +24,8 @@
 VALUE_BYTES = 1024 * 1024
 """The longest document, as JSON; the platform holds no longer ones."""
 
+ENCODER = json.JSONEncoder(sort_keys=True, separators=(",", ":"), allow_nan=False)
+
 NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
 KEY_HASH = re.compile(r"sha256:[0-9a-f]{64}")
 ADDRESS = re.compile(r"(?P<ip>[0-9]{1,3}(\.[0-9]{1,3}){3}|\[[0-9a-fA-F:]+\]):(?P<port>[0-9]{1,5})")
@@ -46,10 +49,10 @@
 
 
 def check_name(name: str) -> str:
-    """Raise ValueError unless a name has the form of one."""
+    """Raise ValueError unless a name has the form of one; give the one copy that is kept of it."""
     if not NAME.fullmatch(name):
         raise ValueError("must be small letters, digits, '.' and '-', such as port-louis-a")
-    return name
+    return sys.intern(name)
 
 
 def check_key_hash(key_hash: str) -> str:
@@ -278,7 +281,7 @@
     Equal values have equal text, so that it serves to compare and to digest as well.
     """
     try:
-        text = json.dumps(value, sort_keys=True, separators=(",", ":"), allow_nan=False).encode()
+        text = ENCODER.encode(value).encode()
     except (TypeError, ValueError, RecursionError):
         raise ValueError("holds what JSON can't carry; use no dates, nan or inf") from None
     if len(text) > VALUE_BYTES:
--- a/cloverway/documents.py
+++ b/cloverway/documents.py
@@ -43,7 +43,7 @@
     @property
     def value(self) -> dict[str, Any] | None:
         """The decoded value; None for a deleted document."""
-        return None if self.text is None else json.loads(self.text)
+        return None if self.text is None else json.loads(self.text.decode())
 
     def as_document(self, key: str) -> Document:
         """Decode the document."""
