Test the directory and the service as platforms, and read a whole over a connection of its own

The first look at a missing directory gave no finding, as nothing differed from nothing. Found by the test of it. That a late second answer is taken for a whole could not be made red: the pool drops a connection with unread bytes, so the fault remains only where they come between its check and the send; the own connection closes that.

--- a/cloverway/platform/file.py
+++ b/cloverway/platform/file.py
@@ -57,9 +57,9 @@
         self._poll_s = poll_s
         self._clock = clock
         self._sleep = sleep
-        self._marks: dict[Path, Mark] = {}
+        self._marks: dict[Path, Mark] | None = None
         self._contents: dict[Path, bytes] | None = None
-        self._judged: dict[Path, bytes] | None = {}
+        self._judged: dict[Path, bytes] | None = None
         self._changed_at = float("-inf")
         self._entries: dict[str, Entry] = {}
         self._revision = 0
--- a/cloverway/platform/http.py
+++ b/cloverway/platform/http.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections.abc import Callable
+from typing import NamedTuple
 
 import urllib3
 
@@ -34,6 +35,13 @@
 """Least time between two calls: 216 readers then stay below 1,300 calls/s, whatever happens."""
 
 
+class Line(NamedTuple):
+    """A connection of its own and its pace, so that a watch and a list don't wait for another."""
+
+    pool: urllib3.PoolManager
+    pace: Pace
+
+
 class HttpPlatform:
     """Reads the service over one connection for the watch and one for the list."""
 
@@ -45,12 +53,11 @@
         sleep: Callable[[float], None] = time.sleep,
     ) -> None:
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(num_pools=1, maxsize=2, retries=False)
         self._clock = clock
         self._sleep = sleep
         rng = rng or random.Random()
-        self._read_pace = Pace(READ_INTERVAL_S, rng)
-        self._list_pace = Pace(LIST_INTERVAL_S, rng)
+        self._watch = Line(urllib3.PoolManager(num_pools=1), Pace(READ_INTERVAL_S, rng))
+        self._list = Line(urllib3.PoolManager(num_pools=1), Pace(LIST_INTERVAL_S, rng))
 
     @classmethod
     def from_settings(cls, settings: PlatformSettings) -> HttpPlatform:
@@ -58,35 +65,41 @@
         return cls(settings.url)
 
     def read(self, after: int, wait_s: float) -> Changes:
-        """Watch for documents after a revision; see `Platform`."""
+        """Watch for documents after a revision; see `Platform`.
+
+        A whole is read over a connection of its own: a late answer that was left in another one
+        would be taken for it, and every document that a delta lacks would count as deleted.
+        """
+        if after == 0:
+            self._watch.pool.clear()
         path = f"/v1/config?after={after}&wait_s={wait_s:.3f}"
-        data = self._get(path, self._read_pace, wait_s + ANSWER_S, WHOLE_BYTES)
+        data = self._get(path, self._watch, wait_s + ANSWER_S, WHOLE_BYTES)
         return decode_changes(data, after)
 
     def list_states(self) -> HostList:
         """Give the list of live and leaving hosts and endpoints."""
-        return decode_list(self._get("/v1/hosts", self._list_pace, ANSWER_S, LIST_BYTES))
+        return decode_list(self._get("/v1/hosts", self._list, ANSWER_S, LIST_BYTES))
 
-    def _get(self, path: str, pace: Pace, timeout_s: float, limit: int) -> bytes:
+    def _get(self, path: str, line: Line, timeout_s: float, limit: int) -> bytes:
         """Give the body of an answer, within the pace; raise PlatformError for any other end."""
-        self._sleep(pace.delay(self._clock()))
+        self._sleep(line.pace.delay(self._clock()))
         started_at = self._clock()
         retry_after_s = 0.0
         try:
-            response = self._open(path, timeout_s)
+            response = self._open(line, path, timeout_s)
             try:
                 retry_after_s = _read_retry_after(response)
                 data = self._read(response, limit, started_at + timeout_s + WHOLE_S)
             finally:
                 response.release_conn()
         except (urllib3.exceptions.HTTPError, OSError, PlatformError) as error:
-            pace.note_failure(self._clock(), retry_after_s)
+            line.pace.note_failure(self._clock(), retry_after_s)
             raise PlatformError(f"the platform at {self._url} can't be read: {error}") from error
-        pace.note_success(started_at)
+        line.pace.note_success(started_at)
         return data
 
-    def _open(self, path: str, timeout_s: float) -> urllib3.BaseHTTPResponse:
-        return self._pool.request(
+    def _open(self, line: Line, path: str, timeout_s: float) -> urllib3.BaseHTTPResponse:
+        return line.pool.request(
             "GET",
             self._url + path,
             timeout=urllib3.Timeout(connect=CONNECT_S, read=timeout_s),
--- /dev/null
+++ b/cloverway/tests/test_http_platform.py
@@ -0,0 +1,156 @@
+"""Failures of the platform's service, over real sockets, and the pace of its callers."""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Iterator
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cloverway.errors import PlatformError
+from cloverway.platform import http
+from cloverway.platform.codec import decode_changes, decode_list, encode_changes
+from cloverway.platform.http import HttpPlatform
+from cloverway.platform.pace import LONGEST_DELAY_S, Pace
+from cloverway.platform.port import Changes, Document, Listed
+from cloverway.tests.standins.platform import Platform
+
+
+@pytest.fixture
+def service() -> Iterator[Platform]:
+    with Platform(documents={"organisation": {"name": "riviere"}, "regions/a": {}}) as service:
+        yield service
+
+
+@pytest.fixture
+def platform(service: Platform) -> HttpPlatform:
+    return HttpPlatform(service.url, random.Random(1), sleep=lambda _: None)
+
+
+def test_reads_whole_and_delta(service: Platform, platform: HttpPlatform) -> None:
+    whole = platform.read(0, 0.0)
+    assert whole.whole and whole.revision == 2 and len(whole.documents) == 2
+    service.publish("regions/a", None)
+    assert platform.read(2, 5.0) == Changes(3, 2, (Document("regions/a", 3, None),))
+
+
+def test_watch_ends_with_the_change(service: Platform, platform: HttpPlatform) -> None:
+    """The change comes while the call waits; it must not wait until the call's end."""
+    publisher = threading.Timer(0.05, service.publish, ("regions/b", {}))
+    publisher.start()
+    changes = platform.read(2, 30.0)
+    publisher.join()
+    assert [document.key for document in changes.documents] == ["regions/b"]
+
+
+def test_list_lets_an_unknown_state_get_no_work(service: Platform, platform: HttpPlatform) -> None:
+    service.list_as(hosts={"a": "live", "b": "leaving"}, endpoints={"e": "rebooting"})
+    states = platform.list_states()
+    assert states.hosts == {"a": Listed.LIVE, "b": Listed.LEAVING}
+    assert states.endpoints == {"e": Listed.LEAVING}
+
+
+def test_silent_connection_is_given_up(
+    service: Platform, platform: HttpPlatform, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The connection goes silent for good; the next read goes over a new one."""
+    monkeypatch.setattr(http, "ANSWER_S", 0.1)
+    service.faults.silent = True
+    with pytest.raises(PlatformError, match="can't be read"):
+        platform.read(2, 0.0)
+    service.faults.silent = False
+    assert platform.read(0, 0.0).revision == 2
+
+
+def test_cut_answer_is_no_answer(service: Platform, platform: HttpPlatform) -> None:
+    service.faults.short_body = True
+    with pytest.raises(PlatformError, match="can't be read"):
+        platform.read(0, 0.0)
+
+
+def test_late_answer_is_not_taken_for_the_whole(service: Platform, platform: HttpPlatform) -> None:
+    """An answer comes twice on one connection. The next read of the whole must not find the
+    second copy, which is a delta: all that it lacks would be withdrawn."""
+    service.publish("regions/b", {})
+    service.faults.duplicate = True
+    assert len(platform.read(2, 0.0).documents) == 1
+    service.faults.duplicate = False
+    assert len(platform.read(0, 0.0).documents) == 3
+
+
+def test_refusal_is_an_error(service: Platform, platform: HttpPlatform) -> None:
+    service.faults.error = 503
+    with pytest.raises(PlatformError, match="answered 503"):
+        platform.read(0, 0.0)
+
+
+def test_endless_answer_is_bounded(platform: HttpPlatform, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http, "WHOLE_BYTES", 50)
+    with pytest.raises(PlatformError, match="longer than 50 bytes"):
+        platform.read(0, 0.0)
+
+
+def test_nobody_listens() -> None:
+    platform = HttpPlatform("http://127.0.0.1:1", random.Random(1), sleep=lambda _: None)
+    with pytest.raises(PlatformError, match="can't be read"):
+        platform.read(0, 0.0)
+
+
+@given(st.binary(max_size=60) | st.text(max_size=60).map(str.encode))
+def test_decode_of_anything_raises_only_platform_error(data: bytes) -> None:
+    for decode in (decode_changes, decode_list):
+        try:
+            decode(data)
+        except PlatformError:
+            continue
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        '{"revision": true, "documents": []}',
+        '{"revision": 1e999, "documents": []}',
+        '{"revision": 1, "documents": [{"key": "a", "revision": 0, "value": {}}]}',
+        '{"revision": 1, "documents": [{"key": "a", "revision": 1, "value": []}]}',
+        '{"revision": 1, "documents": [{"revision": 1, "value": {}}]}',
+        '{"revision": 1, "documents": {}}',
+        "[" * 100_000,
+        '{"revision": ' + "9" * 5000 + "}",
+    ],
+)
+def test_decode_refuses_other_forms(text: str) -> None:
+    with pytest.raises(PlatformError):
+        decode_changes(text.encode())
+
+
+def test_changes_survive_the_codec() -> None:
+    changes = Changes(5, 3, (Document("teams/a", 5, {"home": "é"}), Document("x", 4, None)), "ab")
+    assert decode_changes(encode_changes(changes)) == changes
+
+
+def test_pace_spreads_readers_after_an_outage() -> None:
+    """216 readers lose the service at one moment; they must not come back at one, nor stay away
+    longer than a change may take."""
+    delays = []
+    for seed in range(216):
+        pace = Pace(0.25, random.Random(seed))
+        for _ in range(10):
+            pace.note_failure(100.0)
+        delays.append(pace.delay(100.0))
+    assert max(delays) <= LONGEST_DELAY_S
+    assert max(delays) - min(delays) > LONGEST_DELAY_S / 3
+    assert max(sum(d <= at < d + 0.1 for d in delays) for at in (1.0, 1.5, 1.9)) < 60
+
+
+def test_pace_keeps_calls_apart_and_heeds_retry_after() -> None:
+    pace = Pace(0.25, random.Random(1))
+    assert pace.delay(10.0) == 0.0
+    pace.note_success(10.0)
+    assert pace.delay(10.1) == pytest.approx(0.15)
+    pace.note_failure(11.0, retry_after_s=5.0)
+    assert pace.delay(11.0) >= 5.0
+    pace.note_failure(11.0, retry_after_s=99_999.0)
+    assert pace.delay(11.0) <= 60.0
