Add cloverway bench: an open-loop load that compares targets in one run

Arrivals are a Poisson process and go to the targets in turn, so that what disturbs one disturbs the others as well. A stream counts as served only when both its last event and the end of its body came. `python -m cloverway.tests.bench_gateway` gives the figures.

--- a/cloverway/__main__.py
+++ b/cloverway/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import sys
 import time
 from pathlib import Path
@@ -12,8 +13,9 @@
 from typer.core import TyperGroup
 
 from cloverway import __version__
-from cloverway.commands import admin, call, check, key, output, status, watch
+from cloverway.commands import admin, bench, call, check, key, output, status, watch
 from cloverway.errors import CallError, Kind, UserError
+from cloverway.load import Plan
 
 CUT_SHORT = 3
 """Exit code for an answer that is not whole."""
@@ -328,6 +330,41 @@
     typer.echo(output.format_json(document) if json else output.format_nested(document))
 
 
+@app.command("bench")
+def run_bench(
+    target: Annotated[list[str], typer.Option(help="NAME=IP:PORT[,IP:PORT]; may be repeated.")],
+    profile: Annotated[str, typer.Option(help="Profile of the calls.")] = "",
+    streams: Annotated[int, typer.Option(min=1, max=2000, help="Streams at one time.")] = 10,
+    seconds: Annotated[float, typer.Option(min=1, max=3600, help="How long to send.")] = 10.0,
+    tokens: Annotated[int, typer.Option(min=2, max=10_000, help="Tokens of each answer.")] = 50,
+    token_ms: Annotated[float, typer.Option(min=0.1, help="Time between tokens.")] = 60.0,
+    model: Annotated[str, typer.Option(help="Model, where a target asks for one.")] = "",
+    pid: Annotated[list[int] | None, typer.Option(help="Process to measure as well.")] = None,
+    seed: Annotated[int, typer.Option(help="Seed of the arrivals.")] = 1,
+    json: Json = False,
+) -> None:
+    """Load targets in turn, in one run, and compare what their callers see.
+
+    \b
+    Give a gateway and an endpoint behind it to see what the gateway adds. The caller key is taken
+    from CLOVERWAY_KEY.
+    Example:
+      cloverway bench --target gateway=127.0.0.11:8010 --target direct=127.0.0.1:9000 \\
+          --profile chat --streams 100 --seconds 20
+    """
+    caller_key = os.environ.get("CLOVERWAY_KEY", "")
+    headers = {"Authorization": f"Bearer {caller_key}", "Cloverway-Profile": profile}
+    targets = [bench.parse_target(text, headers) for text in target]
+    plan = Plan(streams, seconds, tokens, token_ms / 1000, model=model)
+    figures, spent = bench.bench(targets, plan, seed, pid or [])
+    if json:
+        typer.echo(output.format_json(bench.as_document(targets, figures, spent)))
+        return
+    typer.echo(bench.format_markdown(bench.HEAD, bench.make_rows(targets, figures, plan)))
+    for each in spent:
+        typer.echo(f"process {each.pid}: {each.cores:.2f} cores, {each.memory_mb:.0f} MB")
+
+
 def _print_report(report: check.Report, json: bool) -> None:
     if json:
         typer.echo(output.format_json(report._asdict() | {"passed": report.passed}))
--- /dev/null
+++ b/cloverway/commands/bench.py
@@ -0,0 +1,124 @@
+"""Load one or more targets and compare what their callers see."""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+from random import Random
+from typing import Any, NamedTuple
+
+from cloverway.commands.admin import check_address
+from cloverway.errors import UserError
+from cloverway.load import Figures, Plan, Target, run_load
+
+QUANTILES = (50, 95, 99)
+HEAD = (
+    "target",
+    "first p50",
+    "first p95",
+    "first p99",
+    "gap p50",
+    "gap p95",
+    "gap p99",
+    "tokens/s",
+    "outcomes",
+)
+MICROSECONDS = 1000
+
+
+class Usage(NamedTuple):
+    """What a process has used: processor seconds, and memory in MB."""
+
+    pid: int
+    cpu_s: float
+    memory_mb: float
+
+
+class Spent(NamedTuple):
+    """What a process used over a run: cores, and memory in MB at its end."""
+
+    pid: int
+    cores: float
+    memory_mb: float
+
+
+def bench(
+    targets: Sequence[Target], plan: Plan, seed: int, pids: Sequence[int]
+) -> tuple[list[Figures], list[Spent]]:
+    """Run a load; give the figures of each target and what some processes used meanwhile."""
+    before = [read_usage(pid) for pid in pids]
+    begin = time.monotonic()
+    figures = run_load(targets, plan, Random(seed))
+    passed_s = time.monotonic() - begin
+    after = [read_usage(pid) for pid in pids]
+    spent = [
+        Spent(new.pid, (new.cpu_s - old.cpu_s) / passed_s, new.memory_mb)
+        for old, new in zip(before, after, strict=True)
+    ]
+    return figures, spent
+
+
+def parse_target(text: str, headers: dict[str, str]) -> Target:
+    """Read NAME=IP:PORT[,IP:PORT ...]; raise UserError for any other form."""
+    name, _, addresses = text.rpartition("=")
+    if not name:
+        raise UserError(f"{text!r} is not a target; write it as NAME=IP:PORT")
+    return Target(name, tuple(map(check_address, addresses.split(","))), headers)
+
+
+def read_usage(pid: int) -> Usage:
+    """Read what a process has used so far; raise UserError for one that is not there."""
+    try:
+        fields = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
+    except OSError as error:
+        raise UserError(f"there is no process {pid}; give the number of a running one") from error
+    ticks = int(fields[11]) + int(fields[12])
+    memory = int(fields[21]) * os.sysconf("SC_PAGE_SIZE")
+    return Usage(pid, ticks / os.sysconf("SC_CLK_TCK"), memory / 1_000_000)
+
+
+def make_rows(
+    targets: Sequence[Target], figures: Sequence[Figures], plan: Plan
+) -> Iterable[tuple[str, ...]]:
+    """Give a row for each target; times are milliseconds."""
+    for target, seen in zip(targets, figures, strict=True):
+        times = [
+            f"{histogram.get_value_at_percentile(quantile) / MICROSECONDS:.1f}"
+            for histogram in (seen.first, seen.gaps)
+            for quantile in QUANTILES
+        ]
+        outcomes = ", ".join(f"{count} {name}" for name, count in sorted(seen.outcomes.items()))
+        yield target.name, *times, f"{seen.tokens / plan.seconds:.0f}", outcomes
+
+
+def as_document(
+    targets: Sequence[Target], figures: Sequence[Figures], spent: Sequence[Spent]
+) -> dict[str, Any]:
+    """Give the figures for a script; times are milliseconds."""
+    return {
+        "targets": {
+            target.name: {
+                "first_ms": _list_quantiles(seen.first),
+                "gap_ms": _list_quantiles(seen.gaps),
+                "tokens": seen.tokens,
+                "outcomes": dict(seen.outcomes),
+            }
+            for target, seen in zip(targets, figures, strict=True)
+        },
+        "processes": [each._asdict() for each in spent],
+    }
+
+
+def format_markdown(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+    """Give rows as a table in Markdown."""
+    lines = [head, ["---"] * len(head), *rows]
+    return "\n".join("| " + " | ".join(line) + " |" for line in lines)
+
+
+def _list_quantiles(histogram: Any) -> dict[str, float]:
+    return {
+        f"p{quantile}": histogram.get_value_at_percentile(quantile) / MICROSECONDS
+        for quantile in QUANTILES
+    }
--- /dev/null
+++ b/cloverway/load.py
@@ -0,0 +1,184 @@
+"""An open-loop load on one or more targets at a time, with histograms of what callers see.
+
+Arrivals do not wait for answers, so that a slow target can't thin out its own load. Targets are
+sent to in turn, arrival by arrival: what disturbs one disturbs the others as well.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import time
+from collections import Counter
+from collections.abc import Iterator, Mapping, Sequence
+from random import Random
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from cloverway.errors import RequestError
+from cloverway.framing import BodyParser, ChunkedBody, EventStream, LengthBody
+
+MICROSECONDS = 1_000_000
+LONGEST_US = 600 * MICROSECONDS
+DIGITS = 3
+READ_BYTES = 64 * 1024
+HEAD_END = b"\r\n\r\n"
+WHOLE = "whole"
+CUT = "cut"
+UNREACHED = "unreached"
+LATE = "late"
+
+
+class Target(NamedTuple):
+    """Where a part of the load goes, and with which headers."""
+
+    name: str
+    addresses: tuple[str, ...]
+    """Each as IP:PORT; calls go to them in turn."""
+    headers: Mapping[str, str] = {}
+
+
+class _Call(NamedTuple):
+    address: str
+    headers: Mapping[str, str]
+
+
+class Plan(NamedTuple):
+    """The size of a load; both its count and its time are bounded."""
+
+    streams: int
+    """Streams that run at one time on each target, when each lasts as long as expected."""
+    seconds: float
+    tokens: int
+    token_s: float
+    """Time between tokens that the endpoint is set to, in seconds."""
+    timeout_s: float = 60.0
+    model: str = ""
+    prompt: str = "Is insulin in stock?"
+
+    @property
+    def arrivals_per_s(self) -> float:
+        """Arrivals a second on each target that keep the wanted number of streams running."""
+        return self.streams / (self.tokens * self.token_s)
+
+
+class Figures:
+    """What the callers of one target saw. Times are microseconds."""
+
+    def __init__(self) -> None:
+        self.outcomes: Counter[str] = Counter()
+        self.first = HdrHistogram(1, LONGEST_US, DIGITS)
+        self.gaps = HdrHistogram(1, LONGEST_US, DIGITS)
+        self.tokens = 0
+
+    def note_first(self, seconds: float) -> None:
+        """Count the time to a first token."""
+        self.first.record_value(max(1, round(seconds * MICROSECONDS)))
+
+    def note_gap(self, seconds: float) -> None:
+        """Count the time between two tokens."""
+        self.gaps.record_value(max(1, round(seconds * MICROSECONDS)))
+
+
+def schedule_arrivals(plan: Plan, targets: int, random: Random) -> Iterator[tuple[float, int]]:
+    """Give (seconds from the start, target) of each arrival, as a Poisson process."""
+    rate = plan.arrivals_per_s * targets
+    at = 0.0
+    for turn in itertools.cycle(range(targets)):
+        at += random.expovariate(rate)
+        if at >= plan.seconds:
+            return
+        yield at, turn
+
+
+def run_load(targets: Sequence[Target], plan: Plan, random: Random) -> list[Figures]:
+    """Run a load to its end and give the figures of each target."""
+    return asyncio.run(_run_all(targets, plan, random))
+
+
+async def _run_all(targets: Sequence[Target], plan: Plan, random: Random) -> list[Figures]:
+    figures = [Figures() for _ in targets]
+    begin = time.monotonic()
+    addresses = [itertools.cycle(target.addresses) for target in targets]
+    running = []
+    for at, turn in schedule_arrivals(plan, len(targets), random):
+        await asyncio.sleep(max(0.0, begin + at - time.monotonic()))
+        call = _Call(next(addresses[turn]), targets[turn].headers)
+        running.append(asyncio.create_task(_run_one(call, plan, figures[turn])))
+    await asyncio.gather(*running)
+    return figures
+
+
+async def _run_one(call: _Call, plan: Plan, figures: Figures) -> None:
+    try:
+        outcome = await asyncio.wait_for(_stream(call, plan, figures), plan.timeout_s)
+    except TimeoutError:
+        outcome = LATE
+    except (OSError, asyncio.IncompleteReadError):
+        outcome = UNREACHED
+    except (RequestError, ValueError):
+        outcome = CUT
+    figures.outcomes[outcome] += 1
+
+
+async def _stream(call: _Call, plan: Plan, figures: Figures) -> str:
+    number, _, port = call.address.rpartition(":")
+    begin = time.monotonic()
+    reader, writer = await asyncio.open_connection(number.strip("[]"), int(port))
+    try:
+        writer.write(_make_request(call, plan))
+        head = await reader.readuntil(HEAD_END)
+        status = int(head.split(b" ", 2)[1])
+        if status != 200:
+            return f"status {status}"
+        return await _read_events(reader, _make_parser(head), figures, begin)
+    finally:
+        writer.close()
+
+
+async def _read_events(
+    reader: asyncio.StreamReader, body: BodyParser, figures: Figures, begin: float
+) -> str:
+    events = EventStream(body)
+    seen, last = 0, begin
+    while not events.whole:
+        data = await reader.read(READ_BYTES)
+        if not data:
+            return CUT
+        events.feed(data)
+        fresh = events.tokens - seen
+        if not fresh:
+            continue
+        now = time.monotonic()
+        if seen:
+            figures.note_gap((now - last) / fresh)
+        else:
+            figures.note_first(now - begin)
+        figures.tokens += fresh
+        seen, last = events.tokens, now
+    return WHOLE
+
+
+def _make_request(call: _Call, plan: Plan) -> bytes:
+    messages = [{"role": "user", "content": plan.prompt}]
+    document = {"messages": messages, "max_tokens": plan.tokens, "stream": True}
+    body = json.dumps({**document, "model": plan.model} if plan.model else document).encode()
+    headers = {
+        "Host": call.address,
+        "Content-Type": "application/json",
+        "Content-Length": str(len(body)),
+        "Connection": "close",
+        **call.headers,
+    }
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    return f"POST /v1/chat/completions HTTP/1.1\r\n{lines}\r\n".encode() + body
+
+
+def _make_parser(head: bytes) -> BodyParser:
+    for line in head.lower().split(b"\r\n"):
+        name, _, value = line.partition(b":")
+        if name == b"content-length":
+            return LengthBody(int(value))
+    return ChunkedBody()
--- /dev/null
+++ b/cloverway/tests/bench_gateway.py
@@ -0,0 +1,50 @@
+"""Measure what the gateway adds to a direct call: `python -m cloverway.tests.bench_gateway`.
+
+One daemon and a few engine stand-ins run as processes of their own. Calls go through the daemon
+and straight to the engines in turn, in one run.
+"""
+
+from __future__ import annotations
+
+import sys
+
+from cloverway.commands import bench
+from cloverway.load import Plan, Target
+from cloverway.tests.standins.fleet import Fleet
+from cloverway.tests.standins.topology import MODEL, Topology, key_of
+
+TOKEN_S = 0.06
+TOKENS = 50
+SECONDS = 15.0
+SIZES = (10, 100, 400)
+ENGINES = 4
+CHAT = {"model": MODEL, "idempotent": True, "deadline_ms": 60_000}
+LIMITS = {"threads": 1400, "admitted": 600, "queued": 600}
+
+
+def main(sizes: tuple[int, ...]) -> None:
+    topology = Topology(
+        regions=("pl",),
+        hosts=1,
+        engines=ENGINES,
+        slots=2000,
+        engine_options=("--token-s", str(TOKEN_S)),
+        settings={"limits": LIMITS},
+    )
+    with Fleet(topology, publish={"profiles": {"chat": CHAT}}) as fleet:
+        host = fleet.hosts["pl-a-host-1"]
+        pid = fleet.processes["pl-a-host-1"].pid
+        headers = {"Authorization": f"Bearer {key_of('open')}", "Cloverway-Profile": "chat"}
+        engines = (fleet.remotes[name].url for name in topology.names("engines"))
+        direct = tuple(url.removeprefix("http://") for url in engines)
+        targets = [Target("gateway", (host.callers,), headers), Target("direct", direct)]
+        for streams in sizes:
+            plan = Plan(streams, SECONDS, TOKENS, TOKEN_S, model=MODEL)
+            figures, spent = bench.bench(targets, plan, streams, [pid])
+            print(f"\n{streams} streams on each target")
+            print(bench.format_markdown(bench.HEAD, bench.make_rows(targets, figures, plan)))
+            print(f"gateway: {spent[0].cores:.2f} cores, {spent[0].memory_mb:.0f} MB")
+
+
+if __name__ == "__main__":
+    main(tuple(int(size) for size in sys.argv[1:]) or SIZES)
