--- a/cloverway/__main__.py
+++ b/cloverway/__main__.py
@@ -330,7 +330,14 @@
     typer.echo(output.format_json(document) if json else output.format_nested(document))
 
 
-@app.command("bench")
+BENCH_EXAMPLES = """\b
+    Example:
+      cloverway bench --target gateway=127.0.0.11:8010 --target direct=127.0.0.1:9000 \\
+          --profile chat --streams 100 --seconds 20
+"""
+
+
+@app.command("bench", epilog=BENCH_EXAMPLES)
 def run_bench(
     target: Annotated[list[str], typer.Option(help="NAME=IP:PORT[,IP:PORT]; may be repeated.")],
     profile: Annotated[str, typer.Option(help="Profile of the calls.")] = "",
@@ -345,12 +352,8 @@
 ) -> None:
     """Load targets in turn, in one run, and compare what their callers see.
 
-    \b
     Give a gateway and an endpoint behind it to see what the gateway adds. The caller key is taken
     from CLOVERWAY_KEY.
-    Example:
-      cloverway bench --target gateway=127.0.0.11:8010 --target direct=127.0.0.1:9000 \\
-          --profile chat --streams 100 --seconds 20
     """
     caller_key = os.environ.get("CLOVERWAY_KEY", "")
     headers = {"Authorization": f"Bearer {caller_key}", "Cloverway-Profile": profile}
