--- a/cloverway/framing.py
+++ b/cloverway/framing.py
@@ -20,8 +20,9 @@
 
 CRLF = b"\r\n"
 _SIZE_LINE = re.compile(rb"([0-9a-fA-F]{1,8})[ \t]*(?:;[^\r\n]*)?\r\n")
-LONGEST_EVENT_END = 4
-_EVENT_END = re.compile(rb"\r?\n\r?\n")
+BLANK_LINE = b"\n\n"
+LONGEST_EVENT_END = 3
+_EVENT_END = re.compile(rb"\n\r?\n")
 
 
 def make_malformed(detail: str) -> RequestError:
@@ -174,6 +175,7 @@
         """Data events that were seen, without `[DONE]`."""
         self._pending = b""
         self._done = b""
+        self._given_whole = False
 
     @property
     def whole(self) -> bool:
@@ -182,14 +184,30 @@
 
     def feed(self, data: bytes) -> bytes:
         """Take received bytes and give the whole events to forward; raise RequestError."""
-        was_whole = self.whole
         payload = self.body.feed(data)
+        if self._is_one_token(payload):
+            self.tokens += 1
+            return payload
+        was_whole = self._given_whole
         events = self._split(payload) if payload else b""
         if self.body.ended and not was_whole:
+            self._given_whole = True
             self._check_end()
             return events + self._done
         return events
 
+    def _is_one_token(self, payload: bytes) -> bool:
+        """Whether it is exactly one data event in the midst of the stream, the common case."""
+        return (
+            payload.startswith(b"data:")
+            and payload.find(BLANK_LINE) == len(payload) - len(BLANK_LINE)
+            and not self._pending
+            and not self._done
+            and not self.body.ended
+            and DONE not in payload
+            and b"\r" not in payload
+        )
+
     def _split(self, payload: bytes) -> bytes:
         """Give the whole events in front and keep the rest."""
         if self._done:
