Name a run as engines do when it is cancelled

Engines take `{"id": ...}`; the cancel said `request_id` and was answered 404, so the run of a caller that had left stayed interrupted, and could be resumed, until it was forgotten. Seen red against the engine stand-in.

--- a/cloverway/cancels.py
+++ b/cloverway/cancels.py
@@ -65,7 +65,7 @@
         connection.request(
             "POST",
             CANCEL_PATH,
-            body=json.dumps({"request_id": cancel.request_id}).encode(),
+            body=json.dumps({"id": cancel.request_id}).encode(),
             headers={"Content-Type": "application/json", "X-Request-Id": cancel.request_id},
         )
         connection.read_head()
--- a/cloverway/tests/test_relay.py
+++ b/cloverway/tests/test_relay.py
@@ -24,6 +24,8 @@
     make_request,
     wait_until,
 )
+from cloverway.tests.standins.batching import Timing
+from cloverway.tests.standins.engine import Engine
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 EVENTS = (b"data: a\n\n", b"data: b\n\n", b"data: c\n\n", b"data: [DONE]\n\n")
@@ -409,3 +411,19 @@
     assert (stats.tokens, stats.first_at, stats.gap_sum_s) == (5, 2.0, 97.0)
     buckets = [index for index, count in enumerate(stats.gaps) for _ in range(count)]
     assert buckets == [4, 4, len(GAP_BOUNDS_S)]
+
+
+def test_engine_ends_the_run_of_a_caller_that_left(bench: Bench) -> None:
+    """The engine ends the run whose caller left, and does not keep it to be resumed.
+
+    The end of the connection only interrupts the run. The call that follows names it by the
+    request's id, which the engine was given with the request.
+    """
+    with Engine(timing=Timing(token_s=0.05)) as engine:
+        body = b'{"model": "clover-assist", "prompt": "x", "max_tokens": 500, "stream": true}'
+        request = make_request(path="/v1/completions", body=body)
+        caller, ended = bench.hand_over(bench.open(engine.url, request))
+        assert caller.recv(4096)
+        caller.close()
+        assert ended.exception(PATIENCE_S).kind is Kind.CALLER_LEFT
+        wait_until(lambda: engine.batch.runs["r1"].state == "cancelled", "cancel")
