Never say "not run" of a request whose first try may have run

An idempotent request on a pooled connection that fails is sent once more on a new one. Where the second try was refused (no connection, the last check, or plainly by the endpoint), the caller was told `ran: no`, though the endpoint may have run the first. It is told "unknown" now, with a kind that the retries of idempotent requests know.

Found in the same reading, each seen red first: a HEAD whose answer names chunks was waited for; a path that HTTP can't carry blamed the endpoint; a stream handed over to a stopped relay waited for its deadline. A process that sleeps after an empty poll must not call its streams silent: that held, and now has a test, which is red when limits are checked by the time after the wait.

--- a/cloverway/connections.py
+++ b/cloverway/connections.py
@@ -90,6 +90,7 @@
     headers: http.client.HTTPMessage
     chunked: bool
     length: int | None
+    """Length of the body where it is known; 0 where there is none by the status or method."""
     reusable: bool
     """Whether the endpoint keeps the connection open after this answer."""
     rest: bytes
@@ -98,6 +99,8 @@
 class Connection(urllib3.connection.HTTPConnection):
     """One connection to an endpoint; carries one exchange at a time."""
 
+    auto_open = 0
+    """A connection that was lost is never opened again unasked, in the midst of a request."""
     idle_since = 0.0
 
     @classmethod
--- a/cloverway/endpoints.py
+++ b/cloverway/endpoints.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import http.client
 import logging
 import time
 from collections.abc import Callable
@@ -68,6 +69,11 @@
 class _StaleConnectionError(CloverwayError):
     """A re-used connection failed before the first byte of an answer."""
 
+    def __init__(self, started: bool) -> None:
+        super().__init__()
+        self.started = started
+        """Whether a byte of the request may have left."""
+
 
 class EndpointClient:
     """Sends requests to endpoints and keeps the connections to them."""
@@ -106,12 +112,23 @@
         """
         call = Call(parse_address(url), request, idempotent, gap_s, priority, check)
         pooled = self._pool.take(call.address, time.monotonic()) if idempotent else None
-        if pooled is not None:
-            try:
-                return self._exchange(call, pooled, reused=True)
-            except _StaleConnectionError:
-                log.info("a re-used connection failed", extra={"request_id": request.id})
-        return self._exchange(call, self._connect(call), reused=False)
+        if pooled is None:
+            return self._exchange(call, self._connect(call), reused=False)
+        try:
+            return self._exchange(call, pooled, reused=True)
+        except _StaleConnectionError as error:
+            log.info("a re-used connection failed", extra={"request_id": request.id})
+            return self._send_again(call, error.started)
+
+    def _send_again(self, call: Call, started: bool) -> Reply:
+        """Try a new connection; where the first try may have run, never say "not run"."""
+        try:
+            return self._exchange(call, self._connect(call), reused=False)
+        except RequestError as error:
+            if not started or error.ran is not Ran.NO:
+                raise
+            kind = Kind.TIMED_OUT if error.kind is Kind.DEADLINE else Kind.ENDPOINT_FAILED
+            raise RequestError(kind, error.detail, retry_after=error.retry_after) from error
 
     def _cancel(self, call: Call) -> None:
         if call.request.path.startswith(ENGINE_PATHS):
@@ -143,7 +160,7 @@
             connection.close()
             failure = _explain(call.request, timed, error)
             if reused and not timed.received and failure.kind is not Kind.MALFORMED:
-                raise _StaleConnectionError from error
+                raise _StaleConnectionError(timed.started) from error
             if failure.kind is Kind.TIMED_OUT:
                 self._cancel(call)
             raise failure from error
@@ -158,7 +175,7 @@
         headers = _make_headers(call, now)
         call.check()
         connection.request(
-            call.request.method, call.request.path, body=call.request.body, headers=headers
+            call.request.method, call.request.path, body=call.request.body or None, headers=headers
         )
 
     def _read_reply(self, call: Call, connection: Connection, head: Head) -> Reply:
@@ -236,7 +253,7 @@
     """Give the error for a failed exchange: what is known of whether the request ran."""
     late = time.monotonic() >= request.deadline
     if not timed.started:
-        if isinstance(error, ValueError):
+        if isinstance(error, ValueError | http.client.InvalidURL):
             return RequestError(Kind.MALFORMED, "the request can't be written as HTTP")
         if late:
             return RequestError(Kind.DEADLINE, "the deadline passed before it was sent")
@@ -265,10 +282,10 @@
 
 def _make_parser(head: Head) -> BodyParser:
     """Give the parser for a body; one that is ended by its connection can't be known whole."""
-    if head.chunked:
-        return ChunkedBody()
     if head.length is not None:
         return LengthBody(head.length)
+    if head.chunked:
+        return ChunkedBody()
     raise make_malformed("its body has no length")
 
 
--- a/cloverway/relay.py
+++ b/cloverway/relay.py
@@ -137,7 +137,8 @@
 class Relay:
     """A task that owns the sockets of all streams that were handed over to it."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
         self._poll = select.epoll()
         self._handlers: dict[int, Handler] = {}
         self._links: set[Link] = set()
@@ -146,6 +147,7 @@
         self._waker.setblocking(False)
         self._woken.setblocking(False)
         self._stopping = False
+        self._swept_at = float("-inf")
         self._thread = threading.Thread(target=self._run, name="relay", daemon=True)
 
     @classmethod
@@ -167,6 +169,9 @@
 
         They belong to the loop until `link.ended` is done.
         """
+        if self._stopping:
+            link.ended.set_exception(RequestError(Kind.TRUNCATED, "the host stopped"))
+            return
         self._inbox.append((link, piece))
         self._wake()
 
@@ -178,23 +183,29 @@
         with suppress(BlockingIOError):
             self._woken.recv(4096)
 
+    def step(self) -> None:
+        """Wait for sockets that are ready, serve them, and look for streams over their limits.
+
+        Limits are checked by the time before the wait: a process that slept within it finds what
+        arrived meanwhile before it calls a stream silent.
+        """
+        before = self._clock()
+        ready = self._poll.poll(SWEEP_S)
+        now = self._clock()
+        for descriptor, mask in ready:
+            handler = self._handlers.get(descriptor)
+            if handler is not None:
+                handler(mask, now)
+        # Only after the batch, for a new stream may have a descriptor that is named in it.
+        self._take_new(now)
+        if before - self._swept_at >= SWEEP_S:
+            self._swept_at = before
+            self._sweep(before)
+
     def _run(self) -> None:
-        swept_at = time.monotonic()
         while not self._stopping:
-            # Limits are checked by the time before the poll: a process that slept between the
-            # two finds what arrived meanwhile before it calls any stream silent.
-            before = time.monotonic()
-            ready = self._poll.poll(SWEEP_S)
-            now = time.monotonic()
-            for descriptor, mask in ready:
-                handler = self._handlers.get(descriptor)
-                if handler is not None:
-                    handler(mask, now)
-            # Only after the batch, for a new stream may have a descriptor that is named in it.
-            self._take_new(now)
-            if before - swept_at >= SWEEP_S:
-                swept_at = before
-                self._sweep(before)
+            self.step()
+        self._take_new(self._clock())
         for link in list(self._links):
             self._end(link, RequestError(Kind.TRUNCATED, "the host stopped"))
         self._poll.close()
--- a/cloverway/tests/raw_endpoint.py
+++ b/cloverway/tests/raw_endpoint.py
@@ -102,11 +102,14 @@
         return self
 
     def __exit__(self, *_: object) -> None:
+        self.stop_listening()
+        for conversation in self.conversations:
+            conversation.sock.close()
+
+    def stop_listening(self) -> None:
         with suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
-        for conversation in self.conversations:
-            conversation.sock.close()
 
     @property
     def requests(self) -> list[bytes]:
--- a/cloverway/tests/test_endpoints.py
+++ b/cloverway/tests/test_endpoints.py
@@ -343,3 +343,69 @@
         for _ in range(IDLE_PER_ADDRESS + 5):
             pool.put(address, Connection.from_address(address, 1.0), now=100.0)
         assert len(pool._idle[address]) == IDLE_PER_ADDRESS
+
+
+@pytest.mark.parametrize("second", ["refused connection", "refused by check", "refused plainly"])
+def test_not_run_is_not_said_after_a_first_try(client: EndpointClient, second: str) -> None:
+    """A caller is told "unknown", not "not run", where the first of two tries may have run.
+
+    The lookup goes on a pooled connection; the endpoint reads it and closes. The second try, on
+    a new connection, certainly does not run. That says nothing of the first one.
+    """
+    checks = iter([None, None, RequestError(Kind.DEADLINE)])
+
+    def check() -> None:
+        error = next(checks) if second == "refused by check" else None
+        if error is not None:
+            raise error
+
+    def answer_once_and_go(conversation: Conversation) -> None:
+        conversation.answer(b"{}")
+        if second == "refused connection":
+            endpoint.stop_listening()
+        conversation.read_request()
+
+    def refuse(conversation: Conversation) -> None:
+        conversation.answer(b"{}", b"503 Busy\r\nCloverway-Ran: no")
+
+    with RawEndpoint(answer_once_and_go, refuse) as endpoint:
+        send(client, endpoint.url, check=check)
+        with pytest.raises(RequestError) as failure:
+            send(client, endpoint.url, check=check)
+    assert failure.value.ran is Ran.UNKNOWN
+    assert failure.value.kind in {Kind.ENDPOINT_FAILED, Kind.TIMED_OUT}
+
+
+def test_not_run_is_not_said_when_the_deadline_ends_the_first_try(client: EndpointClient) -> None:
+    def fall_silent(conversation: Conversation) -> None:
+        conversation.answer(b"{}")
+        conversation.read_request()
+        conversation.wait_for_close()
+
+    def never_answer(conversation: Conversation) -> None:
+        conversation.read_request()
+        conversation.wait_for_close()
+
+    with RawEndpoint(fall_silent, never_answer) as endpoint:
+        send(client, endpoint.url)
+        with pytest.raises(RequestError) as failure:
+            send(client, endpoint.url, make_request(0.2))
+    assert (failure.value.kind, failure.value.ran) == (Kind.TIMED_OUT, Ran.UNKNOWN)
+
+
+@pytest.mark.parametrize("framing", [b"Transfer-Encoding: chunked", b"Content-Length: 7"])
+def test_answers_without_a_body(client: EndpointClient, framing: bytes) -> None:
+    def answer_head(conversation: Conversation) -> None:
+        while conversation.read_request():
+            conversation.send(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n")
+
+    with RawEndpoint(answer_head) as endpoint:
+        request = make_request(method="HEAD", body=b"", path="/v1/services/stock")
+        assert [send(client, endpoint.url, request).body for _ in range(2)] == [b"", b""]
+        assert len(endpoint.conversations) == 1
+    assert b"content-length: 0" not in endpoint.requests[0].lower()
+
+
+def test_a_path_that_is_no_path_is_not_sent(client: EndpointClient) -> None:
+    failure = fail(client, answer_forever, request=make_request(path="/a b\r\nX: y"))
+    assert (failure.kind, failure.ran) == (Kind.MALFORMED, Ran.NO)
--- a/cloverway/tests/test_relay.py
+++ b/cloverway/tests/test_relay.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import select
 import socket
 import threading
 from collections.abc import Callable, Iterator
@@ -403,6 +404,39 @@
             assert failure.value.kind is kind
 
 
+def test_a_process_that_slept_calls_no_stream_silent() -> None:
+    """The stream goes on though the host was paused for longer than the gap limit.
+
+    The process stops after a poll that found nothing and wakes a minute later. An event came
+    meanwhile; the loop reads it before it asks how long the endpoint was silent.
+    """
+    clock = iter([100.0, 160.0, 160.0, 160.0])
+    endpoint, endpoint_end = socket.socketpair()
+    caller, caller_end = socket.socketpair()
+    task = Relay(lambda: next(clock))
+    with endpoint, endpoint_end, caller, caller_end:
+        link = Link(endpoint, caller, FakeEvents(), Meter(), Bounds(1000.0, 10.0))
+        link.begin(b"", now=100.0)
+        task._links.add(link)
+        task._register(endpoint, select.EPOLLIN, task._make_endpoint_handler(link))
+        task.step()
+        endpoint_end.send(b"data: x\n\n")
+        task.step()
+        assert not link.ended.done()
+        assert caller_end.recv(100) == b"9\r\ndata: x\n\n\r\n"
+
+
+def test_stream_handed_over_to_a_stopped_relay() -> None:
+    endpoint, endpoint_end = socket.socketpair()
+    caller, caller_end = socket.socketpair()
+    with endpoint, endpoint_end, caller, caller_end:
+        task = Relay.start()
+        task.stop()
+        link = Link(endpoint, caller, FakeEvents(), Meter(), Bounds(1e9, 10.0))
+        task.take(link, b"")
+        assert link.ended.exception(PATIENCE_S).kind is Kind.TRUNCATED
+
+
 def test_meter_counts_gaps_by_bucket() -> None:
     meter = Meter()
     for tokens, now in ((0, 1.0), (1, 2.0), (1, 2.5), (2, 2.06), (4, 2.12), (5, 99.0)):
