--- a/cloverway/tests/peers.py
+++ b/cloverway/tests/peers.py
@@ -186,3 +186,15 @@
 
 def soon():
     return time.monotonic() + PATIENCE_S
+
+
+def make_channels():
+    """Give the two ends of one TCP connection."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        near = socket.create_connection(listener.getsockname())
+        far, _ = listener.accept()
+    return Channel(near), Channel(far)
+
+
+def make_call(left_s=10.0, body_bytes=0):
+    return wire.RunCall("r", "t", "p", "/x", "POST", "", False, "", 1, left_s, body_bytes)
