Carry the digest of the whole between hosts

The peer protocol dropped it, so that a delta of another history was merged though the store could have told. An optional last field of the page; hosts without it are taken as before.

--- a/cloverway/handlers.py
+++ b/cloverway/handlers.py
@@ -48,13 +48,13 @@
         wire.Change(document.key, document.revision, _encode_value(document))
         for document in changes.documents
     )
-    return peering.Changes(changes.revision, documents, changes.after)
+    return peering.Changes(changes.revision, documents, changes.after, changes.digest)
 
 
 def decode_changes(changes: peering.Changes) -> Changes:
     """Read changes that came from a peer; raise PeerError for any other form."""
     documents = tuple(_decode_change(change) for change in changes.changes)
-    return Changes(changes.top, changes.after, documents)
+    return Changes(changes.top, changes.after, documents, changes.digest)
 
 
 def make_fetch(fetch: Fetch) -> Callable[[str, str, int], Changes]:
--- a/cloverway/peer.thrift
+++ b/cloverway/peer.thrift
@@ -99,6 +99,7 @@
   2: list<Change> changes
   3: bool more
   4: i64 after
+  5: string digest
 }
 
 struct Message {
--- a/cloverway/peer_client.py
+++ b/cloverway/peer_client.py
@@ -216,7 +216,7 @@
             if size > MOST_CHANGES_BYTES:
                 raise PeerError("the peer sends too many changes")
             if not page.more:
-                return Changes(page.top, tuple(changes), page.after)
+                return Changes(page.top, tuple(changes), page.after, page.digest)
 
     def _connect(self, host: str, address: str, left_s: float = math.inf) -> Channel:
         """Open a connection, unless a new one to this address has failed a moment ago.
--- a/cloverway/peer_server.py
+++ b/cloverway/peer_server.py
@@ -209,7 +209,7 @@
         pages = list(split_pages(changes.changes))
         for number, page in enumerate(pages, start=1):
             more = number < len(pages)
-            message = wire.ChangesPage(changes.top, page, more, changes.after)
+            message = wire.ChangesPage(changes.top, page, more, changes.after, changes.digest)
             channel.send_message(message, self._send_by())
 
     def _send_by(self) -> float:
--- a/cloverway/peering.py
+++ b/cloverway/peering.py
@@ -19,6 +19,8 @@
     changes: tuple[Change, ...] = ()
     after: int = 0
     """The revision that the changes start from; 0 when they are all documents."""
+    digest: str = ""
+    """Digest of all documents at `top`: tells a peer of another history."""
 
 
 class PeerHandler(Protocol):
--- a/cloverway/wire.py
+++ b/cloverway/wire.py
@@ -109,6 +109,8 @@
     more: bool
     after: int = 0
     """The revision that the changes start from; 0 when they are all documents."""
+    digest: str = ""
+    """Digest of all documents at `top`."""
 
 
 Message = (
