Read the whole again where the platform lacks a change that is in force

Found red by 1,500 random runs of the state machine, three faults: - A delta that lacked a document in force was refused, but the lack was not kept: the next delta seemed to fit, and a set that nobody published came in force. Such a delta is dropped now, and the whole is read. - A document that the whole lacked counts as deleted at the whole's revision; while changes were refused this moved along and hid a document that was published anew in between, for good. - After an outage only the latest document was asked for again. A lost deletion, or a document that both histories changed, slipped through.

--- a/cloverway/configuration.py
+++ b/cloverway/configuration.py
@@ -161,7 +161,10 @@
         if changes.revision >= self.revision and not self._passes_check(changes):
             return Gap(self.read_after, changes.after)
         result = self._held.take_published(changes)
-        if self._held.contradicted:
+        if isinstance(result, Rejected) and result.contradicts:
+            self.platform_stale = True
+            self._check = Check.NONE if self._held.contradicted else Check.WHOLE
+        elif self._held.contradicted:
             self.platform_stale = True
         elif self._check is Check.NONE and isinstance(result, Accepted | Unchanged):
             self.platform_stale = False
--- a/cloverway/documents.py
+++ b/cloverway/documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import heapq
 import itertools
 import json
 from collections.abc import Iterator, Mapping
@@ -16,6 +17,11 @@
 
 DIGEST_BYTES = 8
 
+LATEST_CHANGES = 1000
+"""Changes that a platform has to tell again after an outage: more than the three hours' worth at
+the two-year size. If it was restored from data no older than that, every change that it lost is
+among them, and one that was not published anew is found missing."""
+
 
 class Entry(NamedTuple):
     """A document as it is held: text takes a fifth of the memory of parsed tables."""
@@ -103,12 +109,19 @@
 
     @property
     def anchor(self) -> int:
-        """The revision after which the latest document lies: a delta from there holds it again."""
-        return self._entries[next(reversed(self._entries))].revision - 1 if self._entries else 0
+        """The revision before the latest changes: a delta from there holds them again.
+
+        It is 0, and the delta the whole, where there are not so many changes.
+        """
+        kept = (_list_later(self._entries, 0), self._list_deleted(0))
+        latest = heapq.merge(*kept, key=lambda item: -item[1].revision)
+        found = next(itertools.islice(latest, LATEST_CHANGES - 1, None), None)
+        return found[1].revision - 1 if found else 0
 
     def list_later(self, after: int) -> Iterator[str]:
-        """Yield the keys of the documents that were written after a revision."""
-        return (key for key, _ in _list_later(self._entries, after))
+        """Yield the keys of the documents that were written or deleted after a revision."""
+        changes = itertools.chain(_list_later(self._entries, after), self._list_deleted(after))
+        return (key for key, _ in changes)
 
     @property
     def digest(self) -> str:
@@ -122,6 +135,12 @@
         )
         return _format_digest(self._sum + difference)
 
+    def _list_deleted(self, after: int) -> Iterator[tuple[str, Entry]]:
+        """Yield what a revision of its own has deleted; of the others the true revision is lost."""
+        return (
+            (key, entry) for key, entry in _list_later(self._tombstones, after) if not entry.implied
+        )
+
     def _drop(self, key: str) -> None:
         self._tombstones.pop(key, None)
         old = self._entries.pop(key, None)
--- a/cloverway/revisions.py
+++ b/cloverway/revisions.py
@@ -130,6 +130,10 @@
             return Unchanged(self.revision)
         entries = self._encode(changes, pending.entries if on_top else {})
         result = self._judge(entries, changes)
+        if isinstance(result, Rejected) and result.contradicts and not (on_top or changes.whole):
+            # What the other history has in place of the missing documents is not known: without
+            # them the next delta would seem to fit.
+            return result
         if isinstance(result, Rejected):
             self._pending = _Pending(changes.revision, entries, result.contradicts)
         elif on_top or changes.whole or pending.revision <= self.revision:
@@ -168,7 +172,7 @@
         }
         for document in changes.documents:
             known = entries.get(document.key)
-            if known is None or known.revision <= document.revision:
+            if known is None or known.implied or known.revision <= document.revision:
                 entries[document.key] = Entry.from_document(document)
         if changes.whole:
             deleted = Entry(changes.revision, None, implied=True)
--- a/cloverway/tests/test_configuration.py
+++ b/cloverway/tests/test_configuration.py
@@ -4,6 +4,9 @@
 
 from typing import Any
 
+import pytest
+
+from cloverway import documents
 from cloverway.configuration import (
     Accepted,
     ConfigurationStore,
@@ -175,9 +178,10 @@
     assert not store.platform_stale
 
 
-def test_platform_restored_while_out_of_reach_is_noticed() -> None:
+def test_platform_restored_while_out_of_reach_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
     """A cut-off domain reads the platform after an hour. Its revision is higher, but it was
     restored in between: a delta on top of what is in force would mix two histories."""
+    monkeypatch.setattr(documents, "LATEST_CHANGES", 1)
     store = start(region("rodrigues", 3, "first"))
     mixed = Changes(4, 3, (team("a", 4),))
     assert store.offer(mixed, PLATFORM, 3600.0) == Gap(2, 3)
@@ -185,10 +189,24 @@
     refusal = store.offer(anchored, PLATFORM, 3600.1)
     assert isinstance(refusal, Rejected) and refusal.contradicts
     assert store.revision == 3
+    assert store.read_after == 0, "what it has in place of the missing one is in the whole only"
+
+
+def test_deletion_lost_by_a_restored_platform_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The latest change was the withdrawal of a team. The restored platform has the team again,
+    with a revision that is older than all that it is asked for."""
+    monkeypatch.setattr(documents, "LATEST_CHANGES", 1)
+    store = start(team("a", 3))
+    store.offer(Changes(4, 3, (deleted("teams/a", 4),)), PLATFORM, 1.0)
+    store.offer(Changes(5, 4, ()), PLATFORM, 3600.0)
+    assert store.read_after == 3
+    other = Changes(5, 3, (region("rodrigues", 4), region("port-louis", 5)))
+    assert isinstance(store.offer(other, PLATFORM, 3600.1), Rejected)
 
 
-def test_platform_that_only_was_out_of_reach_goes_on() -> None:
+def test_platform_that_only_was_out_of_reach_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
     """The same outage without a restoration: the next read tells the latest document again."""
+    monkeypatch.setattr(documents, "LATEST_CHANGES", 1)
     store = start(region("rodrigues", 3))
     assert store.offer(Changes(3, 3, ()), PLATFORM, 3600.0) == Gap(2, 3)
     assert store.read_after == 2
