--- a/cloverway/admission.py
+++ b/cloverway/admission.py
@@ -19,8 +19,11 @@
 
 KEPT_SHARE: dict[Urgency, float] = {Urgency.BATCH: 0.03, Urgency.NORMAL: 0.07}
 """Part of the capacity that a lower class gets while more urgent work waits: none starves."""
+START_MARGIN = 1.5
+"""Expected service times that must be left at the start, as most answers take less than that."""
 MOST_CREDIT = 2.0
 """Bound on what a class can save up, in requests of its own."""
+LEAST_SLOTS = 0.1
 HALF_LIFE_S = 2.5
 LEAST_RATE_PART = 0.1
 """Rate that is assumed at least, as a part of the slots, before anything was measured."""
@@ -41,6 +44,7 @@
     cost_s: float
     """Expected seconds in a slot."""
     prefix: Prefix
+    entered_at: float
     ran: Ran = Ran.NO
     """What earlier attempts may have done; a later refusal must not deny it."""
     tried: frozenset[str] = frozenset()
@@ -48,8 +52,8 @@
 
     @property
     def give_up_at(self) -> float:
-        """When even a start at once would be too late: half the expected time before the end."""
-        return self.request.deadline - self.cost_s / 2
+        """When a start would probably be too late: some expected times before the deadline."""
+        return self.request.deadline - START_MARGIN * self.cost_s
 
 
 class Line:
@@ -67,11 +71,9 @@
         """Count work that arrives, in slot seconds, whether it is admitted or not."""
         self._offered[urgency].add(cost_s, now)
 
-    def usable_slots(self, urgency: Urgency, slots: float, now: float) -> float:
-        """Give the slots that more urgent work leaves to a class, lately."""
-        above = sum(self._offered[other].rate(now) for other in Urgency if other > urgency)
-        kept = KEPT_SHARE.get(urgency, 1.0)
-        return max(kept * slots, slots - above)
+    def expect_above(self, urgency: Urgency, now: float) -> float:
+        """Give the slots that more urgent work is expected to use, from its offers lately."""
+        return sum(self._offered[other].rate(now) for other in Urgency if other > urgency)
 
     def add(self, entry: Waiting) -> None:
         """Put a request in the queue.
@@ -86,11 +88,9 @@
 
     def order(self) -> list[Waiting]:
         """List the requests in the order in which they are to be served."""
-        overdue = self._find_overdue()
-        return sorted(
+        order = sorted(
             self.waiting.values(),
             key=lambda entry: (
-                entry.urgency is not overdue,
                 -entry.urgency,
                 entry.request.passed_on,
                 self._used[entry.request.team],
@@ -98,6 +98,9 @@
                 entry.place,
             ),
         )
+        overdue = self.find_overdue()
+        first = next((entry for entry in order if entry.urgency is overdue), None)
+        return [first, *(entry for entry in order if entry is not first)] if first else order
 
     def take(self, entry: Waiting) -> None:
         """Remove a request that was admitted, and charge its team and class."""
@@ -115,9 +118,20 @@
         """Remove a request that is not admitted."""
         del self.waiting[entry.place]
 
-    def work_ahead_s(self, entry: Waiting) -> float:
-        """Give the slot seconds that are served before a request."""
+    def predict_wait(self, entry: Waiting, slots: float, now: float) -> float:
+        """Predict the seconds until a request gets one of some slots.
+
+        More urgent work goes first, that which waits and that which will come; but a lower class
+        waits no longer than its kept share takes.
+        """
+        level = self._level_ahead_s(entry) + entry.cost_s
         more = sum(other.cost_s for other in self.waiting.values() if other.urgency > entry.urgency)
+        left = max(LEAST_SLOTS, slots - self.expect_above(entry.urgency, now))
+        kept = max(LEAST_SLOTS, KEPT_SHARE.get(entry.urgency, 1.0) * slots)
+        return min((more + level) / left, level / kept)
+
+    def _level_ahead_s(self, entry: Waiting) -> float:
+        """Give the slot seconds of the same class that are served before a request."""
         level = [other for other in self.waiting.values() if other.urgency == entry.urgency]
         own = sum(
             other.cost_s
@@ -129,16 +143,28 @@
         weights[entry.request.team] = entry.weight
         fair = own * sum(weights.values()) / entry.weight
         others = sum(other.cost_s for other in level if other.request.team != entry.request.team)
-        return more + min(own + others, fair)
+        return min(own + others, fair)
 
     def find_victim(self) -> Waiting:
-        """Choose whom a full queue gives up: least urgent, most of a team's share, latest."""
+        """Choose whom a full queue gives up: least urgent, most of a team's share, latest.
+
+        A class that holds no more than its kept share of the places is spared: else more urgent
+        work would push the lowest class out of every full queue, and it would never be served.
+        """
         held: dict[tuple[Urgency, str], float] = defaultdict(float)
+        places: dict[Urgency, int] = defaultdict(int)
         for entry in self.waiting.values():
             held[entry.urgency, entry.request.team] += entry.cost_s / entry.weight
+            places[entry.urgency] += 1
+        spared = {
+            urgency
+            for urgency, count in places.items()
+            if count <= max(1.0, KEPT_SHARE.get(urgency, 0.0) * len(self.waiting))
+        }
         return min(
             self.waiting.values(),
             key=lambda entry: (
+                entry.urgency in spared,
                 entry.urgency,
                 not entry.request.passed_on,
                 -held[entry.urgency, entry.request.team],
@@ -165,7 +191,7 @@
         total = sum(other.cost_s for other in level)
         return held * sum(weights.values()) > total * entry.weight
 
-    def _find_overdue(self) -> Urgency | None:
+    def find_overdue(self) -> Urgency | None:
         """Find the lowest class whose kept share has paid for one of its requests."""
         heads: dict[Urgency, float] = {}
         for entry in self.waiting.values():
--- a/cloverway/affinity.py
+++ b/cloverway/affinity.py
@@ -10,8 +10,10 @@
 
 MOST_ENTRIES = 20_000
 """Bound on remembered blocks, about 4 MB."""
-REMEMBER_S = 300.0
-"""How long an unused block is believed to be cached; engines evict what isn't used."""
+SURELY_S = 3.0
+"""How long a block sent to a place counts as cached there; engines evict what isn't used soon."""
+MAYBE_S = 300.0
+"""How long it may be cached still, so that a first token tells nothing about a cold read."""
 
 
 def rank_places(key: bytes, names: Iterable[str]) -> list[str]:
@@ -37,10 +39,9 @@
         while len(self._used_at) > MOST_ENTRIES:
             self._used_at.popitem(last=False)
 
-    def count_matched(self, name: str, incarnation: str, prefix: Prefix, now: float) -> int:
-        """Count the leading blocks of a prompt that a place probably holds."""
-        oldest = now - REMEMBER_S
+    def count_matched(self, name: str, incarnation: str, prefix: Prefix, since: float) -> int:
+        """Count the leading blocks of a prompt that were sent to a place after some time."""
         for count in range(len(prefix.hashes), 0, -1):
-            if self._used_at.get((name, incarnation, prefix.hashes[count - 1]), oldest) > oldest:
+            if self._used_at.get((name, incarnation, prefix.hashes[count - 1]), since) > since:
                 return count
         return 0
--- a/cloverway/decisions.py
+++ b/cloverway/decisions.py
@@ -6,12 +6,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from math import ceil
 from random import Random
 from typing import NamedTuple
 
 from cloverway.admission import Line, Waiting, refuse
 from cloverway.catalogue import Catalogue
-from cloverway.config.published import Objective
+from cloverway.config.published import Objective, Urgency
 from cloverway.config.settings import Settings
 from cloverway.errors import Kind, Ran
 from cloverway.explanation import Explanation, explain, explain_unready
@@ -21,7 +22,7 @@
 from cloverway.retries import AFTER, Budget, may_repeat
 from cloverway.routing import Candidate, Knowledge, Router
 from cloverway.tickets import Ticket, Tickets, name_places
-from cloverway.view import View
+from cloverway.view import EndpointState, View
 
 STARTING_RETRY_S = 1.0
 """When to come back to a host that has no configuration yet."""
@@ -29,6 +30,10 @@
 """When to come back after asking a leaving host: another host can be asked at once."""
 CAPACITY_RETRY_S = 1.0
 """When to come back where no endpoint is ready: about the lag of a report."""
+LEAST_EXPECTED = 0.2
+"""Slots of expected urgent work below which none is kept free."""
+NONE_KEPT = -1
+"""Less than no free slot: a warm cache may be waited for where all slots are taken."""
 LOOK_AHEAD = 8
 """Waiting requests that are tried for a route at a time: bounds the work for one message."""
 REVIEW_S = 0.25
@@ -231,10 +236,14 @@
         """
         order = line.order()
         states = outlook.router.list_local_states(order[0].target)
-        room = outlook.router.has_room(states)
+        room = self._find_room(line, order, states, outlook)
+        overdue = line.find_overdue()
+        tried = 0
         for turn, entry in enumerate(order):
             away = review or entry is newcomer
-            local = states if room and turn < LOOK_AHEAD else []
+            has_turn = entry.urgency in room or (turn == 0 and entry.urgency is overdue)
+            local = states if room and tried < LOOK_AHEAD and has_turn else []
+            tried += bool(local)
             if not local and not away:
                 continue
             sent_at = self._sent_away_at.get(entry.target, float("-inf"))
@@ -244,6 +253,29 @@
             if candidate is not None:
                 yield entry, candidate
 
+    def _find_room(
+        self, line: Line, order: list[Waiting], states: list[EndpointState], outlook: Outlook
+    ) -> frozenset[Urgency]:
+        """Find the classes that may take a slot of this failure domain now.
+
+        The last free slots are kept for more urgent work that is expected: slots full of long work
+        free up slowly, and an urgent request would wait for one.
+        """
+        if not outlook.router.has_room(states):
+            return frozenset()
+        free = outlook.router.count_free(states)
+        return frozenset(
+            urgency
+            for urgency in Urgency
+            if free >= 1 + self._count_kept(line, order[0].target, urgency, outlook.now)
+        )
+
+    def _count_kept(self, line: Line, target: str, urgency: Urgency, now: float) -> int:
+        above = line.expect_above(urgency, now)
+        if above < LEAST_EXPECTED:
+            return NONE_KEPT
+        return max(NONE_KEPT, ceil(above) - self._tickets.count_above(target, urgency))
+
     def _admit(self, line: Line, entry: Waiting, candidate: Candidate, outlook: Outlook) -> Decided:
         request = entry.request
         away = isinstance(candidate.route, Away)
--- a/cloverway/limits.py
+++ b/cloverway/limits.py
@@ -24,11 +24,13 @@
 class Flight:
     """Own attempts in progress at one place, with the past needed to read late reports."""
 
-    __slots__ = ("_ages", "_changes", "_paces", "in_flight")
+    __slots__ = ("_ages", "_changes", "_paces", "in_flight", "reading_s")
 
     def __init__(self) -> None:
         self.in_flight = 0
         self._changes: deque[tuple[float, int]] = deque()
+        self.reading_s = 0.0
+        """Seconds of reading prompts that were sent there and gave no first token yet."""
         self._ages = 0.0
         self._paces = 0.0
 
@@ -64,7 +66,7 @@
         while len(self._changes) > 1 and self._changes[1][0] < now - HISTORY_S:
             self._changes.popleft()
         if not self.in_flight:
-            self._ages = self._paces = 0.0
+            self._ages = self._paces = self.reading_s = 0.0
 
 
 class Limit:
@@ -102,4 +104,4 @@
         return float(state.slots - share_slots(state.slots, hosts))
     own_then = flight.count_at(state.reported_at)
     reported = max(0, state.running + state.waiting - own_then)
-    return reported + max(0, flight.in_flight - own_then) * (hosts - 1)
+    return max(0, reported + (flight.in_flight - own_then) * (hosts - 1))
--- a/cloverway/outlook.py
+++ b/cloverway/outlook.py
@@ -18,7 +18,6 @@
 """The longest predicted wait of a passed-on request; its first host may know a better place."""
 MOST_PASSES = 2
 """Times that one request is passed on to other failure domains, one after the other."""
-LEAST_SLOTS = 0.1
 
 HERE = Home(0.0, True, 0.0)
 NOWHERE = Home(float("inf"), False, float("inf"))
@@ -59,6 +58,7 @@
             weight=self.published.teams[request.team].weight,
             cost_s=self.router.knowledge.estimates.service_s(request.profile, profile),
             prefix=Prefix.from_body(request.body if profile.model else b""),
+            entered_at=self.now,
         )
 
     def weigh(
@@ -73,7 +73,8 @@
         if away and not entry.request.passed_on and len(entry.tried) <= MOST_PASSES:
             elsewhere = self.router.list_away(entry, allowed, self.random)
         home = self.predict_home(line, entry) if elsewhere or not local else HERE
-        return Choice(entry, local, elsewhere, home, sending)
+        waited_s = self.now - entry.entered_at
+        return Choice(entry, local, elsewhere, home, sending, waited_s)
 
     def predict_home(self, line: Line, entry: Waiting) -> Home:
         """Predict what waiting for a slot in this failure domain comes to."""
@@ -84,8 +85,7 @@
         ]
         if not states or self.router.view.region not in self.allow(entry.request):
             return NOWHERE
-        slots = line.usable_slots(entry.urgency, self.router.measure_slots(states), self.now)
-        wait_s = (line.work_ahead_s(entry) + entry.cost_s) / max(slots, LEAST_SLOTS)
+        wait_s = line.predict_wait(entry, self.router.measure_slots(states), self.now)
         estimates = self.router.knowledge.estimates
         first_s = estimates.first_s(entry.target, entry.prefix.length / 2)
         return Home(wait_s + first_s, self.now + wait_s <= entry.give_up_at, wait_s)
--- a/cloverway/policies.py
+++ b/cloverway/policies.py
@@ -17,6 +17,10 @@
 URGENCY_FACTOR = {Urgency.BATCH: 2.0, Urgency.NORMAL: 1.0, Urgency.URGENT: 0.5}
 STEADY_PART = 0.1
 """Hysteresis: part of the service time by which the first one sent away must gain."""
+TAIL_WAITS = 3.0
+"""Predicted waits by which the slowest ones exceed the mean, at most."""
+PATIENCE = 0.5
+"""Waiting for a warm cache, as a part of what it saves."""
 NOISE_PART = 0.01
 """Part of the service time by which costs are blurred, so that hosts don't all choose alike."""
 
@@ -41,6 +45,19 @@
     home: Home
     sending: bool = False
     """Whether requests for this target were sent to another region a moment ago."""
+    waited_s: float = 0.0
+    """How long the request has waited for a route."""
+
+
+def is_worth_waiting(choice: Choice, cold: Candidate) -> bool:
+    """Tell whether to wait for a slot at a place whose cache is warmer than that of a free one.
+
+    Under load the warm place is mostly full, and a request that takes the first free slot evicts
+    there what others need: soon no cache holds anything. Waiting as long as the cold read would
+    take costs no more than the read, and mostly the slot comes sooner.
+    """
+    warmest = max((place.saved_s for place in choice.local), default=0.0)
+    return choice.waited_s < PATIENCE * (warmest - cold.saved_s)
 
 
 class Policy(Protocol):
@@ -70,7 +87,9 @@
             key=lambda candidate: candidate.cost_s + random.uniform(0, blur),
             default=None,
         )
-        home_s = at_home.cost_s if at_home else choice.home.cost_s
+        if at_home is not None and is_worth_waiting(choice, at_home):
+            return None
+        home_s = at_home.cost_s if at_home else self.weigh_home(choice.home)
         elsewhere = min(
             (place for place in choice.away if place.free or home_s == float("inf")),
             key=lambda place: self.weigh_away(place, choice),
@@ -80,6 +99,13 @@
             return at_home
         return elsewhere
 
+    def weigh_home(self, home: Home) -> float:
+        """Give the cost of waiting at home: more than the mean wait where the tail matters."""
+        objective = self._objective()
+        both = objective.tail_latency + objective.sent_away
+        part = objective.tail_latency / both if both > 0 else 0.5
+        return home.cost_s + TAIL_WAITS * part * home.wait_s
+
     def weigh_away(self, place: Candidate, choice: Choice) -> float:
         """Give the cost of another failure domain with what the objective adds to it.
 
--- a/cloverway/routing.py
+++ b/cloverway/routing.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from cloverway.admission import Waiting
-from cloverway.affinity import PrefixTable, rank_places
+from cloverway.affinity import SURELY_S, PrefixTable, rank_places
 from cloverway.catalogue import Catalogue, Offer
 from cloverway.config.settings import Timing
 from cloverway.estimates import Estimates, Mean
@@ -30,9 +30,11 @@
 """Answers this much slower than expected make a place slow; less is chance."""
 PACE_HALF_LIFE_S = 20.0
 """A slow place is believed to mend, so that it is tried again."""
-BUSY_PART = 0.1
+LAST_RESORT_S = 2.0
+"""Cost of the last endpoint when it fails too: other failure domains are better while they work."""
+BUSY_PART = 0.03
 """Part of the service time that a full batch costs against an empty one."""
-LIKELY_WARM = (0.5, 0.75)
+LIKELY_WARM = (0.1, 0.3, 0.6)
 """Part of a prompt believed cold at its first and second place by rendezvous hash."""
 SUMMARY_AGE_PERIODS = 5
 """A summary that missed this many of its periods says that the failure domain is cut off."""
@@ -65,6 +67,8 @@
     cost_s: float
     saved_s: float
     """What a warm cache takes off, against a cold one."""
+    read_s: float
+    """Predicted time to read what the cache doesn't hold."""
     load: float
     """Estimated requests in progress over slots."""
     outstanding: int
@@ -196,6 +200,13 @@
             for state in states
         )
 
+    def count_free(self, states: list[EndpointState]) -> float:
+        """Estimate the slots that this host may still fill."""
+        return sum(
+            max(0.0, self._allowance(state) - self.knowledge.track(state.name).flight.in_flight)
+            for state in states
+        )
+
     def is_warming(self, state: EndpointState) -> bool:
         """Tell whether an endpoint came back lately, so that its cache is cold."""
         ready_at = self.knowledge.ready_at
@@ -213,7 +224,10 @@
         all_cold_s = self._cold_s(entry, entry.prefix.cold_bytes(0))
         cold_s = self._cold_s(entry, self._cold_bytes(entry, state, ranked))
         first_s = self.knowledge.estimates.first_s(entry.target, 0)
-        cost_s = wait_s + (first_s + cold_s) * slowness + (slowness - 1) * entry.cost_s
+        read_s = max(0.0, tracked.flight.reading_s) * self.hosts + cold_s
+        if self.knowledge.outliers.is_paused(state.name, self.now):
+            wait_s += LAST_RESORT_S
+        cost_s = wait_s + (first_s + read_s) * slowness + (slowness - 1) * entry.cost_s
         free = own < self._allowance(state)
         saved_s = all_cold_s - cold_s
         return Candidate(
@@ -225,6 +239,7 @@
             wait_s=wait_s,
             cost_s=cost_s + BUSY_PART * service_s * min(1.0, occupied / state.slots),
             saved_s=saved_s,
+            read_s=cold_s,
             load=occupied / state.slots,
             outstanding=own,
         )
@@ -241,7 +256,8 @@
         queued = summary.waiting if summary else 0
         room = free - SPARE_PART * slots
         wait_s = 0.0 if room >= 1 else (1 - room + queued) / slots * entry.cost_s
-        matched = self.knowledge.prefixes.count_matched(name, "", entry.prefix, self.now)
+        since = self.now - SURELY_S
+        matched = self.knowledge.prefixes.count_matched(name, "", entry.prefix, since)
         cold_s = self._cold_s(entry, entry.prefix.cold_bytes(matched))
         trip_s = 2 * self.catalogue.trip_s(self.view.region, offer.region)
         first_s = self.knowledge.estimates.first_s(entry.target, 0)
@@ -255,6 +271,7 @@
             wait_s=wait_s,
             cost_s=trip_s + wait_s + first_s + cold_s + BUSY_PART * entry.cost_s * load,
             saved_s=0.0,
+            read_s=cold_s,
             load=load,
             outstanding=flight.in_flight,
         )
@@ -314,7 +331,7 @@
 
     def _cold_bytes(self, entry: Waiting, state: EndpointState, ranked: list[str]) -> float:
         matched = self.knowledge.prefixes.count_matched(
-            state.name, state.incarnation, entry.prefix, self.now
+            state.name, state.incarnation, entry.prefix, self.now - SURELY_S
         )
         cold = float(entry.prefix.cold_bytes(matched))
         likely = dict(zip(ranked, LIKELY_WARM, strict=False))
--- a/cloverway/tickets.py
+++ b/cloverway/tickets.py
@@ -7,14 +7,16 @@
 from typing import NamedTuple
 
 from cloverway.admission import Waiting
+from cloverway.affinity import MAYBE_S
+from cloverway.config.published import Urgency
 from cloverway.limits import HEADROOM
 from cloverway.messages import Admitted, Away, Local, Outcome
 from cloverway.routing import Candidate, Knowledge, name_domain, name_host
 from cloverway.view import View
 
-BEARABLE_PART = 0.25
-"""Part of the service time that an answer may start late before a queue is suspected."""
-BEARABLE_S = 0.05
+BEARABLE_S = 0.2
+"""Start late by this, or by the mean time that a slot is held, before a queue is suspected: prompts
+that are read at the same time delay each other too, and fewer in flight would not mend that."""
 
 
 class Ticket(NamedTuple):
@@ -25,6 +27,8 @@
     admitted_at: float
     cold_bytes: int
     incarnation: str
+    reading_s: float = 0.0
+    """Expected seconds of reading, while the first token is outstanding."""
 
 
 class Tickets:
@@ -36,6 +40,7 @@
         self._open: dict[int, Ticket] = {}
         self._numbers = itertools.count(1)
         self.targets: Counter[str] = Counter()
+        self._classes: Counter[tuple[str, Urgency]] = Counter()
 
     def __len__(self) -> int:
         return len(self._open)
@@ -45,18 +50,27 @@
         """Whether the host runs as many requests as its settings allow."""
         return len(self._open) >= self._limit
 
+    def count_above(self, target: str, urgency: Urgency) -> int:
+        """Count attempts in progress that are more urgent than a class."""
+        return sum(self._classes[target, other] for other in Urgency if other > urgency)
+
     def open(self, entry: Waiting, candidate: Candidate, view: View, now: float) -> Admitted:
         """Begin an attempt."""
         assert not self.is_full, "in flight is never above the limit"
         state = view.endpoints.get(candidate.name)
         incarnation = state.incarnation if state else ""
         prefixes = self._knowledge.prefixes
-        matched = prefixes.count_matched(candidate.name, incarnation, entry.prefix, now)
+        since = now - MAYBE_S
+        matched = prefixes.count_matched(candidate.name, incarnation, entry.prefix, since)
         cold_bytes = entry.prefix.cold_bytes(matched)
         number = next(self._numbers)
-        self._open[number] = Ticket(entry, candidate, now, cold_bytes, incarnation)
-        self._knowledge.track(candidate.name).flight.begin(now, entry.cost_s)
+        reading_s = candidate.read_s if entry.request.stream else 0.0
+        self._open[number] = Ticket(entry, candidate, now, cold_bytes, incarnation, reading_s)
+        flight = self._knowledge.track(candidate.name).flight
+        flight.begin(now, entry.cost_s)
+        flight.reading_s += reading_s
         self.targets[entry.target] += 1
+        self._classes[entry.target, entry.urgency] += 1
         prefixes.note(candidate.name, incarnation, entry.prefix, now)
         if state is not None:
             self._assert_within(state.slots, candidate)
@@ -67,13 +81,14 @@
         ticket = self._open.get(number)
         if ticket is None or not ticket.entry.request.stream:
             return
+        self._stop_reading(number, ticket)
         state = view.endpoints.get(ticket.candidate.name)
         if state is None or ticket.candidate.wait_s > 0:
             return
         target = ticket.entry.target
         first_s = max(0.0, at - ticket.admitted_at)
         queue_s = first_s - self._knowledge.estimates.first_s(target, ticket.cold_bytes)
-        bearable_s = max(BEARABLE_S, BEARABLE_PART * ticket.entry.cost_s)
+        bearable_s = max(BEARABLE_S, self._knowledge.estimates.hold_s(target))
         limit = self._knowledge.track(state.name).limit
         limit.note(queue_s, bearable_s, state.slots, at)
         if queue_s <= bearable_s:
@@ -82,10 +97,12 @@
     def close(self, number: int, outcome: Outcome, now: float) -> Ticket:
         """End an attempt and learn from its outcome."""
         assert number in self._open, "a ticket is finished once"
+        self._stop_reading(number, self._open[number])
         ticket = self._open.pop(number)
         tracked = self._knowledge.track(ticket.candidate.name)
         tracked.flight.end(now, ticket.admitted_at, ticket.entry.cost_s)
         self.targets[ticket.entry.target] -= 1
+        self._classes[ticket.entry.target, ticket.entry.urgency] -= 1
         assert self.targets[ticket.entry.target] >= 0, "in flight is never negative"
         if outcome is Outcome.DONE:
             self._learn_success(ticket, now)
@@ -93,6 +110,10 @@
             self._learn_failure(ticket, outcome, now)
         return ticket
 
+    def _stop_reading(self, number: int, ticket: Ticket) -> None:
+        self._knowledge.track(ticket.candidate.name).flight.reading_s -= ticket.reading_s
+        self._open[number] = ticket._replace(reading_s=0.0)
+
     def _learn_success(self, ticket: Ticket, now: float) -> None:
         entry, candidate = ticket.entry, ticket.candidate
         took_s = now - ticket.admitted_at
@@ -101,6 +122,7 @@
         if isinstance(candidate.route, Local):
             served_s = max(0.0, took_s - candidate.wait_s)
             self._knowledge.estimates.note_service(entry.request.profile, served_s)
+            self._knowledge.estimates.note_hold(entry.target, served_s)
             self._knowledge.track(candidate.name).note_pace(served_s / entry.cost_s, now)
 
     def _learn_failure(self, ticket: Ticket, outcome: Outcome, now: float) -> None:
