Ask the platform from the revision that it has shown itself

Asked from the last revision that it showed, the platform has to show the peers' documents too. It costs one short answer after each change that a peer told first.

--- a/cloverway/config/checks.py
+++ b/cloverway/config/checks.py
@@ -61,9 +61,6 @@
 Changed = Mapping[Place, Any]
 """Parsed documents of one change; None for a deleted one."""
 
-REFERRED = ("regions", "domains", "profiles")
-"""Tables that other documents refer to."""
-
 
 def find_faults(published: Published, changed: Changed, claims: Claims) -> Iterator[Fault]:
     """Yield what is wrong in a configuration that a change leads to.
@@ -71,17 +68,34 @@
     All documents but the changed ones must have been valid together, with their claims noted.
     """
     yield from _find_claim_faults(changed, claims)
-    deleted = any(new is None and place.table in REFERRED for place, new in changed.items())
-    documents = list_documents(published) if deleted else changed.items()
-    for place, document in documents:
+    deleted: dict[str, set[str]] = {"regions": set(), "domains": set(), "profiles": set()}
+    for place, document in changed.items():
+        if document is None and place.table in deleted:
+            deleted[place.table].add(place.name)
+    touched = dict(changed)
+    if any(deleted.values()):
+        touched |= dict(_find_referrers(published, **deleted))
+    for place, document in touched.items():
         yield from _find_own_faults(published, place, document)
 
 
-def list_documents(published: Published) -> Iterator[tuple[Place, Any]]:
-    """Yield every document that has a name, with its place."""
-    for table in ("regions", "domains", "hosts", "endpoints", "profiles", "teams"):
-        for name, document in getattr(published, table).items():
-            yield Place(table, name), document
+def _find_referrers(
+    published: Published, regions: set[str], domains: set[str], profiles: set[str]
+) -> Iterator[tuple[Place, Any]]:
+    """Yield the documents that refer to deleted ones; only plain look-ups for all the others."""
+    for name, domain in published.domains.items():
+        if domain.region in regions:
+            yield Place("domains", name), domain
+    for table in ("hosts", "endpoints"):
+        for name, placed in getattr(published, table).items():
+            if placed.domain in domains:
+                yield Place(table, name), placed
+    for name, profile in published.profiles.items():
+        if not regions.isdisjoint(profile.regions):
+            yield Place("profiles", name), profile
+    for name, team in published.teams.items():
+        if team.home in regions or not profiles.isdisjoint(team.profiles):
+            yield Place("teams", name), team
 
 
 def list_claims(place: Place, document: Any) -> Iterable[Claim]:
--- a/cloverway/configuration.py
+++ b/cloverway/configuration.py
@@ -78,6 +78,7 @@
         self._heard_whole = False
         self._asks_whole = False
         self._platform_revision = 0
+        self._shown = 0
         self._platform_at = float("-inf")
         self._behind_since: float | None = None
         self._check = Check.NONE
@@ -111,12 +112,16 @@
 
     @property
     def read_after(self) -> int:
-        """The revision after which the platform is to be read next; 0 reads the whole."""
+        """The revision after which the platform is to be read next; 0 reads the whole.
+
+        It is the last one that the platform itself has shown, also where peers have told of later
+        ones: the platform must show the same, or it goes on from another history.
+        """
         if self._check is Check.LATEST:
-            return self._held.documents.anchor
+            return min(self._held.documents.anchor, self._shown)
         if self._check is Check.WHOLE and self._platform_revision >= self.revision:
             return 0
-        return self._held.covered
+        return self._shown
 
     def ask_peer_after(self, revision: int) -> int | None:
         """Give the revision after which to ask a peer that has `revision`, or None for not."""
@@ -161,6 +166,8 @@
         if changes.revision >= self.revision and not self._passes_check(changes):
             return Gap(self.read_after, changes.after)
         result = self._held.take_published(changes)
+        if isinstance(result, Accepted | Unchanged) or changes.revision == self._held.covered:
+            self._shown = changes.revision
         if isinstance(result, Rejected) and result.contradicts:
             self.platform_stale = True
             self._check = Check.NONE if self._held.contradicted else Check.WHOLE
--- a/cloverway/tests/test_configuration.py
+++ b/cloverway/tests/test_configuration.py
@@ -204,6 +204,18 @@
     assert isinstance(store.offer(other, PLATFORM, 3600.1), Rejected)
 
 
+def test_platform_must_show_what_peers_told_already() -> None:
+    """A host in contact with a restored platform hears of lost revisions by a peer. The platform
+    then passes them with others: asked from the revision in force, its delta would seem to fit."""
+    store = start()
+    store.offer(Changes(4, 2, (region("rodrigues", 3), team("a", 4))), PEER, 1.0)
+    assert store.read_after == 2, "the last one that the platform has shown"
+    other = Changes(5, 2, (region("port-louis", 3), region("port-louis", 5)))
+    refusal = store.offer(other, PLATFORM, 2.0)
+    assert isinstance(refusal, Rejected) and refusal.contradicts
+    assert store.read_after == 0
+
+
 def test_platform_that_only_was_out_of_reach_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
     """The same outage without a restoration: the next read tells the latest document again."""
     monkeypatch.setattr(documents, "LATEST_CHANGES", 1)
