Give every refusal that promises it a time to come back

A call to an endpoint whose port was closed got a 503 endpoint_refused without Retry-After, though the table of answers promises one: the client to endpoints knows no time and gave none. Found by the first run of the whole path in separate processes (test_bound_team_is_refused_when_its_region_has_nothing was red).

Filling it in at each place that raises was ruled out, for the next place would forget it again. Filling it in for every kind was tried and broke test_replaced_issuer, rightly: a replaced issuer never knows more, however late one asks. So the error takes one second where its kind promises a time, the request was not run, and nothing better is known.

--- a/cloverway/errors.py
+++ b/cloverway/errors.py
@@ -5,6 +5,9 @@
 from enum import StrEnum
 from typing import NamedTuple, TypedDict
 
+DEFAULT_RETRY_S = 1.0
+"""When to come back where nothing better is known."""
+
 
 class Ran(StrEnum):
     """Whether a request was run by an endpoint; `NO` is a promise."""
@@ -143,8 +146,13 @@
         self.kind = kind
         self.detail = detail
         self.ran = ran if ran is not None else ANSWERS[kind].ran
+        # A refusal without a time has callers come back at once or never; each one that promises a
+        # time gets it here, so that no place that raises can forget it. Where the outcome is not
+        # known, a place may mean it: a replaced issuer never knows more, however late one asks.
+        if retry_after is None and self.ran is Ran.NO and ANSWERS[kind].come_back:
+            retry_after = DEFAULT_RETRY_S
         self.retry_after = retry_after
-        """Seconds until a new attempt makes sense, or None where there is no telling."""
+        """Seconds until a new attempt makes sense; None for kinds that name no time."""
 
     @property
     def status(self) -> int:
