--- /dev/null
+++ b/cloverway/tests/test_whole_path.py
@@ -0,0 +1,140 @@
+"""A call's whole path through real processes: hosts, endpoints and published files."""
+
+from __future__ import annotations
+
+import json
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from cloverway.tests.standins.clients import Caller
+from cloverway.tests.standins.fleet import Fleet
+from cloverway.tests.standins.waiting import wait_until
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    with Fleet() as started:
+        wait_until(lambda: sees_all_regions(started), 15, "summaries of all regions")
+        yield started
+
+
+def sees_all_regions(fleet: Fleet) -> bool:
+    """Tell whether each host can serve its own region and pass on to the others."""
+    return all(
+        Caller(fleet.url(host), f"bound-{region}").serve("warm", profile="lookup").whole
+        for host in fleet.hosts
+        for region in fleet.topology.regions
+    )
+
+
+def count(fleet: Fleet, part: str, mark: str) -> dict[str, int]:
+    """Give by endpoint how often it ran the calls with a mark."""
+    runs = {name: remote.counts().get(part, {}) for name, remote in fleet.remotes.items()}
+    return {name: by_mark[mark] for name, by_mark in runs.items() if mark in by_mark}
+
+
+def test_lookup_names_the_hosts(fleet):
+    listed = Caller(fleet.url("cu-a-host-1")).hosts()["hosts"]
+    assert {entry["name"] for entry in listed} == set(fleet.hosts)
+    assert {entry["domain"] for entry in listed[:2]} == {"cu-a"}
+
+
+@pytest.mark.parametrize("stream", [False, True])
+def test_completion_comes_whole_from_the_own_domain(fleet, stream):
+    caller = Caller(fleet.url("ro-a-host-1"), "bound-ro")
+    result = caller.chat(f"ann-{stream}", stream=stream)
+    assert result.whole, result
+    assert count(fleet, "users", f"ann-{stream}") == {"ro-a-engine-1": 1}
+    assert result.headers["Cloverway-Region"] == "ro"
+
+
+def test_service_is_run_once_with_a_key(fleet):
+    """A pharmacist's client repeats an allocation whose answer it did not wait for.
+
+    The repeat goes to the other host of the failure domain, with the same key. It gets the recorded
+    answer of the first run, for only the host that issued the key may grant it.
+    """
+    first, second = (Caller(fleet.url(f"pl-a-host-{n}"), "bound-pl") for n in (1, 2))
+    key = first.take_key()
+    results = [caller.serve("two cartons", key=key) for caller in (first, first, second)]
+    assert [result.whole for result in results] == [True] * 3, results
+    assert len({json.loads(result.body)["run"] for result in results}) == 1
+    assert count(fleet, "bodies", "two cartons") == {"pl-a-service-1": 1}
+
+
+def test_repeats_at_the_same_time_run_once(fleet):
+    hosts = [fleet.url(f"pl-a-host-{n}") for n in (1, 2)] * 4
+    key = Caller(hosts[0], "bound-pl").take_key()
+    with ThreadPoolExecutor(len(hosts)) as pool:
+        results = list(
+            pool.map(lambda url: Caller(url, "bound-pl").serve("at once", key=key), hosts)
+        )
+    assert count(fleet, "bodies", "at once") == {"pl-a-service-1": 1}
+    assert any(result.whole for result in results)
+    assert all(result.whole or result.ran != "no" for result in results), results
+
+
+def test_bound_team_is_served_in_its_region_from_anywhere(fleet):
+    result = Caller(fleet.url("pl-a-host-1"), "bound-cu").serve("from afar", profile="lookup")
+    assert result.whole, result
+    assert count(fleet, "bodies", "from afar") == {"cu-a-service-1": 1}
+
+
+def test_bound_team_is_refused_when_its_region_has_nothing(fleet):
+    """Data of a bound team stays home: with no endpoint there, the call is refused, not sent away.
+
+    The other regions have free endpoints all the while, and an unbound team's call goes to one.
+    """
+    fleet.kill("ro-a-service-1")
+    try:
+        host = fleet.url("ro-a-host-1")
+        refused = Caller(host, "bound-ro").serve("stay", profile="lookup")
+        wait_until(lambda: Caller(host, "open").serve("go", profile="lookup").whole, 10)
+    finally:
+        fleet.restart("ro-a-service-1")
+    assert refused.status == 503
+    assert refused.ran == "no"
+    assert "Retry-After" in refused.headers
+    assert count(fleet, "bodies", "stay") == {}
+
+
+def test_unauthenticated_and_unknown_calls_are_refused(fleet):
+    caller = Caller(fleet.url("pl-a-host-1"), "nobody")
+    assert caller.chat("x").kind == "unauthenticated"
+    known = Caller(fleet.url("pl-a-host-1"))
+    assert known.chat("x", profile="none").kind == "forbidden"
+    assert known.serve("x", profile="allocate").kind == "key_required"
+    assert known.request("GET", "/v1/nothing").kind == "not_found"
+    assert count(fleet, "users", "x") == {}
+
+
+def test_published_change_is_in_force_everywhere(fleet):
+    fleet.publish({"teams": {"open": {"profiles": ["lookup"]}}})
+    callers = [Caller(fleet.url(host)) for host in fleet.hosts]
+    wait_until(lambda: all(caller.chat("late").kind == "forbidden" for caller in callers), 8)
+    fleet.publish({"teams": {"open": {"profiles": ["chat", "dossier", "lookup", "allocate"]}}})
+    wait_until(lambda: all(caller.chat("late").whole for caller in callers), 8)
+
+
+def test_stop_of_a_host_cuts_off_nothing(fleet):
+    """A host gets SIGTERM while it streams an answer; the caller gets all of it.
+
+    New calls are refused with `ran: no`, the other hosts leave it out of the directory, and the
+    process ends with status 0 when the stream has ended.
+    """
+    host, other = "cu-a-host-2", Caller(fleet.url("cu-a-host-1"), "bound-cu")
+    fleet.remotes["cu-a-engine-1"].set_faults(hold_after=3)
+    caller = Caller(fleet.url(host), "bound-cu")
+    with ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(caller.chat, "last", stream=True)
+        wait_until(lambda: count(fleet, "users", "last"))
+        fleet.terminate(host)
+        wait_until(lambda: host not in {entry["name"] for entry in other.hosts()["hosts"]})
+        refused = Caller(fleet.url(host), "bound-cu").chat("new")
+        fleet.remotes["cu-a-engine-1"].clear_faults()
+        assert answer.result(10).whole
+    assert refused.status in (0, 503)
+    assert fleet.processes[host].wait(15) == 0
+    assert count(fleet, "users", "new") == {}
+    fleet.restart(host)
