--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	touch $@
 
 test: venv check
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 4
 
 check: venv
 	$(BIN)/black --check --quiet cloverway
