--- a/cloverway/tests/test_peer_keys.py
+++ b/cloverway/tests/test_peer_keys.py
@@ -1,5 +1,8 @@
 from __future__ import annotations
 
+import multiprocessing
+import os
+import signal
 import threading
 import time
 
@@ -27,12 +30,12 @@
 class KeyHost:
     """A host with a ledger that its peers reach over TCP."""
 
-    def __init__(self, name, incarnation, addresses):
+    def __init__(self, name, incarnation, addresses, peer_bounds=BOUNDS):
         bounds = Bounds(100, 100.0, 10_000, 1_000)
         ledger = Ledger(name, incarnation, name.encode() * 8, bounds, time.monotonic())
         me = Identity(name, incarnation)
         self.keys = KeyTask(ledger, lambda *_: True)
-        self.client = PeerClient(me, SECRET, BOUNDS)
+        self.client = PeerClient(me, SECRET, peer_bounds)
         self.claims = Claims(self.keys, self.client, addresses.get, lambda *_: True)
         handler = Handler()
         handler.claim = self.keys.claim
@@ -107,3 +110,50 @@
     assert results.count((Kind.KEY_IN_USE, Ran.UNKNOWN)) == 11
     for host in hosts:
         host.stop()
+
+
+def serve_issuer(pipe):
+    """Be the issuing host, in a process of its own, until the pipe is closed."""
+    host = KeyHost("h1", "i1", {})
+    pipe.send((host.server.address, host.keys.issue(2)))
+    pipe.poll(None)
+    host.stop()
+
+
+@pytest.fixture
+def issuer():
+    """Give a process that issues keys, its address and two keys."""
+    context = multiprocessing.get_context("spawn")
+    ours, theirs = context.Pipe()
+    process = context.Process(target=serve_issuer, args=(theirs,), daemon=True)
+    process.start()
+    theirs.close()
+    yield process, *ours.recv()
+    ours.close()
+    process.join(PATIENCE_S)
+
+
+def test_issuer_that_is_paused_and_wakes_late(issuer):
+    """The issuer is stopped while h2 claims a key of its; h2 tells its caller "unknown" in time.
+
+    The issuer wakes with the claim in its socket, long after h2 gave up. It must not grant it: the
+    caller's repeat, at h3, then finds the key free and runs, for the first and only time.
+    """
+    process, address, (warm_up, key) = issuer
+    quick = BOUNDS._replace(reused_answer_s=0.1, connect_s=0.3)
+    addresses = {"h1": address}
+    second = KeyHost("h2", "i1", addresses, quick._replace(connect_s=PATIENCE_S))
+    third = KeyHost("h3", "i1", addresses)
+    second.claims.claim(make_request(key=warm_up))
+    second.client._bounds = quick
+    os.kill(process.pid, signal.SIGSTOP)
+    try:
+        os.waitpid(process.pid, os.WUNTRACED)
+        with pytest.raises(RequestError) as error:
+            second.claims.claim(make_request(key=key))
+    finally:
+        os.kill(process.pid, signal.SIGCONT)
+    assert (error.value.kind, error.value.ran) == (Kind.KEY_OWNER_LOST, Ran.UNKNOWN)
+    third.claims.claim(make_request(key=key)).check(time.monotonic())
+    second.stop()
+    third.stop()
