Tell how long a leaving host must still answer claims

KeyTask.is_needed says when it may go: no granted run is open, and the last key is old enough. The count of open grants no longer walks the table. The text of a key has a module of its own.

--- a/cloverway/claims.py
+++ b/cloverway/claims.py
@@ -14,13 +14,13 @@
 from cloverway.config.settings import Settings
 from cloverway.errors import Kind, PeerError, Ran, RequestError
 from cloverway.exchange import Reply
+from cloverway.keynames import KeyName
 from cloverway.keys import (
     NONCE_BYTES,
     Bounds,
     ClaimCall,
     ClaimResult,
     Grant,
-    KeyName,
     Ledger,
     Recorded,
     SettleCall,
@@ -58,6 +58,12 @@
     """Message: tell how much the ledger holds."""
 
 
+class Needed(NamedTuple):
+    """Message: tell whether claims must still be answered."""
+
+    hold_s: float
+
+
 class LedgerCount(NamedTuple):
     """What a ledger holds."""
 
@@ -137,6 +143,14 @@
         count: LedgerCount = self._ask(Count(), Ran.NO)
         return count
 
+    def is_needed(self, hold_s: float) -> bool:
+        """Tell whether a leaving host should go on answering claims.
+
+        So it is while granted runs go on, and until `hold_s` after the last key was issued.
+        """
+        needed: bool = self._ask(Needed(hold_s), Ran.NO)
+        return needed
+
     def _ask(self, message: Any, ran: Ran) -> Any:
         try:
             return self._task.ask(message, ANSWER_TIMEOUT_S)
@@ -160,6 +174,8 @@
         if isinstance(message, Leave):
             self._ledger.leaving = True
             return None
+        if isinstance(message, Needed):
+            return self._ledger.is_needed(now, message.hold_s)
         assert isinstance(message, Count)
         ledger = self._ledger
         return LedgerCount(len(ledger), ledger.outstanding, ledger.recorded_bytes)
--- a/cloverway/keys.py
+++ b/cloverway/keys.py
@@ -16,16 +16,13 @@
 from typing import NamedTuple
 
 from cloverway.errors import Kind, Ran
+from cloverway.keynames import MAC_BYTES, KeyName
 from cloverway.messages import Refused
 
 log = logging.getLogger(__name__)
 
-VERSION = "k1"
-SEPARATOR = "_"
 NONCE_BYTES = 12
-MAC_BYTES = 16
 BINDING_BYTES = 16
-LONGEST_KEY = 256
 TEAM_SHARE = 0.5
 """The part of the table that one team may fill; the rest stays open to all others."""
 MARGIN_MS = 1_000
@@ -34,42 +31,6 @@
 IN_USE_RETRY_AFTER_S = 1.0
 
 
-class KeyName(NamedTuple):
-    """What the text of a key says, before its MAC was checked."""
-
-    host: str
-    incarnation: str
-    issued_ms: int
-    """By the issuer's own clock, since the issuer started."""
-    nonce: bytes
-    mac: bytes
-
-    @classmethod
-    def parse(cls, text: str) -> KeyName | None:
-        """Read a key; None when it does not have the form that hosts issue."""
-        parts = text.split(SEPARATOR) if len(text) <= LONGEST_KEY and text.isascii() else []
-        if len(parts) != 6 or parts[0] != VERSION or not parts[3].isdigit():
-            return None
-        try:
-            nonce, mac = bytes.fromhex(parts[4]), bytes.fromhex(parts[5])
-        except ValueError:
-            return None
-        name = cls(parts[1], parts[2], int(parts[3]), nonce, mac)
-        # Each key has one spelling only: another one must not pass for another key.
-        return name if name.text == text and len(mac) == MAC_BYTES else None
-
-    @property
-    def signed(self) -> str:
-        """The part of the text that the MAC covers."""
-        parts = (VERSION, self.host, self.incarnation, str(self.issued_ms), self.nonce.hex())
-        return SEPARATOR.join(parts)
-
-    @property
-    def text(self) -> str:
-        """The key as callers hold it."""
-        return self.signed + SEPARATOR + self.mac.hex()
-
-
 class Recorded(NamedTuple):
     """A whole answer, held so that a repeat gets it again."""
 
@@ -192,6 +153,9 @@
         self._lifetime_ms = int(bounds.lifetime_s * 1000)
         self._epoch = now
         self._now_ms = 0
+        self._last_issue_ms = float("-inf")
+        self._last_end_ms = 0
+        self._outstanding = 0
         self._entries: dict[bytes, _Entry] = {}
         self._teams: Counter[str] = Counter()
         self._sizes: dict[bytes, int] = {}
@@ -208,13 +172,24 @@
     @property
     def outstanding(self) -> int:
         """Grants that are not settled."""
-        return sum(entry.state is State.GRANTED for entry in self._entries.values())
+        return self._outstanding
+
+    def is_needed(self, now: float, hold_s: float) -> bool:
+        """Tell whether a host that leaves should still answer claims.
+
+        So it is while a run goes on that a grant allowed, and for as long after the last issue as
+        callers hold keys before they send them.
+        """
+        now_ms = self._advance(now)
+        running = self._outstanding > 0 and now_ms < self._last_end_ms
+        return running or now_ms - self._last_issue_ms < hold_s * 1000
 
     def issue(self, nonces: Iterable[bytes], now: float) -> list[str] | Refused:
         """Make one key for each nonce; a leaving issuer makes none."""
         if self.leaving:
             return Refused(Kind.LEAVING, "ask another host for keys")
         issued_ms = self._advance(now)
+        self._last_issue_ms = issued_ms
         return [self._sign(issued_ms, nonce) for nonce in nonces]
 
     def claim(self, call: ClaimCall, now: float) -> ClaimResult:
@@ -253,6 +228,7 @@
             return entry.state is SETTLED_STATES[call.settlement]
         entry.state = SETTLED_STATES[call.settlement]
         entry.ends_ms = 0
+        self._outstanding -= 1
         if call.settlement is Settlement.DONE and call.recorded is not None:
             self._record(name.nonce, entry, call.recorded)
         return True
@@ -273,6 +249,7 @@
                 break
             self._forget_answer(nonce)
             del self._entries[nonce]
+            self._outstanding -= entry.state is State.GRANTED
             self._uncount(entry.team)
         return self._now_ms
 
@@ -335,6 +312,8 @@
         entry.claimant = call.claimant
         lifetime_s = self._compute_lifetime(call)
         entry.ends_ms = self._now_ms + int(lifetime_s * 1000) + MARGIN_MS
+        self._last_end_ms = max(self._last_end_ms, entry.ends_ms)
+        self._outstanding += 1
         return Grant(lifetime_s)
 
     def _compute_lifetime(self, call: ClaimCall) -> float:
--- a/cloverway/tests/bench_keys.py
+++ b/cloverway/tests/bench_keys.py
@@ -21,12 +21,12 @@
 from cloverway.channel import Identity
 from cloverway.claims import Claims, KeyTask
 from cloverway.errors import Kind
+from cloverway.keynames import KeyName
 from cloverway.keys import (
     NONCE_BYTES,
     Bounds,
     ClaimCall,
     Grant,
-    KeyName,
     Ledger,
     Recorded,
     SettleCall,
@@ -152,12 +152,12 @@
     """Requests a second with keys of each host."""
     hold_s: float
     """Mean time from getting a key to the first send."""
-    planned: bool
+    drain_s: float | None
+    """How long a host that leaves answers claims, or None for one that is lost."""
     lost_answers: float = 0.01
     hosts: int = 8
     run_s: float = 2.0
     repeat_s: float = 3.0
-    drain_s: float = 30.0
 
 
 class Deployment:
@@ -195,14 +195,14 @@
 
     def begin(self, now: float) -> None:
         # A host that leaves issues no keys while it drains.
-        leaving = self.case.planned and -self.case.drain_s <= now < 0
+        leaving = -(self.case.drain_s or 0) <= now < 0
         issuer = self.random.randrange(1 if leaving else 0, self.case.hosts)
         (key,) = self.ledgers[issuer].issue([next(self.numbers).to_bytes(NONCE_BYTES, "big")], now)
         hold_s = min(self.random.expovariate(1 / self.case.hold_s), BOUNDS.lifetime_s)
         self.at(now + hold_s, lambda then: self.send(then, issuer, key, first=True))
 
     def send(self, now: float, issuer: int, key: str, first: bool) -> None:
-        leaving = self.case.planned and -self.case.drain_s <= now < 0
+        leaving = -(self.case.drain_s or 0) <= now < 0
         runner = self.random.randrange(1 if leaving else 0, self.case.hosts)
         claimant = f"c{next(self.numbers)}"
         call = ClaimCall(key, "t", "p", b"d", claimant, 30.0)
@@ -218,7 +218,7 @@
             self.results["unknown, first send" if first else "unknown, repeat"] += 1
 
     def end(self, now: float, issuer: int, key: str, claimant: str, runner: int) -> None:
-        killed = runner == 0 and not self.case.planned and now - self.case.run_s < 0 <= now
+        killed = runner == 0 and self.case.drain_s is None and now - self.case.run_s < 0 <= now
         answer = Recorded(200, "application/json", b"{}")
         if not killed:
             call = SettleCall(key, "t", "p", claimant, Settlement.DONE, answer)
@@ -234,15 +234,16 @@
     """Count the requests whose outcome a caller can't learn when one of eight hosts is lost."""
     print("| rate a host | key held | stop | unknown, first send | unknown, repeat | of a minute |")
     print("| ---: | ---: | --- | ---: | ---: | ---: |")
-    for planned, rate, hold_s in itertools.product((False, True), (1.0, 10.0), (0.05, 5.0, 60.0)):
-        case = Case(rate, hold_s, planned)
+    stops = {None: "sudden", 2.0: "planned, stays 2 s", 30.0: "planned, stays 30 s"}
+    for drain_s, rate, hold_s in itertools.product(stops, (1.0, 10.0), (0.05, 5.0, 60.0)):
+        case = Case(rate, hold_s, drain_s)
         runs = [Deployment(case, seed).run() for seed in range(5)]
         first = [run["unknown, first send"] for run in runs]
         repeat = [run["unknown, repeat"] for run in runs]
         share = statistics.mean(map(sum, zip(first, repeat, strict=True)))
         share /= rate * case.hosts * 60
         print(
-            f"| {rate:g}/s | {hold_s:g} s | {'planned' if planned else 'sudden'} "
+            f"| {rate:g}/s | {hold_s:g} s | {stops[drain_s]} "
             f"| {statistics.mean(first):.1f} ({min(first)} to {max(first)}) "
             f"| {statistics.mean(repeat):.1f} ({min(repeat)} to {max(repeat)}) | {share:.2%} |"
         )
--- a/cloverway/tests/test_at_most_once.py
+++ b/cloverway/tests/test_at_most_once.py
@@ -114,7 +114,8 @@
     @invariant()
     def the_table_is_bounded(self):
         assert len(self.ledger) <= 2
-        assert self.ledger.recorded_bytes <= BOUNDS.recorded_bytes
+        assert 0 <= self.ledger.recorded_bytes <= BOUNDS.recorded_bytes
+        assert 0 <= self.ledger.outstanding <= len(self.ledger)
 
 
 EXAMPLES = int(os.environ.get("CLOVERWAY_EXAMPLES", "100"))
--- a/cloverway/tests/test_keys.py
+++ b/cloverway/tests/test_keys.py
@@ -5,9 +5,9 @@
 from hypothesis import strategies as st
 
 from cloverway.errors import Kind, Ran
+from cloverway.keynames import KeyName
 from cloverway.keys import (
     Grant,
-    KeyName,
     Recorded,
     Settlement,
     compute_digest,
@@ -282,3 +282,24 @@
 
 def test_digest_tells_parts_apart():
     assert compute_digest("POST", "/a", b"b") != compute_digest("POST", "/", b"ab")
+
+
+def test_leaving_issuer_stays_for_the_keys_that_callers_hold():
+    """A host that leaves issued a key a moment ago, and one of its grants is in use elsewhere.
+
+    Were it gone at once, the key's first send would be told "unknown", and so would a repeat of
+    the run. A grantee that was killed keeps it no longer than its request's deadline.
+    """
+    ledger = make_ledger()
+    assert not ledger.is_needed(0.0, 30.0)
+    first, second = ledger.issue([b"a" * 12, b"b" * 12], 1.0)
+    assert ledger.is_needed(30.9, 30.0)
+    assert not ledger.is_needed(31.0, 30.0)
+    ledger.claim(claim_of(first), 32.0)
+    ledger.claim(claim_of(second, "b", left_s=20.0), 32.0)
+    ledger.settle(settle_of(first, Settlement.DONE), 33.0)
+    assert ledger.outstanding == 1
+    assert ledger.is_needed(52.9, 0.0)
+    assert not ledger.is_needed(53.0, 0.0)
+    ledger.settle(settle_of(second, Settlement.NOT_RUN, "b"), 54.0)
+    assert ledger.outstanding == 0
