--- a/cloverway/config/settings.py
+++ b/cloverway/config/settings.py
@@ -68,7 +68,7 @@
     idempotency_key_s: Seconds = 3600.0
     """Lifetime of an idempotency key by the clock of the host that issued it."""
     drain_s: Seconds = 30.0
-    """How long a leaving daemon waits for requests in progress."""
+    """How often a leaving daemon logs what it waits for; each request ends by its deadline."""
 
 
 class Timing(NamedTuple):
