End a daemon that can't start, in place of leaving it half started

Red first: with the callers' address taken, the process said that it can't start and stayed for ten minutes, until it was killed; SIGTERM found no one who waited for it. The threads of the admin listener, which had started, kept it there. A failed start now ends what had started: the three cases of the test end within 1.4 s each, where the callers' one did not end in 20 s.

--- a/cloverway/daemon.py
+++ b/cloverway/daemon.py
@@ -8,6 +8,7 @@
 import threading
 import time
 from collections.abc import Callable
+from contextlib import ExitStack
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -76,15 +77,24 @@
         return cls(Settings.from_toml(path))
 
     def start(self) -> None:
-        """Start every task; raises OSError when an address can't be bound."""
-        self.metrics.start()
-        self.dispatcher.start()
-        self.keys.start()
-        self.claims.start()
-        self.peer_server.start()
-        self.control.start()
-        self.admin.start()
-        self.callers.start()
+        """Start every task, or none; raises OSError when an address can't be bound."""
+        parts = (
+            self.metrics,
+            self.dispatcher,
+            self.keys,
+            self.claims,
+            self.peer_server,
+            self.control,
+            self.admin,
+            self.callers,
+        )
+        # Threads of a part that had started would keep the process there, doing nothing: whatever
+        # watches over it would take it for alive and start no other.
+        with ExitStack() as undo:
+            for part in parts:
+                part.start()
+                undo.callback(part.stop)
+            undo.pop_all()
         log.info("started", extra={"version": __version__, "callers": self.callers.address})
 
     def begin_leaving(self) -> None:
--- /dev/null
+++ b/cloverway/tests/test_daemon.py
@@ -0,0 +1,38 @@
+from __future__ import annotations
+
+import socket
+from pathlib import Path
+
+import pytest
+
+from cloverway.tests.standins.processes import Ports, Process
+from cloverway.tests.standins.topology import PEER_SECRET, HostPlace, make_settings, to_toml
+
+LISTENERS = ("callers", "admin", "peers")
+
+
+@pytest.mark.parametrize("taken", LISTENERS)
+def test_an_address_that_is_taken_ends_the_daemon(tmp_path: Path, taken: str) -> None:
+    """Another process has one of the addresses, as a predecessor that is still leaving does.
+
+    The daemon can't start. If it stayed, half started, nobody would start it again: to what watches
+    over processes it would look alive, and SIGTERM would find no one who waits for it.
+    """
+    ports = Ports()
+    place = HostPlace(*(f"127.0.0.1:{ports.take()}" for _ in range(3)), published_peers="")
+    host, _, port = getattr(place, taken).rpartition(":")
+    secret = tmp_path / "secret"
+    secret.write_bytes(PEER_SECRET)
+    platform = {"kind": "file", "directory": str(tmp_path)}
+    settings = tmp_path / "settings.toml"
+    settings.write_text(to_toml(make_settings("pl-a-host-1", place, platform, str(secret), {})))
+    daemon = Process("daemon", "cloverway.daemon", ["--settings", str(settings)], tmp_path)
+    try:
+        with socket.create_server((host, int(port))):
+            daemon.start()
+            assert daemon.wait(20.0) == 1
+        assert "cloverwayd: " in daemon.tail() and "in use" in daemon.tail()
+        assert "Traceback" not in daemon.tail()
+    finally:
+        daemon.stop()
+        ports.close()
