End the wait for an answer when its caller leaves, and probe connections

The worker of a whole answer sleeps in a read and sees neither its caller leave nor a connection that something in between has forgotten. `EndpointClient.give_up(request_id)` wakes it by shutting the socket down; only idempotent requests end so, a filing goes on for its recorded answer.

A second thread that watches each caller was ruled out: the server has one already, whose call-back names the request. The tests of streams are parted by what they test.

--- a/cloverway/connections.py
+++ b/cloverway/connections.py
@@ -23,6 +23,19 @@
 """Most idle connections to one endpoint."""
 SHORTEST_WAIT_S = 0.001
 
+KEEPALIVE_OPTIONS: list[tuple[int, int, int | bytes]] = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 3),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 6_000),
+]
+"""A connection that something between the two ends has forgotten fails after about 6 seconds.
+
+Without them, the wait for a long answer on such a connection lasts until the deadline.
+"""
+
 CALL_FAULTS = (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError)
 """What an exchange over a connection may raise."""
 
@@ -107,7 +120,7 @@
     def from_address(cls, address: tuple[str, int], connect_timeout_s: float) -> Connection:
         """Make a connection that is not open yet."""
         host, port = address
-        return cls(host, port, timeout=connect_timeout_s)
+        return cls(host, port, timeout=connect_timeout_s, socket_options=KEEPALIVE_OPTIONS)
 
     @property
     def timed(self) -> TimedSocket:
--- a/cloverway/copiers.py
+++ b/cloverway/copiers.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable, Iterator
 from concurrent.futures import CancelledError
+from contextlib import suppress
 from typing import Protocol
 
 from cloverway.connections import TimedSocket
@@ -60,8 +61,15 @@
         return iter(self._read_piece, None)
 
     def hand_over(self, caller: socket.socket) -> None:
-        """Copy the rest to the caller in chunked framing, without the last chunk."""
+        """Copy the rest to the caller in chunked framing, without the last chunk.
+
+        A caller that vanished without a sign leaves the kernel to send in vain for a quarter of
+        an hour; the option ends that, so that the engine does not work for nobody.
+        """
         timeout = caller.gettimeout()
+        with suppress(OSError):  # It has failed already, which the copying will find.
+            milliseconds = int(CALLER_STALL_S * 1000)
+            caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
         try:
             self._copier.copy(self, caller)
         finally:
--- a/cloverway/endpoints.py
+++ b/cloverway/endpoints.py
@@ -10,6 +10,7 @@
 import logging
 import time
 from collections.abc import Callable
+from contextlib import nullcontext
 from typing import NamedTuple
 
 from cloverway.cancels import Canceller
@@ -29,6 +30,7 @@
 from cloverway.messages import Request
 from cloverway.meters import StreamStats
 from cloverway.relay import Relay
+from cloverway.waits import Wait, Waits
 
 log = logging.getLogger(__name__)
 
@@ -84,6 +86,7 @@
         self._observe = observe
         self._pool = ConnectionPool()
         self._canceller = Canceller.start()
+        self._waits = Waits()
 
     @classmethod
     def from_settings(cls, limits: Limits, observe: Observer | None = None) -> EndpointClient:
@@ -111,19 +114,38 @@
         `check` is called just before the first byte is sent and raises when it may not be.
         """
         call = Call(parse_address(url), request, idempotent, gap_s, priority, check)
-        pooled = self._pool.take(call.address, time.monotonic()) if idempotent else None
+        with self._waits.watch(request.id) if idempotent else nullcontext(Wait()) as wait:
+            try:
+                return self._send(call, wait)
+            except RequestError as error:
+                if not wait.given_up:
+                    raise
+                self._cancel(call)
+                raise RequestError(Kind.CALLER_LEFT, ran=error.ran) from error
+
+    def give_up(self, request_id: str) -> None:
+        """End the wait for the answer to an idempotent request, because its caller left.
+
+        Any other request goes on to its end: a repeat may ask for its recorded answer. A stream
+        that has begun is not concerned; it notices by itself that its caller left.
+        """
+        if self._waits.give_up(request_id):
+            log.info("a request was given up", extra={"request_id": request_id})
+
+    def _send(self, call: Call, wait: Wait) -> Reply:
+        pooled = self._pool.take(call.address, time.monotonic()) if call.idempotent else None
         if pooled is None:
-            return self._exchange(call, self._connect(call), reused=False)
+            return self._exchange(call, wait, self._connect(call), reused=False)
         try:
-            return self._exchange(call, pooled, reused=True)
+            return self._exchange(call, wait, pooled, reused=True)
         except _StaleConnectionError as error:
-            log.info("a re-used connection failed", extra={"request_id": request.id})
-            return self._send_again(call, error.started)
+            log.info("a re-used connection failed", extra={"request_id": call.request.id})
+            return self._send_again(call, wait, error.started)
 
-    def _send_again(self, call: Call, started: bool) -> Reply:
+    def _send_again(self, call: Call, wait: Wait, started: bool) -> Reply:
         """Try a new connection; where the first try may have run, never say "not run"."""
         try:
-            return self._exchange(call, self._connect(call), reused=False)
+            return self._exchange(call, wait, self._connect(call), reused=False)
         except RequestError as error:
             if not started or error.ran is not Ran.NO:
                 raise
@@ -149,13 +171,18 @@
             ) from error
         return connection
 
-    def _exchange(self, call: Call, connection: Connection, *, reused: bool) -> Reply:
+    def _exchange(self, call: Call, wait: Wait, connection: Connection, *, reused: bool) -> Reply:
         """Run one exchange; the connection is pooled or closed unless a stream goes on."""
         timed = connection.timed
         try:
+            wait.connection = connection
+            if wait.given_up:
+                raise RequestError(Kind.CALLER_LEFT, ran=Ran.NO)
             self._send_request(call, connection, reused)
             head = _read_final_head(connection)
-            return self._read_reply(call, connection, head)
+            if wait.given_up:
+                raise RequestError(Kind.CALLER_LEFT)
+            return self._read_reply(call, wait, connection, head)
         except (*CALL_FAULTS, ValueError) as error:
             connection.close()
             failure = _explain(call.request, timed, error)
@@ -178,7 +205,7 @@
             call.request.method, call.request.path, body=call.request.body or None, headers=headers
         )
 
-    def _read_reply(self, call: Call, connection: Connection, head: Head) -> Reply:
+    def _read_reply(self, call: Call, wait: Wait, connection: Connection, head: Head) -> Reply:
         _raise_refusal(head)
         content_type = head.headers.get("Content-Type", "application/octet-stream")
         headers = _keep_end_to_end(head)
@@ -188,6 +215,7 @@
             return Reply(head.status, content_type, stream=stream, headers=headers)
         connection.timed.silence_s = float("inf")
         whole = self._read_whole(connection, head, body)
+        self._waits.release(wait)
         self._keep_or_close(call.address, connection, head.reusable and not body.rest)
         return Reply(head.status, content_type, whole, headers=headers)
 
--- /dev/null
+++ b/cloverway/tests/copying.py
@@ -0,0 +1,100 @@
+"""Streams copied from a raw endpoint to callers, by either way of copying."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import suppress
+
+from cloverway.config.settings import Limits
+from cloverway.copiers import Copier, EndpointStream
+from cloverway.endpoints import EndpointClient
+from cloverway.messages import Request
+from cloverway.meters import StreamStats
+from cloverway.tests.raw_endpoint import (
+    PATIENCE_S,
+    Conversation,
+    make_request,
+)
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+EVENTS = (b"data: a\n\n", b"data: b\n\n", b"data: c\n\n", b"data: [DONE]\n\n")
+END = b"0\r\n\r\n"
+
+
+class Bench:
+    """A client whose streams are copied to callers, each in a thread of its own."""
+
+    def __init__(self, copier: Copier) -> None:
+        self.stats: list[tuple[Request, StreamStats]] = []
+        self.client = EndpointClient(Limits(), copier, lambda *seen: self.stats.append(seen))
+        self.workers = ThreadPoolExecutor(16)
+        self.sockets: list[socket.socket] = []
+
+    def open(self, url: str, request: Request | None = None, gap_s: float = 5.0) -> EndpointStream:
+        stream = self.client.send(
+            url,
+            request or make_request(),
+            idempotent=True,
+            gap_s=gap_s,
+            priority=1,
+            check=lambda: None,
+        ).stream
+        assert stream is not None
+        return stream
+
+    def hand_over(self, stream: EndpointStream) -> tuple[socket.socket, Future[None]]:
+        """Give the caller's end of the connection, and the future of the copying."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            caller = socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            caller.connect(listener.getsockname())
+            served, _ = listener.accept()
+        caller.settimeout(PATIENCE_S)
+        served.settimeout(7.0)
+        self.sockets += [caller, served]
+        return caller, self.workers.submit(self._copy, stream, served)
+
+    def copy(self, stream: EndpointStream) -> bytes:
+        """Copy a stream to a caller that reads all, and give what it read."""
+        caller, ended = self.hand_over(stream)
+        data = b"".join(iter(lambda: caller.recv(65536), b""))
+        ended.result(PATIENCE_S)
+        return data
+
+    def _copy(self, stream: EndpointStream, served: socket.socket) -> None:
+        try:
+            stream.hand_over(served)
+            assert served.gettimeout() == 7.0
+        finally:
+            with suppress(OSError):
+                served.shutdown(socket.SHUT_WR)
+
+    def close(self) -> None:
+        self.client.close()
+        for sock in self.sockets:
+            sock.close()
+        self.workers.shutdown()
+
+
+def chunk(event: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(event), event)
+
+
+def play(*pieces: bytes, hold: bool = False) -> Callable[[Conversation], None]:
+    """Make a script: answer each request by these pieces; then hold the connection or end it."""
+
+    def script(conversation: Conversation) -> None:
+        while conversation.read_request():
+            for piece in (HEAD, *pieces):
+                conversation.send(piece)
+            if hold:
+                conversation.wait_for_close()
+            if hold or END not in pieces:
+                return
+
+    return script
+
+
+WHOLE = (*map(chunk, EVENTS), END)
--- a/cloverway/tests/raw_endpoint.py
+++ b/cloverway/tests/raw_endpoint.py
@@ -13,15 +13,6 @@
 PATIENCE_S = 10.0
 
 
-def wait_until(condition: Callable[[], bool], what: str = "condition") -> None:
-    """Wait, within a bound, until a condition holds."""
-    tick = threading.Event()
-    until = time.monotonic() + PATIENCE_S
-    while not condition():
-        assert time.monotonic() < until, f"{what} did not come about"
-        tick.wait(0.002)
-
-
 def make_request(deadline_s: float = PATIENCE_S, **fields: object) -> Request:
     now = time.monotonic()
     values = {
--- /dev/null
+++ b/cloverway/tests/test_copiers.py
@@ -0,0 +1,200 @@
+from __future__ import annotations
+
+import threading
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from cloverway.copiers import EndpointStream, RelayCopier, WorkerCopier
+from cloverway.errors import Kind, RequestError
+from cloverway.framing import ChunkedBody
+from cloverway.relay import Relay
+from cloverway.tests.copying import END, EVENTS, HEAD, WHOLE, Bench, chunk, play
+from cloverway.tests.raw_endpoint import (
+    PATIENCE_S,
+    Conversation,
+    RawEndpoint,
+    make_request,
+)
+from cloverway.tests.standins.batching import Timing
+from cloverway.tests.standins.engine import Engine
+from cloverway.tests.standins.waiting import wait_until
+
+
+@pytest.fixture(params=[WorkerCopier, lambda: RelayCopier(Relay.start())], ids=["worker", "relay"])
+def bench(request: pytest.FixtureRequest) -> Iterator[Bench]:
+    bench = Bench(request.param())
+    yield bench
+    bench.close()
+
+
+def test_whole_stream_and_its_connection_is_used_again(bench: Bench) -> None:
+    with RawEndpoint(play(*WHOLE)) as endpoint:
+        for _ in range(2):
+            body = ChunkedBody()
+            assert body.feed(bench.copy(bench.open(endpoint.url))) == b"".join(EVENTS)
+            assert not body.ended, "the last chunk is the caller's server to write"
+        assert len(endpoint.conversations) == 1
+        assert endpoint.cancels == []
+    assert [stats.tokens for _, stats in bench.stats] == [3, 3]
+
+
+def test_first_piece_is_read_before_the_rest_is_handed_over(bench: Bench) -> None:
+    """The caller gets every event once, though the worker read the first ones itself.
+
+    A generator around the stream reads a piece and is dropped, which closes what it reads from;
+    only then are the sockets handed over.
+    """
+
+    def read_around(stream: EndpointStream) -> Iterator[bytes]:
+        yield from stream
+
+    first_read = threading.Event()
+
+    def wait_between(conversation: Conversation) -> None:
+        conversation.read_request()
+        conversation.send(HEAD + WHOLE[0])
+        assert first_read.wait(PATIENCE_S)
+        conversation.send(b"".join(WHOLE[1:]))
+
+    with RawEndpoint(wait_between) as endpoint:
+        stream = bench.open(endpoint.url)
+        assert next(iter(read_around(stream))) == EVENTS[0]
+        first_read.set()
+        assert ChunkedBody().feed(bench.copy(stream)) == b"".join(EVENTS[1:])
+
+
+def test_everything_arrives_with_the_head(bench: Bench) -> None:
+    with RawEndpoint(lambda c: c.read_request() and c.send(HEAD + b"".join(WHOLE))) as endpoint:
+        assert ChunkedBody().feed(bench.copy(bench.open(endpoint.url))) == b"".join(EVENTS)
+
+
+def test_stream_cut_at_every_byte(bench: Bench) -> None:
+    """The caller never takes a part of a stream for the whole, wherever it is cut.
+
+    The endpoint closes after each possible number of bytes: between frames, within one, after
+    `[DONE]` but before the last chunk. The worker is told, and neither `[DONE]` nor the last
+    chunk was copied.
+    """
+    wire = b"".join(WHOLE)
+    scripts = [play(wire[:place]) for place in range(len(wire))]
+    with RawEndpoint(*scripts) as endpoint:
+        for place in range(len(wire)):
+            caller, ended = bench.hand_over(bench.open(endpoint.url))
+            copied = b"".join(iter(lambda: caller.recv(4096), b""))  # noqa: B023
+            error = ended.exception(PATIENCE_S)
+            assert isinstance(error, RequestError), place
+            assert error.kind is Kind.TRUNCATED
+            assert b"[DONE]" not in copied
+            body = ChunkedBody()
+            assert b"".join(EVENTS).startswith(body.feed(copied))
+            assert not body.ended
+
+
+def test_malformed_stream(bench: Bench) -> None:
+    with RawEndpoint(play(chunk(EVENTS[0]), b"oops\r\n", hold=True)) as endpoint:
+        _, ended = bench.hand_over(bench.open(endpoint.url))
+        assert ended.exception(PATIENCE_S).kind is Kind.ENDPOINT_FAILED
+        wait_until(lambda: endpoint.ended == 1, what="close")
+
+
+def test_silent_endpoint(bench: Bench) -> None:
+    """The caller's stream ends, cut, once the endpoint was silent for the gap limit.
+
+    One event comes and then nothing, with the connection open: something between the two ends
+    has lost track of it. The engine is told on a new connection, and its old one is closed.
+    """
+    with RawEndpoint(play(chunk(EVENTS[0]), hold=True)) as endpoint:
+        caller, ended = bench.hand_over(bench.open(endpoint.url, gap_s=0.15))
+        assert caller.recv(4096) == chunk(EVENTS[0])
+        assert ended.exception(PATIENCE_S).kind is Kind.TIMED_OUT
+        wait_until(lambda: endpoint.ended == 1, what="close")
+        wait_until(lambda: len(endpoint.cancels) == 1, what="cancel")
+        assert b'"r1"' in endpoint.cancels[0]
+
+
+def test_endless_stream_keeps_to_the_deadline(bench: Bench) -> None:
+    def drip(conversation: Conversation) -> None:
+        conversation.read_request()
+        conversation.send(HEAD)
+        conversation.sock.settimeout(0.01)
+        while not conversation.wait_for_close():
+            conversation.send(chunk(EVENTS[0]))
+
+    with RawEndpoint(drip) as endpoint:
+        _, ended = bench.hand_over(bench.open(endpoint.url, make_request(0.3)))
+        assert ended.exception(PATIENCE_S).kind is Kind.TIMED_OUT
+        wait_until(lambda: endpoint.ended == 1, what="close")
+
+
+def test_caller_leaves_while_tokens_come(bench: Bench) -> None:
+    def go_on(conversation: Conversation) -> None:
+        conversation.read_request()
+        conversation.send(HEAD)
+        conversation.sock.settimeout(0.005)
+        while not conversation.wait_for_close():
+            conversation.send(chunk(EVENTS[0]))
+
+    with RawEndpoint(go_on) as endpoint:
+        caller, ended = bench.hand_over(bench.open(endpoint.url))
+        caller.recv(4096)
+        caller.close()
+        assert ended.exception(PATIENCE_S).kind is Kind.CALLER_LEFT
+        wait_until(lambda: len(endpoint.cancels) == 1, what="cancel")
+
+
+def test_next_request_of_the_caller_is_left_alone(bench: Bench) -> None:
+    with RawEndpoint(play(*WHOLE)) as endpoint:
+        stream = bench.open(endpoint.url)
+        caller, ended = bench.hand_over(stream)
+        caller.sendall(b"GET /v1/hosts HTTP/1.1\r\n")
+        ended.result(PATIENCE_S)
+        assert bench.sockets[-1].recv(4096) == b"GET /v1/hosts HTTP/1.1\r\n"
+
+
+def test_streams_at_once_are_never_mixed(bench: Bench) -> None:
+    def echo(conversation: Conversation) -> None:
+        while request := conversation.read_request():
+            event = b"data: %b\n\n" % request.partition(b"\r\n\r\n")[2]
+            conversation.send(HEAD + chunk(event))
+            for _ in range(50):
+                conversation.send(chunk(event))
+            conversation.send(chunk(EVENTS[-1]) + END)
+
+    def ask(number: int) -> bool:
+        body = b"%d" % number * 40
+        with RawEndpoint(echo) as endpoint:
+            answer = ChunkedBody().feed(
+                bench.copy(bench.open(endpoint.url, make_request(body=body)))
+            )
+        return answer == b"data: %b\n\n" % body * 51 + EVENTS[-1]
+
+    with ThreadPoolExecutor(8) as callers:
+        assert all(callers.map(ask, range(40)))
+
+
+def test_unused_stream_is_given_up(bench: Bench) -> None:
+    with RawEndpoint(play(chunk(EVENTS[0]), hold=True)) as endpoint:
+        stream = bench.open(endpoint.url)
+        stream.close()
+        stream.close()
+        wait_until(lambda: endpoint.ended == 1, what="close")
+        wait_until(lambda: len(endpoint.cancels) == 1, what="cancel")
+    assert len(bench.stats) == 1
+
+
+def test_engine_ends_the_run_of_a_caller_that_left(bench: Bench) -> None:
+    """The engine ends the run whose caller left, and does not keep it to be resumed.
+
+    The end of the connection only interrupts the run. The call that follows names it by the
+    request's id, which the engine was given with the request.
+    """
+    with Engine(timing=Timing(token_s=0.05)) as engine:
+        body = b'{"model": "clover-assist", "prompt": "x", "max_tokens": 500, "stream": true}'
+        request = make_request(path="/v1/completions", body=body)
+        caller, ended = bench.hand_over(bench.open(engine.url, request))
+        assert caller.recv(4096)
+        caller.close()
+        assert ended.exception(PATIENCE_S).kind is Kind.CALLER_LEFT
+        wait_until(lambda: engine.batch.runs["r1"].state == "cancelled", what="cancel")
--- a/cloverway/tests/test_endpoints.py
+++ b/cloverway/tests/test_endpoints.py
@@ -18,8 +18,9 @@
     Conversation,
     RawEndpoint,
     make_request,
-    wait_until,
 )
+from cloverway.tests.standins.waiting import wait_until
+from cloverway.waits import Waits
 
 
 @pytest.fixture
@@ -97,7 +98,7 @@
         assert reply.stream is not None
         assert b"".join(reply.stream) == b"data: 0\n\ndata: 1\n\ndata: 2\n\ndata: [DONE]\n\n"
         send(client, endpoint.url).stream.close()
-        wait_until(lambda: len(endpoint.cancels) == 1, "cancel")
+        wait_until(lambda: len(endpoint.cancels) == 1, what="cancel")
 
 
 def stream_three(conversation: Conversation) -> None:
@@ -177,7 +178,7 @@
     with RawEndpoint(answer_forever) as endpoint:
         with pytest.raises(RequestError) as failure:
             send(client, endpoint.url, idempotent=False, check=refuse)
-        wait_until(lambda: endpoint.ended == 1, "close")
+        wait_until(lambda: endpoint.ended == 1, what="close")
         assert endpoint.requests == []
     assert failure.value.ran is Ran.NO
 
@@ -271,7 +272,7 @@
         assert send(client, endpoint.url).body == b"first"
         assert sent.wait(PATIENCE_S)
         assert send(client, endpoint.url).body == b'{"n": 0}'
-        wait_until(lambda: closed == [True], "close without a second request")
+        wait_until(lambda: closed == [True], what="close without a second request")
 
 
 def test_an_abandoned_answer_is_read_by_no_one(client: EndpointClient) -> None:
@@ -291,7 +292,7 @@
             send(client, endpoint.url, make_request(0.1))
         assert (failure.value.kind, failure.value.ran) == (Kind.TIMED_OUT, Ran.UNKNOWN)
         assert send(client, endpoint.url).body == b'{"n": 0}'
-        wait_until(lambda: len(endpoint.cancels) == 1, "cancel")
+        wait_until(lambda: len(endpoint.cancels) == 1, what="cancel")
 
 
 @pytest.mark.parametrize("head", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n"])
@@ -409,3 +410,78 @@
 def test_a_path_that_is_no_path_is_not_sent(client: EndpointClient) -> None:
     failure = fail(client, answer_forever, request=make_request(path="/a b\r\nX: y"))
     assert (failure.kind, failure.ran) == (Kind.MALFORMED, Ran.NO)
+
+
+@pytest.mark.parametrize("head", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"])
+def test_caller_leaves_while_its_answer_is_waited_for(client: EndpointClient, head: bytes) -> None:
+    """The engine stops at once when the caller of a whole answer has left.
+
+    The worker sleeps in a read when the caller's connection ends. It is woken, closes its own
+    connection and asks for a cancel; no second try is made for nobody.
+    """
+
+    def never_end(conversation: Conversation) -> None:
+        conversation.read_request()
+        conversation.send(head)
+        conversation.wait_for_close()
+
+    with RawEndpoint(answer_once, never_end) as endpoint, ThreadPoolExecutor(1) as worker:
+        send(client, endpoint.url)
+        client._pool.close()
+        ended = worker.submit(send, client, endpoint.url)
+        wait_until(lambda: len(endpoint.requests) == 2, what="request")
+        client.give_up("another")
+        client.give_up("r1")
+        error = ended.exception(PATIENCE_S)
+        assert (error.kind, error.ran) == (Kind.CALLER_LEFT, Ran.UNKNOWN)
+        wait_until(lambda: len(endpoint.cancels) == 1, what="cancel")
+        assert len(endpoint.requests) == 2
+
+
+def test_caller_leaves_before_the_first_byte(client: EndpointClient) -> None:
+    with RawEndpoint(answer_forever) as endpoint:
+        with pytest.raises(RequestError) as failure:
+            send(client, endpoint.url, check=lambda: client.give_up("r1"))
+        assert failure.value.kind is Kind.CALLER_LEFT
+
+
+def test_filing_goes_on_when_its_caller_leaves(client: EndpointClient) -> None:
+    """A filing whose caller left runs to its end, and its answer can be recorded.
+
+    Were it given up half way, a repeat with its key would learn nothing of what was done.
+    """
+    asked, go = threading.Event(), threading.Event()
+
+    def answer_slowly(conversation: Conversation) -> None:
+        asked.set()
+        assert go.wait(PATIENCE_S)
+        conversation.answer(b"{}")
+
+    with RawEndpoint(answer_slowly) as endpoint, ThreadPoolExecutor(1) as worker:
+        ended = worker.submit(send, client, endpoint.url, idempotent=False)
+        assert asked.wait(PATIENCE_S)
+        client.give_up("r1")
+        go.set()
+        assert ended.result(PATIENCE_S).body == b"{}"
+
+
+def test_giving_up_never_hits_the_next_request_on_a_connection() -> None:
+    waits = Waits()
+    left, right = socket.socketpair()
+    with left, right, waits.watch("r1") as wait:
+        wait.connection = Connection.from_address(("127.0.0.1", 1), 1.0)
+        wait.connection.sock = left
+        waits.release(wait)
+        assert waits.give_up("r1")
+        right.send(b"x")
+        assert left.recv(1) == b"x"
+    assert not waits.give_up("r1")
+
+
+def test_connections_probe_the_other_end(client: EndpointClient) -> None:
+    with RawEndpoint(answer_forever) as endpoint:
+        send(client, endpoint.url)
+        (idle,) = client._pool._idle.values()
+        sock = idle[0].sock
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 6000
