Count a request in progress from its whole head until its answer is written

A host that leaves waits until nothing is in progress; a request that had come whole and waited for a thread was not counted, so a planned stop could close it. The same count bounds the line for a thread: with the line's length alone, a burst was turned away while threads were idle, seen once in a test run.

--- a/cloverway/application.py
+++ b/cloverway/application.py
@@ -5,7 +5,6 @@
 import json
 import logging
 import math
-import threading
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Any, NamedTuple
 
@@ -78,20 +77,6 @@
 Handler = Callable[[Call], Reply]
 
 
-class Progress:
-    """Count what is in progress."""
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self.value = 0
-
-    def add(self, amount: int) -> None:
-        """Change the count."""
-        with self._lock:
-            self.value += amount
-            assert self.value >= 0, "a request ended twice"
-
-
 class QuietLog:
     """Send what CherryPy reports to this package's log; requests are logged when they end."""
 
@@ -113,7 +98,6 @@
     """Answers each CherryPy request by a handler; every failure becomes a problem."""
 
     def __init__(self, host: str, handle: Handler, answer_bytes: int) -> None:
-        self.progress = Progress()
         self.closing = False
         """Whether each connection is closed after its answer."""
         self._host = host
@@ -150,8 +134,6 @@
     def _answer(self) -> Iterable[bytes]:
         """Handle the current CherryPy request."""
         call = _read_call()
-        self.progress.add(1)
-        _run_at_end(lambda: self.progress.add(-1))
         if self.closing:
             call.http.close_connection = True
         _set_headers((("X-Request-Id", call.id), ("Cloverway-Host", self._host)))
--- a/cloverway/caller_connection.py
+++ b/cloverway/caller_connection.py
@@ -227,6 +227,13 @@
             self.head_until = min(self.head_until, now + bounds.seconds)
         return Collected.LATE if now >= self.head_until else Collected.PART
 
+    def communicate(self) -> bool:
+        """Answer one request; tell whether the connection stays open."""
+        try:
+            return bool(super().communicate())
+        finally:
+            self.server.progress.add(-1)
+
     def close(self) -> None:
         """Close, after a caller that was refused midway had a chance to read why."""
         self.server.forget(self)
--- a/cloverway/callers.py
+++ b/cloverway/callers.py
@@ -155,8 +155,8 @@
         self._departures.stop()
 
     def in_progress(self) -> int:
-        """Count the requests whose answers are not written whole yet."""
-        return self._responder.progress.value
+        """Count requests, from a whole head until the answer is written; waiting ones as well."""
+        return self._listener.in_progress
 
     def list_hosts(self) -> HostList:
         """Give the hosts that a caller should use now."""
--- a/cloverway/listener.py
+++ b/cloverway/listener.py
@@ -70,6 +70,23 @@
         )
 
 
+class Progress:
+    """Counts requests from the moment their head is whole until they are answered.
+
+    Those that wait for a thread are counted: a host that leaves must not close them.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self.value = 0
+
+    def add(self, amount: int) -> None:
+        """Change the count."""
+        with self._lock:
+            self.value += amount
+            assert self.value >= 0, "a request ended twice"
+
+
 class Silent:
     """Parked connections on which no request ever came, oldest first.
 
@@ -140,12 +157,11 @@
             request_queue_size=BACKLOG,
             timeout=bounds.idle_s,  # type: ignore[arg-type]
             shutdown_timeout=STOP_S,  # type: ignore[arg-type]
-            accepted_queue_size=bounds.waiting,
-            accepted_queue_timeout=0,
         )
         self.bounds = bounds
         self.head_bounds = HeadBounds(bounds.header_bytes, bounds.head_timeout_s)
         self.on_early = on_early
+        self.progress = Progress()
         self._silent = Silent()
         self.gateway = ConnectionGateway
         self.max_request_header_size = bounds.header_bytes
@@ -160,7 +176,8 @@
         """
         self._silent.discard(conn)
         match conn.collect_head(self.head_bounds, time.monotonic()):
-            case Collected.WHOLE if self.requests.qsize < self.bounds.waiting:
+            case Collected.WHOLE if self.progress.value < self.bounds.threads + self.bounds.waiting:
+                self.progress.add(1)
                 super().process_conn(conn)
             case Collected.WHOLE:
                 self._turn_away(conn, Kind.OVERLOADED, "every thread is busy")
@@ -206,6 +223,11 @@
         host, port = self._server.bind_addr[:2]
         return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
 
+    @property
+    def in_progress(self) -> int:
+        """Requests whose head is whole and that are not answered yet."""
+        return self._server.progress.value
+
     def start(self) -> None:
         """Bind and start all threads; raises OSError when the address can't be bound."""
         self._server.prepare()
--- a/cloverway/tests/test_listener.py
+++ b/cloverway/tests/test_listener.py
@@ -345,9 +345,9 @@
         request = (HEAD + f"Content-Length: {len(CHAT_BODY)}\r\n\r\n").encode() + CHAT_BODY
         with contextlib.ExitStack() as stack:
             callers = [stack.enter_context(bench.connect()) for _ in range(12)]
-            for number, sock in enumerate(callers[:8]):
+            for sock in callers[:8]:
                 sock.sendall(request)
-                assert wait_until(lambda n=number: len(bench.gateway.requests) == min(n + 1, 4))
+            assert wait_until(lambda: bench.server.in_progress() == 8)
             for sock in callers[8:]:
                 sock.sendall(request)
                 problem = read_problem(sock)
