Make room for a host that connects instead of refusing it

With all connections taken, the newest was refused and an idle one dropped only for the next. The refused host took this one for dead for a second, and told its caller that a key's outcome is unknown. The connection that was idle longest now goes at once; only when every one is at work is the new one refused. The test of the bound asserted the refusal; it now asserts that the new connection is served, that just one is dropped and that the bound holds (red before), and a second one that a connection at work is never dropped.

--- a/cloverway/peer_server.py
+++ b/cloverway/peer_server.py
@@ -118,25 +118,31 @@
     def _admit(self, raw: socket.socket) -> None:
         connection = _Connection(raw)
         with self._lock:
+            dropped = self._choose_dropped()
+            if dropped is not None:
+                self._connections.discard(dropped)
             full = len(self._connections) >= self._bounds.connections
             if not full:
                 self._connections.add(connection)
+        if dropped is not None:
+            dropped.shut()
         if full:
-            self._drop_longest_idle()
+            log.warning("too many peers are served at one time")
             raw.close()
             return
         threading.Thread(target=self._serve, args=(connection,), name="peer", daemon=True).start()
 
-    def _drop_longest_idle(self) -> None:
-        """Make room for the next host that connects; this one tries again on a new connection."""
-        with self._lock:
-            idle = [
-                (each.idle_since, id(each), each)
-                for each in self._connections
-                if each.idle_since is not None
-            ]
-        if idle:
-            min(idle)[2].shut()
+    def _choose_dropped(self) -> _Connection | None:
+        """Choose the connection that makes room for a new one: the one idle for longest.
+
+        Were the new one refused instead, its host would take this one for dead for a while, and
+        tell its caller that the outcome is unknown.
+        """
+        if len(self._connections) < self._bounds.connections:
+            return None
+        idle = {each: each.idle_since for each in self._connections}
+        since = {each: at for each, at in idle.items() if at is not None}
+        return min(since, key=since.__getitem__, default=None)
 
     def _ping_all(self) -> None:
         while not self._stopping.wait(self._bounds.ping_s):
--- a/cloverway/tests/test_peer_failures.py
+++ b/cloverway/tests/test_peer_failures.py
@@ -329,21 +329,44 @@
 
 
 def test_too_many_connections(handler):
-    """More hosts connect than there are threads; the one that was idle longest makes room."""
+    """More hosts connect than there are threads; the one that was idle longest makes room.
+
+    A host that is refused would take this one for dead and tell its caller "unknown".
+    """
     server = start_server(handler, bounds=BOUNDS._replace(connections=2))
     first, second = connect(server), connect(server)
-    wait_until(lambda: server.connections == 2)
-    with pytest.raises(PeerError):
-        connect(server)
-    wait_until(lambda: server.connections == 1)
+    for each in (first, second):
+        each.send_message(CLAIM, soon())
+        assert each.receive_message(soon()) == Grant(10.0)
     third = connect(server)
     third.send_message(CLAIM, soon())
     assert third.receive_message(soon()) == Grant(10.0)
+    wait_until(lambda: first.broken or second.broken)
+    assert not (first.broken and second.broken)
+    assert server.connections == 2
     for each in (first, second, third):
         each.close()
     server.stop()
 
 
+def test_busy_connections_are_not_dropped(handler, client):
+    """All threads run passed-on requests when one more host connects; none of them is cut."""
+    server = start_server(handler, bounds=BOUNDS._replace(connections=1))
+    handler.gate = threading.Event()
+    replies = []
+    thread = threading.Thread(
+        target=lambda: replies.append(client.run("h2", server.address, make_request()))
+    )
+    thread.start()
+    wait_until(lambda: handler.requests)
+    with pytest.raises(PeerError):
+        connect(server)
+    handler.gate.set()
+    thread.join(PATIENCE_S)
+    assert replies == [handler.reply]
+    server.stop()
+
+
 def test_stop_lets_a_request_end(handler, client):
     """A host is stopped while it runs a passed-on request; the answer still arrives whole."""
     server = start_server(handler)
