Let a starting host forget a peer that died with a revision of its own

The gate waited for the highest revision it had ever heard of. A peer that told of one and died before it handed it on kept a starting host from its callers for good. Seen red in the test of the gate.

--- a/cloverway/configuration.py
+++ b/cloverway/configuration.py
@@ -43,6 +43,9 @@
 CONTACT_S = 10.0
 """A platform that was out of reach for so long may have been restored from older data."""
 
+SILENT_S = 4.0
+"""A peer that was not heard for so long is not waited for at the start."""
+
 READERS = 2
 """Hosts of a failure domain that read the platform: one may be dead without a gap."""
 
@@ -229,6 +232,8 @@
     def __init__(self, started_at: float, wait_s: float = 3.0) -> None:
         self._until = started_at + wait_s
         self._peers: dict[str, int] = {}
+        self._heard_at: dict[str, float] = {}
+        self._heard_since: set[str] = set()
         self._platform: int | None = None
 
     def hear_platform(self, revision: int) -> None:
@@ -238,13 +243,11 @@
     def hear_peer(self, host: str, revision: int) -> None:
         """Note the revision that a peer has in force; 0 for one that is starting itself."""
         self._peers[host] = max(revision, self._peers.get(host, 0))
-
-    def lose_peer(self, host: str) -> None:
-        """Forget a peer that is no longer heard: what it alone had can't be waited for."""
-        self._peers.pop(host, None)
+        self._heard_since.add(host)
 
     def decide(self, in_force: int, expected: Iterable[str], now: float) -> Readiness:
         """Decide for the revision in force here and the peers that ought to answer."""
+        self._forget_silent(now)
         if in_force < 1:
             return Readiness(False, "no configuration was accepted yet")
         highest = max(self._peers.values(), default=0)
@@ -257,6 +260,17 @@
             return Readiness(False, "the platform and peers are being asked")
         return Readiness(True, "not all were heard within the bound")
 
+    def _forget_silent(self, now: float) -> None:
+        """Forget peers that are no longer heard.
+
+        A peer can die with a revision that it alone had told of. Waiting for it would keep this
+        host from its callers for good; the platform has the revision, or nobody has.
+        """
+        self._heard_at |= {host: now for host in self._heard_since}
+        self._heard_since.clear()
+        for host in [host for host, at in self._heard_at.items() if now - at > SILENT_S]:
+            del self._heard_at[host], self._peers[host]
+
 
 def choose_readers(
     hosts: Iterable[str], domain: str, key: str = "configuration", count: int = READERS
