--- a/cloverway/client.py
+++ b/cloverway/client.py
@@ -38,8 +38,6 @@
 """Probes that end a connection gone silent for good within 35 s, however long an answer takes."""
 MOVE_ON = (Kind.LEAVING, Kind.STARTING)
 """Kinds that concern one host only: another one is asked at once."""
-UNREACHABLE = (Kind.NO_CAPACITY, Kind.TIMED_OUT)
-"""Kinds that concern one host only where no host said when to come back."""
 WAIT = (Kind.OVERLOADED, Kind.TEAM_LIMIT, Kind.NO_CAPACITY, Kind.ENDPOINT_REFUSED)
 """Kinds that pass: a new attempt makes sense after Retry-After."""
 
@@ -208,6 +206,7 @@
                 retry_after=error.retry_after,
                 request_id=error.request_id,
                 host=address,
+                reached=error.reached,
             ) from error
 
 
@@ -227,8 +226,7 @@
     """
     if error.ran is not Ran.NO:
         return None
-    unreachable = error.kind in UNREACHABLE and error.retry_after is None
-    if error.kind in MOVE_ON or unreachable:
+    if error.kind in MOVE_ON or not error.reached:
         if others:
             return 0.0
     elif error.kind not in WAIT:
@@ -286,7 +284,12 @@
     except (NewConnectionError, ConnectTimeoutError) as error:
         connection.close()
         raise CallError(
-            Kind.NO_CAPACITY, "the host can't be reached", ran=Ran.NO, key=call.key, host=host
+            Kind.NO_CAPACITY,
+            "the host can't be reached",
+            ran=Ran.NO,
+            key=call.key,
+            host=host,
+            reached=False,
         ) from error
     except (HTTPError, OSError) as error:
         connection.close()
@@ -295,4 +298,5 @@
             f"the host gave no answer ({type(error).__name__})",
             key=call.key,
             host=host,
+            reached=False,
         ) from error
--- a/cloverway/commands/call.py
+++ b/cloverway/commands/call.py
@@ -28,6 +28,9 @@
     Kind.RESIDENCY: "Ask operators for a profile or an endpoint in the team's home region.",
     Kind.KEY_REQUIRED: "Give --once.",
     Kind.KEY_MISMATCH: "Repeat exactly the call that the key was used with.",
+    Kind.ANSWER_GONE: "Don't repeat it; look at its result where it was run.",
+    Kind.KEY_EXPIRED: "If it was sent with this key before, find out whether it was run.",
+    Kind.KEY_SPENT: "It will never be run with this key: find out whether it was, then decide.",
     Kind.KEY_INVALID: "Leave --idempotency-key out and give --once.",
 }
 """What helps with a refusal that waiting does not mend."""
@@ -124,12 +127,14 @@
 def _advise_repeat(error: CallError) -> str:
     """Say what to do now."""
     when = f" in {error.retry_after:.1f} s" if error.retry_after is not None else ""
+    if error.kind in ADVICE:
+        return ADVICE[error.kind]
     if error.key and error.ran is not Ran.NO:
         return (
             f"Repeat it{when} with --idempotency-key {error.key}: it does not run a second time, "
             "and the answer of the first run is given if it is held."
         )
-    return f"Send it again{when}." if when else ADVICE.get(error.kind, "")
+    return f"Send it again{when}." if when else ""
 
 
 def _read_data(choice: Choice) -> Any:
--- a/cloverway/errors.py
+++ b/cloverway/errors.py
@@ -189,6 +189,7 @@
         key: str = "",
         request_id: str = "",
         host: str = "",
+        reached: bool = True,
     ) -> None:
         super().__init__(kind, detail, ran=ran, retry_after=retry_after)
         self.key = key
@@ -196,3 +197,5 @@
         self.request_id = request_id
         self.host = host
         """The address of the entry host that was asked last."""
+        self.reached = reached
+        """Whether that host answered; if not, another one may."""
--- a/cloverway/tests/test_client.py
+++ b/cloverway/tests/test_client.py
@@ -198,11 +198,26 @@
     name_hosts(host, other)
     other.answer_json(KEYS, {"keys": ["K2"], "lifetime_s": 60})
     other.answer(CHAT, stream_of("there"))
-    answer = make_client(host).call(chat(), once=True)
+    waits: list[float] = []
+    answer = make_client(host, waits=waits).call(chat(), once=True)
     assert answer.key == "K2"
+    assert waits == []
     assert CHAT not in host.paths()
 
 
+def test_host_that_is_gone_is_left_for_the_next_at_once(host: FakeHost) -> None:
+    """The list still names a host that has died: nothing was sent, so the next one is asked."""
+    with FakeHost() as gone:
+        pass
+    host._answers["/v1/hosts"] = []
+    addresses = [{"address": gone.address}, {"address": host.address}]
+    host.answer_json("/v1/hosts", {"hosts": addresses, "lifetime_s": 5})
+    host.answer(CHAT, stream_of("here"))
+    waits: list[float] = []
+    assert list(make_client(host, waits=waits).call(chat()).read_text()) == ["here"]
+    assert waits == []
+
+
 def test_host_list_is_asked_of_the_next_address(other: FakeHost) -> None:
     with FakeHost() as gone:
         pass
