Add a soak: callers, faults and a history that is checked at the end

Eight callers in all regions send lookups, chats and allocations, with repeats at other hosts, while hosts are killed, paused, replaced and cut off, endpoints break or leave and the platform goes away. In the end each answer is held against what the endpoints counted: nothing ran twice, nothing ran that was called not run, no part was given as whole, no bound data left its region.

Cutting single pairs of hosts took the links half a minute on a busy machine, since each connection's owner has to be found; the soak cuts a region's hosts off from every peer in place of that.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test check matrix venv
+.PHONY: demo test check matrix soak venv
 
 venv: $(VENV)/.installed
 
@@ -25,3 +25,9 @@
 
 matrix: venv
 	$(BIN)/python -m cloverway.tests.matrix
+
+SECONDS ?= 60
+SEED ?= 1
+
+soak: venv
+	$(BIN)/python -m cloverway.tests.soak $(SECONDS) $(SEED)
--- /dev/null
+++ b/cloverway/tests/soak.py
@@ -0,0 +1,255 @@
+"""A long random run over real processes: python -m cloverway.tests.soak SECONDS SEED.
+
+Callers in all regions send lookups, chats and allocations, with repeats at other hosts, while
+faults come and go. In the end the history of all calls is held against what the endpoints counted.
+"""
+
+from __future__ import annotations
+
+import sys
+import threading
+import time
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+from random import Random
+from typing import NamedTuple
+
+from cloverway.tests.standins.clients import Caller, Result
+from cloverway.tests.standins.fleet import Fleet
+from cloverway.tests.standins.links import TO_CALLER, TO_TARGET, Link
+from cloverway.tests.standins.topology import Topology, domain_of, region_of
+
+CALLERS = 8
+WEIGHTS = (5, 2, 3)
+WARM_S = 1.0
+FAULT_S = (0.3, 2.5)
+CALM_S = (0.1, 0.8)
+SETTLE_S = 12.0
+TEAMS = ("open", "bound-pl", "bound-cu", "bound-ro")
+
+
+class Entry(NamedTuple):
+    """One attempt of one piece of work, and what its caller saw."""
+
+    work: str
+    kind: str
+    team: str
+    host: str
+    result: Result
+
+
+class Soak:
+    """One run: its fleet, its callers' histories and its faults."""
+
+    def __init__(self, fleet: Fleet, seed: int) -> None:
+        self.fleet = fleet
+        self.seed = seed
+        self.histories: list[list[Entry]] = []
+        self.faults: Counter[str] = Counter()
+        self.ending = threading.Event()
+        self.calm = threading.Event()
+
+    def run(self, seconds: float) -> list[str]:
+        """Run for some seconds and give what was violated."""
+        threads = [self._start_caller(number) for number in range(CALLERS)]
+        self.calm.wait(WARM_S)
+        self._make_faults(time.monotonic() + seconds, Random(self.seed))
+        self.ending.set()
+        for thread in threads:
+            thread.join(60.0)
+        assert not any(thread.is_alive() for thread in threads), "a caller was never answered"
+        return list(self._find_violations())
+
+    def _start_caller(self, number: int) -> threading.Thread:
+        history: list[Entry] = []
+        self.histories.append(history)
+        random = Random(f"{self.seed}/{number}")
+        thread = threading.Thread(target=self._call, args=(number, history, random), daemon=True)
+        thread.start()
+        return thread
+
+    def _call(self, number: int, history: list[Entry], random: Random) -> None:
+        hosts = list(self.fleet.hosts)
+        callers = {
+            (host, team): Caller(self.fleet.url(host), team) for host in hosts for team in TEAMS
+        }
+        operations = (self._look_up, self._chat, self._allocate)
+        turn = 0
+        while not self.ending.is_set():
+            turn += 1
+            work, team = f"w-{number}-{turn}", random.choice(TEAMS)
+            operation = random.choices(operations, WEIGHTS)[0]
+            order = random.sample(hosts, len(hosts))
+            history += operation(work, team, order, callers, random)
+
+    def _look_up(self, work, team, order, callers, random) -> Iterator[Entry]:
+        result = callers[order[0], team].serve(work, profile="lookup")
+        yield Entry(work, "lookup", team, order[0], result)
+
+    def _chat(self, work, team, order, callers, random) -> Iterator[Entry]:
+        stream = random.random() < 0.7
+        result = callers[order[0], team].chat(work, tokens=random.randint(1, 30), stream=stream)
+        yield Entry(work, "chat", team, order[0], result)
+
+    def _allocate(self, work, team, order, callers, random) -> Iterator[Entry]:
+        """Send one allocation one to three times, at one host or at several."""
+        issued = callers[order[0], team].request("POST", "/v1/idempotency-keys", json={})
+        if issued.status not in (200, 201) or issued.error:
+            return
+        key = issued.body.decode().partition('"key": "')[2].partition('"')[0]
+        for host in random.choices(order[:3], k=random.randint(1, 3)):
+            result = callers[host, team].serve(work, profile="allocate", key=key)
+            yield Entry(work, "allocate", team, host, result)
+
+    def _make_faults(self, until: float, random: Random) -> None:
+        faults = (
+            *(self._kill, self._pause, self._replace, self._cut, self._silence),
+            *(self._break_endpoint, self._drain_endpoint, self._lose_platform),
+        )
+        while time.monotonic() < until:
+            fault = random.choice(faults)
+            self.faults[fault.__name__.lstrip("_")] += 1
+            undo = fault(random)
+            self.calm.wait(random.uniform(*FAULT_S))
+            undo()
+            self.calm.wait(random.uniform(*CALM_S))
+
+    def _choose_host(self, random: Random) -> str:
+        return random.choice(list(self.fleet.hosts))
+
+    def _kill(self, random: Random) -> Callable[[], None]:
+        host = self._choose_host(random)
+        self.fleet.kill(host)
+        return lambda: self.fleet.restart(host)
+
+    def _pause(self, random: Random) -> Callable[[], None]:
+        host = self._choose_host(random)
+        self.fleet.pause(host)
+        return lambda: self.fleet.wake(host)
+
+    def _replace(self, random: Random) -> Callable[[], None]:
+        """Stop a host as planned, and start a new one at its address."""
+        host = self._choose_host(random)
+        self.fleet.terminate(host)
+
+        def start_again() -> None:
+            status = self.fleet.processes[host].wait(30.0)
+            assert status == 0, f"a planned stop of {host} ended with {status}"
+            self.fleet.restart(host)
+
+        return start_again
+
+    def _cut(self, random: Random) -> Callable[[], None]:
+        """Cut the hosts of a region off from every peer."""
+        for link in self._find_links(random):
+            link.cut()
+        return self.fleet.heal
+
+    def _silence(self, random: Random) -> Callable[[], None]:
+        """Keep connections to the hosts of a region open, but pass nothing, or nothing one way."""
+        directions = random.choice([(), (TO_TARGET,), (TO_CALLER,)])
+        for link in self._find_links(random):
+            link.silence(*directions)
+        return self.fleet.heal
+
+    def _find_links(self, random: Random) -> list[Link]:
+        alone = random.choice(self.fleet.topology.regions)
+        return [self.fleet.links[host] for host in self.fleet.hosts if region_of(host) == alone]
+
+    def _break_endpoint(self, random: Random) -> Callable[[], None]:
+        topology = self.fleet.topology
+        name = random.choice([*topology.names("engines"), *topology.names("services")])
+        switches = random.choice(
+            [
+                *({"refuse": True}, {"error": 500}, {"silent": True}, {"cut_after": 3}),
+                *({"short_body": True}, {"close_at_once": True}, {"duplicate": True}),
+                {"first_byte_s": 0.5},
+            ]
+        )
+        self.fleet.remotes[name].set_faults(**switches)
+        return self.fleet.remotes[name].clear_faults
+
+    def _drain_endpoint(self, random: Random) -> Callable[[], None]:
+        """Let a service leave, and come back as a new incarnation."""
+        name = random.choice(self.fleet.topology.names("services"))
+        self.fleet.remotes[name].set_state(leaving=True)
+
+        def come_back() -> None:
+            self.fleet.remotes[name].set_state(leaving=False, renew=True)
+
+        return come_back
+
+    def _lose_platform(self, random: Random) -> Callable[[], None]:
+        self.fleet.pause("platform")
+        return lambda: self.fleet.wake("platform")
+
+    def _find_violations(self) -> Iterator[str]:
+        entries = [entry for history in self.histories for entry in history]
+        runs, places = self._count_runs()
+        attempts: dict[str, list[Entry]] = defaultdict(list)
+        for entry in entries:
+            attempts[entry.work].append(entry)
+            result = entry.result
+            if result.status == 200 and not result.error and not result.whole:
+                yield f"{entry}: a part or another's answer was given as whole"
+            if result.status not in (200, 0) and not result.problem and not result.error:
+                yield f"{entry}: no problem document"
+        for work, tries in attempts.items():
+            yield from self._check_work(work, tries, runs[work], places[work])
+
+    def _check_work(self, work: str, tries: list[Entry], runs: int, places: set[str]):
+        first = tries[0]
+        if first.kind == "allocate" and runs > 1:
+            yield f"{work}: ran {runs} times: {tries}"
+        if runs and all(entry.result.ran == "no" for entry in tries):
+            yield f"{work}: ran though each caller was told it did not: {tries}"
+        if not runs and any(entry.result.whole for entry in tries):
+            yield f"{work}: answered though it never ran: {tries}"
+        if first.team.startswith("bound-") and places - {first.team.removeprefix("bound-")}:
+            yield f"{work}: data of {first.team} was served in {places}"
+        bodies = {entry.result.body for entry in tries if entry.result.whole}
+        if first.kind == "allocate" and len(bodies) > 1:
+            yield f"{work}: two answers to one allocation: {bodies}"
+
+    def _count_runs(self) -> tuple[Counter[str], dict[str, set[str]]]:
+        runs: Counter[str] = Counter()
+        places: dict[str, set[str]] = defaultdict(set)
+        topology = self.fleet.topology
+        for name in [*topology.names("engines"), *topology.names("services")]:
+            counts = self.fleet.remotes[name].counts()
+            for work, count in counts.get("bodies", counts.get("users", {})).items():
+                runs[work] += count
+                places[work].add(region_of(domain_of(name)))
+        return runs, places
+
+
+def check_recovered(fleet: Fleet) -> list[str]:
+    """Give the hosts that serve nobody some time after the last fault."""
+    left = set(fleet.hosts)
+    give_up_at = time.monotonic() + SETTLE_S
+    while left and time.monotonic() < give_up_at:
+        left = {host for host in left if not Caller(fleet.url(host)).chat("after").whole}
+    return [f"{host}: serves nobody after the faults" for host in sorted(left)]
+
+
+def main(seconds: float, seed: int) -> int:
+    with Fleet(Topology(), platform="http", links=True) as fleet:
+        soak = Soak(fleet, seed)
+        violations = soak.run(seconds) + check_recovered(fleet)
+    entries = [entry for history in soak.histories for entry in history]
+    outcomes = Counter(
+        (entry.kind, entry.result.kind or ("whole" if entry.result.whole else "no whole answer"))
+        for entry in entries
+    )
+    print(f"seed {seed}: {len(entries)} requests, {sum(soak.faults.values())} faults")
+    print("faults: " + ", ".join(f"{count} {name}" for name, count in sorted(soak.faults.items())))
+    for (kind, outcome), count in sorted(outcomes.items()):
+        print(f"  {kind}: {outcome}: {count}")
+    for violation in violations[:20]:
+        print(f"VIOLATION {violation}")
+    print(f"{len(violations)} violations")
+    return 1 if violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(float(sys.argv[1]), int(sys.argv[2])))
--- a/cloverway/tests/standins/service.py
+++ b/cloverway/tests/standins/service.py
@@ -63,9 +63,13 @@
         else:
             await self._run_call(request, channel, self.faults.take())
 
-    def set_state(self, *, leaving: bool | None = None, forget: bool = False) -> None:
+    def set_state(
+        self, *, leaving: bool | None = None, renew: bool = False, forget: bool = False
+    ) -> None:
         if leaving is not None:
             self.leaving = leaving
+        if renew:
+            self.incarnation = secrets.token_hex(8)
         if forget:
             self.forget()
 
