--- a/cloverway/callers.py
+++ b/cloverway/callers.py
@@ -242,7 +242,7 @@
     def _note_refusal(self, call: Call, error: RequestError, arrived_at: float) -> None:
         # What is logged is the truth on this request; what the caller is told covers its key.
         ran = error.ran
-        if call.get_header(KEY_HEADER):
+        if call.get_header(KEY_HEADER) and error.kind is not Kind.KEY_INVALID:
             # The key was not looked up: an earlier request with it may have run, and a caller that
             # reads "no" here would do the work again under a new key.
             error.ran = Ran.UNKNOWN
--- a/cloverway/tests/test_callers.py
+++ b/cloverway/tests/test_callers.py
@@ -4,10 +4,12 @@
 
 import http.client
 import json
+import re
+from pathlib import Path
 
 import pytest
 
-from cloverway.errors import Kind, RequestError
+from cloverway.errors import ANSWERS, Kind, RequestError
 from cloverway.exchange import Reply
 from cloverway.tests.callers_bench import (
     CHAT,
@@ -170,6 +172,9 @@
     headers = {**HEADERS, "Cloverway-Profile": "none", "Idempotency-Key": "k-1"}
     answer = bench.call("POST", "/v1/services/stock/a", b"{}", headers)
     assert (answer.problem["kind"], answer.problem["ran"]) == ("forbidden", "unknown")
+    headers = {**HEADERS, "Cloverway-Profile": "allocate", "Idempotency-Key": "k" * 300}
+    answer = bench.call("POST", "/v1/services/stock/a", b"{}", headers)
+    assert (answer.problem["kind"], answer.problem["ran"]) == ("key_invalid", "no")
 
 
 def test_hosts_and_keys(bench):
@@ -185,3 +190,14 @@
     answer = bench.call("POST", "/v1/idempotency-keys", b'{"count": 101}')
     assert answer.problem["kind"] == "malformed"
     assert bench.call("POST", "/v1/idempotency-keys", headers={}).problem["status"] == 401
+
+
+def test_the_callers_guide_has_every_kind_as_it_is_answered():
+    page = Path(__file__).parents[2] / "docs" / "user-guide" / "calling.md"
+    rows = re.findall(
+        r"^\| `(\w+)` \| (\d+) \| `(\w+)` \| (\w+) \|", page.read_text(), re.MULTILINE
+    )
+    assert {kind: (int(status), ran, back) for kind, status, ran, back in rows} == {
+        str(kind): (answer.status, str(answer.ran), "yes" if answer.come_back else "no")
+        for kind, answer in ANSWERS.items()
+    }
