Let a content of the directory stay for a whole look before it counts

A call of the port ends with a look at the directory and the next one starts with one, a moment later. Both found the same half-written file, and it counted as settled. The time since the content was first found decides now. Seen red: a revision that was read three times at one moment was taken.

The decoder of the platform's answers no longer reads names that the platform does not have.

--- a/cloverway/platform/codec.py
+++ b/cloverway/platform/codec.py
@@ -1,4 +1,4 @@
-"""Changes and lists as JSON: the platform's own form, which hosts use between them as well."""
+"""The platform's answers: changes and lists as JSON."""
 
 from __future__ import annotations
 
@@ -11,33 +11,14 @@
 from cloverway.platform.port import Changes, Document, HostList, Listed
 
 
-def encode_changes(changes: Changes) -> bytes:
-    """Give changes as JSON text."""
-    body = {
-        "revision": changes.revision,
-        "after": changes.after,
-        "digest": changes.digest,
-        "documents": [document._asdict() for document in changes.documents],
-    }
-    return json.dumps(body, separators=(",", ":")).encode()
-
-
-def decode_changes(data: bytes, after: int | None = None) -> Changes:
-    """Read changes; `after` is what was asked for, where the text does not say it.
-
-    Raises PlatformError for anything that is not of the form.
-    """
+def decode_changes(data: bytes, after: int) -> Changes:
+    """Read the changes after a revision; raises PlatformError for any other form."""
     body = _decode(data)
     documents = body.get("documents")
     if not isinstance(documents, list):
         raise PlatformError("the documents are not a list")
-    start = body.get("after", 0) if after is None else after
-    return Changes(
-        _parse_revision(body.get("revision"), least=0),
-        _parse_revision(start, least=0),
-        tuple(_parse_document(item) for item in documents),
-        str(body.get("digest", "")),
-    )
+    revision = _parse_revision(body.get("revision"), least=0)
+    return Changes(revision, after, tuple(_parse_document(item) for item in documents))
 
 
 def decode_list(data: bytes) -> HostList:
--- a/cloverway/platform/file.py
+++ b/cloverway/platform/file.py
@@ -19,6 +19,9 @@
 """For so long after a change, contents are compared as well: two writes within one tick of the
 file system's clock can leave the same time and size."""
 
+SETTLED = 0.9
+"""Part of the time between two looks for which a content has to stay before it counts."""
+
 MOST_NAMED = 10
 """Names that a refusal lists."""
 
@@ -41,9 +44,9 @@
 class FilePlatform:
     """Watches a directory; the operator raises `revision` with each change.
 
-    A new content counts when two looks in a row have found it: a file that is being written, or
-    a directory of which only some files were replaced, is then seen as such. A content that can't
-    be read, or whose revision was not raised, is refused, and the last good one stays.
+    A new content counts when it has stayed from one look to the next: a file that is being
+    written, or a directory of which only some files were replaced, is then seen as such. A content
+    that can't be read, or whose revision was not raised, is refused; the last good one stays.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         self._contents: dict[Path, bytes] | None = None
         self._judged: dict[Path, bytes] | None = None
         self._changed_at = float("-inf")
+        self._found_at = float("-inf")
         self._entries: dict[str, Entry] = {}
         self._revision = 0
         self._fault = "the directory has not been read yet"
@@ -106,8 +110,10 @@
             return
         findings = Findings()
         contents = read_files(self._directory, findings)
-        settled = contents == self._contents
-        self._contents = contents
+        if contents != self._contents:
+            self._contents = contents
+            self._found_at = now
+        settled = now - self._found_at >= SETTLED * self._poll_s
         if settled and contents != self._judged:
             self._judged = contents
             self._judge(contents, findings)
--- a/cloverway/tests/test_file_platform.py
+++ b/cloverway/tests/test_file_platform.py
@@ -77,6 +77,18 @@
     assert {"teams/a", "regions/rodrigues"} <= {d.key for d in changes.documents}
 
 
+def test_two_looks_at_one_moment_are_one(
+    tmp_path: Path, platform: FilePlatform, clock: Clock
+) -> None:
+    """One call ends with a look and the next starts with one. A file that is half written at that
+    moment is the same in both."""
+    platform.read(0, 2.0)
+    (tmp_path / "base.toml").write_text(BASE.format(6))
+    for _ in range(3):
+        assert platform.read(5, 0.0).revision == 5
+    assert platform.read(5, 0.5).revision == 6
+
+
 def test_broken_file_keeps_the_last_good_one(tmp_path: Path, platform: FilePlatform) -> None:
     platform.read(0, 2.0)
     (tmp_path / "more.toml").write_text("[teams.a\n")
