Show a planned stop in the demo

A host is told to leave while it streams 300 tokens: the stream comes whole, the host ends with status 0, and the same question goes to another host.

--- a/cloverway/tests/demo.py
+++ b/cloverway/tests/demo.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import sys
 import time
 from collections.abc import Callable, Iterator
@@ -21,8 +22,10 @@
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 PATIENCE_S = 20.0
+STOP_S = 15.0
 SHOWN = 160
 TOKENS = 24
+LONG_TOKENS = 300
 
 
 class Step(NamedTuple):
@@ -59,12 +62,14 @@
     steps: tuple[Step, ...]
     once: Step
     """A call that must run once; it is repeated with the same key."""
+    stop: Step
+    """A stream whose host is told to leave while it runs."""
 
 
-def chat(profile: str, question: str, user: str) -> Call:
+def chat(profile: str, question: str, user: str, tokens: int = TOKENS) -> Call:
     """Make a streamed question."""
     messages = [{"role": "user", "content": question}]
-    return Call.for_chat(profile, messages, stream=True, user=user, max_tokens=TOKENS)
+    return Call.for_chat(profile, messages, stream=True, user=user, max_tokens=tokens)
 
 
 RIVIERE = Plan(
@@ -108,6 +113,13 @@
         once=True,
         regions=("port-louis",),
     ),
+    Step(
+        "A host in Curepipe is told to leave while it streams a summary",
+        "pharmacies-curepipe",
+        "curepipe",
+        chat("reorder-summary", "What must be reordered?", "curepipe", LONG_TOKENS),
+        regions=("curepipe",),
+    ),
 )
 
 CARONI = Plan(
@@ -150,17 +162,32 @@
         once=True,
         regions=("scarborough",),
     ),
+    Step(
+        "A host in San Fernando is told to leave while it streams a cover note",
+        "branch-san-fernando",
+        "san-fernando",
+        chat("cover-note", "Draft a cover note.", "clerk", LONG_TOKENS),
+        regions=("san-fernando",),
+    ),
 )
 
 
-def send(deployment: Deployment, step: Step, key: str = "") -> Outcome:
-    """Send the call of a step and read its answer to the end."""
+def send(
+    deployment: Deployment,
+    step: Step,
+    key: str = "",
+    at_first: Callable[[Answer], Any] = lambda answer: None,
+) -> Outcome:
+    """Send the call of a step and read its answer to the end.
+
+    `at_first` is called when its first piece has come.
+    """
     addresses = deployment.callers_in(step.at)
     client = Client(addresses, f"cw_example-only-{step.team}", patience_s=PATIENCE_S)
     started_at = time.monotonic()
     try:
         answer = client.call(step.call._replace(key=key), once=step.once)
-        return _read(answer, step, started_at)
+        return _read(answer, step, started_at, at_first)
     except CallError as error:
         return Outcome(refusal=error, total_s=time.monotonic() - started_at)
 
@@ -192,6 +219,17 @@
         yield f"expected the same answer for the repeat, got {describe(again)}"
 
 
+def find_stop_faults(during: Outcome, after: Outcome, status: int | None) -> Iterator[str]:
+    """Yield what is not as expected of a stream whose host was told to leave."""
+    tokens = len(during.text.split())
+    if tokens != LONG_TOKENS:
+        yield f"expected {LONG_TOKENS} tokens from the host that left, got {tokens}"
+    if status != 0:
+        yield f"expected the host that left to end with status 0, got {status}"
+    if after.host == during.host:
+        yield "expected another host to answer after one has left"
+
+
 def describe(outcome: Outcome) -> str:
     """Give an outcome as a short text."""
     if outcome.refusal is not None:
@@ -214,6 +252,7 @@
             say(f"  {len(deployment.moved)} addresses are taken; free ones are used in their place")
         faults = [fault for step in plan.steps for fault in _run_step(deployment, step, say)]
         faults += _run_once(deployment, plan.once, say)
+        faults += _run_stop(deployment, plan.stop, say)
         statuses = deployment.stop()
     failed = {name: status for name, status in statuses.items() if status != 0}
     faults += [f"{name} ended with status {status}" for name, status in failed.items()]
@@ -251,12 +290,36 @@
     ]
 
 
-def _read(answer: Answer, step: Step, started_at: float) -> Outcome:
+def _run_stop(deployment: Deployment, step: Step, say: Callable[[str], Any]) -> list[str]:
+    stopped: list[str] = []
+
+    def stop_host(answer: Answer) -> None:
+        stopped.append(answer.headers["cloverway-host"])
+        deployment.processes[stopped[0]].send(signal.SIGTERM)
+
+    during = send(deployment, step, at_first=stop_host)
+    _show(step.title, during, say)
+    status = deployment.processes[stopped[0]].wait(STOP_S) if stopped else None
+    say(f"    its stream had {len(during.text.split())} tokens; it ended with status {status}")
+    after = send(deployment, step)
+    _show("The same question again", after, say)
+    return [
+        *find_faults(step, during),
+        *find_faults(step, after),
+        *find_stop_faults(during, after, status),
+    ]
+
+
+def _read(
+    answer: Answer, step: Step, started_at: float, at_first: Callable[[Answer], Any]
+) -> Outcome:
     pieces: list[str] = []
     first_s = 0.0
     texts = answer.read_text() if answer.is_stream else iter([answer.read().decode()])
     for piece in texts:
-        first_s = first_s or time.monotonic() - started_at
+        if not pieces:
+            first_s = time.monotonic() - started_at
+            at_first(answer)
         pieces.append(piece)
     return Outcome(
         _extract("".join(pieces), step.call),
--- a/cloverway/tests/test_demo.py
+++ b/cloverway/tests/test_demo.py
@@ -11,12 +11,14 @@
 from cloverway.tests.demo import (
     CARONI,
     EXAMPLES,
+    LONG_TOKENS,
     RIVIERE,
     Outcome,
     Plan,
     Step,
     find_faults,
     find_repeat_faults,
+    find_stop_faults,
 )
 
 BOUND = RIVIERE.steps[2]
@@ -67,10 +69,29 @@
     assert len(list(find_repeat_faults(deployment, RIVIERE.once, Outcome("one"), again))) == count
 
 
+WHOLE = Outcome("token " * LONG_TOKENS, host="h1")
+
+
+@pytest.mark.parametrize(
+    ("during", "after", "status", "words"),
+    [
+        (WHOLE, Outcome("text", host="h2"), 0, ""),
+        (Outcome("token", host="h1"), Outcome("text", host="h2"), 0, "got 1"),
+        (WHOLE, Outcome("text", host="h2"), 1, "status 0, got 1"),
+        (WHOLE, Outcome("text", host="h1"), 0, "another host"),
+    ],
+)
+def test_a_stop_that_cuts_a_stream_is_told(
+    during: Outcome, after: Outcome, status: int, words: str
+) -> None:
+    faults = list(find_stop_faults(during, after, status))
+    assert len(faults) == bool(words) and words in "".join(faults)
+
+
 @pytest.mark.parametrize("plan", PLANS, ids=lambda plan: plan.name)
 def test_steps_fit_what_is_published(plan: Plan) -> None:
     published = load_directory(EXAMPLES / plan.name)
-    for step in (*plan.steps, plan.once):
+    for step in (*plan.steps, plan.once, plan.stop):
         team = published.teams[step.team]
         allowed = step.call.profile in team.profiles
         assert allowed == (step.refusal is not Kind.FORBIDDEN)
