--- a/cloverway/tests/test_admin.py
+++ b/cloverway/tests/test_admin.py
@@ -2,12 +2,20 @@
 
 import http.client
 import json
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
 from cloverway.admin import AdminServer, Operations
 from cloverway.directory import HostList
-from cloverway.tests.callers_bench import make_settings, make_view
+from cloverway.tests.callers_bench import (
+    CHAT,
+    CHAT_BODY,
+    Bench,
+    make_settings,
+    make_view,
+    wait_until,
+)
 from cloverway.view import EndpointState, HostState, Summary, ViewHolder
 
 
@@ -89,3 +97,22 @@
     assert admin.left
     assert json.loads(admin.ask("GET", "/v1/hosts")[1])["lifetime_s"] == 5.0
     assert admin.ask("GET", "/v1/nothing")[0] == 404
+
+
+def test_operators_get_answers_while_every_thread_for_callers_is_busy(admin):
+    """Callers wait for endpoints that say nothing, on every thread of the host.
+
+    At this moment an operator asks what goes on, and lets the host leave. With one pool for both,
+    the question would wait as well, and the host would look dead to whoever checks its health.
+    """
+    with Bench() as bench, ThreadPoolExecutor(8) as callers:
+        bench.gateway.go_on.clear()
+        calls = [
+            callers.submit(bench.call, "POST", "/v1/chat/completions", CHAT_BODY, CHAT)
+            for _ in range(8)
+        ]
+        assert wait_until(lambda: bench.server.in_progress() == 8)
+        for path in ("/healthz", "/metrics", "/v1/status", "/v1/hosts"):
+            assert admin.ask("GET", path)[0] == 200
+        bench.gateway.go_on.set()
+        assert [call.result().status for call in calls] == [200] * 8
--- /dev/null
+++ b/cloverway/tests/test_authentication.py
@@ -0,0 +1,69 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cloverway.authentication import (
+    Authenticator,
+    KeyIndex,
+    authenticate,
+    choose_deadline_s,
+    hash_key,
+    read_bearer,
+)
+from cloverway.config.published import Profile, Published
+from cloverway.errors import RequestError
+from cloverway.tests.callers_bench import BEARER, DOCUMENTS
+
+PUBLISHED = Published.from_documents(DOCUMENTS)
+
+
+def test_the_index_is_built_once_for_each_configuration():
+    authenticator = Authenticator()
+    index = authenticator.index_of(PUBLISHED)
+    assert authenticator.index_of(PUBLISHED) is index
+    later = PUBLISHED._replace(revision=4)
+    assert authenticator.index_of(later).published is later
+
+
+def test_a_key_that_was_taken_back_is_refused_at_once():
+    """An operator withdraws a key that was lost; the next call with it is refused."""
+    authenticator = Authenticator()
+    authenticate(authenticator.index_of(PUBLISHED), f"Bearer {BEARER}", "chat")
+    pharmacy = PUBLISHED.teams["pharmacy"]._replace(key_hashes=())
+    later = PUBLISHED._replace(revision=4, teams={**PUBLISHED.teams, "pharmacy": pharmacy})
+    with pytest.raises(RequestError, match="unauthenticated"):
+        authenticate(authenticator.index_of(later), f"Bearer {BEARER}", "chat")
+
+
+@given(st.text(max_size=600))
+def test_only_a_published_key_names_a_team(text):
+    index = KeyIndex.from_published(PUBLISHED)
+    try:
+        bearer = read_bearer(text)
+    except RequestError as error:
+        assert error.kind == "unauthenticated"
+        return
+    assert index.find_team(bearer) == ""
+
+
+def test_the_hash_of_a_key_is_no_key():
+    """Whoever reads the published configuration can't call with what stands there."""
+    index = KeyIndex.from_published(PUBLISHED)
+    assert index.find_team(BEARER) == "pharmacy"
+    assert index.find_team(hash_key(BEARER)) == ""
+    assert index.find_team(hash_key(BEARER).partition(":")[2]) == ""
+
+
+@pytest.mark.parametrize(
+    ("header", "seconds"), [("", 30.0), ("500", 0.5), ("60000", 30.0), ("000000001", 0.001)]
+)
+def test_the_shorter_deadline_holds(header, seconds):
+    assert choose_deadline_s(Profile(model="m"), header) == seconds
+
+
+@pytest.mark.parametrize("header", ["0", "-1", "1.5", "1e3", "+5", "\u0663", "1" * 10, " 5", "a"])
+def test_a_deadline_is_a_plain_number(header):
+    with pytest.raises(RequestError, match="malformed"):
+        choose_deadline_s(Profile(model="m"), header)
--- /dev/null
+++ b/cloverway/tests/test_directory.py
@@ -0,0 +1,79 @@
+from __future__ import annotations
+
+from cloverway.config.published import Published
+from cloverway.directory import MAX_HOSTS, Freshness, list_hosts
+from cloverway.tests.callers_bench import DOCUMENTS
+from cloverway.view import HostState, Summary, View
+
+NOW = 100.0
+FRESH = Freshness(2.0)
+DOMAINS = {"pl-1": "port-louis", "pl-2": "port-louis", "cu-1": "curepipe"}
+
+
+def make_host(number, domain):
+    ports = {
+        name: f"127.0.0.1:{7000 + 3 * number + n}"
+        for n, name in enumerate(("callers", "admin", "peers"))
+    }
+    return {"domain": domain, **ports}
+
+
+def make_view(names=("pl-1-a", "pl-1-b", "pl-1-c", "pl-2-a", "cu-1-a"), **changes):
+    documents = {
+        **DOCUMENTS,
+        "domains": {name: {"region": region} for name, region in DOMAINS.items()},
+        "hosts": {name: make_host(n, name[:4]) for n, name in enumerate(names)},
+    }
+    states = {
+        name: HostState(name, name[:4], heard_at=NOW - 1) for name in names if name != "pl-1-a"
+    }
+    states.update({name: states[name]._replace(**fields) for name, fields in changes.items()})
+    published = Published.from_documents(documents)
+    return View("pl-1-a", "i", "pl-1", "port-louis", published=published, hosts=states)
+
+
+def names_of(view, rotation=0, overloaded=False):
+    return [host["name"] for host in list_hosts(view, NOW, FRESH, rotation, overloaded)["hosts"]]
+
+
+def test_own_domain_first_then_own_region():
+    assert names_of(make_view()) == ["pl-1-a", "pl-1-b", "pl-1-c", "pl-2-a", "cu-1-a"]
+
+
+def test_callers_spread_over_a_rank_and_never_across_ranks():
+    firsts = {names_of(make_view(), rotation)[0] for rotation in range(3)}
+    assert firsts == {"pl-1-a", "pl-1-b", "pl-1-c"}
+    assert all(names_of(make_view(), rotation)[3:] == ["pl-2-a", "cu-1-a"] for rotation in range(7))
+
+
+def test_leaving_overloaded_and_silent_hosts_are_left_out():
+    """A caller that got such a host would be refused, or wait for its own timeout."""
+    view = make_view(
+        **{
+            "pl-1-b": {"leaving": True},
+            "pl-1-c": {"overloaded": True},
+            "pl-2-a": {"heard_at": NOW - 3},
+        }
+    )
+    assert names_of(view) == ["pl-1-a", "cu-1-a"]
+    assert names_of(view._replace(leaving=True)) == ["cu-1-a"]
+    assert names_of(view, overloaded=True) == ["cu-1-a"]
+    assert names_of(view._replace(published=None)) == []
+
+
+def test_hosts_of_other_domains_count_as_there_while_their_domain_is_heard():
+    """Hosts of other domains need not be heard one by one; a domain that is cut off is left out."""
+    never = {"heard_at": float("-inf")}
+    view = make_view(**{"pl-1-b": never, "pl-2-a": never, "cu-1-a": never})
+    assert names_of(view) == ["pl-1-a", "pl-1-c"]
+    heard = {
+        ("cu-1", "m"): Summary("cu-1", "m", at=NOW - 1),
+        ("pl-2", "m"): Summary("pl-2", "m", at=0),
+    }
+    assert names_of(view._replace(summaries=heard)) == ["pl-1-a", "pl-1-c", "cu-1-a"]
+
+
+def test_a_large_fleet_gives_a_bounded_list():
+    view = make_view(names=("pl-1-a", *(f"cu-1-{number}" for number in range(100))))
+    assert len(names_of(view)) == MAX_HOSTS
+    assert names_of(view)[0] == "pl-1-a"
