--- a/cloverway/decisions.py
+++ b/cloverway/decisions.py
@@ -36,6 +36,8 @@
 """Less than no free slot: a warm cache may be waited for where all slots are taken."""
 LOOK_AHEAD = 8
 """Waiting requests that are tried for a route at a time: bounds the work for one message."""
+PUMP_S = 0.05
+"""Period in which waiting requests are tried for a slot though nothing has changed."""
 REVIEW_S = 0.25
 """Period in which waiting requests are weighed again: sent away, or given up."""
 SENDING_S = 2.0
@@ -88,6 +90,8 @@
         self._open: set[str] = set()
         self._sent_away_at: dict[str, float] = {}
         self._reviewed_at = float("-inf")
+        self._pumped_view: View | None = None
+        self._pumped_at = float("-inf")
 
     @classmethod
     def from_config(cls, settings: Settings) -> Core:
@@ -169,12 +173,16 @@
         review = now >= self._reviewed_at + REVIEW_S
         if view.published is None or not (review or self._count_queued()):
             return []
+        pump = view is not self._pumped_view or now >= self._pumped_at + PUMP_S
+        if pump:
+            self._pumped_view, self._pumped_at = view, now
         outlook = self._look(view, now, random)
         decided: list[Decided] = []
         for line in self._busy_lines():
             for entry in line.find_hopeless(now):
                 decided.append(self._give_up(line, entry, Kind.DEADLINE, outlook))
-            decided += self._pump(line, outlook)
+            if pump:
+                decided += self._pump(line, outlook)
         if review:
             self._reviewed_at = now
             decided += self._review(outlook)
@@ -237,12 +245,14 @@
         order = line.order()
         states = outlook.router.list_local_states(order[0].target)
         room = self._find_room(line, order, states, outlook)
+        is_free = outlook.router.count_free(states) > 0
         overdue = line.find_overdue()
         tried = 0
         for turn, entry in enumerate(order):
             away = review or entry is newcomer
             has_turn = entry.urgency in room or (turn == 0 and entry.urgency is overdue)
-            local = states if room and tried < LOOK_AHEAD and has_turn else []
+            looks = is_free or entry is newcomer or review
+            local = states if room and looks and tried < LOOK_AHEAD and has_turn else []
             tried += bool(local)
             if not local and not away:
                 continue
@@ -286,6 +296,7 @@
         if away and candidate.region != outlook.router.view.region:
             self._sent_away_at[entry.target] = outlook.now
         admitted = self._tickets.open(entry, candidate, outlook.router.view, outlook.now)
+        outlook.router.forget(candidate.name)
         return Decided(entry.place, admitted)
 
     def _displace(self, outlook: Outlook) -> Decided:
--- a/cloverway/dispatcher.py
+++ b/cloverway/dispatcher.py
@@ -34,6 +34,8 @@
 
 TICK_S = 0.01
 """Period in which waiting requests are looked at; well below the 20 ms that a refusal may take."""
+LONGEST_WAIT_S = 3_605.0
+"""Bound on the wait for a new route: the longest deadline of a profile, and the grace."""
 GRACE_S = 5.0
 """How long after its deadline a worker still waits for its verdict."""
 
@@ -96,7 +98,7 @@
     ) -> Verdict | None:
         """Note the end of an attempt; with `retry` wait for a new route or a refusal."""
         answer = self._task.send(Finished(ticket, outcome, at, retry))
-        verdict: Verdict | None = answer.result() if retry else None
+        verdict: Verdict | None = answer.result(LONGEST_WAIT_S) if retry else None
         return verdict
 
     def cancel(self, request_id: str) -> None:
--- a/cloverway/policies.py
+++ b/cloverway/policies.py
@@ -19,7 +19,7 @@
 """Hysteresis: part of the service time by which the first one sent away must gain."""
 TAIL_WAITS = 3.0
 """Predicted waits by which the slowest ones exceed the mean, at most."""
-PATIENCE = 0.5
+PATIENCE = 1.0
 """Waiting for a warm cache, as a part of what it saves."""
 NOISE_PART = 0.01
 """Part of the service time by which costs are blurred, so that hosts don't all choose alike."""
--- a/cloverway/routing.py
+++ b/cloverway/routing.py
@@ -134,6 +134,19 @@
         self.outliers.prune(now)
 
 
+class Standing(NamedTuple):
+    """How one endpoint stands for this host at one moment."""
+
+    own: int
+    occupied: float
+    slowness: float
+    cap: float
+    """What this host may have in flight there at most."""
+    allowance: float
+    """What it may have in flight there without making the endpoint queue."""
+    reading_s: float
+
+
 class Router:
     """List candidates for requests, from one view at one moment."""
 
@@ -145,6 +158,8 @@
         self.knowledge = knowledge
         self.now = now
         self._timing = timing
+        self._states: dict[str, list[EndpointState]] = {}
+        self._standings: dict[str, Standing] = {}
         self._by_domain: dict[str, list[HostState]] = defaultdict(list)
         for host in view.hosts.values():
             self._by_domain[host.domain].append(host)
@@ -154,6 +169,21 @@
 
     def list_local_states(self, target: str) -> list[EndpointState]:
         """List the endpoints of this failure domain that may be chosen for a target at all."""
+        if target not in self._states:
+            self._states[target] = self._find_local_states(target)
+        return self._states[target]
+
+    def stand(self, state: EndpointState) -> Standing:
+        """Say how an endpoint stands, once for each moment."""
+        if state.name not in self._standings:
+            self._standings[state.name] = self._find_standing(state)
+        return self._standings[state.name]
+
+    def forget(self, name: str) -> None:
+        """Look at an endpoint again, after it was given a request."""
+        self._standings.pop(name, None)
+
+    def _find_local_states(self, target: str) -> list[EndpointState]:
         published = self.catalogue.published
         fit = [
             state
@@ -188,24 +218,18 @@
 
     def measure_slots(self, states: list[EndpointState]) -> float:
         """Estimate the slots that this host may fill, each by the pace of its endpoint."""
-        return sum(
-            self._allowance(state) / self.knowledge.track(state.name).slowness(self.now)
-            for state in states
-        )
+        standings = [self.stand(state) for state in states]
+        return sum(standing.allowance / standing.slowness for standing in standings)
 
     def has_room(self, states: list[EndpointState]) -> bool:
         """Tell whether any endpoint may take a request now."""
-        return any(
-            self.knowledge.track(state.name, state.slots).flight.in_flight < self._cap(state)
-            for state in states
-        )
+        standings = [self.stand(state) for state in states]
+        return any(standing.own < standing.cap for standing in standings)
 
     def count_free(self, states: list[EndpointState]) -> float:
         """Estimate the slots that this host may still fill."""
-        return sum(
-            max(0.0, self._allowance(state) - self.knowledge.track(state.name).flight.in_flight)
-            for state in states
-        )
+        standings = [self.stand(state) for state in states]
+        return sum(max(0.0, standing.allowance - standing.own) for standing in standings)
 
     def is_warming(self, state: EndpointState) -> bool:
         """Tell whether an endpoint came back lately, so that its cache is cold."""
@@ -215,33 +239,33 @@
         return self.now < state.started_at + SLOW_START_S
 
     def _weigh_local(self, entry: Waiting, state: EndpointState, ranked: list[str]) -> Candidate:
-        tracked = self.knowledge.track(state.name, state.slots)
-        own = tracked.flight.in_flight
-        occupied = own + estimate_others(state, tracked.flight, self.hosts, self.now)
-        slowness = tracked.slowness(self.now)
+        standing = self.stand(state)
+        slowness = standing.slowness
         service_s = entry.cost_s * slowness
-        wait_s = max(0.0, occupied + 1 - state.slots) / state.slots * service_s
-        all_cold_s = self._cold_s(entry, entry.prefix.cold_bytes(0))
-        cold_s = self._cold_s(entry, self._cold_bytes(entry, state, ranked))
-        first_s = self.knowledge.estimates.first_s(entry.target, 0)
-        read_s = max(0.0, tracked.flight.reading_s) * self.hosts + cold_s
+        wait_s = max(0.0, standing.occupied + 1 - state.slots) / state.slots * service_s
+        estimates = self.knowledge.estimates
+        all_cold_s = estimates.cold_s(entry.target, entry.prefix.length)
+        cold_s = estimates.cold_s(entry.target, self._cold_bytes(entry, state, ranked))
+        read_s = standing.reading_s * self.hosts + cold_s
         if self.knowledge.outliers.is_paused(state.name, self.now):
             wait_s += LAST_RESORT_S
+        first_s = estimates.first_s(entry.target, 0)
         cost_s = wait_s + (first_s + read_s) * slowness + (slowness - 1) * entry.cost_s
-        free = own < self._allowance(state)
+        load = standing.occupied / state.slots
+        free = standing.own < standing.allowance
         saved_s = all_cold_s - cold_s
         return Candidate(
             name=state.name,
             route=Local(state.name, self.catalogue.published.endpoints[state.name].url),
             region=self.view.region,
             free=free,
-            sendable=free or (wait_s < saved_s and own < self._cap(state)),
+            sendable=free or (wait_s < saved_s and standing.own < standing.cap),
             wait_s=wait_s,
-            cost_s=cost_s + BUSY_PART * service_s * min(1.0, occupied / state.slots),
+            cost_s=cost_s + BUSY_PART * service_s * min(1.0, load),
             saved_s=saved_s,
             read_s=cold_s,
-            load=occupied / state.slots,
-            outstanding=own,
+            load=load,
+            outstanding=standing.own,
         )
 
     def _weigh_away(self, entry: Waiting, offer: Offer, random: Random) -> Iterator[Candidate]:
@@ -258,7 +282,7 @@
         wait_s = 0.0 if room >= 1 else (1 - room + queued) / slots * entry.cost_s
         since = self.now - SURELY_S
         matched = self.knowledge.prefixes.count_matched(name, "", entry.prefix, since)
-        cold_s = self._cold_s(entry, entry.prefix.cold_bytes(matched))
+        cold_s = self.knowledge.estimates.cold_s(entry.target, entry.prefix.cold_bytes(matched))
         trip_s = 2 * self.catalogue.trip_s(self.view.region, offer.region)
         first_s = self.knowledge.estimates.first_s(entry.target, 0)
         load = min(1.0, max(0.0, 1 - free / slots))
@@ -312,16 +336,23 @@
         age = self.now - summary.at
         return summary.ready > 0 and age <= SUMMARY_AGE_PERIODS * self._timing.summary_s
 
-    def _allowance(self, state: EndpointState) -> float:
-        """Give what this host may have in flight at an endpoint without making it queue."""
+    def _find_standing(self, state: EndpointState) -> Standing:
         tracked = self.knowledge.track(state.name, state.slots)
+        own = tracked.flight.in_flight
         others = estimate_others(state, tracked.flight, self.hosts, self.now)
+        cap = self._find_cap(state, tracked)
         share = share_slots(state.slots, self.hosts)
-        return min(max(float(share), state.slots - others), self._cap(state))
+        return Standing(
+            own=own,
+            occupied=own + others,
+            slowness=tracked.slowness(self.now),
+            cap=cap,
+            allowance=min(max(float(share), state.slots - others), cap),
+            reading_s=max(0.0, tracked.flight.reading_s),
+        )
 
-    def _cap(self, state: EndpointState) -> float:
-        limit = self.knowledge.track(state.name, state.slots).limit.value
-        limit = min(limit, state.slots * HEADROOM)
+    def _find_cap(self, state: EndpointState, tracked: Tracked) -> float:
+        limit = min(tracked.limit.value, state.slots * HEADROOM)
         if not self.is_warming(state):
             return limit
         ramp = SLOW_START_PART + (1 - SLOW_START_PART) * (
@@ -337,9 +368,6 @@
         likely = dict(zip(ranked, LIKELY_WARM, strict=False))
         return min(cold, entry.prefix.length * likely.get(state.name, 1.0))
 
-    def _cold_s(self, entry: Waiting, cold_bytes: float) -> float:
-        return self.knowledge.estimates.cold_s(entry.target, cold_bytes)
-
 
 def _ranked(entry: Waiting) -> int | None:
     """Rank no place for a prompt that is too short to be worth a cache."""
--- a/cloverway/tests/test_dispatcher.py
+++ b/cloverway/tests/test_dispatcher.py
@@ -1,91 +1,144 @@
 from __future__ import annotations
 
+import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from random import Random
 
 import pytest
 
-from cloverway.config.published import Published
-from cloverway.config.settings import Limits, Listen, PlatformSettings, Security, Settings
 from cloverway.dispatcher import Dispatcher
-from cloverway.errors import Kind
-from cloverway.messages import Admitted, Local, Outcome, Refused, Request
-from cloverway.view import EndpointState, View, ViewHolder
-
-PUBLISHED = Published.from_documents(
-    {
-        "revision": 1,
-        "organisation": {"name": "riviere"},
-        "regions": {"curepipe": {}},
-        "domains": {"cu-1": {"region": "curepipe"}},
-        "endpoints": {
-            "cu-1-a": {"domain": "cu-1", "url": "http://127.0.0.1:9001", "models": ["clover"]}
-        },
-        "profiles": {"stock": {"model": "clover", "idempotent": True}},
-        "teams": {"desk": {"home": "curepipe", "profiles": ["stock"]}},
-    }
-)
-VIEW = View(
-    host="cu-1-h1",
-    incarnation="i1",
-    domain="cu-1",
-    region="curepipe",
-    published=PUBLISHED,
-    endpoints={"cu-1-a": EndpointState("cu-1-a", "e1", True, slots=8, models=("clover",))},
-)
+from cloverway.errors import Kind, Ran
+from cloverway.messages import Admitted, Local, Outcome, Refused
+from cloverway.tests.builders import make_published, make_request, make_settings, make_view
+from cloverway.view import ViewHolder
+
+STAY = {"home": "curepipe", "bound": True, "profiles": ["stock"]}
+PUBLISHED = make_published(endpoints=1, slots=2, stay=STAY)
+E0 = "cu-1-e0"
+BOUND_S = 10.0
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+def wait_for(condition):
+    """Wait until something holds, up to a bound."""
+    pause = threading.Event()
+    until = time.monotonic() + BOUND_S
+    while not condition():
+        assert time.monotonic() < until, "it never came to hold"
+        pause.wait(0.002)
 
 
-def make_settings(**limits):
-    return Settings(
-        host="cu-1-h1",
-        domain="cu-1",
-        region="curepipe",
-        listen=Listen("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"),
-        platform=PlatformSettings(directory="published"),
-        security=Security("secret"),
-        limits=Limits(**limits),
-    )
-
-
-def make_request(number=1, lasts=10.0):
-    now = time.monotonic()
-    return Request(
-        id=f"r{number}",
-        team="desk",
-        profile="stock",
-        path="/v1/chat/completions",
-        method="POST",
-        body=b"{}",
-        content_type="application/json",
-        arrived_at=now,
-        deadline=now + lasts,
-    )
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def pool():
+    with ThreadPoolExecutor(4) as made:
+        yield made
 
 
 @pytest.fixture
 def holder():
-    return ViewHolder(VIEW)
+    return ViewHolder(make_view(PUBLISHED, now=100.0))
 
 
 @pytest.fixture
-def dispatcher(holder):
-    made = Dispatcher.from_config(make_settings(), holder, time.monotonic, Random(1))
+def dispatcher(holder, clock):
+    made = Dispatcher.from_config(make_settings(), holder, clock, Random(1))
     made.start()
     yield made
     made.stop()
 
 
-def test_a_request_is_admitted_and_finished(dispatcher):
-    verdict = dispatcher.submit(make_request())
+def submit(dispatcher, number, lasts=30.0, team="stay"):
+    return dispatcher.submit(make_request(number, 100.0, lasts, team=team))
+
+
+def fill_and_queue(dispatcher, pool, lasts=30.0):
+    """Take both slots, and let a third request wait in another thread."""
+    admitted = [submit(dispatcher, number) for number in (1, 2)]
+    waiting = pool.submit(submit, dispatcher, 3, lasts)
+    wait_for(lambda: dispatcher.queued() == 1)
+    return admitted, waiting
+
+
+def test_a_request_is_admitted_and_finished(dispatcher, clock):
+    verdict = submit(dispatcher, 1)
     assert isinstance(verdict, Admitted)
-    assert verdict.route == Local("cu-1-a", "http://127.0.0.1:9001")
+    assert verdict.route == Local(E0, PUBLISHED.endpoints[E0].url)
     assert dispatcher.in_flight() == 1
-    dispatcher.started(verdict.ticket, time.monotonic())
-    dispatcher.finished(verdict.ticket, Outcome.DONE, time.monotonic())
-    dispatcher.explain("desk", "stock", time.monotonic())
+    assert dispatcher.count_targets() == {"clover": 1}
+    dispatcher.started(verdict.ticket, clock.now)
+    dispatcher.finished(verdict.ticket, Outcome.DONE, clock.now)
+    wait_for(lambda: dispatcher.in_flight() == 0)
+
+
+def test_a_freed_slot_goes_to_the_request_that_waits(dispatcher, pool, clock):
+    admitted, waiting = fill_and_queue(dispatcher, pool)
+    assert not waiting.done()
+    dispatcher.finished(admitted[0].ticket, Outcome.DONE, clock.now)
+    assert isinstance(waiting.result(BOUND_S), Admitted)
+
+
+def test_a_caller_that_leaves_the_queue_is_answered_not_run(dispatcher, pool):
+    _, waiting = fill_and_queue(dispatcher, pool)
+    dispatcher.cancel("r3")
+    verdict = waiting.result(BOUND_S)
+    assert verdict == Refused(Kind.CALLER_LEFT)
+    assert verdict.ran is Ran.NO
+
+
+def test_the_deadline_ends_the_wait_with_a_time_to_come_back(dispatcher, pool, clock):
+    """A caller waits past its deadline, because nothing arrives or ends that would wake the queue.
+
+    Both slots are held by answers that never end; only time passes.
+    """
+    _, waiting = fill_and_queue(dispatcher, pool, lasts=4.0)
+    clock.now += 4.0
+    verdict = waiting.result(BOUND_S)
+    assert verdict.kind is Kind.DEADLINE
+    assert verdict.ran is Ran.NO
+    assert verdict.retry_after > 0
+
+
+def test_a_changed_view_wakes_the_queue(dispatcher, pool, holder):
+    _, waiting = fill_and_queue(dispatcher, pool)
+    wider = make_published(endpoints=2, slots=2, stay=STAY)
+    holder.current = make_view(wider, now=100.0)
+    assert isinstance(waiting.result(BOUND_S), Admitted)
+
+
+def test_a_stopped_dispatcher_leaves_no_caller_without_an_answer(dispatcher, pool):
+    _, waiting = fill_and_queue(dispatcher, pool)
+    dispatcher.stop()
+    assert waiting.result(BOUND_S).kind is Kind.LEAVING
+
+
+def test_a_failed_attempt_gets_another_route_or_an_answer(dispatcher, clock):
+    verdict = submit(dispatcher, 1)
+    again = dispatcher.finished(verdict.ticket, Outcome.NOT_SENT, clock.now, retry=True)
+    assert isinstance(again, Refused)
+    assert again.kind is Kind.ENDPOINT_REFUSED
+    assert again.retry_after > 0
     assert dispatcher.in_flight() == 0
 
 
+def test_a_request_id_that_is_open_is_not_taken_twice(dispatcher):
+    """Two requests with one id: cancelling one of them would end the other."""
+    assert isinstance(submit(dispatcher, 1), Admitted)
+    assert submit(dispatcher, 1).kind is Kind.MALFORMED
+
+
 @pytest.mark.parametrize(
     ("change", "kind"),
     [({"published": None}, Kind.STARTING), ({"leaving": True}, Kind.LEAVING)],
@@ -93,8 +146,8 @@
 def test_a_host_that_is_not_ready_refuses_with_a_time_to_come_back(
     dispatcher, holder, change, kind
 ):
-    holder.current = VIEW._replace(**change)
-    verdict = dispatcher.submit(make_request())
+    holder.current = holder.current._replace(**change)
+    verdict = submit(dispatcher, 1)
     assert isinstance(verdict, Refused)
     assert verdict.kind is kind
     assert verdict.retry_after is not None
