Keep enough slots free for urgent work, and describe the decisions

Urgent calls waited for slots full of long work, and for warm caches. The slots kept free now follow the mean of the expected urgent work and twice its spread, at most 40%, and urgent work takes the first free slot.

The test of an urgent call among long work was seen red without the kept slots.

--- a/cloverway/decisions.py
+++ b/cloverway/decisions.py
@@ -5,8 +5,9 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterator
-from math import ceil
+from math import ceil, floor, sqrt
 from random import Random
 from typing import NamedTuple
 
@@ -32,6 +33,8 @@
 """When to come back where no endpoint is ready: about the lag of a report."""
 LEAST_EXPECTED = 0.2
 """Slots of expected urgent work below which none is kept free."""
+KEPT_PART = 0.4
+"""Part of the slots that is kept free for more urgent work at most."""
 NONE_KEPT = -1
 """Less than no free slot: a warm cache may be waited for where all slots are taken."""
 LOOK_AHEAD = 8
@@ -269,22 +272,37 @@
         """Find the classes that may take a slot of this failure domain now.
 
         The last free slots are kept for more urgent work that is expected: slots full of long work
-        free up slowly, and an urgent request would wait for one.
+        free up slowly, and an urgent request would wait for one. No class gets what is kept from a
+        more urgent one.
         """
         if not outlook.router.has_room(states):
             return frozenset()
         free = outlook.router.count_free(states)
+        slots = outlook.router.measure_slots(states)
+        downward = sorted(Urgency, reverse=True)
+        kept = itertools.accumulate(
+            (
+                self._count_kept(line, order[0].target, each, slots, outlook.now)
+                for each in downward
+            ),
+            max,
+        )
         return frozenset(
-            urgency
-            for urgency in Urgency
-            if free >= 1 + self._count_kept(line, order[0].target, urgency, outlook.now)
+            each for each, count in zip(downward, kept, strict=True) if free >= 1 + count
         )
 
-    def _count_kept(self, line: Line, target: str, urgency: Urgency, now: float) -> int:
+    def _count_kept(
+        self, line: Line, target: str, urgency: Urgency, slots: float, now: float
+    ) -> int:
+        """Count the slots to keep free: twice the spread above the mean, as arrivals are random.
+
+        A host whose part is few slots keeps none: it would serve nothing else.
+        """
         above = line.expect_above(urgency, now)
         if above < LEAST_EXPECTED:
             return NONE_KEPT
-        return max(NONE_KEPT, ceil(above) - self._tickets.count_above(target, urgency))
+        wanted = min(ceil(above + 2 * sqrt(above)), floor(KEPT_PART * slots))
+        return max(NONE_KEPT, wanted - self._tickets.count_above(target, urgency))
 
     def _admit(self, line: Line, entry: Waiting, candidate: Candidate, outlook: Outlook) -> Decided:
         request = entry.request
--- a/cloverway/policies.py
+++ b/cloverway/policies.py
@@ -54,8 +54,11 @@
 
     Under load the warm place is mostly full, and a request that takes the first free slot evicts
     there what others need: soon no cache holds anything. Waiting as long as the cold read would
-    take costs no more than the read, and mostly the slot comes sooner.
+    take costs no more than the read, and mostly the slot comes sooner. Urgent work takes what it
+    finds: the slots that are kept for it are few.
     """
+    if choice.entry.urgency is Urgency.URGENT:
+        return False
     warmest = max((place.saved_s for place in choice.local), default=0.0)
     return choice.waited_s < PATIENCE * (warmest - cold.saved_s)
 
--- a/cloverway/tests/test_admission.py
+++ b/cloverway/tests/test_admission.py
@@ -12,7 +12,7 @@
 from cloverway.prompts import Prefix
 from cloverway.retries import FLOOR, SHARE, WINDOW_S, Budget, may_repeat
 from cloverway.tests.builders import make_published, make_request
-from cloverway.tests.test_routing import Host
+from cloverway.tests.test_routing import E0, E1, Host
 
 
 def make_entry(place, *, team="desk", urgency=Urgency.NORMAL, cost_s=1.0, weight=1.0, lasts=60.0):
@@ -212,3 +212,27 @@
             late.remove((due, verdict))
         sent += len(slow)
     assert sent <= 10, "a fair part of 480 requests would be 120"
+
+
+def test_a_host_with_few_slots_keeps_none_of_them_free():
+    """Normal calls are refused beside idle slots, as all of them are kept for urgent ones."""
+    host = Host(make_published(endpoints=1, slots=2))
+    urgent = [host.arrive(profile="urgent") for _ in range(2)]
+    for verdict in urgent:
+        host.now += 0.5
+        host.finish(verdict)
+    assert isinstance(host.arrive(), Admitted)
+
+
+def test_an_urgent_call_finds_a_slot_among_long_work():
+    """An urgent check waits behind dossiers that fill every slot for many seconds."""
+    host = Host(make_published(endpoints=2, slots=8))
+    for _ in range(20):
+        verdict = host.arrive(profile="urgent")
+        host.now += 0.3
+        host.finish(verdict)
+    for _ in range(30):
+        host.arrive(profile="report", lasts=600.0)
+    verdict = host.arrive(profile="urgent")
+    assert isinstance(verdict, Admitted)
+    assert verdict.route.endpoint in (E0, E1)
