--- a/cloverway/decisions.py
+++ b/cloverway/decisions.py
@@ -19,7 +19,7 @@
 from cloverway.explanation import Explanation, explain, explain_unready
 from cloverway.messages import Away, Outcome, Refused, Request, Verdict
 from cloverway.outlook import Outlook
-from cloverway.policies import Policy, make_policy
+from cloverway.policies import Policy, Reach, make_policy
 from cloverway.retries import AFTER, Budget, may_repeat
 from cloverway.routing import Candidate, Knowledge, Router
 from cloverway.tickets import Ticket, Tickets, name_places
@@ -252,16 +252,16 @@
         overdue = line.find_overdue()
         tried = 0
         for turn, entry in enumerate(order):
-            away = review or entry is newcomer
+            reach = self._policy.reach if review or entry is newcomer else Reach.HOME
             has_turn = entry.urgency in room or (turn == 0 and entry.urgency is overdue)
             looks = is_free or entry is newcomer or review
             local = states if room and looks and tried < LOOK_AHEAD and has_turn else []
             tried += bool(local)
-            if not local and not away:
+            if not local and reach is Reach.HOME:
                 continue
             sent_at = self._sent_away_at.get(entry.target, float("-inf"))
             sending = outlook.now - sent_at < SENDING_S
-            choice = outlook.weigh(line, entry, local, away, sending)
+            choice = outlook.weigh(line, entry, local, reach, sending)
             candidate = self._policy.choose(choice, outlook.random)
             if candidate is not None:
                 yield entry, candidate
--- a/cloverway/explanation.py
+++ b/cloverway/explanation.py
@@ -10,7 +10,7 @@
 from cloverway.errors import Kind
 from cloverway.messages import Away, Request
 from cloverway.outlook import NOWHERE, Outlook
-from cloverway.policies import Choice, Policy
+from cloverway.policies import Choice, Policy, Reach
 from cloverway.routing import Candidate, Router, name_domain
 
 PROBE_S = 60.0
@@ -75,7 +75,7 @@
     entry = outlook.make_entry(0, request)
     line = lines.get(entry.target) or Line()
     states = outlook.router.list_local_states(entry.target)
-    choice = outlook.weigh(line, entry, states, away=True, sending=False)
+    choice = outlook.weigh(line, entry, states, Reach.ALL, sending=False)
     chosen = policy.choose(choice, outlook.random)
     home = outlook.predict_home(line, entry)
     fault = outlook.find_fault(line, entry)
--- a/cloverway/outlook.py
+++ b/cloverway/outlook.py
@@ -8,10 +8,10 @@
 from cloverway.config.published import Published
 from cloverway.errors import Kind
 from cloverway.messages import Request
-from cloverway.policies import Choice, Home
+from cloverway.policies import Choice, Home, Reach
 from cloverway.prompts import Prefix
 from cloverway.residency import allowed_regions
-from cloverway.routing import Router
+from cloverway.routing import Candidate, Router
 from cloverway.view import EndpointState
 
 PASSED_ON_WAIT_S = 0.25
@@ -19,10 +19,29 @@
 MOST_PASSES = 2
 """Times that one request is passed on to other failure domains, one after the other."""
 
+EASE_PART = 0.5
+"""Part of the service time that a free place may cost over a first token without any cache."""
+
 HERE = Home(0.0, True, 0.0)
 NOWHERE = Home(float("inf"), False, float("inf"))
 
 
+def is_at_ease(entry: Waiting, local: list[Candidate], first_s: float) -> bool:
+    """Tell whether home has so good a place that no other region needs to be weighed.
+
+    Most requests find one, and a hundred failure domains cost more to weigh than all the rest.
+    """
+    return any(
+        place.free and place.wait_s == 0 and place.cost_s <= first_s + EASE_PART * entry.cost_s
+        for place in local
+    )
+
+
+def may_be_passed_on(entry: Waiting) -> bool:
+    """Tell whether a request may go to another failure domain at all."""
+    return not entry.request.passed_on and len(entry.tried) <= MOST_PASSES
+
+
 class Outlook:
     """Predict for requests by one view at one moment; changes nothing."""
 
@@ -62,7 +81,7 @@
         )
 
     def weigh(
-        self, line: Line, entry: Waiting, states: list[EndpointState], away: bool, sending: bool
+        self, line: Line, entry: Waiting, states: list[EndpointState], reach: Reach, sending: bool
     ) -> Choice:
         """Gather all that a choice for a request is made from."""
         allowed = self.allow(entry.request)
@@ -70,12 +89,18 @@
         if self.router.view.region in allowed:
             local = self.router.list_local(entry, states)
         elsewhere = []
-        if away and not entry.request.passed_on and len(entry.tried) <= MOST_PASSES:
+        if self._looks_far(entry, local, reach):
             elsewhere = self.router.list_away(entry, allowed, self.random)
         home = self.predict_home(line, entry) if elsewhere or not local else HERE
         waited_s = self.now - entry.entered_at
         return Choice(entry, local, elsewhere, home, sending, waited_s)
 
+    def _looks_far(self, entry: Waiting, local: list[Candidate], reach: Reach) -> bool:
+        if reach is Reach.HOME or not may_be_passed_on(entry):
+            return False
+        cold_first_s = self.router.knowledge.estimates.first_s(entry.target, entry.prefix.length)
+        return reach is Reach.ALL or not is_at_ease(entry, local, cold_first_s)
+
     def predict_home(self, line: Line, entry: Waiting) -> Home:
         """Predict what waiting for a slot in this failure domain comes to."""
         states = [
--- a/cloverway/policies.py
+++ b/cloverway/policies.py
@@ -4,6 +4,7 @@
 
 import itertools
 from collections.abc import Callable, Sequence
+from enum import Enum
 from random import Random
 from typing import NamedTuple, Protocol
 
@@ -25,6 +26,15 @@
 """Part of the service time by which costs are blurred, so that hosts don't all choose alike."""
 
 
+class Reach(Enum):
+    """How far candidates are looked for."""
+
+    HOME = "home"
+    NEEDED = "needed"
+    """In other failure domains where home has no good place."""
+    ALL = "all"
+
+
 class Home(NamedTuple):
     """What staying in this failure domain means for a request that finds no slot now."""
 
@@ -66,6 +76,9 @@
 class Policy(Protocol):
     """Chooses among candidates; None leaves the request in the queue."""
 
+    reach: Reach
+    """How far candidates are looked for, for a request that has just come."""
+
     def choose(self, choice: Choice, random: Random) -> Candidate | None:
         """Choose one of the candidates that may take the request now."""
         ...
@@ -78,6 +91,8 @@
 class HomeFirst:
     """Choose the least predicted cost, at home unless another region is worth being sent to."""
 
+    reach = Reach.NEEDED
+
     def __init__(self, objective: Callable[[], Objective], region: str) -> None:
         self._objective = objective
         self._region = region
@@ -135,6 +150,8 @@
 class Baseline(Unweighed):
     """Choose among free places at home by a simple rule; away only where home can't serve."""
 
+    reach = Reach.NEEDED
+
     def __init__(self, rule: Callable[[Sequence[Candidate], Random], Candidate]) -> None:
         self._rule = rule
 
@@ -149,6 +166,8 @@
 class GlobalLeastLoaded(Unweighed):
     """Choose the least loaded place of all regions, whatever the trip."""
 
+    reach = Reach.ALL
+
     def choose(self, choice: Choice, random: Random) -> Candidate | None:
         """Choose one of the candidates that may take the request now."""
         free = [place for place in (*choice.local, *choice.away) if place.free]
--- a/cloverway/tests/test_routing.py
+++ b/cloverway/tests/test_routing.py
@@ -260,6 +260,11 @@
     assert isinstance(bound, Away) and bound.domain == "ro-1"
 
 
+def test_the_baseline_of_all_regions_leaves_home_for_an_idler_place():
+    host = Host(policy="global_least_loaded", free=8)
+    assert any(is_away(host.arrive()) for _ in range(4))
+
+
 def test_an_explanation_names_every_place_and_why():
     host = Host(free=8)
     host.view = change_endpoint(host.view, E0, leaving=True)
