--- a/cloverway/reports.py
+++ b/cloverway/reports.py
@@ -24,8 +24,8 @@
 
 log = logging.getLogger(__name__)
 
-CONNECT_S = 1.0
-ANSWER_S = 1.0
+SILENCE_S = 1.0
+"""Wait for a connection, and for each piece of an answer."""
 FIRST_S = 1.0
 """An endpoint that this host has not read yet is read within this time."""
 REPORT_BYTES = 64 * 1024
@@ -146,11 +146,10 @@
 
     def _connect(self) -> HTTPConnection:
         if self._connection is None:
-            connection = HTTPConnection(self._host, self._port, timeout=CONNECT_S)
+            connection = HTTPConnection(self._host, self._port, timeout=SILENCE_S)
             with self._guard:
                 self._connection = connection
             connection.connect()
-            connection.sock.settimeout(ANSWER_S)
         return self._connection
 
 
--- a/cloverway/tests/test_reports.py
+++ b/cloverway/tests/test_reports.py
@@ -86,7 +86,7 @@
     The kept connection went silent for good, since something between the two ends lost track of
     it; a new connection works at once.
     """
-    monkeypatch.setattr("cloverway.reports.ANSWER_S", 0.1)
+    monkeypatch.setattr("cloverway.reports.SILENCE_S", 0.1)
     good = answer(json.dumps(BODY).encode())
     with Listener(good, good) as listener:
         reader = EndpointReader(ENGINE._replace(url=listener.url))
@@ -110,7 +110,7 @@
     ],
 )
 def test_what_is_no_report_is_an_error_within_its_time(script, monkeypatch):
-    monkeypatch.setattr("cloverway.reports.ANSWER_S", 0.1)
+    monkeypatch.setattr("cloverway.reports.SILENCE_S", 0.1)
     with Listener(script) as listener, pytest.raises(PeerError):
         read(listener.url)
 
