--- a/cloverway/summaries.py
+++ b/cloverway/summaries.py
@@ -29,7 +29,7 @@
 NEAR_RELAY_PERIODS = 2
 SOONER = 2
 """A summary with a change that matters may be told so many times as often."""
-LOST_PERIODS = 4
+LOST_PERIODS = 3
 """Missed summaries after which a failure domain counts as cut off."""
 HOSTS = 24
 """Hosts that a summary names, those with the least load first."""
@@ -77,9 +77,10 @@
         profiles = (profile.target for profile in published.profiles.values())
         self._targets = {identify(name): name for name in itertools.chain(targets, profiles)}
 
-    @property
-    def lost_s(self) -> float:
+    def lost_s(self, domain: str) -> float:
         """Silence after which a failure domain counts as cut off, in seconds."""
+        if domain in self._near:
+            return LOST_PERIODS * (1 + NEAR_RELAY_PERIODS) * self._summary_s
         rounds = max(1, -(-len(self._far) // FAR_FANOUT))
         return LOST_PERIODS * (self._summary_s * rounds + self._relay_s)
 
@@ -167,7 +168,7 @@
         }
 
     def _fresh(self, now: float) -> Iterable[Told]:
-        return [told for told in self._told.values() if now - told.at < self.lost_s]
+        return [told for name, told in self._told.items() if now - told.at < self.lost_s(name)]
 
     def _is_due(self, told: Told, now: float) -> bool:
         if not told.direct:
--- a/cloverway/tests/bench_membership.py
+++ b/cloverway/tests/bench_membership.py
@@ -1,21 +1,26 @@
 """Measure what membership costs: bytes, processor time, memory, detection. Prints Markdown.
 
-Run: python -m cloverway.tests.bench_membership [slopes|large|detection]
-The core and the codec are the real ones; network and clock are virtual.
+Run: python -m cloverway.tests.bench_membership [slopes|large|detection|loop]
+The core and the codec are the real ones; network and clock are virtual, but for `loop`.
 """
 
 from __future__ import annotations
 
 import resource
 import sys
+import threading
 import time
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from cloverway.config.settings import Timing
 from cloverway.heartbeats import Heartbeat, LoadRow, decode, encode, identify
 from cloverway.membership import Membership
+from cloverway.tests.test_control import Cluster
 from cloverway.tests.virtual import SEAL, Shape, World
 
+OWN_THREADS = ("control", "reports", "platform", "list", "fetch")
+LOOP_S = 15.0
 WARM_S = 10.0
 MEASURED_S = 10.0
 REPORT_BYTES = 481
@@ -182,7 +187,34 @@
     return false
 
 
+def run_loop() -> None:
+    """Run one real control loop against four services, and read its threads' clocks."""
+    cluster = Cluster()
+    with cluster.stack:
+        for number in range(4):
+            cluster.serve(f"a-s{number}", "a-1")
+        loop = cluster.add("a-h1", "a-1", 1, timing=Timing())
+        cluster.publish()
+        threading.Event().wait(5.0)
+        names = {t.name: t for t in threading.enumerate() if t.name.startswith(OWN_THREADS)}
+        clocks = {name: time.pthread_getcpuclockid(t.ident or 0) for name, t in names.items()}
+        begun = {name: time.clock_gettime(clock) for name, clock in clocks.items()}
+        reads = loop.status()["reports"]
+        threading.Event().wait(LOOP_S)
+        reads = loop.status()["reports"] - reads
+        spent = {name: time.clock_gettime(clocks[name]) - at for name, at in begun.items()}
+    readers = sum(value for name, value in spent.items() if name.startswith("reports"))
+    others = sum(spent.values()) - readers
+    print(f"{reads / LOOP_S:.1f} reads/s; loop {others / LOOP_S * 1000:.1f} ms/s,", end=" ")
+    print(f"readers {readers / LOOP_S * 1000:.1f} ms/s ({readers / reads * 1e6:.0f} us a read)")
+
+
 if __name__ == "__main__":
-    RUNS = {"slopes": run_slopes, "large": run_large, "detection": run_detection}
+    RUNS = {
+        "slopes": run_slopes,
+        "large": run_large,
+        "detection": run_detection,
+        "loop": run_loop,
+    }
     for chosen in sys.argv[1:] or RUNS:
         RUNS[chosen]()
--- a/cloverway/tests/test_control.py
+++ b/cloverway/tests/test_control.py
@@ -71,7 +71,7 @@
         self.endpoints: dict[str, dict] = {}
         self.stack = contextlib.ExitStack()
 
-    def add(self, name, domain, number, platform=None, address="127.0.0.1:0"):
+    def add(self, name, domain, number, *, platform=None, address="127.0.0.1:0", timing=TIMING):
         settings = Settings(
             host=name,
             domain=domain,
@@ -79,7 +79,7 @@
             listen=Listen("127.0.0.1:1", "127.0.0.1:2", address),
             platform=PlatformSettings(directory="none", poll_s=0.05),
             security=Security("none"),
-            timing=TIMING,
+            timing=timing,
         )
         holder = ViewHolder(View(name, f"{number:016x}", domain, REGIONS[domain]))
         loop = ControlLoop.from_settings(
