End a claim with the time of its request

A caller with 1.2 s left repeated a call at a host whose key came from a paused one, and was answered after 1.6 s: the claim on the pooled connection, the connect and the claim on the new connection each took their own timeout, 3.3 s in all, whatever the request had left.

All three now share the time that is left. test_claim_ends_with_the_time_of_its_request was red before.

--- a/cloverway/peer_client.py
+++ b/cloverway/peer_client.py
@@ -52,7 +52,7 @@
 
     def claim(self, host: str, address: str, call: ClaimCall) -> ClaimResult:
         """Claim a key that another host issued; raise PeerError when it can't be asked."""
-        answer = self._ask(host, address, call)
+        answer = self._ask(host, address, call, call.left_s)
         if isinstance(answer, Grant | Recorded | Refused):
             return answer
         raise PeerError("the peer does not keep to the protocol")
@@ -180,16 +180,22 @@
         body = stream.read_all(request.deadline)
         return Reply(answer.status, answer.content_type, body, headers=answer.headers)
 
-    def _ask(self, host: str, address: str, message: wire.Message) -> wire.Message:
-        """Make a small call that does no harm when it is made twice."""
+    def _ask(
+        self, host: str, address: str, message: wire.Message, left_s: float = math.inf
+    ) -> wire.Message:
+        """Make a small call that does no harm when it is made twice, within some seconds in all."""
+        end = time.monotonic() + left_s
         channel = self._take(address)
         if channel is not None:
             try:
-                return self._call(channel, address, message, self._bounds.reused_answer_s)
+                return self._call(
+                    channel, address, message, min(left_s, self._bounds.reused_answer_s)
+                )
             except PeerError:
                 log.debug("a pooled connection was lost", extra={"peer": host})
-        channel = self._connect(host, address)
-        return self._call(channel, address, message, self._bounds.answer_s)
+        channel = self._connect(host, address, end - time.monotonic())
+        answer_s = min(end - time.monotonic(), self._bounds.answer_s)
+        return self._call(channel, address, message, answer_s)
 
     def _call(
         self, channel: Channel, address: str, message: wire.Message, timeout_s: float
--- a/cloverway/tests/test_peer_failures.py
+++ b/cloverway/tests/test_peer_failures.py
@@ -79,6 +79,26 @@
     client.close()
 
 
+def test_claim_ends_with_the_time_of_its_request(server, link):
+    """The issuer of a key is paused, and a caller with little time asks another host.
+
+    The claim on the pooled connection and the one on a new connection each took their own timeout,
+    whatever the request had left: the caller got its answer after its deadline.
+    """
+    slow = BOUNDS._replace(
+        connect_s=PATIENCE_S, answer_s=PATIENCE_S, reused_answer_s=PATIENCE_S, dead_s=PATIENCE_S
+    )
+    client = PeerClient(ME, SECRET, slow)
+    client.claim("h2", link.address, CLAIM)
+    link.silence()
+    link.silent = True
+    began = time.monotonic()
+    with pytest.raises(PeerError):
+        client.claim("h2", link.address, CLAIM._replace(left_s=SHORT_S))
+    assert time.monotonic() - began < PATIENCE_S
+    client.close()
+
+
 def test_dead_host_is_not_waited_for_by_every_caller(server, handler, link):
     """The link is cut; one caller waits out the timeout, those right behind it do not."""
     client = PeerClient(ME, SECRET, BOUNDS._replace(connect_s=SHORT_S, dead_s=PATIENCE_S))
