--- a/cloverway/departures.py
+++ b/cloverway/departures.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import logging
+import os
 import select
 import socket
 import threading
@@ -13,8 +14,6 @@
 log = logging.getLogger(__name__)
 
 GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
-POLL_S = 0.5
-"""How often the thread looks whether it must end."""
 
 
 class _Watched(NamedTuple):
@@ -34,7 +33,8 @@
         self._lock = threading.Lock()
         self._watched: dict[int, _Watched] = {}
         self._epoll = select.epoll()
-        self._stopping = False
+        self._wake = os.eventfd(0)
+        self._epoll.register(self._wake, select.EPOLLIN)
         self._thread = threading.Thread(target=self._run, name="departures", daemon=True)
 
     def start(self) -> None:
@@ -43,10 +43,11 @@
 
     def stop(self) -> None:
         """End the thread."""
-        self._stopping = True
+        os.eventfd_write(self._wake, 1)
         if self._thread.is_alive():
             self._thread.join()
         self._epoll.close()
+        os.close(self._wake)
 
     @contextlib.contextmanager
     def watch(self, sock: socket.socket, request_id: str) -> Iterator[None]:
@@ -63,8 +64,10 @@
                 self._epoll.unregister(descriptor)
 
     def _run(self) -> None:
-        while not self._stopping:
-            for descriptor, _ in self._epoll.poll(POLL_S):
+        while True:
+            for descriptor, _ in self._epoll.poll():
+                if descriptor == self._wake:
+                    return
                 self._check(descriptor)
 
     def _check(self, descriptor: int) -> None:
