Read the shared secret in one place

The daemon had a reader of its own beside the one of the settings: it took a file of any length from 32 bytes up and named no setting, so a wrong file, such as a log, became a secret that no other host shares. It now uses the common one: 32 to 4,096 bytes, a warning when every user of the host can read the file, and errors that name the setting. Seen red with the former reader: the new test.

--- a/cloverway/daemon.py
+++ b/cloverway/daemon.py
@@ -19,12 +19,13 @@
 from cloverway.callers import CallerServer
 from cloverway.channel import Identity
 from cloverway.claims import Claims, KeyTask
+from cloverway.config.secrets import read_secret
 from cloverway.config.settings import Settings
 from cloverway.configuration import ConfigurationStore
 from cloverway.control import ControlLoop
 from cloverway.dispatcher import Dispatcher
 from cloverway.endpoints import EndpointClient
-from cloverway.errors import ConfigurationError, RequestError, UserError
+from cloverway.errors import RequestError, UserError
 from cloverway.gateway import Ports, RequestGateway
 from cloverway.handlers import PeerRequests, make_fetch
 from cloverway.logs import configure_logs
@@ -39,7 +40,6 @@
 log = logging.getLogger(__name__)
 
 INCARNATION_BYTES = 8
-SECRET_BYTES = 32
 DRAIN_POLL_S = 0.05
 HEARTBEATS_TO_NOTICE = 4
 """Heartbeat periods that other hosts and callers are given to notice that this host leaves."""
@@ -47,17 +47,6 @@
 """Stack of each thread; hundreds of them wait for callers."""
 
 
-def read_secret(path: Path) -> bytes:
-    """Read the secret that all hosts share; raise ConfigurationError."""
-    try:
-        secret = path.read_bytes().strip()
-    except OSError as error:
-        raise ConfigurationError([f"{path}: can't be read: {error.strerror}"]) from error
-    if len(secret) < SECRET_BYTES:
-        raise ConfigurationError([f"{path}: is shorter than {SECRET_BYTES} bytes; make a new one"])
-    return secret
-
-
 class Daemon:
     """One entry host: all its tasks, started and ended together."""
 
--- a/cloverway/tests/test_daemon.py
+++ b/cloverway/tests/test_daemon.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from cloverway.daemon import Daemon
+from cloverway.errors import ConfigurationError
 from cloverway.tests.standins.processes import Ports, Process
 from cloverway.tests.standins.topology import PEER_SECRET, HostPlace, make_settings, to_toml
 
@@ -36,3 +38,20 @@
     finally:
         daemon.stop()
         ports.close()
+
+
+def test_a_secret_that_is_too_short_or_too_long_is_refused(tmp_path: Path) -> None:
+    """The settings name a wrong file, such as an empty or a large one.
+
+    The daemon took what it read for the secret when it was long enough. No other host then
+    understood it, and nothing said why.
+    """
+    place = HostPlace("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", published_peers="")
+    secret = tmp_path / "secret"
+    platform = {"kind": "file", "directory": str(tmp_path)}
+    settings = tmp_path / "settings.toml"
+    settings.write_text(to_toml(make_settings("pl-a-host-1", place, platform, str(secret), {})))
+    for size in (0, 31, 4097):
+        secret.write_bytes(b"x" * size)
+        with pytest.raises(ConfigurationError, match=r"security\.peer_secret_file: holds"):
+            Daemon.from_config(settings)
