Part shared options and the line of a check from the command line's module

Options that several commands take now stand in a module of their own, and the line that sums a check up stands beside its report. Ruled out: to name each option of the load command in that module too, which parts them from their only use.

--- a/cloverway/__main__.py
+++ b/cloverway/__main__.py
@@ -14,6 +14,7 @@
 
 from cloverway import __version__
 from cloverway.commands import admin, bench, call, check, key, output, status, watch
+from cloverway.commands.options import AdminHost, CallerHosts, Json
 from cloverway.errors import CallError, Kind, UserError
 from cloverway.load import Plan
 
@@ -43,20 +44,6 @@
     context_settings={"help_option_names": ["-h", "--help"]},
 )
 
-AdminHost = Annotated[
-    str, typer.Option("--host", help="The host's admin address, as IP:PORT.", show_default=False)
-]
-CallerHosts = Annotated[
-    list[str],
-    typer.Option(
-        "--host",
-        envvar="CLOVERWAY_HOSTS",
-        help="The callers' address of an entry host, as IP:PORT; may be given several times.",
-    ),
-]
-Json = Annotated[bool, typer.Option("--json", help="Print JSON for a script.")]
-
-
 EXAMPLES = """\b
     Examples:
       cloverway check published/                      before publishing
@@ -326,19 +313,15 @@
     sys.stdout.flush()
 
 
-def _print_document(document: Any, json: bool) -> None:
-    typer.echo(output.format_json(document) if json else output.format_nested(document))
-
-
-BENCH_EXAMPLES = """\b
+@app.command(
+    "bench",
+    epilog="""\b
     Example:
       cloverway bench --target gateway=127.0.0.11:8010 --target direct=127.0.0.1:9000 \\
           --profile chat --streams 100 --seconds 20
-"""
-
-
-@app.command("bench", epilog=BENCH_EXAMPLES)
-def run_bench(
+    """,
+)
+def _bench(
     target: Annotated[list[str], typer.Option(help="NAME=IP:PORT[,IP:PORT]; may be repeated.")],
     profile: Annotated[str, typer.Option(help="Profile of the calls.")] = "",
     streams: Annotated[int, typer.Option(min=1, max=2000, help="Streams at one time.")] = 10,
@@ -368,6 +351,10 @@
         typer.echo(f"process {each.pid}: {each.cores:.2f} cores, {each.memory_mb:.0f} MB")
 
 
+def _print_document(document: Any, json: bool) -> None:
+    typer.echo(output.format_json(document) if json else output.format_nested(document))
+
+
 def _print_report(report: check.Report, json: bool) -> None:
     if json:
         typer.echo(output.format_json(report._asdict() | {"passed": report.passed}))
@@ -378,20 +365,11 @@
             typer.echo(f"warning: {warning}", err=True)
         for error in report.errors:
             typer.echo(f"error: {error}", err=True)
-        typer.echo(_summarise(report))
+        typer.echo(check.summarise(report))
     if not report.passed:
         raise typer.Exit(1)
 
 
-def _summarise(report: check.Report) -> str:
-    counts = f"{_count(report.errors, 'error')}, {_count(report.warnings, 'warning')}"
-    return f"ok: {report.summary}; {counts}" if report.passed else f"not valid: {counts}"
-
-
-def _count(items: list[str], noun: str) -> str:
-    return f"{len(items)} {noun}{'' if len(items) == 1 else 's'}"
-
-
 def main() -> None:
     """Run the command line."""
     app()
--- a/cloverway/commands/check.py
+++ b/cloverway/commands/check.py
@@ -63,8 +63,10 @@
     return f"{published.organisation.name}, revision {published.revision}: {', '.join(parts)}"
 
 
-def _count(number: int, plural: str) -> str:
-    return f"{number} {plural.removesuffix('s') if number == 1 else plural}"
+def summarise(report: Report) -> str:
+    """Say in one line whether a check passed, and count what it found."""
+    counts = f"{_count(len(report.errors), 'errors')}, {_count(len(report.warnings), 'warnings')}"
+    return f"ok: {report.summary}; {counts}" if report.passed else f"not valid: {counts}"
 
 
 def list_changes(old: Published, new: Published) -> list[str]:
@@ -105,6 +107,10 @@
         self._texts.append(record.getMessage())
 
 
+def _count(number: int, plural: str) -> str:
+    return f"{number} {plural.removesuffix('s') if number == 1 else plural}"
+
+
 def _load_other(directory: Path | None) -> Published | None:
     if directory is None:
         return None
