Let a leaving host decide claims while callers hold its keys, and end work of callers that left

A host that was told to leave ended two seconds later, whatever keys callers still held. A caller that used one after that was told `ran: unknown` of an allocation that nobody had begun; the test of it was red with `key_owner_lost`. The daemon now goes on deciding claims until `limits.key_hold_s` after its last key. A longer wait costs a slower planned stop: ten seconds cover callers that get a key and use it.

--- a/cloverway/config/settings.py
+++ b/cloverway/config/settings.py
@@ -69,6 +69,8 @@
     """Lifetime of an idempotency key by the clock of the host that issued it."""
     drain_s: Seconds = 30.0
     """How often a leaving daemon logs what it waits for; each request ends by its deadline."""
+    key_hold_s: Seconds = 10.0
+    """How long after its last idempotency key a leaving daemon goes on deciding claims."""
 
 
 class Timing(NamedTuple):
--- a/cloverway/daemon.py
+++ b/cloverway/daemon.py
@@ -105,7 +105,7 @@
         """
         noticed_at = now() + HEARTBEATS_TO_NOTICE * self.settings.timing.heartbeat_s
         warn_at = now() + self.settings.limits.drain_s
-        while (self.count_in_progress() or now() < noticed_at) and not is_cut():
+        while (now() < noticed_at or self._is_needed()) and not is_cut():
             if now() >= warn_at:
                 warn_at = now() + self.settings.limits.drain_s
                 count = self.count_in_progress()
@@ -113,6 +113,15 @@
             self._pause.wait(DRAIN_POLL_S)
         return self.count_in_progress()
 
+    def _is_needed(self) -> bool:
+        """Tell whether requests are in progress here, or callers hold keys that were issued here.
+
+        A key whose issuer is gone can't be used: its caller would be told `ran: unknown` of work
+        that nobody has begun.
+        """
+        hold_s = self.settings.limits.key_hold_s
+        return self.count_in_progress() > 0 or self.keys.is_needed(hold_s)
+
     def count_in_progress(self) -> int:
         """Count requests of callers, and those passed on by other hosts."""
         return max(self.callers.in_progress(), self.dispatcher.in_flight())
@@ -171,6 +180,7 @@
             self.gateway,
             self.keys.issue,
             on_refusal=reporter.note_refusal,
+            on_left=self._give_up,
         )
         operations = Operations(
             list_hosts=self.callers.list_hosts,
@@ -181,6 +191,11 @@
         )
         self.admin = AdminServer(self.settings, self.holder, operations)
 
+    def _give_up(self, request_id: str) -> None:
+        """End what is left to do for a caller that left before its answer began."""
+        self.dispatcher.cancel(request_id)
+        self.endpoints.give_up(request_id)
+
     def _explain(self, team: str, profile: str) -> Any:
         return self.dispatcher.explain(team, profile, time.monotonic())
 
--- a/cloverway/tests/test_planned_stop.py
+++ b/cloverway/tests/test_planned_stop.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 from cloverway.tests.standins.clients import Caller
@@ -9,10 +10,15 @@
 
 STREAMS = 6
 TOKENS = 60
+HELD_S = 4.0
 TOPOLOGY = Topology(regions=("pl",), engine_options=("--token-s", "0.02"))
 HOSTS = ("pl-a-host-1", "pl-a-host-2")
 
 
+def list_names(fleet: Fleet, host: str) -> list[str]:
+    return [found["name"] for found in Caller(fleet.url(host)).hosts()["hosts"]]
+
+
 def replace_under_load(fleet: Fleet, leaving: str, staying: str) -> None:
     """Stop a host while it relays streams, look at what its callers see, and start it again."""
     caller = Caller(fleet.url(leaving))
@@ -25,14 +31,13 @@
         wait_until(lambda: all(pieces), what="all streams to have begun")
         fleet.terminate(leaving)
         wait_until(
-            lambda: leaving
-            not in [host["name"] for host in Caller(fleet.url(staying)).hosts()["hosts"]],
+            lambda: leaving not in list_names(fleet, staying),
             what="the other host to stop naming it",
         )
         refused = Caller(fleet.url(leaving)).chat("late")
         assert (refused.kind, refused.ran) == ("leaving", "no")
         assert float(refused.headers["Retry-After"]) > 0
-        assert all(call.result().whole for call in calls)
+        assert not [call.result() for call in calls if not call.result().whole]
     assert fleet.processes[leaving].wait() == 0
     fleet.restart(leaving)
 
@@ -48,3 +53,19 @@
         replace_under_load(fleet, *HOSTS)
         replace_under_load(fleet, *reversed(HOSTS))
         assert all(Caller(fleet.url(host)).chat("after").whole for host in HOSTS)
+
+
+def test_a_key_in_hand_can_be_used_after_its_host_was_told_to_leave() -> None:
+    """A caller gets a key, its host is told to leave, and the caller sends the work elsewhere.
+
+    Only the leaving host can say whether the key was used. Were it gone, the caller would be told
+    `ran: unknown` of an allocation that nobody has begun, and could not allocate by this key.
+    """
+    with Fleet(TOPOLOGY) as fleet:
+        leaving, staying = (Caller(fleet.url(host)) for host in HOSTS)
+        key = leaving.take_key()
+        fleet.terminate(HOSTS[0])
+        use_at = time.monotonic() + HELD_S
+        wait_until(lambda: time.monotonic() >= use_at, what="the caller to use its key")
+        assert staying.serve("two cartons", key=key).whole
+        assert fleet.processes[HOSTS[0]].running
