--- /dev/null
+++ b/cloverway/tests/bench_change.py
@@ -0,0 +1,69 @@
+"""Measure how long a change takes to be in force: `python -m cloverway.tests.bench_change`.
+
+Changes are published one after the other to the platform's stand-in, and every daemon is asked for
+its revision until all have it. The time holds the asking: about a millisecond for each daemon.
+"""
+
+from __future__ import annotations
+
+import json
+import statistics
+import threading
+import time
+
+import urllib3
+
+from cloverway.tests.standins.fleet import Fleet
+from cloverway.tests.standins.topology import Topology
+
+CHANGES = 30
+LONGEST_S = 10.0
+LOOK_S = 0.005
+
+
+def wait_in_force(
+    fleet: Fleet, http: urllib3.PoolManager, hosts: list[str], revision: int
+) -> float:
+    """Give the seconds until every host has a revision in force."""
+    begin, pause = time.monotonic(), threading.Event()
+    left = set(hosts)
+    while left:
+        assert time.monotonic() < begin + LONGEST_S, f"{left} never got revision {revision}"
+        left = {host for host in left if read_revision(fleet, http, host) < revision}
+        pause.wait(LOOK_S)
+    return time.monotonic() - begin
+
+
+def read_revision(fleet: Fleet, http: urllib3.PoolManager, host: str) -> int:
+    answer = http.request("GET", f"http://{fleet.hosts[host].admin}/v1/status")
+    return int(json.loads(answer.data)["revision"])
+
+
+def measure(fleet: Fleet, hosts: list[str]) -> list[float]:
+    http = urllib3.PoolManager(retries=False, timeout=5.0, maxsize=4)
+    times = []
+    for number in range(CHANGES):
+        revision = fleet.publish({"objective": {"cost": 1.0 + number}})
+        times.append(wait_in_force(fleet, http, hosts, revision))
+    return sorted(times)
+
+
+def main() -> None:
+    print("| hosts | changes | p50 s | p99 s | worst s |\n| --- | ---: | ---: | ---: | ---: |")
+    with Fleet(Topology(hosts=4), platform="http") as fleet:
+        everyone = list(fleet.hosts)
+        report("all 12, in 3 regions", measure(fleet, everyone))
+        for name in everyone[:1]:
+            fleet.kill(name)
+        report("11, one killed just before", measure(fleet, everyone[1:]))
+
+
+def report(label: str, times: list[float]) -> None:
+    p99 = statistics.quantiles(times, n=100)[98]
+    print(
+        f"| {label} | {len(times)} | {times[len(times) // 2]:.2f} | {p99:.2f} | {times[-1]:.2f} |"
+    )
+
+
+if __name__ == "__main__":
+    main()
