Start to serve when the endpoints were heard of, and never deny a run before its key was looked up

A host that had just been replaced refused its first callers with `no_capacity` although endpoints were free: it was ready as soon as it had its configuration, half a second before the first load report. Ruled out: a wrong readiness of the endpoints, whose reports came on time. A host now serves when each endpoint of its failure domain was heard of, or after 1.5 s; both ways have a test, the first was red.

A request with a key that was refused before the key's issuer was asked was answered `ran: no`; an earlier request with the key may have run. It is `unknown` now (two cases, red before).

The test of the host list waits for the list: in its first second a host may know only one host of another failure domain, and so may the summary that names it. The list itself is checked as before.

--- a/cloverway/control.py
+++ b/cloverway/control.py
@@ -13,7 +13,7 @@
 import secrets
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -30,7 +30,7 @@
 from cloverway.reports import EndpointReader, Rounds, Workers
 from cloverway.seal import Seal
 from cloverway.updates import FetchChanges, Offer, Updates
-from cloverway.view import View, ViewHolder
+from cloverway.view import EndpointState, View, ViewHolder
 
 log = logging.getLogger(__name__)
 
@@ -44,6 +44,9 @@
 READ_LIMIT_S = 5.0
 """A report that has not come whole by then is given up."""
 READER_THREADS = 8
+FIRST_REPORTS_S = 1.5
+"""How long a starting host waits for a first word of each of its endpoints."""
+NEVER = float("-inf")
 
 
 class ControlLoop:
@@ -77,6 +80,8 @@
         )
         self._updates = Updates(settings, store, platform, fetch_changes, clock)
         self._leaving = False
+        self._serving = False
+        self._serve_by: float | None = None
         self._alive_at = clock()
         self._urgent = False
         self._told_at = float("-inf")
@@ -344,6 +349,19 @@
         finally:
             self._rounds.finish(name)
 
+    def _judge_start(self, endpoints: Iterable[EndpointState], now: float) -> None:
+        """Begin to serve when the configuration is settled and the endpoints were heard of.
+
+        A host that served sooner would refuse its first callers for lack of an endpoint. One that
+        hears nothing of an endpoint, which may be dead, serves without it after a while.
+        """
+        if self._serving or not self._updates.settled:
+            return
+        if self._serve_by is None:
+            self._serve_by = now + FIRST_REPORTS_S
+        heard = all(state.reported_at > NEVER for state in endpoints)
+        self._serving = heard or now >= self._serve_by
+
     def _publish(self, now: float) -> None:
         """Give all other tasks a new picture, by one assignment."""
         self._view_due = now + VIEW_S
@@ -351,15 +369,17 @@
             self._far_due = now + self._settings.timing.summary_s
             self._far = (self.gossip.far_hosts(now), self.gossip.capacities(now))
         hosts, capacities = self._far
+        endpoints = self.gossip.endpoints(now)
+        self._judge_start(endpoints.values(), now)
         before = self._holder.current
         self._holder.current = View(
             host=before.host,
             incarnation=before.incarnation,
             domain=before.domain,
             region=before.region,
-            published=self._updates.published if self._updates.settled else None,
+            published=self._updates.published if self._serving else None,
             hosts={**hosts, **self.gossip.near_hosts(now)},
-            endpoints=self.gossip.endpoints(now),
+            endpoints=endpoints,
             summaries=capacities,
             leaving=self._leaving,
             platform_stale=self._updates.platform_stale,
--- a/cloverway/gateway.py
+++ b/cloverway/gateway.py
@@ -160,7 +160,9 @@
         self.gateway = gateway
         self.request = request
         self.grant: Granted | None = None
-        self.ran = Ran.NO
+        # An earlier request with the same key may have run: until its issuer was asked, "no" could
+        # make the caller do the work again under another key.
+        self.ran = Ran.UNKNOWN if request.key and not request.passed_on else Ran.NO
         self.record = Record(request)
         self.ended = False
 
@@ -171,6 +173,7 @@
         profile = published.profiles.get(self.request.profile)
         if profile is None:
             raise RequestError(Kind.FORBIDDEN, "the profile is not published")
+        self.ran = Ran.NO
         if self.request.key and not profile.idempotent and not self.request.passed_on:
             claimed = self.gateway.ports.claims.claim(self.request)
             if isinstance(claimed, Replayed):
--- a/cloverway/tests/test_control.py
+++ b/cloverway/tests/test_control.py
@@ -71,7 +71,17 @@
         self.endpoints: dict[str, dict] = {}
         self.stack = contextlib.ExitStack()
 
-    def add(self, name, domain, number, *, platform=None, address="127.0.0.1:0", timing=TIMING):
+    def add(
+        self,
+        name,
+        domain,
+        number,
+        *,
+        platform=None,
+        address="127.0.0.1:0",
+        timing=TIMING,
+        make_holder=ViewHolder,
+    ):
         settings = Settings(
             host=name,
             domain=domain,
@@ -81,7 +91,7 @@
             security=Security("none"),
             timing=timing,
         )
-        holder = ViewHolder(View(name, f"{number:016x}", domain, REGIONS[domain]))
+        holder = make_holder(View(name, f"{number:016x}", domain, REGIONS[domain]))
         loop = ControlLoop.from_settings(
             settings,
             holder,
@@ -174,6 +184,34 @@
     assert loop.status()["revision"] == 0
 
 
+def test_a_starting_host_takes_no_work_before_it_heard_of_its_endpoints(cluster):
+    """The first callers of a host that was just replaced are refused, though endpoints are free.
+
+    The host has its configuration and says that it is ready; the first load report comes a moment
+    later. Until then no endpoint counts as ready, and each request gets `no_capacity`.
+    """
+    cluster.serve("a-s1", "a-1")
+    cluster.publish()
+    seen = []
+
+    class Watched(ViewHolder):
+        def __setattr__(self, name, view):
+            seen.append(view)
+            super().__setattr__(name, view)
+
+    cluster.add("a-h1", "a-1", 1, make_holder=Watched)
+    wait_until(lambda: cluster.view("a-h1").ready)
+    first = next(view for view in seen if view.ready)
+    assert first.endpoints["a-s1"].ready
+
+
+def test_an_endpoint_that_never_answers_keeps_no_host_from_starting(cluster):
+    cluster.serve("a-s1", "a-1").stop()
+    cluster.publish()
+    cluster.add("a-h1", "a-1", 1)
+    wait_until(lambda: cluster.view("a-h1").ready)
+
+
 def test_a_leaving_host_is_seen_as_such_by_all(cluster):
     start_three(cluster)
     cluster.loops["a-h1"].begin_leaving()
--- a/cloverway/tests/test_gateway.py
+++ b/cloverway/tests/test_gateway.py
@@ -251,6 +251,22 @@
     assert len(router.verdicts) == 2
 
 
+@pytest.mark.parametrize("published", [None, PUBLISHED._replace(profiles={})])
+def test_a_repeat_that_is_refused_before_its_key_was_looked_up_is_not_called_not_run(
+    published: Published | None,
+) -> None:
+    """An allocation ran; its answer was lost; the repeat reaches a host that can't look its key up.
+
+    That host has no configuration yet, or the profile was withdrawn. Told `ran: no`, the caller
+    would allocate anew with another key, and twice the cartons would be picked.
+    """
+    bench, _, endpoints, _ = make_bench(DONE)
+    bench.holder.current = bench.holder.current._replace(published=published)
+    with pytest.raises(RequestError) as caught:
+        bench.gateway.run(make_request("allocate", key="k"))
+    assert (caught.value.ran, endpoints.sent) == (Ran.UNKNOWN, 0)
+
+
 def test_a_bound_team_is_refused_where_it_must_not_run() -> None:
     """A host of region north gets a passed-on request of a team bound to south.
 
--- a/cloverway/tests/test_whole_path.py
+++ b/cloverway/tests/test_whole_path.py
@@ -35,7 +35,9 @@
 
 
 def test_lookup_names_the_hosts(fleet):
-    listed = Caller(fleet.url("cu-a-host-1")).hosts()["hosts"]
+    caller = Caller(fleet.url("cu-a-host-1"))
+    wait_until(lambda: len(caller.hosts()["hosts"]) == len(fleet.hosts), 3, "all hosts to be named")
+    listed = caller.hosts()["hosts"]
     assert {entry["name"] for entry in listed} == set(fleet.hosts)
     assert {entry["domain"] for entry in listed[:2]} == {"cu-a"}
 
