Wait for the platform's service as long as the settings say

A reader of the service passed the period in which a directory is looked at as the time to wait for a change, so that each call came back after 0.5 s, and `watch_s` was used nowhere. At the two-year size that is 432 calls a second of 216 readers where 108 do. The settings now give the wait by the kind of platform. Reckoned from the defaults, not measured.

A change still comes at once, as the service ends a wait with it. What takes longer: a silent connection is found after 5 s in place of 3.5 s, and a platform that lags is called stale up to 2 s later, in place of 0.5 s; the other reader of the domain bridges both. The test of the kind "http" was seen red before.

--- a/cloverway/config/settings.py
+++ b/cloverway/config/settings.py
@@ -38,6 +38,11 @@
     watch_s: Seconds = 2.0
     """The longest wait of one call to the service; a silent connection is found 3 s after it."""
 
+    @property
+    def wait_s(self) -> float:
+        """How long one read waits for a change, by the kind of platform."""
+        return self.watch_s if self.kind == "http" else self.poll_s
+
 
 class Security(NamedTuple):
     """Secrets shared by the hosts."""
--- /dev/null
+++ b/cloverway/tests/test_updates.py
@@ -0,0 +1,68 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+
+import pytest
+
+from cloverway.config.settings import Listen, PlatformSettings, Security, Settings
+from cloverway.configuration import ConfigurationStore
+from cloverway.errors import PeerError, PlatformError
+from cloverway.platform.port import Changes, HostList
+from cloverway.updates import Updates
+
+READ_WITHIN_S = 10.0
+
+
+class SilentPlatform:
+    """Notes what it is asked for, and gives nothing."""
+
+    def __init__(self, asked: asyncio.Queue, loop: asyncio.AbstractEventLoop) -> None:
+        self._asked = asked
+        self._loop = loop
+
+    def read(self, after: int, wait_s: float) -> Changes:
+        self._loop.call_soon_threadsafe(self._asked.put_nowait, wait_s)
+        raise PlatformError("there is nothing yet")
+
+    def list_states(self) -> HostList:
+        return HostList()
+
+
+def refuse(host: str, address: str, after: int) -> Changes:
+    raise PeerError("there are no peers")
+
+
+async def find_wait(platform: PlatformSettings) -> float:
+    asked: asyncio.Queue[float] = asyncio.Queue()
+    settings = Settings(
+        host="a-h1",
+        domain="a-1",
+        region="a",
+        listen=Listen("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"),
+        platform=platform,
+        security=Security("none"),
+    )
+    silent = SilentPlatform(asked, asyncio.get_running_loop())
+    updates = Updates(settings, ConfigurationStore(), silent, refuse, time.monotonic)
+    updates.start()
+    watch = asyncio.create_task(updates.watch_platform(lambda now: True, lambda published: None))
+    try:
+        return await asyncio.wait_for(asked.get(), READ_WITHIN_S)
+    finally:
+        watch.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await watch
+        updates.stop()
+
+
+@pytest.mark.parametrize(("kind", "expected"), [("file", 0.25), ("http", 7.0)])
+def test_a_read_waits_as_long_as_the_kind_of_platform_asks(kind, expected):
+    """The platform's service gets twice the calls that it needs, or more, from all regions.
+
+    Its readers waited for a change as long as a directory is left unread, in place of the time for
+    which the service holds a call back. At the two-year size 216 hosts read it.
+    """
+    platform = PlatformSettings(kind=kind, poll_s=0.25, watch_s=7.0)
+    assert asyncio.run(find_wait(platform)) == expected
--- a/cloverway/updates.py
+++ b/cloverway/updates.py
@@ -157,7 +157,7 @@
 
     async def _read_platform(self, adopt: Adopt) -> bool:
         call = self._platform_workers.submit(
-            self._platform.read, self._store.read_after, self._settings.platform.poll_s
+            self._platform.read, self._store.read_after, self._settings.platform.wait_s
         )
         try:
             changes = await asyncio.wrap_future(call)
