Tell each summary of a failure domain once to siblings, not by every host that got it

Two causes of copies, found by counting what 120 hosts told: a host that held a later summary than the one a sibling told did not note that it was told; and all hosts that were ever told waited for the same moment.

--- a/cloverway/summaries.py
+++ b/cloverway/summaries.py
@@ -43,7 +43,7 @@
     summary: DomainSummary
     at: float
     direct: bool
-    """Whether this host was told by the failure domain itself."""
+    """Told by the failure domain itself, and not yet judged whether siblings are to know."""
     relayed: DomainSummary | None = None
     """What siblings were last told, or told this host."""
     relayed_at: float = float("-inf")
@@ -106,6 +106,9 @@
         true_at = at - summary.age_s
         known = self._told.get(summary.domain)
         if known and true_at <= known.at:
+            if not direct:
+                # Siblings have a copy, if an older one: to tell ours too would double the bytes.
+                self._told[summary.domain] = known._replace(relayed=summary, relayed_at=at)
             return False
         told = Told(summary, true_at, direct)
         if not direct:
@@ -116,13 +119,19 @@
         return True
 
     def to_relay(self, now: float) -> list[DomainSummary]:
-        """Give the summaries that siblings lack: new levels at once, the same ones seldom."""
-        due = {name: told for name, told in self._told.items() if self._is_due(told, now)}
-        self._told.update(
-            (name, told._replace(relayed=told.summary, relayed_at=now))
-            for name, told in due.items()
-        )
-        return [told.summary._replace(age_s=now - told.at) for told in due.values()]
+        """Give the summaries that siblings lack: changes that matter soon, the rest seldom.
+
+        Each copy is judged once, by the host that was told. Where all hosts that were ever told
+        waited for the same moment, two of them told the same at once.
+        """
+        direct = {name: told for name, told in self._told.items() if told.direct}
+        due = {name for name, told in direct.items() if self._is_due(told, now)}
+        for name, told in direct.items():
+            judged = told._replace(direct=False)
+            if name in due:
+                judged = judged._replace(relayed=told.summary, relayed_at=now)
+            self._told[name] = judged
+        return [direct[name].summary._replace(age_s=now - direct[name].at) for name in sorted(due)]
 
     def hosts_to_tell(self, domain: str) -> list[tuple[str, int]]:
         """List (host, tag) of a failure domain's hosts; tag 0 where no incarnation is known."""
@@ -171,8 +180,6 @@
         return [told for name, told in self._told.items() if now - told.at < self.lost_s(name)]
 
     def _is_due(self, told: Told, now: float) -> bool:
-        if not told.direct:
-            return False
         near = told.summary.domain in self._near
         period_s = NEAR_RELAY_PERIODS * self._summary_s if near else self._relay_s
         waited_s = now - told.relayed_at
