Read and write addresses in one place

Four modules split "IP:PORT" each in its own words, three put it together again, and two took the address out of an endpoint's URL, of which one had the name of the other thing. They now share one module. An IPv6 number in brackets was read alike by all four, so nothing changes for users.

Left as it is: the client's splitting, which hands the brackets on to its HTTP library.

--- a/cloverway/channel.py
+++ b/cloverway/channel.py
@@ -20,6 +20,7 @@
 from typing import NamedTuple, TypeVar
 
 from cloverway import wire
+from cloverway.addresses import split_address
 from cloverway.errors import PeerError
 
 HEADER = struct.Struct(">IB")
@@ -283,12 +284,6 @@
         return bool(poll.poll(timeout_s * 1000))
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split "number:port"; IPv6 numbers are in brackets."""
-    number, _, port = address.rpartition(":")
-    return number.strip("[]"), int(port)
-
-
 def _derive_session(secret: bytes, hello: wire.Hello, challenge: wire.Challenge) -> bytes:
     """Derive the secret of one connection from all that both ends have said."""
     digest = hashlib.sha256()
--- a/cloverway/connections.py
+++ b/cloverway/connections.py
@@ -8,7 +8,6 @@
 import time
 from collections import deque
 from typing import Any, NamedTuple
-from urllib.parse import urlsplit
 
 import urllib3.connection
 import urllib3.exceptions
@@ -221,9 +220,3 @@
             self._idle.clear()
         for connection in idle:
             connection.close()
-
-
-def parse_address(url: str) -> tuple[str, int]:
-    """Split an endpoint's `http://IP:PORT` into IP number and port."""
-    parts = urlsplit(url)
-    return parts.hostname or "", parts.port or 80
--- a/cloverway/datagrams.py
+++ b/cloverway/datagrams.py
@@ -5,8 +5,8 @@
 import logging
 import socket
 from collections.abc import Iterable, Iterator
-from typing import Any
 
+from cloverway.addresses import format_address, split_address
 from cloverway.gossip import Outgoing
 from cloverway.seal import MAX_DATAGRAM_BYTES
 
@@ -22,7 +22,7 @@
 
     def __init__(self, address: str) -> None:
         self._wanted = address
-        family = socket.AF_INET6 if ":" in _parse_address(address)[0] else socket.AF_INET
+        family = socket.AF_INET6 if ":" in split_address(address)[0] else socket.AF_INET
         self._socket = socket.socket(family, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
@@ -30,7 +30,7 @@
 
     def bind(self) -> None:
         """Listen at the address; raise OSError when it can't be bound."""
-        self._socket.bind(_parse_address(self._wanted))
+        self._socket.bind(split_address(self._wanted))
 
     def fileno(self) -> int:
         """Give the descriptor, to be watched by a loop."""
@@ -43,7 +43,7 @@
     @property
     def address(self) -> str:
         """The address that the socket is bound to."""
-        return _format_address(self._socket.getsockname())
+        return format_address(self._socket.getsockname())
 
     def receive(self) -> Iterator[tuple[bytes, str]]:
         """Give the datagrams that are there, each with the address it came from."""
@@ -55,25 +55,15 @@
                 return
             self.counts["received"] += 1
             self.counts["received_bytes"] += len(datagram)
-            yield datagram, _format_address(source)
+            yield datagram, format_address(source)
 
     def send(self, outgoing: Iterable[Outgoing]) -> None:
         """Send datagrams; one that can't be sent is the same as one that is lost on its way."""
         for address, datagram in outgoing:
             try:
-                self._socket.sendto(datagram, _parse_address(address))
+                self._socket.sendto(datagram, split_address(address))
             except OSError as error:
                 log.debug("a datagram was not sent", extra={"to": address, "why": str(error)})
                 continue
             self.counts["sent"] += 1
             self.counts["sent_bytes"] += len(datagram)
-
-
-def _parse_address(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
-def _format_address(source: Any) -> str:
-    host, port = source[0], source[1]
-    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- a/cloverway/endpoints.py
+++ b/cloverway/endpoints.py
@@ -13,6 +13,7 @@
 from contextlib import nullcontext
 from typing import NamedTuple
 
+from cloverway.addresses import split_url
 from cloverway.cancels import Canceller
 from cloverway.config.settings import Limits
 from cloverway.connections import (
@@ -21,7 +22,6 @@
     ConnectionPool,
     Head,
     TimedSocket,
-    parse_address,
 )
 from cloverway.copiers import Copier, EndpointStream, RelayCopier
 from cloverway.errors import CloverwayError, Kind, Ran, RequestError
@@ -113,7 +113,7 @@
 
         `check` is called just before the first byte is sent and raises when it may not be.
         """
-        call = Call(parse_address(url), request, idempotent, gap_s, priority, check)
+        call = Call(split_url(url), request, idempotent, gap_s, priority, check)
         with self._waits.watch(request.id) if idempotent else nullcontext(Wait()) as wait:
             try:
                 return self._send(call, wait)
--- a/cloverway/listener.py
+++ b/cloverway/listener.py
@@ -16,6 +16,7 @@
 
 from cheroot import wsgi
 
+from cloverway.addresses import format_address, split_address
 from cloverway.caller_connection import (
     HEAD_END,
     Collected,
@@ -214,14 +215,13 @@
         name: str,
         on_early: OnEarly = lambda early: None,
     ) -> None:
-        self._server = BoundedServer(parse_address(address), application, bounds, on_early)
+        self._server = BoundedServer(split_address(address), application, bounds, on_early)
         self._thread = threading.Thread(target=self._serve, name=name, daemon=True)
 
     @property
     def address(self) -> str:
         """Where it listens, with the port that was bound."""
-        host, port = self._server.bind_addr[:2]
-        return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+        return format_address(self._server.bind_addr)
 
     @property
     def in_progress(self) -> int:
@@ -242,12 +242,6 @@
         self._server.serve()
 
 
-def parse_address(address: str) -> tuple[str, int]:
-    """Split an address into its IP number and port."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 def turn_away(conn: Connection, kind: Kind, detail: str, request_id: str) -> None:
     """Answer a request that no thread takes, without waiting for anything, and close."""
     head = conn.rfile.source.pending
--- a/cloverway/load.py
+++ b/cloverway/load.py
@@ -17,6 +17,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from cloverway.addresses import split_address
 from cloverway.errors import RequestError
 from cloverway.framing import BodyParser, ChunkedBody, EventStream, LengthBody
 
@@ -124,9 +125,8 @@
 
 
 async def _stream(call: _Call, plan: Plan, figures: Figures) -> str:
-    number, _, port = call.address.rpartition(":")
     begin = time.monotonic()
-    reader, writer = await asyncio.open_connection(number.strip("[]"), int(port))
+    reader, writer = await asyncio.open_connection(*split_address(call.address))
     try:
         writer.write(_make_request(call, plan))
         head = await reader.readuntil(HEAD_END)
--- a/cloverway/peer_server.py
+++ b/cloverway/peer_server.py
@@ -10,7 +10,8 @@
 from collections.abc import Iterator, Sequence
 
 from cloverway import wire
-from cloverway.channel import Channel, Identity, split_address
+from cloverway.addresses import format_address, split_address
+from cloverway.channel import Channel, Identity
 from cloverway.errors import PeerError, RequestError, UserError
 from cloverway.keys import ClaimCall, SettleCall
 from cloverway.passed_on import PassedOnRun, as_refused
@@ -66,7 +67,7 @@
             self._listener = socket.create_server((number, port), family=family, backlog=BACKLOG)
         except OSError as error:
             raise UserError(f"{address}: can't listen for hosts: {error.strerror}") from error
-        self.address = _format_address(self._listener)
+        self.address = format_address(self._listener.getsockname())
         """Where it listens, by IP number and port."""
         self._threads = [
             threading.Thread(target=self._accept_all, name="peers", daemon=True),
@@ -222,11 +223,6 @@
         return time.monotonic() + self._bounds.send_s
 
 
-def _format_address(listener: socket.socket) -> str:
-    number, port, *_ = listener.getsockname()
-    return f"[{number}]:{port}" if ":" in number else f"{number}:{port}"
-
-
 def shut(raw: socket.socket) -> None:
     """End a socket's use by another thread; harmless when it has ended."""
     with contextlib.suppress(OSError):
--- a/cloverway/reports.py
+++ b/cloverway/reports.py
@@ -12,12 +12,12 @@
 from http.client import HTTPException
 from queue import SimpleQueue
 from typing import Any, NotRequired, TypedDict
-from urllib.parse import urlsplit
 
 import urllib3.exceptions
 from urllib3.connection import HTTPConnection
 from urllib3.util import SKIP_HEADER
 
+from cloverway.addresses import split_url
 from cloverway.config.published import Endpoint, EndpointKind
 from cloverway.errors import PeerError
 from cloverway.readings import Report
@@ -85,9 +85,7 @@
 
     def __init__(self, endpoint: Endpoint) -> None:
         self.endpoint = endpoint
-        parts = urlsplit(endpoint.url)
-        self._host = parts.hostname or ""
-        self._port = parts.port
+        self._host, self._port = split_url(endpoint.url)
         self._path = PATHS[endpoint.kind]
         self._connection: HTTPConnection | None = None
         self._guard = threading.Lock()
