Make an error of a refusal in one place

Three modules turned the message of a refusal into the error for the caller, field by field. A field that is added to one of them and forgotten in another would lose what a caller is told on `ran`. The message now does it itself; no behaviour changes. Not joined: a refusal that comes after the head of an answer, whose `ran` may never be "no".

--- a/cloverway/claims.py
+++ b/cloverway/claims.py
@@ -118,7 +118,7 @@
             raise RequestError(Kind.MALFORMED, f"count must be from 1 to {MOST_KEYS_AT_ONCE}")
         issued = self._ask(Issue(count), Ran.NO)
         if isinstance(issued, Refused):
-            raise _as_error(issued)
+            raise issued.as_error()
         keys: list[str] = issued
         return keys
 
@@ -271,7 +271,7 @@
         if isinstance(result, Recorded):
             headers = (*result.headers, REPLAYED_HEADER)
             return Replayed(Reply(result.status, result.content_type, result.body, headers=headers))
-        raise _as_error(result)
+        raise result.as_error()
 
     def settle(self, granted: Granted, outcome: Outcome, reply: Reply | None = None) -> None:
         """Tell the issuer how the run ended; returns at once.
@@ -341,9 +341,3 @@
         # One issuer that does not answer must not hold up the settlements for all others.
         shard = zlib.crc32(issuer.encode()) % SETTLERS
         self._settlers[shard].settle(issuer, call)
-
-
-def _as_error(refused: Refused) -> RequestError:
-    return RequestError(
-        refused.kind, refused.detail, ran=refused.ran, retry_after=refused.retry_after
-    )
--- a/cloverway/gateway.py
+++ b/cloverway/gateway.py
@@ -222,9 +222,7 @@
     def _take(self, verdict: Verdict | None) -> Admitted:
         assert verdict is not None
         if isinstance(verdict, Refused):
-            raise RequestError(
-                verdict.kind, verdict.detail, ran=verdict.ran, retry_after=verdict.retry_after
-            )
+            raise verdict.as_error()
         queue_s = self.gateway.clock() - self.request.arrived_at
         attempts = self.record.attempts + 1
         if self.record.attempts == 0:
--- a/cloverway/messages.py
+++ b/cloverway/messages.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from cloverway.errors import Kind, Ran
+from cloverway.errors import Kind, Ran, RequestError
 
 
 class Request(NamedTuple):
@@ -105,5 +105,9 @@
     retry_after: float | None = None
     ran: Ran = Ran.NO
 
+    def as_error(self) -> RequestError:
+        """Give the error that answers the caller."""
+        return RequestError(self.kind, self.detail, ran=self.ran, retry_after=self.retry_after)
+
 
 Verdict = Admitted | Refused
--- a/cloverway/peer_client.py
+++ b/cloverway/peer_client.py
@@ -171,9 +171,7 @@
     ) -> Reply:
         if isinstance(answer, Refused):
             self._put_back(address, channel)
-            raise RequestError(
-                answer.kind, answer.detail, ran=answer.ran, retry_after=answer.retry_after
-            )
+            raise answer.as_error()
         stream = PeerStream(channel, self._bounds, lambda whole: self._put_back(address, whole))
         if answer.streamed:
             return Reply(answer.status, answer.content_type, stream=stream, headers=answer.headers)
