Use the standard words for throughput, decay and lingering

A newcomer met "drain" with three meanings: a host that leaves, the rate at which work is done, and reading on before a close; the glossary knows the first only. The others are now called throughput and linger. Also renamed: a sum that fades is a decaying rate, what bars a request is a refusal, and the platform's "line" a paced pool, as a line is a queue elsewhere.

--- a/cloverway/admission.py
+++ b/cloverway/admission.py
@@ -64,8 +64,10 @@
         self._used: dict[str, float] = defaultdict(float)
         self._floor = 0.0
         self._credit: dict[Urgency, float] = defaultdict(float)
-        self._offered: dict[Urgency, Faded] = {urgency: Faded() for urgency in Urgency}
-        self.drain = Drain()
+        self._offered: dict[Urgency, DecayingRate] = {
+            urgency: DecayingRate() for urgency in Urgency
+        }
+        self.throughput = Throughput()
 
     def note_offered(self, urgency: Urgency, cost_s: float, now: float) -> None:
         """Count work that arrives, in slot seconds, whether it is admitted or not."""
@@ -216,8 +218,8 @@
         )
 
 
-class Faded:
-    """A sum per second in which the past fades."""
+class DecayingRate:
+    """A rate per second with exponential decay."""
 
     def __init__(self) -> None:
         self._sum = 0.0
@@ -225,24 +227,24 @@
 
     def add(self, amount: float, now: float) -> None:
         """Add an amount."""
-        self._sum = self._faded(now) + amount
+        self._sum = self._decayed(now) + amount
         self._at = now
 
     def rate(self, now: float) -> float:
         """Give the amount per second, lately."""
-        return self._faded(now) * log(2) / HALF_LIFE_S
+        return self._decayed(now) * log(2) / HALF_LIFE_S
 
-    def _faded(self, now: float) -> float:
+    def _decayed(self, now: float) -> float:
         if self._at == float("-inf"):
             return 0.0
         return float(self._sum * 0.5 ** (max(0.0, now - self._at) / HALF_LIFE_S))
 
 
-class Drain:
+class Throughput:
     """Measure how fast work is done, and say when a refused caller should come back."""
 
     def __init__(self) -> None:
-        self._done = Faded()
+        self._done = DecayingRate()
         self._booked_until = float("-inf")
 
     def note_done(self, cost_s: float, now: float) -> None:
--- a/cloverway/application.py
+++ b/cloverway/application.py
@@ -183,7 +183,7 @@
         if not _is_body_read(call):
             # What is left of the body would be taken for the next request.
             call.http.close_connection = True
-            call.connection.drain = True
+            call.connection.linger = True
         return [json.dumps(error.as_problem(call.id)).encode()]
 
     def _answer_unknown(self) -> None:
--- a/cloverway/caller_connection.py
+++ b/cloverway/caller_connection.py
@@ -191,7 +191,8 @@
         super().__init__(server, sock, makefile)
         self.rfile = TimedReader(sock)
         self.wfile = TimedWriter(sock, server.timeout)
-        self.drain = False
+        self.linger = False
+        """Whether to read on for a while before closing, so that the answer is not lost."""
         self.had_request = False
         self.head_until = float("inf")
         """When the head that has begun to come must be whole."""
@@ -237,11 +238,11 @@
     def close(self) -> None:
         """Close, after a caller that was refused midway had a chance to read why."""
         self.server.forget(self)
-        if self.drain:
-            self._drain()
+        if self.linger:
+            self._discard_input()
         super().close()
 
-    def _drain(self) -> None:
+    def _discard_input(self) -> None:
         """Read and drop what still comes, for a short while.
 
         To close with unread bytes resets the connection, and the caller's system may then drop
@@ -289,7 +290,7 @@
         request_id = make_request_id()
         self.close_connection = True
         self.sent_headers = True
-        self.conn.drain = True
+        self.conn.linger = True
         try:
             self.conn.wfile.write(format_problem(error, request_id))
             self.conn.wfile.flush()
--- a/cloverway/decisions.py
+++ b/cloverway/decisions.py
@@ -119,7 +119,7 @@
         if request.id in self._open:
             return [Decided(place, Refused(Kind.MALFORMED, "a request with this id is open"))]
         outlook = self._look(view, now, random)
-        fault = outlook.find_bar(request)
+        fault = outlook.find_refusal(request)
         if fault is not None:
             return [Decided(place, Refused(fault))]
         entry = outlook.make_entry(place, request)
@@ -147,7 +147,7 @@
         line = self._line(ended.entry.target)
         if outcome is Outcome.DONE:
             self._budget.note_success(now)
-            line.drain.note_done(ended.entry.cost_s, now)
+            line.throughput.note_done(ended.entry.cost_s, now)
         decided: list[Decided] = []
         if retry is None:
             self._open.remove(ended.entry.request.id)
@@ -164,12 +164,8 @@
             for entry in line.waiting.values()
             if entry.request.id == request_id
         ]
-        return self._settle(
-            [
-                self._drop(line, entry, refuse(entry, Kind.CALLER_LEFT, None))
-                for line, entry in found
-            ]
-        )
+        refused = [(line, entry, refuse(entry, Kind.CALLER_LEFT, None)) for line, entry in found]
+        return self._settle([self._drop(*each) for each in refused])
 
     def advance(self, view: View, now: float, random: Random) -> list[Decided]:
         """Decide what time and a changed view have made possible or hopeless."""
@@ -381,7 +377,9 @@
     def _book_return(self, line: Line, entry: Waiting, outlook: Outlook) -> float:
         slots = outlook.router.measure_slots(outlook.router.list_local_states(entry.target))
         queued_s = sum(other.cost_s for other in line.waiting.values())
-        return line.drain.book_return(queued_s, entry.cost_s, slots, outlook.now, outlook.random)
+        return line.throughput.book_return(
+            queued_s, entry.cost_s, slots, outlook.now, outlook.random
+        )
 
     def _line(self, target: str) -> Line:
         return self._lines.setdefault(target, Line())
--- a/cloverway/explanation.py
+++ b/cloverway/explanation.py
@@ -69,9 +69,9 @@
 ) -> Explanation:
     """Say where a request of a (team, profile) would go, and why; decides nothing."""
     request = _make_probe(*asked, outlook.now)
-    bar = outlook.find_bar(request)
-    if bar is not None:
-        return explain_unready(*asked, policy_name, bar)
+    refusal = outlook.find_refusal(request)
+    if refusal is not None:
+        return explain_unready(*asked, policy_name, refusal)
     entry = outlook.make_entry(0, request)
     line = lines.get(entry.target) or Line()
     states = outlook.router.list_local_states(entry.target)
--- a/cloverway/outlook.py
+++ b/cloverway/outlook.py
@@ -59,7 +59,7 @@
         """List the allowed regions by the configuration of now, not of the arrival."""
         return allowed_regions(self.published, request.team, request.profile)
 
-    def find_bar(self, request: Request) -> Kind | None:
+    def find_refusal(self, request: Request) -> Kind | None:
         """Find why a request may not be taken at all."""
         allowed = self.allow(request)
         if not allowed or (request.passed_on and self.router.view.region not in allowed):
--- a/cloverway/platform/http.py
+++ b/cloverway/platform/http.py
@@ -35,8 +35,8 @@
 """Least time between two calls: 216 readers then stay below 1,300 calls/s, whatever happens."""
 
 
-class Line(NamedTuple):
-    """A connection of its own and its pace, so that a watch and a list don't wait for another."""
+class PacedPool(NamedTuple):
+    """A connection and its rate limit; the watch and the list have one each, so that none waits."""
 
     pool: urllib3.PoolManager
     pace: Pace
@@ -56,8 +56,8 @@
         self._clock = clock
         self._sleep = sleep
         rng = rng or random.Random()
-        self._watch = Line(urllib3.PoolManager(num_pools=1), Pace(READ_INTERVAL_S, rng))
-        self._list = Line(urllib3.PoolManager(num_pools=1), Pace(LIST_INTERVAL_S, rng))
+        self._watch = PacedPool(urllib3.PoolManager(num_pools=1), Pace(READ_INTERVAL_S, rng))
+        self._list = PacedPool(urllib3.PoolManager(num_pools=1), Pace(LIST_INTERVAL_S, rng))
 
     @classmethod
     def from_settings(cls, settings: PlatformSettings) -> HttpPlatform:
@@ -80,26 +80,26 @@
         """Give the list of live and leaving hosts and endpoints."""
         return decode_list(self._get("/v1/hosts", self._list, ANSWER_S, LIST_BYTES))
 
-    def _get(self, path: str, line: Line, timeout_s: float, limit: int) -> bytes:
+    def _get(self, path: str, paced: PacedPool, timeout_s: float, limit: int) -> bytes:
         """Give the body of an answer, within the pace; raise PlatformError for any other end."""
-        self._sleep(line.pace.delay(self._clock()))
+        self._sleep(paced.pace.delay(self._clock()))
         started_at = self._clock()
         retry_after_s = 0.0
         try:
-            response = self._open(line, path, timeout_s)
+            response = self._open(paced, path, timeout_s)
             try:
                 retry_after_s = _read_retry_after(response)
                 data = self._read(response, limit, started_at + timeout_s + WHOLE_S)
             finally:
                 response.release_conn()
         except (urllib3.exceptions.HTTPError, OSError, PlatformError) as error:
-            line.pace.note_failure(self._clock(), retry_after_s)
+            paced.pace.note_failure(self._clock(), retry_after_s)
             raise PlatformError(f"the platform at {self._url} can't be read: {error}") from error
-        line.pace.note_success(started_at)
+        paced.pace.note_success(started_at)
         return data
 
-    def _open(self, line: Line, path: str, timeout_s: float) -> urllib3.BaseHTTPResponse:
-        return line.pool.request(
+    def _open(self, paced: PacedPool, path: str, timeout_s: float) -> urllib3.BaseHTTPResponse:
+        return paced.pool.request(
             "GET",
             self._url + path,
             timeout=urllib3.Timeout(connect=CONNECT_S, read=timeout_s),
--- a/cloverway/tests/test_admission.py
+++ b/cloverway/tests/test_admission.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cloverway.admission import Drain, Line, Waiting
+from cloverway.admission import Line, Throughput, Waiting
 from cloverway.config.published import Urgency
 from cloverway.errors import Kind, Ran
 from cloverway.messages import Admitted, Outcome, Refused
@@ -94,10 +94,10 @@
 
 def test_refused_callers_are_told_different_times():
     """All refused callers come back in the same second, and are refused again."""
-    drain, random = Drain(), Random(1)
+    throughput, random = Throughput(), Random(1)
     for number in range(50):
-        drain.note_done(1.0, number * 0.1)
-    times = [drain.book_return(5.0, 1.0, 8.0, 5.0, random) for _ in range(50)]
+        throughput.note_done(1.0, number * 0.1)
+    times = [throughput.book_return(5.0, 1.0, 8.0, 5.0, random) for _ in range(50)]
     assert max(times) - min(times) > 3.0, "fifty seconds of work return over several seconds"
     assert all(0.1 <= time <= 30.0 for time in times)
 
