--- a/cloverway/platform/file.py
+++ b/cloverway/platform/file.py
@@ -19,7 +19,7 @@
 """For so long after a change, contents are compared as well: two writes within one tick of the
 file system's clock can leave the same time and size."""
 
-SETTLED = 0.9
+STAY_PART = 0.9
 """Part of the time between two looks for which a content has to stay before it counts."""
 
 MOST_NAMED = 10
@@ -113,7 +113,7 @@
         if contents != self._contents:
             self._contents = contents
             self._found_at = now
-        settled = now - self._found_at >= SETTLED * self._poll_s
+        settled = now - self._found_at >= STAY_PART * self._poll_s
         if settled and contents != self._judged:
             self._judged = contents
             self._judge(contents, findings)
