Show how many requests wait for an endpoint, and hold the matrix's queue step by it

In one of four runs of the tests beside a soak, the cell "pause and wake of host at queue" was red: the call ran once and was answered whole, where none may run. Cause: the step took the call for queued as soon as the host counted it in progress, which is from its whole head on; the pause could hit before a worker had read it, and its deadline then began at the wake-up. Ruled out: a run after the deadline, since the check before the first byte is made by the same clock. The step now waits until the status says that one more request is queued, a figure that operators had no way to see. The cell holds what it held.

--- a/cloverway/admin.py
+++ b/cloverway/admin.py
@@ -34,6 +34,8 @@
 
     list_hosts: Callable[[], HostList]
     in_progress: Callable[[], int]
+    queued: Callable[[], int]
+    """Counts the requests that wait for an endpoint."""
     render_metrics: Callable[[Sequence[Gauge]], bytes]
     explain: Callable[[str, str], Mapping[str, Any]]
     """Gives the decision for a team and a profile."""
@@ -108,7 +110,9 @@
 
     def _give_status(self, call: Call) -> Reply:
         view, now = self._holder.current, self._clock()
-        return make_json_reply(describe_status(view, self._operations.in_progress(), now))
+        operations = self._operations
+        status = describe_status(view, operations.in_progress(), operations.queued(), now)
+        return make_json_reply(status)
 
     def _explain(self, call: Call) -> Reply:
         question = bodies.parse_json(self._read_body(call), call.get_header("Content-Type"))
@@ -128,7 +132,7 @@
         return call.read_body(BODY_BYTES, BODY_TIMEOUT_S)
 
 
-def describe_status(view: View, in_progress: int, now: float) -> dict[str, Any]:
+def describe_status(view: View, in_progress: int, queued: int, now: float) -> dict[str, Any]:
     """Give what a host knows, with ages in seconds in place of times of its own clock."""
     return {
         "host": view.host,
@@ -140,6 +144,7 @@
         "leaving": view.leaving,
         "platform_stale": view.platform_stale,
         "in_progress": in_progress,
+        "queued": queued,
         "hosts": [_describe(host, now) for host in view.hosts.values()],
         "endpoints": [_describe(endpoint, now) for endpoint in view.endpoints.values()],
         "summaries": [_describe(summary, now) for summary in view.summaries.values()],
--- a/cloverway/daemon.py
+++ b/cloverway/daemon.py
@@ -185,6 +185,7 @@
         operations = Operations(
             list_hosts=self.callers.list_hosts,
             in_progress=self.count_in_progress,
+            queued=self.dispatcher.queued,
             render_metrics=self.metrics.render,
             explain=self._explain,
             begin_leaving=self.begin_leaving,
--- a/cloverway/tests/matrix/bench.py
+++ b/cloverway/tests/matrix/bench.py
@@ -277,8 +277,15 @@
 
     def in_progress(self, host: str) -> int:
         """Give how many callers' requests a host has taken in and not answered."""
+        return self._read_count(host, "in_progress")
+
+    def queued(self, host: str) -> int:
+        """Give how many requests wait at a host for an endpoint."""
+        return self._read_count(host, "queued")
+
+    def _read_count(self, host: str, name: str) -> int:
         url = f"http://{self.fleet.hosts[host].admin}/v1/status"
-        return int(urllib3.request("GET", url, retries=False).json()["in_progress"])
+        return int(urllib3.request("GET", url, retries=False).json()[name])
 
     def find_free(self, host: str, call: Call) -> set[str]:
         """Give the places that a host would use for a call now."""
--- a/cloverway/tests/matrix/steps.py
+++ b/cloverway/tests/matrix/steps.py
@@ -105,9 +105,9 @@
     bench.set_faults(endpoints, hold=True)
     bench.occupy(ENTRY, Call("lookup", team=call.team, deadline_ms=9000))
     flight = _make_flight(bench, call, name)
-    before = bench.in_progress(ENTRY)
+    before = bench.queued(ENTRY)
     _depart(bench, flight)
-    wait_until(lambda: bench.in_progress(ENTRY) > before or flight.result.done(), 5, "the queue")
+    wait_until(lambda: bench.queued(ENTRY) > before or flight.result.done(), 5, "the queue")
     assert not flight.result.done(), flight.result.result()
     flight.release = bench.clear_faults  # type: ignore[method-assign]
     return flight
