Move the sources of published documents out of platform/

Cause: platform/ is to hold only the adapter to the users' platform, and held the port and adapters of the project's own published documents. Ruled out: keeping both there, since a newcomer could not tell which names are whose. Conclusion: platform/ is free for the adapter.

--- a/cloverway/configuration.py
+++ b/cloverway/configuration.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from cloverway.config.published import Published
-from cloverway.platform.port import Changes
+from cloverway.sources.port import Changes
 from cloverway.revisions import (
     Accepted,
     Gap,
--- a/cloverway/documents.py
+++ b/cloverway/documents.py
@@ -10,7 +10,7 @@
 from typing import Any, NamedTuple
 
 from cloverway.config.published import encode_value
-from cloverway.platform.port import Changes, Document
+from cloverway.sources.port import Changes, Document
 
 KEY_LENGTH = 128
 """The longest key: a table and a name."""
--- a/cloverway/handlers.py
+++ b/cloverway/handlers.py
@@ -11,7 +11,7 @@
 from cloverway.exchange import Gateway, Reply
 from cloverway.keys import ClaimCall, ClaimResult, SettleCall
 from cloverway.messages import Request
-from cloverway.platform.port import Changes, Document
+from cloverway.sources.port import Changes, Document
 
 ChangesAfter = Callable[[int], Changes]
 Fetch = Callable[[str, str, int], peering.Changes]
--- a/cloverway/revisions.py
+++ b/cloverway/revisions.py
@@ -23,7 +23,7 @@
     warn_unknown,
 )
 from cloverway.documents import Documents, Entry
-from cloverway.platform.port import Changes
+from cloverway.sources.port import Changes
 
 MOST_DOCUMENTS = 100_000
 """Bound on the documents that are held: five times the two-year size."""
--- a/cloverway/platform/codec.py
+++ b/cloverway/sources/codec.py
@@ -8,7 +8,7 @@
 
 from cloverway.config.published import is_revision
 from cloverway.errors import PlatformError
-from cloverway.platform.port import Changes, Document, HostList, Listed
+from cloverway.sources.port import Changes, Document, HostList, Listed
 
 
 def decode_changes(data: bytes, after: int) -> Changes:
--- a/cloverway/platform/file.py
+++ b/cloverway/sources/file.py
@@ -13,7 +13,7 @@
 from cloverway.config.settings import PlatformSettings
 from cloverway.documents import Entry
 from cloverway.errors import PlatformError
-from cloverway.platform.port import Changes, Document, HostList
+from cloverway.sources.port import Changes, Document, HostList
 
 UNSETTLED_S = 2.0
 """For so long after a change, contents are compared as well: two writes within one tick of the
--- a/cloverway/tests/bench_configuration.py
+++ b/cloverway/tests/bench_configuration.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from cloverway.configuration import ConfigurationStore, Source
-from cloverway.platform.port import Changes, Document
+from cloverway.sources.port import Changes, Document
 
 TEAMS = (100, 1_000, 9_000)
 REGIONS, DOMAINS, MODELS = 35, 108, 17
--- a/cloverway/tests/test_configuration.py
+++ b/cloverway/tests/test_configuration.py
@@ -18,7 +18,7 @@
     Unchanged,
     choose_readers,
 )
-from cloverway.platform.port import Changes, Document
+from cloverway.sources.port import Changes, Document
 
 PLATFORM, PEER = Source.PLATFORM, Source.PEER
 
--- a/cloverway/tests/test_configuration_machine.py
+++ b/cloverway/tests/test_configuration_machine.py
@@ -11,7 +11,7 @@
 from cloverway.config.published import Published
 from cloverway.configuration import ConfigurationStore, Gap, Source
 from cloverway.errors import ConfigurationError
-from cloverway.platform.port import Changes, Document
+from cloverway.sources.port import Changes, Document
 
 STORES = 3
 REGIONS = ("curepipe", "port-louis", "rodrigues")
--- a/cloverway/tests/test_control.py
+++ b/cloverway/tests/test_control.py
@@ -12,7 +12,7 @@
 from cloverway.configuration import ConfigurationStore
 from cloverway.control import ControlLoop
 from cloverway.errors import PeerError, PlatformError
-from cloverway.platform.port import Changes, Document, HostList, Listed
+from cloverway.sources.port import Changes, Document, HostList, Listed
 from cloverway.tests.standins.service import Service
 from cloverway.tests.standins.waiting import wait_until
 from cloverway.view import View, ViewHolder
--- a/cloverway/tests/test_file_platform.py
+++ b/cloverway/tests/test_file_platform.py
@@ -10,7 +10,7 @@
 
 from cloverway.configuration import Accepted, ConfigurationStore, Source
 from cloverway.errors import PlatformError
-from cloverway.platform.file import FilePlatform
+from cloverway.sources.file import FilePlatform
 
 BASE = 'revision = {}\n[organisation]\nname = "riviere"\n[regions.curepipe]\n'
 
--- a/cloverway/tests/test_handlers.py
+++ b/cloverway/tests/test_handlers.py
@@ -5,7 +5,7 @@
 from cloverway import peering, wire
 from cloverway.errors import PeerError
 from cloverway.handlers import decode_changes, encode_changes
-from cloverway.platform.port import Changes, Document
+from cloverway.sources.port import Changes, Document
 
 
 @pytest.mark.parametrize("after", [0, 3])
--- a/cloverway/tests/test_http_platform.py
+++ b/cloverway/tests/test_http_platform.py
@@ -11,11 +11,11 @@
 from hypothesis import strategies as st
 
 from cloverway.errors import PlatformError
-from cloverway.platform import http
-from cloverway.platform.codec import decode_changes, decode_list
-from cloverway.platform.http import HttpPlatform
-from cloverway.platform.pace import LONGEST_DELAY_S, Pace
-from cloverway.platform.port import Changes, Document, Listed
+from cloverway.sources import http
+from cloverway.sources.codec import decode_changes, decode_list
+from cloverway.sources.http import HttpPlatform
+from cloverway.sources.pace import LONGEST_DELAY_S, Pace
+from cloverway.sources.port import Changes, Document, Listed
 from cloverway.tests.standins.platform import Platform
 
 
--- a/cloverway/tests/test_published.py
+++ b/cloverway/tests/test_published.py
@@ -16,7 +16,7 @@
 from cloverway.config.settings import Settings
 from cloverway.configuration import ConfigurationStore, Rejected, Source
 from cloverway.errors import ConfigurationError
-from cloverway.platform.port import Changes, Document
+from cloverway.sources.port import Changes, Document
 
 GOOD: dict[str, Any] = {
     "revision": 1,
--- a/cloverway/tests/test_updates.py
+++ b/cloverway/tests/test_updates.py
@@ -9,7 +9,7 @@
 from cloverway.config.settings import Listen, PlatformSettings, Security, Settings
 from cloverway.configuration import ConfigurationStore
 from cloverway.errors import PeerError, PlatformError
-from cloverway.platform.port import Changes, HostList
+from cloverway.sources.port import Changes, HostList
 from cloverway.updates import Updates
 
 READ_WITHIN_S = 10.0
--- a/cloverway/updates.py
+++ b/cloverway/updates.py
@@ -21,7 +21,7 @@
     log_result,
 )
 from cloverway.errors import CloverwayError
-from cloverway.platform.port import Changes, Platform
+from cloverway.sources.port import Changes, Platform
 from cloverway.reports import Workers
 
 log = logging.getLogger(__name__)
