--- a/cloverway/configuration.py
+++ b/cloverway/configuration.py
@@ -9,7 +9,6 @@
 from typing import NamedTuple
 
 from cloverway.config.published import Published
-from cloverway.sources.port import Changes
 from cloverway.revisions import (
     Accepted,
     Gap,
@@ -19,6 +18,7 @@
     Stale,
     Unchanged,
 )
+from cloverway.sources.port import Changes
 
 __all__ = [
     "Accepted",
--- a/cloverway/control.py
+++ b/cloverway/control.py
@@ -24,11 +24,11 @@
 from cloverway.errors import CloverwayError, PeerError
 from cloverway.gossip import Gossip, Own, Received
 from cloverway.heartbeats import parse_incarnation
+from cloverway.reports import EndpointReader, Rounds, Workers
+from cloverway.seal import Seal
 from cloverway.sources.file import FilePlatform
 from cloverway.sources.http import HttpPlatform
 from cloverway.sources.port import Changes, HostList, Listed, Platform
-from cloverway.reports import EndpointReader, Rounds, Workers
-from cloverway.seal import Seal
 from cloverway.updates import FetchChanges, Offer, Updates
 from cloverway.view import EndpointState, View, ViewHolder
 
--- /dev/null
+++ b/cloverway/core/calls.py
@@ -0,0 +1,64 @@
+"""What a caller asks for, decoded once."""
+
+from __future__ import annotations
+
+from itertools import accumulate
+from typing import NamedTuple
+
+Header = tuple[bytes, bytes]
+
+
+class PromptPart(NamedTuple):
+    """One part of a prompt; parts with the same id are shared between prompts."""
+
+    id: int
+    tokens: int
+
+
+class Prompt(NamedTuple):
+    """What is known of the work for a model engine."""
+
+    tokens_in: int
+    tokens_out: int
+    """The most tokens that may be generated."""
+    parts: tuple[PromptPart, ...] = ()
+    likely_out: int | None = None
+    """The caller's estimate of the tokens that will be generated."""
+
+    def list_ends(self) -> list[int]:
+        """Give the count of tokens up to the end of each part."""
+        return list(accumulate(part.tokens for part in self.parts))
+
+
+class Call(NamedTuple):
+    """One request of a caller. Times are seconds on this host's clock."""
+
+    id: str
+    method: str
+    target: str
+    """Path and query as the caller sent them."""
+    host: str
+    headers: tuple[Header, ...]
+    """What is passed on: neither of one connection only, nor the system's to set."""
+    body: bytes
+    arrived_at: float
+    deadline: float
+    """When the caller stops waiting."""
+    prompt: Prompt | None = None
+    last_event_id: str = ""
+    passed_on: PassedOn | None = None
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+
+class PassedOn(NamedTuple):
+    """What the host that a caller is connected to tells the one it passes the request on to."""
+
+    version: int
+    """The version of the configuration by which it chose."""
+    service: str
+    region: str
+    """The region of the host that the caller is connected to."""
--- /dev/null
+++ b/cloverway/core/endpoints.py
@@ -0,0 +1,168 @@
+"""What a host believes of endpoints: who is there, who is leaving, who is cold or evacuated."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from cloverway.core.deployment import (
+    Configuration,
+    ConfigurationPublished,
+    EndpointEntry,
+    EndpointPublished,
+    EvacuationPublished,
+    Publication,
+    RouteTable,
+    Topology,
+)
+from cloverway.core.load import EndpointLoad
+
+log = logging.getLogger(__name__)
+
+MISSING_GRACE_S = 2.0
+"""How long an endpoint whose entry was removed is still used. Entries lapse together while the
+store is away and are back within two seconds; without the wait a host would have no endpoint at
+all just then. An endpoint that leaves without a word works on for longer than this."""
+RETURN_COLD_S = 2.0
+"""How long the endpoints of a domain that was evacuated are taken for cold after it is taken back,
+unless their entries say so themselves: a heartbeat of theirs is on its way for less than this."""
+
+
+class Endpoint:
+    """One endpoint: its entry, and what this host has learnt of it."""
+
+    def __init__(self, entry: EndpointEntry, region: str) -> None:
+        self.entry = entry
+        self.region = region
+        self.load = EndpointLoad()
+        self.missing_since: float | None = None
+        self.cold_until = 0.0
+        self.leaves_at: float | None = None
+        self.last_cold_send = float("-inf")
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the endpoint must be loaded slowly."""
+        return now < self.cold_until
+
+    def is_leaving(self, now: float) -> bool:
+        """Tell whether the endpoint must get nothing new."""
+        if self.entry.draining or self.leaves_at is not None:
+            return True
+        return self.missing_since is not None and now - self.missing_since >= MISSING_GRACE_S
+
+
+class Change(NamedTuple):
+    """A belief that changed, for the log."""
+
+    what: str
+    subject: str
+    detail: str = ""
+
+
+class Directory:
+    """The configuration in force and the endpoints, kept up by what is published."""
+
+    def __init__(self, topology: Topology) -> None:
+        self.topology = topology
+        self.configuration: Configuration | None = None
+        self.routes = RouteTable(())
+        self.evacuated: set[str] = set()
+        self.endpoints: dict[str, Endpoint] = {}
+        self._by_service: dict[str, list[Endpoint]] = {}
+
+    def apply(self, publications: Iterable[Publication], now: float) -> list[Change]:
+        """Take over what was published; give what changed."""
+        changes = [change for item in publications for change in self._apply(item, now)]
+        self._index()
+        return changes
+
+    def list_usable(self, service: str, now: float) -> list[Endpoint]:
+        """List the endpoints of a service that may get new requests."""
+        return [
+            endpoint
+            for endpoint in self._by_service.get(service, ())
+            if endpoint.entry.domain not in self.evacuated and not endpoint.is_leaving(now)
+        ]
+
+    def forget_missing(self, now: float) -> list[Change]:
+        """Drop the endpoints whose entries stayed away."""
+        gone = [
+            endpoint.entry.id
+            for endpoint in self.endpoints.values()
+            if endpoint.missing_since is not None and endpoint.is_leaving(now)
+        ]
+        for name in gone:
+            del self.endpoints[name]
+        if gone:
+            self._index()
+        return [Change("endpoint_gone", name) for name in gone]
+
+    def _apply(self, item: Publication, now: float) -> list[Change]:
+        match item:
+            case ConfigurationPublished(configuration):
+                return self._apply_configuration(configuration)
+            case EvacuationPublished(domain, active):
+                return self._apply_evacuation(domain, active, now)
+            case EndpointPublished(name, None):
+                return self._apply_removal(name, now)
+            case EndpointPublished(_, entry):
+                assert entry is not None
+                return self._apply_entry(entry, now)
+
+    def _apply_configuration(self, configuration: Configuration) -> list[Change]:
+        held = self.configuration
+        if held is not None and configuration.version <= held.version:
+            # A stale read must never bring an older version back: callers would see routes vanish
+            # that they have already used.
+            return []
+        self.configuration = configuration
+        self.routes = RouteTable(configuration.routes)
+        return [Change("configuration", str(configuration.version))]
+
+    def _apply_evacuation(self, domain: str, active: bool, now: float) -> list[Change]:
+        if active == (domain in self.evacuated):
+            return []
+        if active:
+            self.evacuated.add(domain)
+            return [Change("evacuated", domain)]
+        self.evacuated.discard(domain)
+        for endpoint in self.endpoints.values():
+            if endpoint.entry.domain == domain:
+                endpoint.cold_until = max(endpoint.cold_until, now + RETURN_COLD_S)
+        return [Change("taken_back", domain)]
+
+    def _apply_removal(self, name: str, now: float) -> list[Change]:
+        endpoint = self.endpoints.get(name)
+        if endpoint is None or endpoint.missing_since is not None:
+            return []
+        endpoint.missing_since = now
+        return [Change("endpoint_missing", name)]
+
+    def _apply_entry(self, entry: EndpointEntry, now: float) -> list[Change]:
+        endpoint = self.endpoints.get(entry.id)
+        if endpoint is None:
+            region = self.topology.region_of(entry.domain)
+            endpoint = self.endpoints[entry.id] = Endpoint(entry, region)
+            change = Change("endpoint_new", entry.id, entry.address)
+        elif entry.draining and not endpoint.entry.draining:
+            change = Change("endpoint_draining", entry.id)
+        elif endpoint.missing_since is not None:
+            change = Change("endpoint_back", entry.id)
+        else:
+            change = None
+        # Draining is for good: an older entry that arrives late must not revive an endpoint.
+        draining = entry.draining or endpoint.entry.draining
+        endpoint.entry = entry._replace(draining=draining)
+        endpoint.missing_since = None
+        endpoint.cold_until = (
+            now + entry.cold_s if entry.cold_s > 0 else min(endpoint.cold_until, now)
+        )
+        if entry.leaves_s is not None:
+            endpoint.leaves_at = now + entry.leaves_s
+        return [change] if change is not None else []
+
+    def _index(self) -> None:
+        self._by_service = {}
+        for endpoint in self.endpoints.values():
+            self._by_service.setdefault(endpoint.entry.service, []).append(endpoint)
--- /dev/null
+++ b/cloverway/core/load.py
@@ -0,0 +1,151 @@
+"""How loaded one endpoint is: what this host sent, what its siblings say, what it answers."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from cloverway.core.calls import Prompt, PromptPart
+
+SIBLING_AGE_S = 2.0
+"""How long a sibling's report counts; four lost datagrams in a row are rarer than a dead host."""
+FIRST_READ_S_PER_TOKEN = 1 / 30_000
+"""Time to read a prompt token before it was measured: between the engines known."""
+FIRST_WORK_S = 0.05
+"""Time of one request of a plain service before it was measured."""
+LEARN = 0.1
+"""Weight of one measurement in a moving average: half of it is forgotten after seven."""
+CACHED_TOKENS = 150_000
+"""Tokens of prompt parts that an endpoint is taken to hold, where its memory is not stated."""
+FRESH_PARTS = 64
+"""Parts that wait to be told to siblings; a host that has none must not keep them for ever."""
+FAIL_FORGET_S = 4.0
+"""After this time a failure counts half."""
+
+
+class Work(NamedTuple):
+    """What one request asks of an endpoint, in tokens; zero for plain services."""
+
+    unread: int = 0
+    """Prompt tokens that were not read yet."""
+    held: int = 0
+    """Tokens of memory until its end."""
+
+
+class SiblingLoad(NamedTuple):
+    """What another host of the region has at an endpoint."""
+
+    running: int
+    unread: int
+    held: int
+    at: float
+
+
+class EndpointLoad:
+    """The load of one endpoint as far as this host knows it."""
+
+    def __init__(self) -> None:
+        self._own: dict[int, Work] = {}
+        self._siblings: dict[str, SiblingLoad] = {}
+        self._parts: OrderedDict[int, int] = OrderedDict()
+        self._parts_tokens = 0
+        self.fresh_parts: deque[PromptPart] = deque(maxlen=FRESH_PARTS)
+        """Parts sent since the last heartbeat, to be told to siblings."""
+        self.read_s_per_token = FIRST_READ_S_PER_TOKEN
+        self.work_s = FIRST_WORK_S
+        self.progress_at = 0.0
+        self.was_told = False
+        """Whether the last heartbeat spoke of requests at the endpoint: their end is told once."""
+        self._failures = 0.0
+        self._failed_at = 0.0
+
+    def begin(self, number: int, work: Work, prompt: Prompt | None, now: float) -> None:
+        """Note a request that is being sent."""
+        if not self._own:
+            self.progress_at = now
+        self._own[number] = work
+        if prompt is not None:
+            self.note_parts(prompt.parts, self._capacity(work))
+            self.fresh_parts.extend(prompt.parts)
+
+    def note_first(self, number: int, now: float) -> None:
+        """Note the first event of a request: its prompt has been read."""
+        self.progress_at = now
+        work = self._own.get(number)
+        if work is not None:
+            self._own[number] = work._replace(unread=0)
+
+    def end(self, number: int) -> None:
+        """Note that a request has ended, however."""
+        self._own.pop(number, None)
+
+    def learn_read(self, seconds: float, tokens: int) -> None:
+        """Learn from the time in which a count of prompt tokens was read."""
+        measured = min(max(seconds / max(tokens, 1), 1e-6), 1e-3)
+        self.read_s_per_token += LEARN * (measured - self.read_s_per_token)
+
+    def learn_work(self, seconds: float) -> None:
+        """Learn from the time that a plain request took."""
+        self.work_s += LEARN * (seconds - self.work_s)
+
+    def note_failure(self, now: float) -> None:
+        """Note that the endpoint failed a request."""
+        self._failures = self.failures(now) + 1
+        self._failed_at = now
+
+    def note_success(self, now: float) -> None:
+        """Note that the endpoint served a request."""
+        self.progress_at = now
+        self._failures = self.failures(now) * 0.5
+        self._failed_at = now
+
+    def failures(self, now: float) -> float:
+        """Give the recent failures, each counting less as time passes."""
+        return self._failures * 0.5 ** ((now - self._failed_at) / FAIL_FORGET_S)
+
+    def note_sibling(self, host: str, load: SiblingLoad, parts: Iterable[PromptPart]) -> None:
+        """Take over what another host of the region says."""
+        self._siblings[host] = load
+        self.note_parts(parts, CACHED_TOKENS)
+
+    def forget_sibling(self, host: str) -> None:
+        """Forget what a host said that has gone or started anew."""
+        self._siblings.pop(host, None)
+
+    def sum_own(self) -> SiblingLoad:
+        """Give what this host has at the endpoint."""
+        works = self._own.values()
+        return SiblingLoad(len(works), sum(w.unread for w in works), sum(w.held for w in works), 0)
+
+    def sum_all(self, now: float) -> SiblingLoad:
+        """Give what all hosts of the region have at the endpoint."""
+        own = self.sum_own()
+        heard = [load for load in self._siblings.values() if now - load.at <= SIBLING_AGE_S]
+        return SiblingLoad(
+            own.running + sum(load.running for load in heard),
+            own.unread + sum(load.unread for load in heard),
+            own.held + sum(load.held for load in heard),
+            now,
+        )
+
+    def count_unread(self, prompt: Prompt) -> int:
+        """Give the tokens of a prompt that the endpoint is taken to have to read."""
+        cached = 0
+        for part in prompt.parts:
+            if part.id not in self._parts:
+                break
+            cached += part.tokens
+        return max(0, prompt.tokens_in - cached)
+
+    def note_parts(self, parts: Iterable[PromptPart], capacity: int) -> None:
+        """Note that the endpoint reads these parts; the least recently used ones yield."""
+        for part in parts:
+            self._parts_tokens += part.tokens - self._parts.pop(part.id, 0)
+            self._parts[part.id] = part.tokens
+        while self._parts_tokens > capacity and self._parts:
+            _, tokens = self._parts.popitem(last=False)
+            self._parts_tokens -= tokens
+
+    def _capacity(self, work: Work) -> int:
+        return max(CACHED_TOKENS, 4 * work.held)
--- /dev/null
+++ b/cloverway/core/members.py
@@ -0,0 +1,151 @@
+"""The hosts of the fleet: who is alive, ready or leaving, by what they say themselves."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+ALIVE_S = 1.5
+"""A host that was not heard for this long is not named to callers nor given requests: several
+heartbeats in a row, so that a lost datagram changes nothing."""
+FAR_ALIVE_S = 4.0
+"""The same for hosts of other regions, which send less often."""
+FORGET_S = 30.0
+"""Hosts that were not heard for this long are forgotten. Shares of common budgets are taken from
+the hosts that are known, so one that is cut off must be counted for a good while."""
+
+
+class Member(NamedTuple):
+    """A host as it describes itself."""
+
+    name: str
+    """Its address for other hosts, which no two hosts have at one time."""
+    incarnation: int
+    """Grows with each start of a host at the same address."""
+    domain: str
+    region: str
+    callers: str
+    """Address for callers."""
+    inner: str
+    """Address for requests that are passed on."""
+    ready: bool = False
+    leaving: bool = False
+
+
+class Offer(NamedTuple):
+    """What a region can take of one service, as its hosts see it."""
+
+    service: str
+    wait_s: float
+    """Time until the first event of a request that goes there now."""
+    free: int
+    """Requests that may be sent there at once."""
+
+
+class Peer:
+    """Another host, and what is known of it."""
+
+    def __init__(self, member: Member, heard_at: float) -> None:
+        self.member = member
+        self.heard_at = heard_at
+        self.direct_at = float("-inf")
+        """When it was heard itself, not through others."""
+        self.version = 0
+        """The version of its configuration."""
+        self.revision = 0
+        """How far it has read the store."""
+        self.read_age_s = float("inf")
+        """How long ago it read the store, when it was heard."""
+        self.offers: dict[str, Offer] = {}
+        self.failed_until = float("-inf")
+
+
+class Members:
+    """All hosts that this one has heard of, itself left out."""
+
+    def __init__(self, own: Member) -> None:
+        self.own = own
+        self.peers: dict[str, Peer] = {}
+
+    def hear(self, member: Member, age_s: float, direct: bool, now: float) -> Peer | None:
+        """Take over what a host says of itself, or what others say of it; None if it is older."""
+        if member.name == self.own.name:
+            return None
+        heard_at = now - age_s
+        peer = self.peers.get(member.name)
+        if peer is None:
+            if age_s > FORGET_S:
+                return None
+            peer = self.peers[member.name] = Peer(member, heard_at)
+        elif member.incarnation < peer.member.incarnation:
+            return None
+        elif member.incarnation > peer.member.incarnation:
+            peer = self.peers[member.name] = Peer(member, heard_at)
+        elif direct or heard_at > peer.heard_at:
+            # Leaving is for good within one incarnation: late words of others must not undo it.
+            leaving = member.leaving or peer.member.leaving
+            peer.member = member._replace(leaving=leaving, ready=member.ready and not leaving)
+        peer.heard_at = max(peer.heard_at, heard_at)
+        if direct:
+            peer.direct_at = now
+        return peer
+
+    def forget(self, now: float) -> list[str]:
+        """Drop the hosts that were not heard for long; give their names."""
+        gone = [name for name, peer in self.peers.items() if now - peer.heard_at > FORGET_S]
+        for name in gone:
+            del self.peers[name]
+        return gone
+
+    def is_alive(self, peer: Peer, now: float) -> bool:
+        """Tell whether a host was heard lately."""
+        near = peer.member.region == self.own.region
+        return now - peer.heard_at <= (ALIVE_S if near else FAR_ALIVE_S)
+
+    def list_alive(self, now: float) -> list[Peer]:
+        """List the hosts that were heard lately."""
+        return [peer for peer in self.peers.values() if self.is_alive(peer, now)]
+
+    def count_fleet(self) -> int:
+        """Give the number of hosts that are known, this one counted."""
+        return len(self.peers) + 1
+
+    def list_region(self) -> list[str]:
+        """List the names of the hosts of this region that are known, this one left out."""
+        return [n for n, peer in self.peers.items() if peer.member.region == self.own.region]
+
+    def list_for_passing(self, region: str, now: float) -> list[Peer]:
+        """List the hosts of a region that may get requests passed on."""
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.member.region == region
+            and peer.member.ready
+            and self.is_alive(peer, now)
+            and now >= peer.failed_until
+        ]
+
+
+def choose_for_caller(
+    members: Members,
+    domain: str,
+    region: str,
+    homes: frozenset[str],
+    now: float,
+) -> list[str]:
+    """Give the addresses that a caller in a failure domain should use, at least one.
+
+    Its own domain first, then its region, then the homes of what it asks for; this host when it
+    knows nobody better. Bytes between domains cost, and bound data must not go elsewhere.
+    """
+    own = members.own
+    ready = [own] if own.ready else []
+    ready += [peer.member for peer in members.list_alive(now) if peer.member.ready]
+    choices: Iterable[list[Member]] = (
+        [member for member in ready if member.domain == domain],
+        [member for member in ready if member.region == region],
+        [member for member in ready if member.region in homes],
+        ready,
+    )
+    chosen = next((choice for choice in choices if choice), [own])
+    return sorted(member.callers for member in chosen)
--- /dev/null
+++ b/cloverway/fleet.thrift
@@ -0,0 +1,55 @@
+// What hosts of a fleet tell each other. Times travel as ages in milliseconds, never as clock
+// readings: no two clocks are compared. Fields are only ever added, never changed.
+
+struct HostState {
+  1: string name
+  2: i64 incarnation
+  3: string domain
+  4: string region
+  5: string callers
+  6: string inner
+  7: bool ready
+  8: bool leaving
+  9: i32 age_ms
+}
+
+struct EndpointUse {
+  1: string endpoint
+  2: i32 running
+  3: i32 unread
+  4: i32 held
+  5: list<i64> parts
+  6: list<i32> tokens
+}
+
+struct RegionOffer {
+  1: string service_name
+  2: i32 wait_ms
+  3: i32 free
+}
+
+struct Heartbeat {
+  1: HostState sender
+  2: i64 version
+  3: i64 revision
+  4: i32 read_age_ms
+  5: list<HostState> others
+  6: list<EndpointUse> uses
+  7: list<RegionOffer> offers
+}
+
+struct StoredDocument {
+  1: string key
+  2: i64 revision
+  3: binary value
+}
+
+struct StoredSnapshot {
+  1: i64 revision
+  2: list<StoredDocument> documents
+}
+
+struct Message {
+  1: Heartbeat Heartbeat
+  2: StoredSnapshot StoredSnapshot
+}
--- /dev/null
+++ b/cloverway/platform/dialect.py
@@ -0,0 +1,187 @@
+"""Names and formats of requests and answers between callers, hosts and the platform's endpoints."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Sequence
+from urllib.parse import parse_qs
+
+from cloverway.core.calls import Call, Header, Prompt, PromptPart
+from cloverway.core.deployment import Document, Publication
+from cloverway.errors import Kind, Ran, RequestError
+from cloverway.platform import names
+from cloverway.platform.documents import decode_documents
+from cloverway.serving.client import ReplyHead
+from cloverway.serving.ports import LoadReport, Lookup, ReplyFacts, SendTerms
+from cloverway.serving.server import Exchange
+
+LOOKUP_PATH = "/resolve"
+READINESS_PATH = "/ready"
+DEFAULT_DEADLINE_S = 30.0
+"""Time of a caller that names none; the route's own time is shorter."""
+MISDIRECTED = 421
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+"""Statuses that tell a caller that its request did not run, whoever sends them."""
+MOST_PRIORITY = 9
+PROBLEM = (b"Content-Type", b"application/problem+json")
+
+
+class PlatformDialect:
+    """Encodes and decodes the platform's HTTP."""
+
+    def decode_documents(self, documents: Iterable[Document]) -> list[Publication]:
+        """Decode published documents; what can't be read is logged and left out."""
+        return decode_documents(documents)
+
+    def decode_call(self, exchange: Exchange) -> Call:
+        """Decode a caller's request; raise RequestError."""
+        fields = dict(exchange.headers)
+        call_id = fields.get(names.REQUEST_ID)
+        if call_id is None:
+            raise RequestError(Kind.MALFORMED, "the request has no id")
+        deadline_s = _read_number(fields.get(names.DEADLINE), DEFAULT_DEADLINE_S * 1000) / 1000
+        return Call(
+            id=call_id.decode("latin-1"),
+            method=exchange.method,
+            target=exchange.target,
+            host=_get_host(fields),
+            headers=tuple(_list_passed(exchange.headers)),
+            body=exchange.body,
+            arrived_at=exchange.arrived_at,
+            deadline=exchange.arrived_at + deadline_s,
+            prompt=_decode_prompt(fields),
+            last_event_id=fields.get(names.LAST_EVENT, b"").decode("latin-1"),
+        )
+
+    def decode_lookup(self, exchange: Exchange) -> Lookup | None:
+        """Decode a question which hosts to use; None when it is something else."""
+        path, _, query = exchange.target.partition("?")
+        if path != LOOKUP_PATH:
+            return None
+        values = parse_qs(query)
+        host, domain, region = (values.get(key, [""])[0] for key in ("name", "zone", "region"))
+        return Lookup(host.lower(), domain, region)
+
+    def is_readiness(self, exchange: Exchange) -> bool:
+        """Tell whether a request asks if this host is ready."""
+        return exchange.target.partition("?")[0] == READINESS_PATH
+
+    def encode_lookup(self, addresses: Sequence[str], ttl_s: float) -> bytes:
+        """Give the body of the answer to a lookup."""
+        return json.dumps({"addresses": list(addresses), "ttlS": ttl_s}).encode()
+
+    def encode_send(self, call: Call, terms: SendTerms) -> list[Header]:
+        """Give the headers of a request to an endpoint."""
+        headers = [
+            *call.headers,
+            (names.DEADLINE, _format_ms(terms.left_s)),
+            # Another endpoint at the same address then answers that it did not run it.
+            (names.EXPECTED_ENDPOINT, terms.endpoint_id.encode("latin-1")),
+        ]
+        if call.prompt is not None:
+            priority = min(MOST_PRIORITY, terms.priority)
+            headers.append((names.PRIORITY, str(priority).encode()))
+        if terms.last_event_id:
+            headers.append((names.LAST_EVENT, terms.last_event_id.encode("latin-1")))
+        return headers
+
+    def encode_pass(self, call: Call, left_s: float) -> list[Header]:
+        """Give the headers of a request that another host is to run, in the callers' form."""
+        headers = [*call.headers, (names.DEADLINE, _format_ms(left_s))]
+        if call.last_event_id:
+            headers.append((names.LAST_EVENT, call.last_event_id.encode("latin-1")))
+        return headers
+
+    def is_answer_to(self, head: ReplyHead, call: Call) -> bool:
+        """Tell whether an answer belongs to a request."""
+        named = head.get(names.REQUEST_ID)
+        return named is None or named == call.id.encode("latin-1")
+
+    def decode_reply(self, head: ReplyHead) -> ReplyFacts:
+        """Decode the head of an endpoint's answer."""
+        not_run = head.get(names.NOT_RUN) is not None or head.status == MISDIRECTED
+        sealed = head.get(names.SIGNATURE) is not None
+        return ReplyFacts(not_run, sealed, _decode_load(head.get(names.LOAD)))
+
+    def encode_refusal(self, error: RequestError, call_id: str) -> tuple[int, list[Header], bytes]:
+        """Give status, headers and body of the answer to a request that failed here."""
+        headers = [PROBLEM]
+        if call_id:
+            headers.append((names.REQUEST_ID, call_id.encode("latin-1")))
+        if error.retry_after is not None and error.ran is Ran.NO:
+            headers.append((b"Retry-After", f"{error.retry_after:.3f}".encode()))
+        body = json.dumps(error.as_problem(call_id)).encode()
+        return _choose_status(error), headers, body
+
+
+def _choose_status(error: RequestError) -> int:
+    """Give the status that says what is known of the run: some of them promise that it did not."""
+    if error.ran is Ran.NO and error.status >= 500:
+        return 503
+    if error.ran is not Ran.NO and error.status in NOT_RUN_STATUSES:
+        return 502
+    return error.status
+
+
+def _list_passed(headers: Iterable[Header]) -> Iterable[Header]:
+    """List the headers that go on to an endpoint, in their order."""
+    items = list(headers)
+    named = {
+        token.strip().lower()
+        for name, value in items
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    dropped = names.SYSTEM_HEADERS | names.CONNECTION_HEADERS | named - {names.REQUEST_ID}
+    return (item for item in items if item[0] not in dropped)
+
+
+def _get_host(fields: dict[bytes, bytes]) -> str:
+    return fields.get(b"host", b"").decode("latin-1").partition(":")[0].lower()
+
+
+def _decode_prompt(fields: dict[bytes, bytes]) -> Prompt | None:
+    tokens = fields.get(names.TOKENS)
+    if tokens is None:
+        return None
+    counts = tokens.split(b",")
+    if len(counts) != 2 or not all(count.strip().isdigit() for count in counts):
+        raise RequestError(Kind.MALFORMED, "the counts of tokens can't be read")
+    hint = fields.get(names.LENGTH_HINT)
+    likely = int(_read_number(hint, 0)) if hint is not None else None
+    parts = tuple(_decode_parts(fields.get(names.PREFIX, b"")))
+    return Prompt(int(counts[0]), int(counts[1]), parts, likely)
+
+
+def _decode_parts(value: bytes) -> Iterable[PromptPart]:
+    for item in filter(None, value.split(b",")):
+        name, _, tokens = item.strip().partition(b":")
+        try:
+            # Cut to 63 bits: what hosts tell each other of parts has signed numbers.
+            yield PromptPart(int(name, 16) & (1 << 63) - 1, int(tokens))
+        except ValueError:
+            raise RequestError(Kind.MALFORMED, "the parts of the prompt can't be read") from None
+
+
+def _decode_load(value: bytes | None) -> LoadReport | None:
+    try:
+        running, waiting, slots = (int(part) for part in (value or b"").split(b","))
+    except ValueError:
+        return None
+    return LoadReport(running, waiting, slots)
+
+
+def _read_number(value: bytes | None, default: float) -> float:
+    if value is None:
+        return default
+    try:
+        number = float(value)
+    except ValueError:
+        raise RequestError(Kind.MALFORMED, "a number in a header can't be read") from None
+    if not 0 <= number < 1e9:
+        raise RequestError(Kind.MALFORMED, "a number in a header is out of range")
+    return number
+
+
+def _format_ms(seconds: float) -> bytes:
+    return str(max(1, int(seconds * 1000))).encode()
--- /dev/null
+++ b/cloverway/serving/gossip.py
@@ -0,0 +1,324 @@
+"""Heartbeats between hosts: who is alive, what each has at endpoints, what regions can take."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from typing import cast
+
+import h11
+
+from cloverway.addresses import format_address, split_address
+from cloverway.core.calls import PromptPart
+from cloverway.core.deployment import Document, Snapshot
+from cloverway.core.endpoints import Directory
+from cloverway.core.load import SiblingLoad
+from cloverway.core.members import Member, Members, Offer, Peer
+from cloverway.errors import PeerError
+from cloverway.serving.catalogue import Catalogue
+from cloverway.serving.client import AnswerError, ConnectError, Pool, fetch
+from cloverway.serving.clock import read_clock
+from cloverway.serving.peerwire import (
+    CODEC,
+    EndpointUse,
+    Heartbeat,
+    HostState,
+    RegionOffer,
+    StoredDocument,
+    StoredSnapshot,
+)
+from cloverway.serving.telemetry import Figures, tell
+
+log = logging.getLogger(__name__)
+
+NEAR_S = 0.2
+"""Period of heartbeats within the region: loads of endpoints change as fast as a prompt is read."""
+FAR_S = 1.0
+"""Period of heartbeats to other regions, where bytes cost and only sums are told."""
+FAR_HOSTS = 2
+"""Hosts of each other region that get them; those tell their siblings."""
+OTHERS = 8
+"""Hosts that a heartbeat speaks of, besides its sender."""
+MOST_PARTS = 32
+MAX_DATAGRAM_BYTES = 8 * 1024
+READ_STALE_S = 1.6
+"""A host whose last read of the store is older than this asks a peer that knows more: one whole
+read that was missed, and a little."""
+FETCH_S = 1.0
+FETCH_LIMIT = 64 * 1024 * 1024
+SNAPSHOT_PATH = "/snapshot"
+FREE_MOST = 1000
+
+
+class Gossip(asyncio.DatagramProtocol):
+    """Sends and hears heartbeats; asks a peer for documents where the store can't be read."""
+
+    def __init__(
+        self,
+        members: Members,
+        directory: Directory,
+        catalogue: Catalogue,
+        pool: Pool,
+        figures: Figures,
+        seeds: tuple[str, ...],
+    ) -> None:
+        self.members = members
+        self.directory = directory
+        self.catalogue = catalogue
+        self.pool = pool
+        self.figures = figures
+        self.seeds = seeds
+        self._transport: asyncio.DatagramTransport
+        self._alive: set[str] = set()
+
+    async def start(self, address: str) -> None:
+        """Bind the address for heartbeats; raise OSError."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=split_address(address))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take over the socket."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Hear a heartbeat."""
+        try:
+            message = CODEC.decode(data)
+        except PeerError as error:
+            log.warning("a datagram can't be read", extra={"why": str(error)})
+            return
+        if isinstance(message, Heartbeat):
+            self._hear(message, format_address(addr), read_clock())
+
+    def error_received(self, exc: Exception) -> None:
+        """Note that a datagram met no listener; the host is missed by its silence."""
+        log.debug("a datagram was not delivered", extra={"why": str(exc)})
+
+    async def run(self) -> None:
+        """Send heartbeats for ever."""
+        far_at = 0.0
+        while True:
+            now = read_clock()
+            self._send_near(now)
+            if now >= far_at:
+                far_at = now + FAR_S
+                self._send_far(now)
+                self._send_seeds(now)
+                self.members.forget(now)
+            self._note_alive(now)
+            await asyncio.sleep(NEAR_S)
+
+    async def repair(self) -> None:
+        """Ask peers for documents when the store has not been read lately, for ever."""
+        while True:
+            await asyncio.sleep(NEAR_S)
+            now = read_clock()
+            if now - self.catalogue.read_at < READ_STALE_S:
+                continue
+            peer = self._choose_source(now)
+            if peer is not None:
+                await self._fetch_from(peer)
+
+    def announce(self) -> None:
+        """Tell all hosts at once what has changed of this one."""
+        now = read_clock()
+        self._send_near(now)
+        self._send_far(now)
+
+    # Sending
+
+    def _send_near(self, now: float) -> None:
+        near = [p for p in self.members.peers.values() if self._is_near(p.member)]
+        if not near:
+            return
+        data = self._encode(now, self._list_uses(), ())
+        for peer in near:
+            self._send(peer.member.name, data)
+
+    def _send_far(self, now: float) -> None:
+        regions: dict[str, list[Peer]] = {}
+        for peer in self.members.peers.values():
+            if not self._is_near(peer.member):
+                regions.setdefault(peer.member.region, []).append(peer)
+        if not regions:
+            return
+        data = self._encode(now, (), self._list_offers(now))
+        for peers in regions.values():
+            for peer in random.sample(peers, min(FAR_HOSTS, len(peers))):
+                self._send(peer.member.name, data)
+
+    def _send_seeds(self, now: float) -> None:
+        """Reach hosts that are not known: at the start, and after everybody was cut off."""
+        unknown = [s for s in self.seeds if s not in self.members.peers and s != self._own_name]
+        if unknown:
+            data = self._encode(now, (), ())
+            for seed in unknown:
+                self._send(seed, data)
+
+    def _send(self, address: str, data: bytes) -> None:
+        self._transport.sendto(data, split_address(address))
+
+    @property
+    def _own_name(self) -> str:
+        return self.members.own.name
+
+    def _is_near(self, member: Member) -> bool:
+        return member.region == self.members.own.region
+
+    def _encode(
+        self, now: float, uses: tuple[EndpointUse, ...], offers: tuple[RegionOffer, ...]
+    ) -> bytes:
+        age_ms = min(now - self.catalogue.read_at, 1e6) * 1000
+        configuration = self.directory.configuration
+        heartbeat = Heartbeat(
+            _describe(self.members.own, 0.0),
+            configuration.version if configuration is not None else 0,
+            self.catalogue.revision,
+            int(age_ms),
+            self._list_others(now),
+            uses,
+            offers,
+        )
+        return CODEC.encode(heartbeat)
+
+    def _list_others(self, now: float) -> tuple[HostState, ...]:
+        alive = self.members.list_alive(now)
+        chosen = random.sample(alive, min(OTHERS, len(alive)))
+        return tuple(_describe(peer.member, now - peer.heard_at) for peer in chosen)
+
+    def _list_uses(self) -> tuple[EndpointUse, ...]:
+        uses = []
+        for endpoint in self.directory.endpoints.values():
+            load = endpoint.load
+            fresh = [
+                load.fresh_parts.popleft() for _ in range(min(MOST_PARTS, len(load.fresh_parts)))
+            ]
+            own = load.sum_own()
+            if own.running or fresh or load.was_told:
+                load.was_told = bool(own.running)
+                parts = tuple(part.id for part in fresh)
+                tokens = tuple(part.tokens for part in fresh)
+                name = endpoint.entry.id
+                uses.append(EndpointUse(name, own.running, own.unread, own.held, parts, tokens))
+        return tuple(uses)
+
+    def _list_offers(self, now: float) -> tuple[RegionOffer, ...]:
+        """Sum up what this region's endpoints can take, by service."""
+        configuration = self.directory.configuration
+        if configuration is None:
+            return ()
+        offers = []
+        for service in configuration.services.values():
+            endpoints = [
+                endpoint
+                for endpoint in self.directory.list_usable(service.name, now)
+                if self.directory.topology.region == endpoint.region and not endpoint.is_cold(now)
+            ]
+            if not endpoints:
+                continue
+            totals = [(endpoint, endpoint.load.sum_all(now)) for endpoint in endpoints]
+            free = sum(max(0, e.entry.slots - total.running) for e, total in totals)
+            wait_s = min(
+                total.unread * e.load.read_s_per_token
+                + e.load.work_s * max(0, total.running + 1 - e.entry.slots) / e.entry.slots
+                for e, total in totals
+            )
+            offers.append(RegionOffer(service.name, int(wait_s * 1000), min(free, FREE_MOST)))
+        return tuple(offers)
+
+    # Hearing
+
+    def _hear(self, heartbeat: Heartbeat, address: str, now: float) -> None:
+        state = heartbeat.sender
+        for other in heartbeat.others:
+            self.members.hear(_read_member(other), other.age_ms / 1000, False, now)
+        peer = self.members.hear(_read_member(state), 0.0, True, now)
+        if peer is None:
+            return
+        if address != state.name:
+            log.warning(
+                "a heartbeat came from elsewhere", extra={"from": address, "is": state.name}
+            )
+        peer.version = heartbeat.version
+        peer.revision = heartbeat.revision
+        peer.read_age_s = heartbeat.read_age_ms / 1000
+        if heartbeat.offers:
+            peer.offers = {
+                offer.service_name: Offer(offer.service_name, offer.wait_ms / 1000, offer.free)
+                for offer in heartbeat.offers
+            }
+        for use in heartbeat.uses:
+            self._hear_use(state.name, use, now)
+
+    def _hear_use(self, host: str, use: EndpointUse, now: float) -> None:
+        endpoint = self.directory.endpoints.get(use.endpoint)
+        if endpoint is None:
+            return
+        parts = [PromptPart(*pair) for pair in zip(use.parts, use.tokens, strict=False)]
+        load = SiblingLoad(use.running, use.unread, use.held, now)
+        endpoint.load.note_sibling(host, load, parts)
+
+    def _note_alive(self, now: float) -> None:
+        alive = {peer.member.name for peer in self.members.list_alive(now)}
+        for name in alive - self._alive:
+            self.figures.note_event("host_heard")
+            tell("host_heard", name=name, region=self.members.peers[name].member.region)
+        for name in self._alive - alive:
+            self.figures.note_event("host_silent")
+            tell("host_silent", name=name)
+        self._alive = alive
+
+    # Repair
+
+    def _choose_source(self, now: float) -> Peer | None:
+        """Choose a peer that has read the store later than this host."""
+        own_age = now - self.catalogue.read_at
+        known = [
+            peer
+            for peer in self.members.list_alive(now)
+            if peer.revision > self.catalogue.revision
+            and peer.read_age_s + now - peer.direct_at < own_age
+            and now >= peer.failed_until
+        ]
+        near = [peer for peer in known if self._is_near(peer.member)]
+        return random.choice(near or known) if known else None
+
+    async def _fetch_from(self, peer: Peer) -> None:
+        request = h11.Request(method="GET", target=SNAPSHOT_PATH, headers=[(b"Host", b"peer")])
+        asked_at = read_clock()
+        try:
+            head, body = await fetch(
+                self.pool, peer.member.inner, request, b"", FETCH_S, FETCH_LIMIT
+            )
+            if head.status != 200:
+                raise AnswerError(f"status {head.status}")
+            snapshot = CODEC.decode(body)
+            assert isinstance(snapshot, StoredSnapshot)
+        except (ConnectError, AnswerError, PeerError) as error:
+            peer.failed_until = read_clock() + FETCH_S
+            tell("documents_not_fetched", peer=peer.member.name, why=str(error))
+            return
+        documents = tuple(Document(d.key, d.revision, d.value) for d in snapshot.documents)
+        tell("documents_fetched", peer=peer.member.name, revision=snapshot.revision)
+        now = read_clock()
+        self.catalogue.apply(Snapshot(snapshot.revision, documents, True), "peer", now)
+        self.catalogue.read_at = max(self.catalogue.read_at, asked_at - peer.read_age_s)
+
+
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    """Give the documents that this host knows, for a peer."""
+    documents = tuple(
+        StoredDocument(document.key, document.revision, document.value)
+        for document in snapshot.documents
+        if document.value is not None
+    )
+    return CODEC.encode(StoredSnapshot(snapshot.revision, documents))
+
+
+def _describe(member: Member, age_s: float) -> HostState:
+    return HostState(*member[:6], member.ready, member.leaving, int(age_s * 1000))
+
+
+def _read_member(state: HostState) -> Member:
+    return Member(*state[:6], state.ready, state.leaving)
--- /dev/null
+++ b/cloverway/serving/host.py
@@ -0,0 +1,279 @@
+"""One host of the fleet: all its tasks on one event loop, started, drained and ended together."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import secrets
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from cloverway import __version__
+from cloverway.addresses import split_address
+from cloverway.core.deployment import CallerLimits
+from cloverway.core.endpoints import Change, Directory
+from cloverway.core.members import Member, Members, choose_for_caller
+from cloverway.errors import ConfigurationError, Kind, RequestError
+from cloverway.serving.catalogue import Catalogue
+from cloverway.serving.clock import read_clock
+from cloverway.serving.forwarding import Forwarder
+from cloverway.serving.gossip import SNAPSHOT_PATH, Gossip, encode_snapshot
+from cloverway.serving.ports import Dialect, Store
+from cloverway.serving.server import REASONS, Exchange, Server, ServerTerms
+from cloverway.serving.settings import FleetSettings
+from cloverway.serving.telemetry import Figures, LineWriter, configure_lines, tell
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.5
+SETTINGS_EVERY_S = 1.0
+"""How often the settings file is looked at: it may change without a signal."""
+NOTICE_S = 3.0
+"""How long a leaving host takes requests as usual: callers keep the answer which hosts to use for
+two seconds, and other hosts hear of the leaving at once."""
+LEAST_LEAVE_S = 4.5
+"""A leaving host stays at least this long, to refuse what still comes with "not run"."""
+KILL_MARGIN_S = 0.4
+"""A leaving host ends itself this long before it would be killed."""
+METRICS_PATH = "/metrics"
+TEXT = (b"Content-Type", b"text/plain; version=0.0.4")
+JSON = (b"Content-Type", b"application/json")
+
+MakeStore = Callable[[FleetSettings], Store]
+
+
+class Host:
+    """The tasks of one host."""
+
+    def __init__(
+        self, settings: FleetSettings, store: Store, dialect: Dialect, writer: LineWriter
+    ) -> None:
+        self.settings = settings
+        self.dialect = dialect
+        self.writer = writer
+        self.figures = Figures()
+        self.directory = Directory(settings.topology)
+        self.members = Members(_describe_own(settings))
+        self.forwarder = Forwarder(settings, self.directory, self.members, dialect, self.figures)
+        self.catalogue = Catalogue(
+            self.directory,
+            store,
+            dialect,
+            self.members,
+            self.figures,
+            settings.store.reads_per_s,
+        )
+        self.catalogue.on_change = self._note_changes
+        self.gossip = Gossip(
+            self.members,
+            self.directory,
+            self.catalogue,
+            self.forwarder.pool,
+            self.figures,
+            settings.peers.seeds,
+        )
+        self.leaving_at: float | None = None
+        terms = ServerTerms(self._get_limits, self._is_leaving, self._format_refusal)
+        self.callers = Server(self._handle_call, terms)
+        self.inner = Server(self._handle_inner, terms)
+        self.lookup = Server(self._handle_lookup, terms)
+        self.readiness = Server(self._handle_readiness, terms)
+        self.metrics = Server(self._handle_metrics, terms)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Bind all addresses and start all tasks; raise OSError when one can't be bound."""
+        listen = self.settings.listen
+        await self.gossip.start(listen.control)
+        await self.inner.start(self.members.own.inner)
+        await self.readiness.start(listen.readiness)
+        await self.lookup.start(listen.lookup)
+        await self.callers.start(listen.callers)
+        ip, _ = split_address(listen.callers)
+        await self.metrics.start(f"{ip}:{listen.metrics_port}")
+        runs = (
+            self.gossip.run,
+            self.gossip.repair,
+            self.catalogue.run,
+            self.catalogue.forget,
+            self._tick,
+        )
+        self._tasks = [asyncio.create_task(_keep_running(run)) for run in runs]
+
+    async def leave(self) -> None:
+        """Lead callers and other hosts away, and wait for the requests in progress."""
+        now = read_clock()
+        self.leaving_at = now
+        own = self.members.own
+        self.members.own = own._replace(ready=False, leaving=True)
+        self.gossip.announce()
+        tell("leaving", in_progress=self.callers.in_progress + self.inner.in_progress)
+        end_at = now + self.settings.grace_s - KILL_MARGIN_S
+        while (now := read_clock()) < end_at:
+            if now >= self.leaving_at + NOTICE_S:
+                self.callers.close_idle()
+            busy = self.callers.in_progress + self.inner.in_progress
+            if not busy and now >= self.leaving_at + LEAST_LEAVE_S:
+                break
+            await asyncio.sleep(0.05)
+        cut = self.callers.in_progress + self.inner.in_progress
+        tell("stopped", cut=cut, dropped_lines=self.writer.dropped)
+
+    def _is_leaving(self) -> bool:
+        return self.leaving_at is not None
+
+    def _get_limits(self) -> CallerLimits:
+        configuration = self.directory.configuration
+        return configuration.limits if configuration is not None else CallerLimits()
+
+    def _note_changes(self, changes: list[Change]) -> None:
+        own = self.members.own
+        ready = self.directory.configuration is not None and not own.leaving
+        if ready != own.ready:
+            self.members.own = own._replace(ready=ready)
+            tell("ready" if ready else "not_ready")
+            self.gossip.announce()
+        self.forwarder.note_release()
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.forwarder.pool.expire(read_clock())
+
+    async def _handle_call(self, exchange: Exchange) -> None:
+        leaving_at = self.leaving_at
+        if leaving_at is not None and read_clock() >= leaving_at + NOTICE_S:
+            error = RequestError(Kind.LEAVING, retry_after=0.05)
+            status, headers, body = self.dialect.encode_refusal(error, "")
+            tell("refused", kind=str(error.kind), ran="no", status=status, why="leaving")
+            await exchange.answer(status, headers, body)
+            return
+        await self.forwarder.handle(exchange)
+
+    async def _handle_inner(self, exchange: Exchange) -> None:
+        if exchange.target == SNAPSHOT_PATH:
+            body = encode_snapshot(self.catalogue.export())
+            await exchange.answer(200, [], body)
+            return
+        await self.forwarder.handle_passed_on(exchange)
+
+    async def _handle_lookup(self, exchange: Exchange) -> None:
+        lookup = self.dialect.decode_lookup(exchange)
+        if lookup is None:
+            await exchange.answer(404, [], b"")
+            return
+        homes = self.directory.routes.list_homes(lookup.host)
+        addresses = choose_for_caller(
+            self.members, lookup.domain, lookup.region, homes, read_clock()
+        )
+        body = self.dialect.encode_lookup(addresses, self.settings.lookup_ttl_s)
+        await exchange.answer(200, [JSON], body)
+
+    async def _handle_readiness(self, exchange: Exchange) -> None:
+        if not self.dialect.is_readiness(exchange):
+            await exchange.answer(404, [], b"")
+            return
+        await exchange.answer(200 if self.members.own.ready else 503, [], b"")
+
+    async def _handle_metrics(self, exchange: Exchange) -> None:
+        if exchange.target != METRICS_PATH:
+            await exchange.answer(404, [], b"")
+            return
+        await exchange.answer(200, [TEXT], self.figures.render(self.writer.dropped))
+
+    def _format_refusal(self, exchange: Exchange | None, error: RequestError) -> bytes:
+        """Give the whole answer to a request that could not be read."""
+        status, headers, body = self.dialect.encode_refusal(error, "")
+        tell("refused", kind=str(error.kind), ran=str(error.ran), status=status, why=error.detail)
+        lines = [b"HTTP/1.1 %d %s" % (status, REASONS.get(status, b""))]
+        lines += [name + b": " + value for name, value in headers]
+        lines += [b"Content-Length: %d" % len(body), b"Connection: close", b"", body]
+        return b"\r\n".join(lines)
+
+
+async def _keep_running(run: Callable[[], Awaitable[None]]) -> None:
+    """Run a task for ever, and again after a fault of ours.
+
+    A host whose heartbeats or reads of the store ended with a fault would go on with what it
+    believed then, and nothing that callers see would say so.
+    """
+    while True:
+        try:
+            await run()
+        except Exception:
+            log.exception("a task failed and is started again")
+            await asyncio.sleep(TICK_S)
+
+
+def _describe_own(settings: FleetSettings) -> Member:
+    ip, _ = split_address(settings.listen.control)
+    inner = f"{ip}:{settings.listen.inner_ports[0]}"
+    # The time of day only has to grow between two starts at one address.
+    incarnation = time.time_ns() // 1000
+    return Member(
+        name=settings.listen.control,
+        incarnation=incarnation,
+        domain=settings.domain,
+        region=settings.region,
+        callers=settings.listen.callers,
+        inner=inner,
+    )
+
+
+async def _run(path: Path, settings: FleetSettings, host: Host) -> None:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    reload = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    await host.start()
+    tell("started", version=__version__, callers=settings.listen.callers)
+    watcher = asyncio.create_task(_watch_settings(path, settings, host, reload))
+    await stop.wait()
+    await host.leave()
+    watcher.cancel()
+
+
+async def _watch_settings(
+    path: Path, settings: FleetSettings, host: Host, reload: asyncio.Event
+) -> None:
+    """Take over changed settings, on the signal to reload or when the file has changed."""
+    seen = path.read_bytes()
+    while True:
+        try:
+            async with asyncio.timeout(SETTINGS_EVERY_S):
+                await reload.wait()
+        except TimeoutError:
+            pass
+        asked = reload.is_set()
+        reload.clear()
+        try:
+            content = path.read_bytes()
+            if content == seen and not asked:
+                continue
+            seen = content
+            settings = FleetSettings.from_toml(path)
+        except (OSError, ConfigurationError) as error:
+            tell("settings_refused", logging.ERROR, why=str(error))
+            continue
+        host.gossip.seeds = settings.peers.seeds
+        tell("settings_reloaded", seeds=settings.peers.seeds)
+
+
+def run_host(path: Path, make_store: MakeStore, dialect: Dialect) -> None:
+    """Run one host until it is told to stop; raise ConfigurationError."""
+    settings = FleetSettings.from_toml(path)
+    incarnation = secrets.token_hex(4)
+    writer = configure_lines(settings.host, incarnation, settings.log_level)
+    # What was imported lives as long as the process: the collector need not look at it again.
+    gc.collect()
+    gc.freeze()
+
+    async def run() -> None:
+        await _run(path, settings, Host(settings, make_store(settings), dialect, writer))
+
+    asyncio.run(run())
--- /dev/null
+++ b/cloverway/serving/peerwire.py
@@ -0,0 +1,76 @@
+"""What hosts of a fleet tell each other, and its form on the wire."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from cloverway.structs import StructCodec
+
+
+class HostState(NamedTuple):
+    """A host as it describes itself, and how long ago it did."""
+
+    name: str
+    incarnation: int
+    domain: str
+    region: str
+    callers: str
+    inner: str
+    ready: bool
+    leaving: bool
+    age_ms: int
+
+
+class EndpointUse(NamedTuple):
+    """What the sender has at one endpoint, and the prompt parts it sent there lately."""
+
+    endpoint: str
+    running: int
+    unread: int
+    """Prompt tokens that were not read yet."""
+    held: int
+    """Tokens of memory until the requests end."""
+    parts: tuple[int, ...] = ()
+    tokens: tuple[int, ...] = ()
+    """The size of each of the parts."""
+
+
+class RegionOffer(NamedTuple):
+    """What the sender's region can take of a service."""
+
+    service_name: str
+    wait_ms: int
+    free: int
+
+
+class Heartbeat(NamedTuple):
+    """One datagram from host to host."""
+
+    sender: HostState
+    version: int
+    """The version of the sender's configuration."""
+    revision: int
+    """How far the sender has read the store."""
+    read_age_ms: int
+    """How long ago it read the store."""
+    others: tuple[HostState, ...] = ()
+    uses: tuple[EndpointUse, ...] = ()
+    offers: tuple[RegionOffer, ...] = ()
+
+
+class StoredDocument(NamedTuple):
+    """One published document as the sender read it."""
+
+    key: str
+    revision: int
+    value: bytes
+
+
+class StoredSnapshot(NamedTuple):
+    """All published documents that the sender knows."""
+
+    revision: int
+    documents: tuple[StoredDocument, ...]
+
+
+CODEC = StructCodec("fleet.thrift", (Heartbeat, StoredSnapshot))
--- /dev/null
+++ b/cloverway/serving/settings.py
@@ -0,0 +1,91 @@
+"""The settings of one host of the fleet."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Literal, NamedTuple
+
+from pydantic import Field
+
+from cloverway.config.options import Findings, validate
+from cloverway.config.published import Address
+from cloverway.core.budget import BudgetTerms
+from cloverway.core.deployment import Topology
+from cloverway.core.pacing import ColdTerms
+from cloverway.errors import ConfigurationError
+
+Seconds = Annotated[float, Field(ge=0, le=86_400)]
+Port = Annotated[int, Field(ge=1, le=65_535)]
+
+
+class Listen(NamedTuple):
+    """Where the host listens, by IP number."""
+
+    callers: Address
+    readiness: Address
+    lookup: Address
+    """Where callers ask which hosts to use."""
+    control: Address
+    """Where other hosts first reach this one, by UDP."""
+    inner_ports: tuple[Port, Port]
+    """The first and the last port that is free for traffic between hosts."""
+    metrics_port: Port = 9464
+    """Where operators read the figures, at /metrics."""
+
+
+class Peers(NamedTuple):
+    """How hosts find each other."""
+
+    seeds: tuple[Address, ...] = ()
+    """The control addresses of a few hosts, which may be stale."""
+
+
+class StoreSettings(NamedTuple):
+    """The store with what operators and endpoints publish."""
+
+    address: Address
+    reads_per_s: Annotated[float, Field(gt=0)] = 2000.0
+    """Reads a second that the store serves, to all hosts together."""
+
+
+class FleetSettings(NamedTuple):
+    """All settings of one host of the fleet. Times are seconds."""
+
+    host: str
+    domain: str
+    region: str
+    regions: dict[str, str]
+    """The region of each failure domain."""
+    listen: Listen
+    store: StoreSettings
+    peers: Peers = Peers()
+    retries: BudgetTerms = BudgetTerms()
+    cold: ColdTerms = ColdTerms()
+    grace_s: Seconds = 8.0
+    """Time from the signal to stop until the process is killed."""
+    lookup_ttl_s: Seconds = 2.0
+    """How long callers keep the answer which hosts to use."""
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+
+    @classmethod
+    def from_toml(cls, path: Path) -> FleetSettings:
+        """Read a settings file; raise ConfigurationError with every finding."""
+        try:
+            values = tomllib.loads(path.read_text(encoding="utf-8"))
+        except OSError as error:
+            raise ConfigurationError([f"{path}: can't be read: {error.strerror}"]) from error
+        except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+            raise ConfigurationError([f"{path}: is not TOML: {error}"]) from error
+        findings = Findings(str(path))
+        settings = validate(cls, values, findings)
+        if settings is not None and settings.domain not in settings.regions:
+            findings.add("regions", f"set the region of {settings.domain!r}, this host's domain")
+        findings.raise_if_any()
+        assert settings is not None
+        return settings
+
+    @property
+    def topology(self) -> Topology:
+        """Where the host is."""
+        return Topology(self.domain, self.region, self.regions)
--- /dev/null
+++ b/cloverway/serving/telemetry.py
@@ -0,0 +1,134 @@
+"""Log lines and figures of one host: a JSON line for each decision, never waiting for a reader."""
+
+from __future__ import annotations
+
+import logging
+import os
+from collections.abc import Sequence
+from typing import Any
+
+import aioprometheus
+
+from cloverway.errors import Kind
+from cloverway.logs import make_formatter
+
+log = logging.getLogger(__name__)
+
+LINES_PER_S = 500
+"""Lines that are written in a second; more are counted and dropped. A host serves about 30
+requests a second at its peak, with three lines each: this is five times that."""
+PENDING_BYTES = 256 * 1024
+"""Bytes that wait for a reader of the log that is slow; further lines are dropped."""
+TIME_BOUNDS_S = (0.01, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 10.0, 20.0)
+"""Upper bounds of the buckets of times, in seconds."""
+
+
+class LineWriter(logging.Handler):
+    """Writes lines to a descriptor without ever waiting; counts what it has to drop."""
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._pending = b""
+        self._second = 0
+        self._lines = 0
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a line, or drop it when there are too many or nobody reads."""
+        second = int(record.created)
+        if second != self._second:
+            self._second, self._lines = second, 0
+        self._lines += 1
+        if self._lines > LINES_PER_S or len(self._pending) > PENDING_BYTES:
+            self.dropped += 1
+            return
+        try:
+            self._pending += self.format(record).encode() + b"\n"
+            written = os.write(self._descriptor, self._pending)
+            self._pending = self._pending[written:]
+        except BlockingIOError:
+            # The reader is behind: the lines wait, and PENDING_BYTES bounds them.
+            return
+        except (OSError, ValueError):
+            # There is nobody to tell: the log itself can't be written.
+            self.dropped += 1
+
+
+def configure_lines(host: str, incarnation: str, level: str, descriptor: int = 1) -> LineWriter:
+    """Log to a descriptor as JSON lines; give the handler, which counts what it drops."""
+    writer = LineWriter(descriptor)
+    writer.setFormatter(make_formatter(host, incarnation))
+    root = logging.getLogger()
+    root.handlers[:] = [writer]
+    root.setLevel(level.upper())
+    logging.getLogger("asyncio").setLevel(logging.WARNING)
+    return writer
+
+
+class Figures:
+    """Counters and histograms, in the text format of Prometheus."""
+
+    def __init__(self) -> None:
+        self._registry = aioprometheus.Registry()
+        self._requests = self._count("requests_total", "Requests by route and outcome")
+        self._attempts = self._count("attempts_total", "Sends to endpoints by service and outcome")
+        self._connects = self._count("connections_total", "New connections to endpoints and hosts")
+        self._reads = self._count("store_reads_total", "Reads of the store by outcome")
+        self._events = self._count("events_total", "Changes of what this host believes, by kind")
+        self._dropped = aioprometheus.Gauge(
+            "cloverway_log_lines_dropped", "Log lines dropped", registry=self._registry
+        )
+        self._first = self._measure("first_seconds", "Time to the first event or the answer")
+        self._total = self._measure("request_seconds", "Time to the end of the answer")
+        self._gap = self._measure("gap_seconds", "Longest pause between two events of a stream")
+
+    def note_request(
+        self, route: str, kind: Kind | None, first_s: float | None, total_s: float, gap_s: float
+    ) -> None:
+        """Count a request that has ended."""
+        self._requests.inc({"route": route, "outcome": str(kind or "ok")})
+        self._total.observe({"route": route}, total_s)
+        if first_s is not None:
+            self._first.observe({"route": route}, first_s)
+        if gap_s:
+            self._gap.observe({"route": route}, gap_s)
+
+    def note_attempt(self, service: str, outcome: str) -> None:
+        """Count a send to an endpoint or to another host."""
+        self._attempts.inc({"service": service, "outcome": outcome})
+
+    def note_connect(self, address: str) -> None:
+        """Count a new connection; by no address, since those of endpoints are ever new."""
+        self._connects.inc({})
+
+    def note_read(self, outcome: str) -> None:
+        """Count a read of the store."""
+        self._reads.inc({"outcome": outcome})
+
+    def note_event(self, what: str) -> None:
+        """Count a change of belief."""
+        self._events.inc({"what": what})
+
+    def render(self, dropped: int) -> bytes:
+        """Give all figures as text."""
+        self._dropped.set({}, dropped)
+        text, _ = aioprometheus.render(self._registry, ["text/plain"])
+        return bytes(text)
+
+    def _count(self, name: str, what: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(f"cloverway_{name}", what, registry=self._registry)
+
+    def _measure(
+        self, name: str, what: str, bounds: Sequence[float] = TIME_BOUNDS_S
+    ) -> aioprometheus.Histogram:
+        # Without a registry of our own it would go into the library's global one.
+        return aioprometheus.Histogram(
+            f"cloverway_{name}", what, registry=self._registry, buckets=list(bounds)
+        )
+
+
+def tell(event: str, /, level: int = logging.INFO, **inputs: Any) -> None:
+    """Log a decision or a change of belief with its inputs."""
+    log.log(level, event, extra=inputs)
--- a/cloverway/updates.py
+++ b/cloverway/updates.py
@@ -21,8 +21,8 @@
     log_result,
 )
 from cloverway.errors import CloverwayError
-from cloverway.sources.port import Changes, Platform
 from cloverway.reports import Workers
+from cloverway.sources.port import Changes, Platform
 
 log = logging.getLogger(__name__)
 
