Tell a caller 'not run' only while nothing may run, and lead callers to their homes

Cause, REFUSED: the time of the route ended while an answer was awaited, and the refusal said 'not run', since only an ended send counted. Cause, HOME: with all hosts of a region leaving, the lookup named every region, because two routes with different homes have none in common; and a host that had just begun to leave was not named, although it takes requests. Heartbeats ended after each change of a host's state, because a log field had a reserved name. Ruled out: late answers of endpoints; stale homes.

--- a/cloverway/core/deployment.py
+++ b/cloverway/core/deployment.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 from enum import StrEnum
 from typing import NamedTuple
@@ -120,10 +120,10 @@
             end = path.rfind("/", 0, end)
         return None
 
-    def list_homes(self, host: str) -> frozenset[str]:
-        """Give the regions that every route of a host allows; empty when none is bound."""
-        bound = [route.homes for route in self._hosts.get(host, {}).values() if route.homes]
-        return frozenset.intersection(*bound) if bound else frozenset()
+    def count_homes(self, host: str) -> Counter[str]:
+        """Count for each region the routes of a host that are bound to it, among others."""
+        routes = self._hosts.get(host, {}).values()
+        return Counter(region for route in routes for region in route.homes)
 
 
 class EndpointEntry(NamedTuple):
--- a/cloverway/core/members.py
+++ b/cloverway/core/members.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 ALIVE_S = 1.5
@@ -10,6 +10,9 @@
 heartbeats in a row, so that a lost datagram changes nothing."""
 FAR_ALIVE_S = 4.0
 """The same for hosts of other regions, which send less often."""
+LINGER_S = 2.0
+"""How long a leaving host is still named to callers where its region has no other: it takes
+requests for longer than this, and sends to another region cost more than a short stay."""
 FORGET_S = 30.0
 """Hosts that were not heard for this long are forgotten. Shares of common budgets are taken from
 the hosts that are known, so one that is cut off must be counted for a good while."""
@@ -58,6 +61,7 @@
         """How long ago it read the store, when it was heard."""
         self.offers: dict[str, Offer] = {}
         self.failed_until = float("-inf")
+        self.leaving_since: float | None = None
 
 
 class Members:
@@ -65,6 +69,7 @@
 
     def __init__(self, own: Member) -> None:
         self.own = own
+        self.leaving_since: float | None = None
         self.peers: dict[str, Peer] = {}
 
     def hear(self, member: Member, age_s: float, direct: bool, now: float) -> Peer | None:
@@ -86,6 +91,8 @@
             leaving = member.leaving or peer.member.leaving
             peer.member = member._replace(leaving=leaving, ready=member.ready and not leaving)
         peer.heard_at = max(peer.heard_at, heard_at)
+        if peer.member.leaving and peer.leaving_since is None:
+            peer.leaving_since = now
         if direct:
             peer.direct_at = now
         return peer
@@ -114,6 +121,21 @@
         """List the names of the hosts of this region that are known, this one left out."""
         return [n for n, peer in self.peers.items() if peer.member.region == self.own.region]
 
+    def list_lingering(self, now: float) -> list[Member]:
+        """List the hosts that have begun to leave and still take requests, this one among them."""
+        left = {peer.member: peer.leaving_since for peer in self.list_alive(now)}
+        left[self.own] = self.leaving_since
+        return [
+            member
+            for member, since in left.items()
+            if since is not None and now - since <= LINGER_S
+        ]
+
+    def begin_leaving(self, now: float) -> None:
+        """Note that this host leaves."""
+        self.own = self.own._replace(ready=False, leaving=True)
+        self.leaving_since = now
+
     def list_for_passing(self, region: str, now: float) -> list[Peer]:
         """List the hosts of a region that may get requests passed on."""
         return [
@@ -130,22 +152,27 @@
     members: Members,
     domain: str,
     region: str,
-    homes: frozenset[str],
+    homes: Mapping[str, int],
     now: float,
 ) -> list[str]:
     """Give the addresses that a caller in a failure domain should use, at least one.
 
-    Its own domain first, then its region, then the homes of what it asks for; this host when it
-    knows nobody better. Bytes between domains cost, and bound data must not go elsewhere.
+    Its own domain first, then its region, also hosts there that have just begun to leave, then the
+    region that is a home of most routes of what it asks for. Bytes between domains cost, and bound
+    data must not go elsewhere. This host itself when it knows nobody better.
     """
     own = members.own
     ready = [own] if own.ready else []
     ready += [peer.member for peer in members.list_alive(now) if peer.member.ready]
+    lingering = members.list_lingering(now)
+    most = max((homes.get(member.region, 0) for member in ready), default=0)
     choices: Iterable[list[Member]] = (
         [member for member in ready if member.domain == domain],
         [member for member in ready if member.region == region],
-        [member for member in ready if member.region in homes],
+        [member for member in lingering if member.region == region],
+        [member for member in ready if homes.get(member.region, 0) == most],
         ready,
+        lingering,
     )
     chosen = next((choice for choice in choices if choice), [own])
     return sorted(member.callers for member in chosen)
--- a/cloverway/errors.py
+++ b/cloverway/errors.py
@@ -17,6 +17,14 @@
     UNKNOWN = "unknown"
 
 
+RAN_ORDER = (Ran.NO, Ran.UNKNOWN, Ran.YES)
+
+
+def take_worse(first: Ran, second: Ran) -> Ran:
+    """Give the claim about a run that covers two attempts."""
+    return max(first, second, key=RAN_ORDER.index)
+
+
 class Kind(StrEnum):
     """Every way in which a request can fail."""
 
--- a/cloverway/gateway.py
+++ b/cloverway/gateway.py
@@ -13,7 +13,7 @@
 from cloverway import residency
 from cloverway.claims import Granted, Replayed
 from cloverway.config.published import Profile, Published
-from cloverway.errors import Kind, Ran, RequestError
+from cloverway.errors import Kind, Ran, RequestError, take_worse
 from cloverway.exchange import Reply
 from cloverway.messages import Admitted, Away, Local, Outcome, Refused, Request, Verdict
 from cloverway.streams import RecordedStream, WatchedStream
@@ -23,8 +23,6 @@
 
 Check = Callable[[], None]
 
-RAN_ORDER = (Ran.NO, Ran.UNKNOWN, Ran.YES)
-
 SETTLED = {Ran.NO: Outcome.NOT_SENT, Ran.UNKNOWN: Outcome.FAILED, Ran.YES: Outcome.DONE}
 """What the issuer of a key is told, by what is known of the run."""
 
@@ -119,11 +117,6 @@
     claims: KeyClaims
 
 
-def take_worse(first: Ran, second: Ran) -> Ran:
-    """Give the claim about a run that covers two attempts."""
-    return max(first, second, key=RAN_ORDER.index)
-
-
 class RequestGateway:
     """Runs authenticated requests of callers and of other hosts."""
 
--- a/cloverway/serving/forwarding.py
+++ b/cloverway/serving/forwarding.py
@@ -28,7 +28,7 @@
 from cloverway.core.endpoints import Directory, Endpoint
 from cloverway.core.members import Members, Peer
 from cloverway.core.pacing import compute_cold_spacing
-from cloverway.errors import Kind, Ran, RequestError
+from cloverway.errors import Kind, Ran, RequestError, take_worse
 from cloverway.serving.client import (
     AnswerError,
     ConnectError,
@@ -187,8 +187,7 @@
 
     async def _refuse(self, exchange: Exchange, call_id: str, error: RequestError) -> None:
         status, headers, body = self.dialect.encode_refusal(error, call_id)
-        if error.ran is Ran.NO:
-            headers = [*headers, (RAN_HEADER, b"no")]
+        headers = [*headers, (RAN_HEADER, str(error.ran).encode())]
         tell(
             "refused",
             request_id=call_id,
@@ -409,10 +408,15 @@
         kept = False
         try:
             sent_at = read_clock()
-            sending.write()
+            # From here on it may run. If the time of the route ends while the answer is awaited, a
+            # refusal would say "not run" of a request that its endpoint is working on.
+            ran_before, self.ran = self.ran, take_worse(self.ran, Ran.UNKNOWN)
             self.arrivals += 1
+            sending.write()
             outcome = await self._read_answer(target, sending, number, sent_at)
             kept = isinstance(outcome, Answered) and outcome.body is None
+            if isinstance(outcome, Declined):
+                self.ran = ran_before
             return outcome
         except AnswerError as error:
             return Broken(str(error))
@@ -451,9 +455,11 @@
         dialect = self.forwarder.dialect
         head = await sending.read_head(lambda head: dialect.is_answer_to(head, self.call))
         facts = dialect.decode_reply(head)
-        if target.peer is not None and head.get(RAN_HEADER) == b"no":
+        said = head.get(RAN_HEADER) if target.peer is not None else None
+        if said is not None:
             await sending.read_body(HOLD_BYTES)
-            return Declined(f"host {target.name} did not run it: {head.status}")
+            why = f"host {target.name} could not serve it: {head.status}"
+            return Declined(why) if said == b"no" else Broken(why)
         if facts.not_run:
             await sending.read_body(HOLD_BYTES)
             return Declined(f"the endpoint did not run it: {head.status}")
@@ -559,8 +565,6 @@
             self.forwarder.pool.forget(target.address)
         if isinstance(outcome, Broken):
             self.runs += 1
-            if self.ran is Ran.NO:
-                self.ran = Ran.UNKNOWN
 
     def _note_result(self, target: Target, failed: bool) -> None:
         if target.candidate is None:
--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/gossip.py
@@ -263,10 +263,10 @@
         alive = {peer.member.name for peer in self.members.list_alive(now)}
         for name in alive - self._alive:
             self.figures.note_event("host_heard")
-            tell("host_heard", name=name, region=self.members.peers[name].member.region)
+            tell("host_heard", peer=name, region=self.members.peers[name].member.region)
         for name in self._alive - alive:
             self.figures.note_event("host_silent")
-            tell("host_silent", name=name)
+            tell("host_silent", peer=name)
         self._alive = alive
 
     # Repair
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -31,11 +31,13 @@
 TICK_S = 0.5
 SETTINGS_EVERY_S = 1.0
 """How often the settings file is looked at: it may change without a signal."""
-NOTICE_S = 3.0
+NOTICE_S = 2.8
 """How long a leaving host takes requests as usual: callers keep the answer which hosts to use for
 two seconds, and other hosts hear of the leaving at once."""
-LEAST_LEAVE_S = 4.5
-"""A leaving host stays at least this long, to refuse what still comes with "not run"."""
+LEAST_LEAVE_S = 2.8
+"""A leaving host stays at least this long, so that callers with an old answer find it there. It
+does not stay longer without need: in a series of restarts its successor would leave before it is
+back, and a small region would have no host at all."""
 KILL_MARGIN_S = 0.4
 """A leaving host ends itself this long before it would be killed."""
 METRICS_PATH = "/metrics"
@@ -107,8 +109,7 @@
         """Lead callers and other hosts away, and wait for the requests in progress."""
         now = read_clock()
         self.leaving_at = now
-        own = self.members.own
-        self.members.own = own._replace(ready=False, leaving=True)
+        self.members.begin_leaving(now)
         self.gossip.announce()
         tell("leaving", in_progress=self.callers.in_progress + self.inner.in_progress)
         end_at = now + self.settings.grace_s - KILL_MARGIN_S
@@ -165,10 +166,17 @@
         if lookup is None:
             await exchange.answer(404, [], b"")
             return
-        homes = self.directory.routes.list_homes(lookup.host)
+        homes = self.directory.routes.count_homes(lookup.host)
         addresses = choose_for_caller(
             self.members, lookup.domain, lookup.region, homes, read_clock()
         )
+        tell(
+            "hosts_named",
+            service_host=lookup.host,
+            domain=lookup.domain,
+            homes=dict(homes),
+            addresses=addresses,
+        )
         body = self.dialect.encode_lookup(addresses, self.settings.lookup_ttl_s)
         await exchange.answer(200, [JSON], body)
 
