Choose by what a prompt costs others and the answer later, not by its own wait alone

Cause: streams of small prompts had pauses over 600 ms and ran for up to 15 s, because each token at an engine waits for the prompts that are read meanwhile (a chunk of 4,096 tokens takes 110 ms). Ruled out: slots (at most 20 of 64 taken), processor time of hosts (0.05 cores).

--- a/cloverway/core/choice.py
+++ b/cloverway/core/choice.py
@@ -9,7 +9,7 @@
 from cloverway.core.calls import Call
 from cloverway.core.deployment import Service
 from cloverway.core.endpoints import Endpoint
-from cloverway.core.load import Work
+from cloverway.core.load import SiblingLoad, Work
 
 FAILURE_S = 0.5
 """Time that each recent failure of an endpoint adds to its prediction: about what a caller loses
@@ -22,6 +22,18 @@
 SPREAD_S = 0.004
 """Spread of predictions by the request's id, so that hosts that see the same loads don't all
 choose the same idle endpoint: about the time that one small prompt takes."""
+STREAM_WEIGHT = 0.15
+"""Weight of the time by which a prompt delays the streams that run at an endpoint, each of them by
+the time to read it, against the request's own time."""
+READ_WEIGHT = 0.5
+"""Weight of the time to read a prompt, on top of the request's own wait: whoever comes next waits
+for it too, so a place that has read a shared part is worth a wait."""
+DECODE_WEIGHT = 0.3
+"""Weight of the time by which prompts that others send to an endpoint stretch an answer there. With
+it long answers gather where few prompts are read, and long prompts elsewhere."""
+STEP_S = 0.005
+"""Time of one token of an answer at an engine that reads no prompts: between the engines known."""
+MOST_BUSY = 0.95
 HOME_BONUS = 0.3
 """Part of the time to read a shared part that its own endpoint, by hash, is preferred by. All
 hosts then read a part that no endpoint has at the same one, without a word between them."""
@@ -39,6 +51,8 @@
     endpoint: Endpoint
     wait_s: float
     """Until the first event or the answer."""
+    cost_s: float
+    """The wait, and what the request costs others and itself later."""
     unread: int
     full: bool
     """Whether it would have to wait for another request to end."""
@@ -74,19 +88,21 @@
     full = load.sum_own().running >= max(1, connections) or total.running >= slots
     if service.engine is None or call.prompt is None:
         queue = max(0.0, (total.running + 1 - slots) / slots)
-        return Candidate(endpoint, load.work_s * (1 + queue) + penalty + spread, 0, full)
+        wait_s = load.work_s * (1 + queue) + penalty + spread
+        return Candidate(endpoint, wait_s, wait_s, 0, full)
     work = estimate_work(call, endpoint)
-    wait_s = (total.unread + work.unread) * load.read_s_per_token
-    wait_s -= _home_bonus(call, endpoint)
+    wait_s = (total.unread + work.unread) * load.read_s_per_token + penalty + spread
+    cost_s = wait_s + _estimate_harm(call, endpoint, work, total, now)
+    load.kv_tokens = service.engine.kv_tokens
     kv_limit = service.engine.kv_tokens * KV_USED_PART
     full = full or (total.running > 0 and total.held + work.held > kv_limit)
-    return Candidate(endpoint, wait_s + penalty + spread, work.unread, full)
+    return Candidate(endpoint, wait_s, cost_s, work.unread, full)
 
 
 def choose_endpoint(candidates: Iterable[Candidate]) -> Candidate | None:
     """Give the candidate with the earliest answer that is not full, or None."""
     free = [candidate for candidate in candidates if not candidate.full]
-    return min(free, key=lambda candidate: candidate.wait_s, default=None)
+    return min(free, key=lambda candidate: candidate.cost_s, default=None)
 
 
 def choose_region(
@@ -105,6 +121,20 @@
     return best
 
 
+def _estimate_harm(
+    call: Call, endpoint: Endpoint, work: Work, total: SiblingLoad, now: float
+) -> float:
+    """Estimate what a request costs later: streams that wait, and its own answer stretched."""
+    load = endpoint.load
+    read_s = work.unread * load.read_s_per_token
+    delay_s = read_s * (READ_WEIGHT + STREAM_WEIGHT * total.running)
+    busy = min(MOST_BUSY, load.sum_read_rate(now) * load.read_s_per_token)
+    assert call.prompt is not None
+    tokens_out = work.held - call.prompt.tokens_in
+    stretch_s = tokens_out * STEP_S * busy / (1 - busy)
+    return delay_s + DECODE_WEIGHT * stretch_s - _home_bonus(call, endpoint)
+
+
 def _home_bonus(call: Call, endpoint: Endpoint) -> float:
     """Prefer an endpoint for the shared parts that a hash gives to it, a little."""
     assert call.prompt is not None
--- a/cloverway/core/load.py
+++ b/cloverway/core/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict, deque
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -17,7 +18,11 @@
 LEARN = 0.1
 """Weight of one measurement in a moving average: half of it is forgotten after seven."""
 CACHED_TOKENS = 150_000
-"""Tokens of prompt parts that an endpoint is taken to hold, where its memory is not stated."""
+"""Tokens that fit into an endpoint's memory, where nothing states it."""
+RATE_HALF_S = 1.5
+"""Age at which sent prompt tokens count half in the rate: long against one prompt, short against a
+change of the traffic."""
+RATE_FACTOR = math.log(2) / RATE_HALF_S
 FRESH_PARTS = 64
 """Parts that wait to be told to siblings; a host that has none must not keep them for ever."""
 FAIL_FORGET_S = 4.0
@@ -40,6 +45,8 @@
     unread: int
     held: int
     at: float
+    read_rate: float = 0.0
+    """Prompt tokens that it sends there in a second."""
 
 
 class EndpointLoad:
@@ -50,6 +57,10 @@
         self._siblings: dict[str, SiblingLoad] = {}
         self._parts: OrderedDict[int, int] = OrderedDict()
         self._parts_tokens = 0
+        self.kv_tokens = CACHED_TOKENS
+        """Tokens that fit into the endpoint's memory."""
+        self._read_tokens = 0.0
+        self._read_at = 0.0
         self.fresh_parts: deque[PromptPart] = deque(maxlen=FRESH_PARTS)
         """Parts sent since the last heartbeat, to be told to siblings."""
         self.read_s_per_token = FIRST_READ_S_PER_TOKEN
@@ -65,8 +76,9 @@
         if not self._own:
             self.progress_at = now
         self._own[number] = work
+        self._note_read(work.unread, now)
         if prompt is not None:
-            self.note_parts(prompt.parts, self._capacity(work))
+            self.note_parts(prompt.parts)
             self.fresh_parts.extend(prompt.parts)
 
     def note_first(self, number: int, now: float) -> None:
@@ -107,7 +119,7 @@
     def note_sibling(self, host: str, load: SiblingLoad, parts: Iterable[PromptPart]) -> None:
         """Take over what another host of the region says."""
         self._siblings[host] = load
-        self.note_parts(parts, CACHED_TOKENS)
+        self.note_parts(parts)
 
     def forget_sibling(self, host: str) -> None:
         """Forget what a host said that has gone or started anew."""
@@ -118,6 +130,15 @@
         works = self._own.values()
         return SiblingLoad(len(works), sum(w.unread for w in works), sum(w.held for w in works), 0)
 
+    def read_rate(self, now: float) -> float:
+        """Give the prompt tokens that this host sends there in a second."""
+        return self._read_tokens * 0.5 ** ((now - self._read_at) / RATE_HALF_S) * RATE_FACTOR
+
+    def sum_read_rate(self, now: float) -> float:
+        """Give the prompt tokens that all hosts of the region send there in a second."""
+        heard = (load for load in self._siblings.values() if now - load.at <= SIBLING_AGE_S)
+        return self.read_rate(now) + sum(load.read_rate for load in heard)
+
     def sum_all(self, now: float) -> SiblingLoad:
         """Give what all hosts of the region have at the endpoint."""
         own = self.sum_own()
@@ -138,14 +159,19 @@
             cached += part.tokens
         return max(0, prompt.tokens_in - cached)
 
-    def note_parts(self, parts: Iterable[PromptPart], capacity: int) -> None:
+    def note_parts(self, parts: Iterable[PromptPart]) -> None:
         """Note that the endpoint reads these parts; the least recently used ones yield."""
         for part in parts:
             self._parts_tokens += part.tokens - self._parts.pop(part.id, 0)
             self._parts[part.id] = part.tokens
+        held = sum(work.held for work in self._own.values())
+        held += sum(load.held for load in self._siblings.values())
+        capacity = self.kv_tokens - held
         while self._parts_tokens > capacity and self._parts:
             _, tokens = self._parts.popitem(last=False)
             self._parts_tokens -= tokens
 
-    def _capacity(self, work: Work) -> int:
-        return max(CACHED_TOKENS, 4 * work.held)
+    def _note_read(self, tokens: int, now: float) -> None:
+        faded = self._read_tokens * 0.5 ** ((now - self._read_at) / RATE_HALF_S)
+        self._read_tokens = faded + tokens
+        self._read_at = now
--- a/cloverway/serving/forwarding.py
+++ b/cloverway/serving/forwarding.py
@@ -610,6 +610,7 @@
             address=target.address,
             region=target.region,
             wait_s=round(candidate.wait_s, 3) if candidate else None,
+            cost_s=round(candidate.cost_s, 3) if candidate else None,
             unread=candidate.unread if candidate else None,
             waited_s=round(now - self.call.arrived_at, 3),
             left_s=round(self.limit_at - now, 3),
--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/gossip.py
@@ -133,7 +133,7 @@
         near = [p for p in self.members.peers.values() if self._is_near(p.member)]
         if not near:
             return
-        data = self._encode(now, self._list_uses(), ())
+        data = self._encode(now, self._list_uses(now), ())
         for peer in near:
             self._send(peer.member.name, data)
 
@@ -188,7 +188,7 @@
         chosen = random.sample(alive, min(OTHERS, len(alive)))
         return tuple(_describe(peer.member, now - peer.heard_at) for peer in chosen)
 
-    def _list_uses(self) -> tuple[EndpointUse, ...]:
+    def _list_uses(self, now: float) -> tuple[EndpointUse, ...]:
         uses = []
         for endpoint in self.directory.endpoints.values():
             load = endpoint.load
@@ -201,7 +201,10 @@
                 parts = tuple(part.id for part in fresh)
                 tokens = tuple(part.tokens for part in fresh)
                 name = endpoint.entry.id
-                uses.append(EndpointUse(name, own.running, own.unread, own.held, parts, tokens))
+                rate = int(load.read_rate(now))
+                uses.append(
+                    EndpointUse(name, own.running, own.unread, own.held, parts, tokens, rate)
+                )
         return tuple(uses)
 
     def _list_offers(self, now: float) -> tuple[RegionOffer, ...]:
@@ -257,7 +260,7 @@
         if endpoint is None:
             return
         parts = [PromptPart(*pair) for pair in zip(use.parts, use.tokens, strict=False)]
-        load = SiblingLoad(use.running, use.unread, use.held, now)
+        load = SiblingLoad(use.running, use.unread, use.held, now, use.read_rate)
         endpoint.load.note_sibling(host, load, parts)
 
     def _note_alive(self, now: float) -> None:
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -38,7 +38,7 @@
 """A leaving host stays at least this long, so that callers with an old answer find it there. It
 does not stay longer without need: in a series of restarts its successor would leave before it is
 back, and a small region would have no host at all."""
-KILL_MARGIN_S = 0.4
+KILL_MARGIN_S = 0.8
 """A leaving host ends itself this long before it would be killed."""
 METRICS_PATH = "/metrics"
 TEXT = (b"Content-Type", b"text/plain; version=0.0.4")
