Take places in one line for each service, the most urgent and the oldest first

What was done: waiting.py serves a line in order, targeting.py finds and takes places; forwarding.py keeps the course of a request.

--- a/cloverway/core/choice.py
+++ b/cloverway/core/choice.py
@@ -75,7 +75,9 @@
     return Work(endpoint.load.count_unread(prompt), prompt.tokens_in + out)
 
 
-def predict(call: Call, service: Service, endpoint: Endpoint, hosts: int, now: float) -> Candidate:
+def predict(
+    call: Call, service: Service, endpoint: Endpoint, *, hosts: int, now: float
+) -> Candidate:
     """Predict when a request would have its first answer at an endpoint."""
     load = endpoint.load
     total = load.sum_all(now)
--- a/cloverway/serving/forwarding.py
+++ b/cloverway/serving/forwarding.py
@@ -8,26 +8,17 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import random
+from collections import Counter
 from typing import NamedTuple
 
 import h11
 
 from cloverway.core.budget import RetryBudget
 from cloverway.core.calls import Call, Header, PassedOn
-from cloverway.core.choice import (
-    Candidate,
-    RegionOffer,
-    choose_endpoint,
-    choose_region,
-    estimate_work,
-    predict,
-)
 from cloverway.core.deployment import CallKind, Route, Service
-from cloverway.core.endpoints import Directory, Endpoint
-from cloverway.core.members import Members, Peer
-from cloverway.core.pacing import compute_cold_spacing
+from cloverway.core.endpoints import Directory
+from cloverway.core.members import Members
 from cloverway.errors import Kind, Ran, RequestError, take_worse
 from cloverway.serving.client import (
     AnswerError,
@@ -42,23 +33,18 @@
 from cloverway.serving.ports import Dialect, SendTerms
 from cloverway.serving.server import Exchange
 from cloverway.serving.settings import FleetSettings
+from cloverway.serving.targeting import Target, Targeting, Wanted
 from cloverway.serving.telemetry import Figures, tell
+from cloverway.serving.waiting import Rank
 
 CONNECT_S = 0.4
 """Time to open a connection within the region: a lost opening packet is sent again only after a
 second, and another endpoint answers sooner."""
 FAR_CONNECT_S = 1.0
-FAR_S = 0.2
-"""Time that the way to another region and back takes, when it isn't measured: a request that has
-less left for it isn't sent there."""
-FAR_MARGIN_S = 0.3
-"""By how much another region must be better before a request leaves its own: its prompt parts lie
-here, and bytes between regions cost."""
 LEAST_S = 0.05
 """A request with less time left isn't sent: its answer could not come back in time."""
 WAIT_PART = 0.25
 """Part of the objective that a request waits for a place before it is refused."""
-WAIT_STEP_S = 0.05
 PEER_FAILED_S = 1.0
 """How long a host that could not be reached is not tried again."""
 BODY_LIMIT = 4 * 1024 * 1024
@@ -94,17 +80,6 @@
 Outcome = Declined | Broken | Answered
 
 
-class Target(NamedTuple):
-    """Where a request is sent."""
-
-    address: str
-    name: str
-    """The id of the endpoint, or the name of the host it is passed on to."""
-    candidate: Candidate | None
-    peer: Peer | None
-    region: str
-
-
 class Forwarder:
     """Runs the requests of callers and of other hosts."""
 
@@ -122,11 +97,10 @@
         self.dialect = dialect
         self.figures = figures
         self.pool = Pool(figures.note_connect)
-        self.numbers = itertools.count(1)
+        self.targeting = Targeting(settings, directory, members)
         self.is_informed = False
         """Whether endpoints were heard of, so that "no endpoint" is a fact."""
         self._budgets: dict[str, RetryBudget] = {}
-        self._released = asyncio.Event()
 
     async def handle(self, exchange: Exchange) -> None:
         """Run a caller's request."""
@@ -150,19 +124,6 @@
             budget = self._budgets[service] = RetryBudget(self.settings.retries)
         return budget
 
-    def note_release(self) -> None:
-        """Wake the requests that wait for a place."""
-        self._released.set()
-        self._released = asyncio.Event()
-
-    async def wait_for_release(self, timeout_s: float) -> None:
-        """Wait until a place is free, or some time has passed."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._released.wait()
-        except TimeoutError:
-            return
-
     async def _run(self, exchange: Exchange, passed: PassedOn | None) -> None:
         call_id = ""
         try:
@@ -221,7 +182,7 @@
         self.sends = 0
         self.arrivals = 0
         """Sends that were written out: only those draw on the retry budget."""
-        self.tried: dict[str, int] = {}
+        self.tried: Counter[str] = Counter()
         self.events = EventSplitter(call.last_event_id)
         self.first_at: float | None = None
         self.longest_gap_s = 0.0
@@ -268,20 +229,23 @@
     # Choice
 
     async def _choose(self) -> Target:
-        """Give the next target, waiting a little for a place; raise RequestError."""
-        wait_until = self.call.arrived_at + WAIT_PART * self.route.objective_s
-        while True:
-            now = read_clock()
-            if self.limit_at - now < LEAST_S:
-                raise RequestError(Kind.DEADLINE, "no time is left", ran=self.ran)
-            if self.arrivals and not self._may_send_again(now):
-                raise self._make_refusal("the retry budget is spent")
-            target, why = self._find_target(now)
-            if target is not None:
-                return target
-            if now >= wait_until:
-                raise self._make_refusal(why)
-            await self.forwarder.wait_for_release(min(WAIT_STEP_S, wait_until - now))
+        """Take the next place, waiting for it a little; raise RequestError."""
+        targeting = self.forwarder.targeting
+        now = read_clock()
+        if self.limit_at - now < LEAST_S:
+            raise RequestError(Kind.DEADLINE, "no time is left", ran=self.ran)
+        if self.arrivals and not self._may_send_again(now):
+            raise self._make_refusal("the retry budget is spent")
+        wanted = Wanted(self.call, self.route, self.service, self.tried)
+        target = await targeting.get_line(self.service.name).take(
+            Rank(self.route.priority, self.call.arrived_at),
+            lambda: targeting.take(wanted, read_clock()),
+            self.call.arrived_at + WAIT_PART * self.route.objective_s,
+            targeting.release,
+        )
+        if target is None:
+            raise self._make_refusal(targeting.explain(wanted, read_clock()))
+        return target
 
     def _make_refusal(self, why: str) -> RequestError:
         if self.ran is Ran.NO:
@@ -293,109 +257,25 @@
         hosts = self.forwarder.members.count_fleet()
         return self.forwarder.get_budget(self.service.name).take(hosts, now)
 
-    def _find_target(self, now: float) -> tuple[Target | None, str]:
-        homes = self.route.homes
-        region = self.forwarder.settings.region
-        here: Candidate | None = None
-        why = "no endpoint is ready"
-        if not homes or region in homes:
-            candidates = self._list_candidates(now)
-            here = choose_endpoint(candidates)
-            if candidates and here is None:
-                why = "every endpoint is full"
-        away = None
-        if self.call.passed_on is None:
-            away = choose_region(here, self._list_offers(now), FAR_MARGIN_S)
-        if away is not None:
-            peer = self._choose_peer(away.region, now)
-            if peer is not None:
-                member = peer.member
-                return Target(member.inner, member.name, None, peer, away.region), ""
-        if here is None:
-            return None, why
-        endpoint = here.endpoint
-        if endpoint.is_cold(now):
-            endpoint.last_cold_send = now
-        return Target(endpoint.entry.address, endpoint.entry.id, here, None, region), ""
-
-    def _list_candidates(self, now: float) -> list[Candidate]:
-        forwarder = self.forwarder
-        hosts = len(forwarder.members.list_region()) + 1
-        region = forwarder.settings.region
-        return [
-            predict(self.call, self.service, endpoint, hosts, now)
-            for endpoint in forwarder.directory.list_usable(self.service.name, now)
-            if endpoint.region == region
-            and self.tried.get(endpoint.entry.id, 0) < 1
-            and self._may_load(endpoint, now)
-        ]
-
-    def _may_load(self, endpoint: Endpoint, now: float) -> bool:
-        """Tell whether an endpoint may get a request just now, as far as it is cold."""
-        if not endpoint.is_cold(now) or not self.service.cold_per_s:
-            return True
-        members = self.forwarder.members
-        spacing = compute_cold_spacing(
-            self.service.cold_per_s,
-            self.forwarder.settings.cold,
-            endpoint.entry.id,
-            members.own.name,
-            members.list_region(),
-        )
-        return spacing is not None and now - endpoint.last_cold_send >= spacing
-
-    def _list_offers(self, now: float) -> list[RegionOffer]:
-        forwarder = self.forwarder
-        own = forwarder.settings.region
-        offers: dict[str, float] = {}
-        for peer in forwarder.members.list_alive(now):
-            region = peer.member.region
-            offer = peer.offers.get(self.service.name)
-            if region == own or offer is None or not peer.member.ready or offer.free <= 0:
-                continue
-            if self.route.homes and region not in self.route.homes:
-                continue
-            if now < peer.failed_until or self.tried.get(region, 0) >= 2:
-                continue
-            offers[region] = min(offers.get(region, 1e9), offer.wait_s + FAR_S)
-        return [RegionOffer(region, wait_s) for region, wait_s in offers.items()]
-
-    def _choose_peer(self, region: str, now: float) -> Peer | None:
-        peers = self.forwarder.members.list_for_passing(region, now)
-        peers = [peer for peer in peers if peer.member.name not in self.tried]
-        return random.choice(peers) if peers else None
-
     # Sending
 
     async def _send(self, target: Target) -> Outcome:
         now = read_clock()
         self.sends += 1
-        number = next(self.forwarder.numbers)
-        candidate = target.candidate
-        if candidate is not None:
-            work = estimate_work(self.call, candidate.endpoint)
-            candidate.endpoint.load.begin(number, work, self.call.prompt, now)
         self._tell_choice(target, now)
         outcome: Outcome = Broken("cancelled")
         try:
-            outcome = await self._exchange(target, number)
+            outcome = await self._exchange(target)
             if not isinstance(outcome, Declined):
                 self.runs += 1
             return outcome
         finally:
             if not isinstance(outcome, Answered) or outcome.body is not None:
-                self._end_send(target, number)
-            else:
-                self._open_send = (target, number)
+                self.forwarder.targeting.release(target)
             label = type(outcome).__name__.lower()
             self.forwarder.figures.note_attempt(self.service.name, label)
 
-    def _end_send(self, target: Target, number: int) -> None:
-        if target.candidate is not None:
-            target.candidate.endpoint.load.end(number)
-            self.forwarder.note_release()
-
-    async def _exchange(self, target: Target, number: int) -> Outcome:
+    async def _exchange(self, target: Target) -> Outcome:
         timeout_s = CONNECT_S if target.peer is None else FAR_CONNECT_S
         pool = self.forwarder.pool
         try:
@@ -415,7 +295,7 @@
             ran_before, self.ran = self.ran, take_worse(self.ran, Ran.UNKNOWN)
             self.arrivals += 1
             sending.write()
-            outcome = await self._read_answer(target, sending, number, sent_at)
+            outcome = await self._read_answer(target, sending, sent_at)
             kept = isinstance(outcome, Answered) and outcome.body is None
             if isinstance(outcome, Declined):
                 self.ran = ran_before
@@ -451,9 +331,7 @@
         region = self.forwarder.settings.region
         return f"{configuration.version};{self.service.name};{region}".encode()
 
-    async def _read_answer(
-        self, target: Target, sending: Sending, number: int, sent_at: float
-    ) -> Outcome:
+    async def _read_answer(self, target: Target, sending: Sending, sent_at: float) -> Outcome:
         dialect = self.forwarder.dialect
         head = await sending.read_head(lambda head: dialect.is_answer_to(head, self.call))
         facts = dialect.decode_reply(head)
@@ -500,31 +378,29 @@
 
     async def _relay_stream(self, target: Target, answered: Answered) -> bool:
         sending = answered.sending
-        _, number = self._open_send
         self.ran = Ran.YES
         try:
-            await self._copy_events(target, answered, number)
+            await self._copy_events(target, answered)
         except (AnswerError, ValueError) as error:
             self.events.drop_rest()
             self._note_failure(target, Broken(str(error)))
             self._check_repeatable(str(error))
             return False
         finally:
-            self._end_send(target, number)
+            self.forwarder.targeting.release(target)
             self.forwarder.pool.release(target.address, sending)
         self._note_result(target, False)
         self._tell_end(None, answered.head.status)
         return True
 
-    async def _copy_events(self, target: Target, answered: Answered, number: int) -> None:
+    async def _copy_events(self, target: Target, answered: Answered) -> None:
         sending = answered.sending
-        sent_at = read_clock()
         while part := await sending.read_part():
             events = self.events.split(part)
             if not events:
                 continue
             now = read_clock()
-            self._note_events(target, number, now, sent_at)
+            self._note_events(target, now)
             if not self.exchange.started:
                 self.exchange.start(answered.head.status, _list_end_to_end(answered.head))
             await self.exchange.send(b"".join(events))
@@ -535,7 +411,7 @@
             await self.exchange.send(rest)
         self.exchange.finish()
 
-    def _note_events(self, target: Target, number: int, now: float, sent_at: float) -> None:
+    def _note_events(self, target: Target, now: float) -> None:
         if self.first_at is None:
             self.first_at = now
         else:
@@ -543,7 +419,7 @@
         self.last_part_at = now
         if target.candidate is not None:
             load = target.candidate.endpoint.load
-            load.note_first(number, now)
+            load.note_first(target.number, now)
 
     # Failures
 
@@ -556,9 +432,9 @@
             outcome=type(outcome).__name__.lower(),
             why=outcome.reason,
         )
-        self.tried[target.name] = self.tried.get(target.name, 0) + 1
+        self.tried[target.name] += 1
         if target.peer is not None:
-            self.tried[target.region] = self.tried.get(target.region, 0) + 1
+            self.tried[target.region] += 1
             target.peer.failed_until = now + PEER_FAILED_S
         if target.candidate is not None:
             target.candidate.endpoint.load.note_failure(now)
@@ -583,7 +459,8 @@
         now = read_clock()
         if self.limit_at - now < self.route.objective_s * 0.3:
             return False
-        return bool(self._list_candidates(now))
+        wanted = Wanted(self.call, self.route, self.service, self.tried)
+        return bool(self.forwarder.targeting.list_candidates(wanted, now))
 
     def _check_repeatable(self, reason: str) -> None:
         """Raise RequestError unless a request that may have run may be sent again."""
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -137,7 +137,6 @@
             self.members.own = own._replace(ready=ready)
             tell("ready" if ready else "not_ready")
             self.gossip.announce()
-        self.forwarder.note_release()
 
     async def _tick(self) -> None:
         while True:
--- /dev/null
+++ b/cloverway/serving/targeting.py
@@ -0,0 +1,155 @@
+"""Where the requests of this host go: endpoints of its region, or hosts of another one."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections import Counter
+from typing import NamedTuple
+
+from cloverway.core.calls import Call
+from cloverway.core.choice import (
+    Candidate,
+    RegionOffer,
+    choose_endpoint,
+    choose_region,
+    estimate_work,
+    predict,
+)
+from cloverway.core.deployment import Route, Service
+from cloverway.core.endpoints import Directory, Endpoint
+from cloverway.core.members import Members, Peer
+from cloverway.core.pacing import compute_cold_spacing
+from cloverway.serving.settings import FleetSettings
+from cloverway.serving.waiting import WaitingLine
+
+FAR_S = 0.2
+"""Time that the way to another region and back takes, as far as it isn't measured."""
+FAR_MARGIN_S = 0.3
+"""By how much another region must be better before a request leaves its own: its prompt parts lie
+here, and bytes between regions cost."""
+FAR_TRIES = 2
+"""Hosts of one region that a request is passed on to, one after the other."""
+
+
+class Wanted(NamedTuple):
+    """A request that looks for a place."""
+
+    call: Call
+    route: Route
+    service: Service
+    tried: Counter[str]
+    """Failed sends by endpoint, host and region."""
+
+
+class Target(NamedTuple):
+    """A place that was taken for a request."""
+
+    address: str
+    name: str
+    """The id of the endpoint, or the name of the host it is passed on to."""
+    region: str
+    number: int
+    """Names the request in the load of the endpoint."""
+    candidate: Candidate | None = None
+    peer: Peer | None = None
+
+
+class Targeting:
+    """Finds and takes places; owns the counts of what is under way."""
+
+    def __init__(self, settings: FleetSettings, directory: Directory, members: Members) -> None:
+        self._settings = settings
+        self._directory = directory
+        self._members = members
+        self._numbers = itertools.count(1)
+        self._lines: dict[str, WaitingLine[Target]] = {}
+
+    def get_line(self, service: str) -> WaitingLine[Target]:
+        """Give the line of requests that wait for a place at a service."""
+        return self._lines.setdefault(service, WaitingLine())
+
+    def take(self, wanted: Wanted, now: float) -> Target | None:
+        """Take a place for a request, or give None when there is none now."""
+        here = choose_endpoint(self.list_candidates(wanted, now))
+        if wanted.call.passed_on is None:
+            offers = self._list_offers(wanted, now)
+            away = choose_region(here, offers, FAR_MARGIN_S)
+            peer = self._choose_peer(wanted, away.region, now) if away is not None else None
+            if peer is not None:
+                member = peer.member
+                number = next(self._numbers)
+                return Target(member.inner, member.name, member.region, number, peer=peer)
+        return self._take_here(wanted, here, now) if here is not None else None
+
+    def release(self, target: Target) -> None:
+        """Give a place back."""
+        if target.candidate is not None:
+            target.candidate.endpoint.load.end(target.number)
+
+    def explain(self, wanted: Wanted, now: float) -> str:
+        """Say why a request has no place."""
+        if not self._directory.list_usable(wanted.service.name, now):
+            return "no endpoint is known that may be used"
+        candidates = self.list_candidates(wanted, now)
+        if not candidates:
+            return "no endpoint that may run it is left in this region"
+        full = sum(candidate.full for candidate in candidates)
+        return f"{full} of {len(candidates)} endpoints here are full"
+
+    def list_candidates(self, wanted: Wanted, now: float) -> list[Candidate]:
+        """List the endpoints of this region that may run a request."""
+        region = self._settings.region
+        if wanted.route.homes and region not in wanted.route.homes:
+            return []
+        hosts = len(self._members.list_region()) + 1
+        return [
+            predict(wanted.call, wanted.service, endpoint, hosts=hosts, now=now)
+            for endpoint in self._directory.list_usable(wanted.service.name, now)
+            if endpoint.region == region
+            and not wanted.tried[endpoint.entry.id]
+            and self._may_load(endpoint, wanted.service, now)
+        ]
+
+    def _take_here(self, wanted: Wanted, here: Candidate, now: float) -> Target:
+        endpoint = here.endpoint
+        number = next(self._numbers)
+        work = estimate_work(wanted.call, endpoint)
+        endpoint.load.begin(number, work, wanted.call.prompt, now)
+        if endpoint.is_cold(now):
+            endpoint.last_cold_send = now
+        entry = endpoint.entry
+        return Target(entry.address, entry.id, self._settings.region, number, candidate=here)
+
+    def _may_load(self, endpoint: Endpoint, service: Service, now: float) -> bool:
+        """Tell whether an endpoint may get a request just now, as far as it is cold."""
+        if not endpoint.is_cold(now) or not service.cold_per_s:
+            return True
+        spacing = compute_cold_spacing(
+            service.cold_per_s,
+            self._settings.cold,
+            endpoint.entry.id,
+            self._members.own.name,
+            self._members.list_region(),
+        )
+        return spacing is not None and now - endpoint.last_cold_send >= spacing
+
+    def _list_offers(self, wanted: Wanted, now: float) -> list[RegionOffer]:
+        own = self._settings.region
+        offers: dict[str, float] = {}
+        for peer in self._members.list_alive(now):
+            region = peer.member.region
+            offer = peer.offers.get(wanted.service.name)
+            if region == own or offer is None or not peer.member.ready or offer.free <= 0:
+                continue
+            if wanted.route.homes and region not in wanted.route.homes:
+                continue
+            if now < peer.failed_until or wanted.tried[region] >= FAR_TRIES:
+                continue
+            offers[region] = min(offers.get(region, float("inf")), offer.wait_s + FAR_S)
+        return [RegionOffer(region, wait_s) for region, wait_s in offers.items()]
+
+    def _choose_peer(self, wanted: Wanted, region: str, now: float) -> Peer | None:
+        peers = self._members.list_for_passing(region, now)
+        peers = [peer for peer in peers if not wanted.tried[peer.member.name]]
+        return random.choice(peers) if peers else None
