--- a/cloverway/core/choice.py
+++ b/cloverway/core/choice.py
@@ -33,6 +33,12 @@
 it long answers gather where few prompts are read, and long prompts elsewhere."""
 STEP_S = 0.005
 """Time of one token of an answer at an engine that reads no prompts: between the engines known."""
+BURST_TOKENS = 12_000
+"""Prompt tokens that may wait at an engine: it reads them in about 400 ms, and pauses of running
+streams stay below that. What is more waits at the hosts, in order, and may go elsewhere."""
+SMALL_TOKENS = 2_000
+"""A prompt that is read within half a chunk may wait behind twice as many: it adds next to nothing
+to the pauses of others."""
 MOST_BUSY = 0.95
 HOME_BONUS = 0.3
 """Part of the time to read a shared part that its own endpoint, by hash, is preferred by. All
@@ -93,7 +99,9 @@
         wait_s = load.work_s * (1 + queue) + penalty + spread
         return Candidate(endpoint, wait_s, wait_s, 0, full)
     work = estimate_work(call, endpoint)
-    wait_s = (total.unread + work.unread) * load.read_s_per_token + penalty + spread
+    backlog = load.backlog(now)
+    wait_s = (backlog + work.unread) * load.read_s_per_token + penalty + spread
+    full = full or (backlog > 0 and backlog + work.unread > _get_burst(work))
     cost_s = wait_s + _estimate_harm(call, endpoint, work, total, now)
     load.kv_tokens = service.engine.kv_tokens
     kv_limit = service.engine.kv_tokens * KV_USED_PART
@@ -123,6 +131,11 @@
     return best
 
 
+def _get_burst(work: Work) -> int:
+    """Give the prompt tokens that may wait at an engine with a request of some size."""
+    return BURST_TOKENS * 2 if work.unread <= SMALL_TOKENS else BURST_TOKENS
+
+
 def _estimate_harm(
     call: Call, endpoint: Endpoint, work: Work, total: SiblingLoad, now: float
 ) -> float:
@@ -130,7 +143,7 @@
     load = endpoint.load
     read_s = work.unread * load.read_s_per_token
     delay_s = read_s * (READ_WEIGHT + STREAM_WEIGHT * total.running)
-    busy = min(MOST_BUSY, load.sum_read_rate(now) * load.read_s_per_token)
+    busy = min(MOST_BUSY, load.read_rate(now) * load.read_s_per_token)
     assert call.prompt is not None
     tokens_out = work.held - call.prompt.tokens_in
     stretch_s = tokens_out * STEP_S * busy / (1 - busy)
--- a/cloverway/core/load.py
+++ b/cloverway/core/load.py
@@ -19,6 +19,10 @@
 """Weight of one measurement in a moving average: half of it is forgotten after seven."""
 CACHED_TOKENS = 150_000
 """Tokens that fit into an endpoint's memory, where nothing states it."""
+DUTY = 0.7
+"""Part of its time that an engine is given prompts for. An engine reads a chunk of prompts in each
+step, and each running answer gets one token a step: with prompts in every step, five tokens take
+longer than the pause that callers bear."""
 RATE_HALF_S = 1.5
 """Age at which sent prompt tokens count half in the rate: long against one prompt, short against a
 change of the traffic."""
@@ -45,8 +49,6 @@
     unread: int
     held: int
     at: float
-    read_rate: float = 0.0
-    """Prompt tokens that it sends there in a second."""
 
 
 class EndpointLoad:
@@ -61,6 +63,8 @@
         """Tokens that fit into the endpoint's memory."""
         self._read_tokens = 0.0
         self._read_at = 0.0
+        self._backlog = 0.0
+        self._fresh_read = 0
         self.fresh_parts: deque[PromptPart] = deque(maxlen=FRESH_PARTS)
         """Parts sent since the last heartbeat, to be told to siblings."""
         self.read_s_per_token = FIRST_READ_S_PER_TOKEN
@@ -76,7 +80,8 @@
         if not self._own:
             self.progress_at = now
         self._own[number] = work
-        self._note_read(work.unread, now)
+        self.note_read(work.unread, now)
+        self._fresh_read += work.unread
         if prompt is not None:
             self.note_parts(prompt.parts)
             self.fresh_parts.extend(prompt.parts)
@@ -131,13 +136,24 @@
         return SiblingLoad(len(works), sum(w.unread for w in works), sum(w.held for w in works), 0)
 
     def read_rate(self, now: float) -> float:
-        """Give the prompt tokens that this host sends there in a second."""
+        """Give the prompt tokens that all hosts of the region send there in a second."""
         return self._read_tokens * 0.5 ** ((now - self._read_at) / RATE_HALF_S) * RATE_FACTOR
 
-    def sum_read_rate(self, now: float) -> float:
-        """Give the prompt tokens that all hosts of the region send there in a second."""
-        heard = (load for load in self._siblings.values() if now - load.at <= SIBLING_AGE_S)
-        return self.read_rate(now) + sum(load.read_rate for load in heard)
+    def backlog(self, now: float) -> float:
+        """Give the prompt tokens that were sent and not read yet, at the pace that is wanted."""
+        return max(0.0, self._backlog - (now - self._read_at) * DUTY / self.read_s_per_token)
+
+    def note_read(self, tokens: int, now: float) -> None:
+        """Note prompt tokens that this host or another one has sent there."""
+        self._backlog = self.backlog(now) + tokens
+        faded = self._read_tokens * 0.5 ** ((now - self._read_at) / RATE_HALF_S)
+        self._read_tokens = faded + tokens
+        self._read_at = now
+
+    def take_fresh_read(self) -> int:
+        """Give the prompt tokens that this host sent since it was asked last."""
+        tokens, self._fresh_read = self._fresh_read, 0
+        return tokens
 
     def sum_all(self, now: float) -> SiblingLoad:
         """Give what all hosts of the region have at the endpoint."""
@@ -170,8 +186,3 @@
         while self._parts_tokens > capacity and self._parts:
             _, tokens = self._parts.popitem(last=False)
             self._parts_tokens -= tokens
-
-    def _note_read(self, tokens: int, now: float) -> None:
-        faded = self._read_tokens * 0.5 ** ((now - self._read_at) / RATE_HALF_S)
-        self._read_tokens = faded + tokens
-        self._read_at = now
--- a/cloverway/fleet.thrift
+++ b/cloverway/fleet.thrift
@@ -20,7 +20,7 @@
   4: i32 held
   5: list<i64> parts
   6: list<i32> tokens
-  7: i32 read_rate
+  7: i32 read
 }
 
 struct RegionOffer {
--- a/cloverway/serving/forwarding.py
+++ b/cloverway/serving/forwarding.py
@@ -43,7 +43,7 @@
 FAR_CONNECT_S = 1.0
 LEAST_S = 0.05
 """A request with less time left isn't sent: its answer could not come back in time."""
-WAIT_PART = 0.25
+WAIT_PART = 0.4
 """Part of the objective that a request waits for a place before it is refused."""
 PEER_FAILED_S = 1.0
 """How long a host that could not be reached is not tried again."""
--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/gossip.py
@@ -133,7 +133,7 @@
         near = [p for p in self.members.peers.values() if self._is_near(p.member)]
         if not near:
             return
-        data = self._encode(now, self._list_uses(now), ())
+        data = self._encode(now, self._list_uses(), ())
         for peer in near:
             self._send(peer.member.name, data)
 
@@ -188,7 +188,7 @@
         chosen = random.sample(alive, min(OTHERS, len(alive)))
         return tuple(_describe(peer.member, now - peer.heard_at) for peer in chosen)
 
-    def _list_uses(self, now: float) -> tuple[EndpointUse, ...]:
+    def _list_uses(self) -> tuple[EndpointUse, ...]:
         uses = []
         for endpoint in self.directory.endpoints.values():
             load = endpoint.load
@@ -201,9 +201,9 @@
                 parts = tuple(part.id for part in fresh)
                 tokens = tuple(part.tokens for part in fresh)
                 name = endpoint.entry.id
-                rate = int(load.read_rate(now))
+                read = load.take_fresh_read()
                 uses.append(
-                    EndpointUse(name, own.running, own.unread, own.held, parts, tokens, rate)
+                    EndpointUse(name, own.running, own.unread, own.held, parts, tokens, read)
                 )
         return tuple(uses)
 
@@ -224,7 +224,7 @@
             totals = [(endpoint, endpoint.load.sum_all(now)) for endpoint in endpoints]
             free = sum(max(0, e.entry.slots - total.running) for e, total in totals)
             wait_s = min(
-                total.unread * e.load.read_s_per_token
+                e.load.backlog(now) * e.load.read_s_per_token
                 + e.load.work_s * max(0, total.running + 1 - e.entry.slots) / e.entry.slots
                 for e, total in totals
             )
@@ -260,8 +260,9 @@
         if endpoint is None:
             return
         parts = [PromptPart(*pair) for pair in zip(use.parts, use.tokens, strict=False)]
-        load = SiblingLoad(use.running, use.unread, use.held, now, use.read_rate)
+        load = SiblingLoad(use.running, use.unread, use.held, now)
         endpoint.load.note_sibling(host, load, parts)
+        endpoint.load.note_read(use.read, now)
 
     def _note_alive(self, now: float) -> None:
         alive = {peer.member.name for peer in self.members.list_alive(now)}
--- a/cloverway/serving/peerwire.py
+++ b/cloverway/serving/peerwire.py
@@ -33,8 +33,8 @@
     parts: tuple[int, ...] = ()
     tokens: tuple[int, ...] = ()
     """The size of each of the parts."""
-    read_rate: int = 0
-    """Prompt tokens that the sender sends there in a second."""
+    read: int = 0
+    """Prompt tokens that the sender sent there since its last heartbeat."""
 
 
 class RegionOffer(NamedTuple):
