--- a/cloverway/core/members.py
+++ b/cloverway/core/members.py
@@ -8,6 +8,11 @@
 ALIVE_S = 1.5
 """A host that was not heard for this long is not named to callers nor given requests: several
 heartbeats in a row, so that a lost datagram changes nothing."""
+SMALL_REGION = 8
+"""Hosts of a region up to which that time holds; in larger ones heartbeats are less frequent, and
+it grows with them."""
+MOST_ALIVE_S = 3.6
+"""The longest such time."""
 FAR_ALIVE_S = 4.0
 """The same for hosts of other regions, which send less often."""
 LINGER_S = 2.0
@@ -71,6 +76,7 @@
         self.own = own
         self.leaving_since: float | None = None
         self.peers: dict[str, Peer] = {}
+        self._region_size = 0
 
     def hear(self, member: Member, age_s: float, direct: bool, now: float) -> Peer | None:
         """Take over what a host says of itself, or what others say of it; None if it is older."""
@@ -102,12 +108,15 @@
         gone = [name for name, peer in self.peers.items() if now - peer.heard_at > FORGET_S]
         for name in gone:
             del self.peers[name]
+        self._region_size = len(self.list_region())
         return gone
 
     def is_alive(self, peer: Peer, now: float) -> bool:
         """Tell whether a host was heard lately."""
-        near = peer.member.region == self.own.region
-        return now - peer.heard_at <= (ALIVE_S if near else FAR_ALIVE_S)
+        age_s = now - peer.heard_at
+        if peer.member.region != self.own.region:
+            return age_s <= FAR_ALIVE_S
+        return age_s <= min(MOST_ALIVE_S, ALIVE_S * max(1.0, self._region_size / SMALL_REGION))
 
     def list_alive(self, now: float) -> list[Peer]:
         """List the hosts that were heard lately."""
--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/gossip.py
@@ -35,6 +35,11 @@
 
 NEAR_S = 0.2
 """Period of heartbeats within the region: loads of endpoints change as fast as a prompt is read."""
+NEAR_HOSTS = 8
+"""Hosts of a region up to which that period holds; with more it grows with their number. A host
+then sends 40 heartbeats a second at most, whatever the size of its region."""
+MOST_NEAR_S = 1.0
+"""The longest such period: a host is taken for gone after less than four of them."""
 FAR_S = 1.0
 """Period of heartbeats to other regions, where bytes cost and only sums are told."""
 FAR_HOSTS = 2
@@ -102,14 +107,15 @@
         far_at = 0.0
         while True:
             now = read_clock()
-            self._send_near(now)
-            if now >= far_at:
+            speaks_of_others = now >= far_at
+            self._send_near(now, speaks_of_others)
+            if speaks_of_others:
                 far_at = now + FAR_S
                 self._send_far(now)
                 self._send_seeds(now)
                 self.members.forget(now)
             self._note_alive(now)
-            await asyncio.sleep(NEAR_S)
+            await asyncio.sleep(self._choose_period())
 
     async def repair(self) -> None:
         """Ask peers for documents when the store has not been read lately, for ever."""
@@ -125,16 +131,21 @@
     def announce(self) -> None:
         """Tell all hosts at once what has changed of this one."""
         now = read_clock()
-        self._send_near(now)
+        self._send_near(now, True)
         self._send_far(now)
 
     # Sending
 
-    def _send_near(self, now: float) -> None:
+    def _choose_period(self) -> float:
+        hosts = len(self.members.list_region())
+        return min(MOST_NEAR_S, NEAR_S * max(1.0, hosts / NEAR_HOSTS))
+
+    def _send_near(self, now: float, speaks_of_others: bool) -> None:
         near = [p for p in self.members.peers.values() if self._is_near(p.member)]
         if not near:
             return
-        data = self._encode(now, self._list_uses(), ())
+        others = self._list_others(now) if speaks_of_others else ()
+        data = self._encode(now, others, self._list_uses(), ())
         for peer in near:
             self._send(peer.member.name, data)
 
@@ -145,7 +156,7 @@
                 regions.setdefault(peer.member.region, []).append(peer)
         if not regions:
             return
-        data = self._encode(now, (), self._list_offers(now))
+        data = self._encode(now, self._list_others(now), (), self._list_offers(now))
         for peers in regions.values():
             for peer in random.sample(peers, min(FAR_HOSTS, len(peers))):
                 self._send(peer.member.name, data)
@@ -154,7 +165,7 @@
         """Reach hosts that are not known: at the start, and after everybody was cut off."""
         unknown = [s for s in self.seeds if s not in self.members.peers and s != self._own_name]
         if unknown:
-            data = self._encode(now, (), ())
+            data = self._encode(now, self._list_others(now), (), ())
             for seed in unknown:
                 self._send(seed, data)
 
@@ -169,7 +180,11 @@
         return member.region == self.members.own.region
 
     def _encode(
-        self, now: float, uses: tuple[EndpointUse, ...], offers: tuple[RegionOffer, ...]
+        self,
+        now: float,
+        others: tuple[HostState, ...],
+        uses: tuple[EndpointUse, ...],
+        offers: tuple[RegionOffer, ...],
     ) -> bytes:
         age_ms = min(now - self.catalogue.read_at, 1e6) * 1000
         configuration = self.directory.configuration
@@ -178,7 +193,7 @@
             configuration.version if configuration is not None else 0,
             self.catalogue.revision,
             int(age_ms),
-            self._list_others(now),
+            others,
             uses,
             offers,
         )
