--- /dev/null
+++ b/cloverway/tests/test_core_choice.py
@@ -0,0 +1,213 @@
+"""Where requests go, by virtual loads; no network.
+
+The figures of the engine are those of the users' engines: 38 prompt tokens a millisecond, chunks of
+4,096 tokens, one token of each running answer a step.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from cloverway.core.budget import BudgetTerms, RetryBudget
+from cloverway.core.calls import Call, Prompt, PromptPart
+from cloverway.core.choice import (
+    BURST_TOKENS,
+    RegionOffer,
+    choose_endpoint,
+    choose_region,
+    estimate_work,
+    offer_region,
+    predict,
+)
+from cloverway.core.deployment import EndpointEntry, EngineShape, Service
+from cloverway.core.endpoints import Endpoint
+from cloverway.core.load import DUTY, SiblingLoad
+from cloverway.core.pacing import ColdTerms, compute_cold_spacing
+
+MODEL = Service("model", 360, engine=EngineShape(64, 240_000))
+DESK = Service("desk", 100)
+
+
+def make_endpoint(name, slots=64):
+    return Endpoint(EndpointEntry(name, "model", f"10.0.0.1:{len(name)}", "d1", slots), "north")
+
+
+def make_call(name="c", tokens_in=9_000, tokens_out=50, parts=()):
+    parts = tuple(PromptPart(*part) for part in parts)
+    return Call(name, "POST", "/a/", "h", (), b"", 0.0, 5.0, Prompt(tokens_in, tokens_out, parts))
+
+
+def send(endpoint, call, number, now):
+    endpoint.load.begin(number, estimate_work(call, endpoint), call.prompt, now)
+
+
+def choose(endpoints, call, now, service=MODEL):
+    candidates = [predict(call, service, endpoint, hosts=1, now=now) for endpoint in endpoints]
+    chosen = choose_endpoint(candidates)
+    return chosen.endpoint.entry.id if chosen is not None else None
+
+
+def test_a_shared_part_is_read_at_one_endpoint_while_that_has_room():
+    """Requests of one session come in quick succession.
+
+    Read at another endpoint, the shared part costs 160 ms of an engine that others wait for.
+    """
+    endpoints = [make_endpoint(name) for name in ("a", "b", "c")]
+    chosen = set()
+    for number in range(6):
+        now = number * 0.5
+        call = make_call(f"c{number}", parts=((1, 6_000), (100 + number, 3_000)))
+        name = choose(endpoints, call, now)
+        chosen.add(name)
+        endpoint = next(e for e in endpoints if e.entry.id == name)
+        send(endpoint, call, number, now)
+        endpoint.load.end(number)
+    assert len(chosen) == 1
+
+
+def test_prompts_beyond_the_pace_wait_instead_of_filling_an_engine():
+    """A burst of large prompts arrives at once, and all engines have running streams.
+
+    Sent at once, they would be read in every step for seconds, and each running stream would pause
+    for over 600 ms. What an engine holds stays within BURST_TOKENS.
+    """
+    endpoints = [make_endpoint("a"), make_endpoint("b")]
+    accepted = 0
+    for number in range(20):
+        call = make_call(f"c{number}", tokens_in=5_000)
+        name = choose(endpoints, call, 0.0)
+        if name is not None:
+            accepted += 1
+            send(next(e for e in endpoints if e.entry.id == name), call, number, 0.0)
+    assert accepted == 2 * (BURST_TOKENS // 5_000)
+    assert all(e.load.backlog(0.0) <= BURST_TOKENS for e in endpoints)
+
+
+def test_what_an_engine_is_given_stays_within_its_duty_over_time():
+    endpoint = make_endpoint("a")
+    sent = 0
+    for step in range(1_000):
+        now = step * 0.01
+        call = make_call(f"c{step}", tokens_in=3_000)
+        if choose([endpoint], call, now) is not None:
+            send(endpoint, call, step, now)
+            endpoint.load.end(step)
+            sent += 3_000
+    allowed = 10.0 * DUTY / endpoint.load.read_s_per_token
+    assert 0.85 * allowed < sent < allowed + BURST_TOKENS
+
+
+def test_a_prompt_larger_than_the_burst_is_served_by_an_idle_engine():
+    """A prompt of 40,000 tokens is over every bound; without an exception it would never be run."""
+    endpoint = make_endpoint("a")
+    assert choose([endpoint], make_call(tokens_in=40_000), 0.0) == "a"
+
+
+def test_small_prompts_pass_where_large_ones_wait():
+    endpoint = make_endpoint("a")
+    send(endpoint, make_call("x", tokens_in=11_500), 1, 0.0)
+    assert choose([endpoint], make_call(tokens_in=5_000), 0.0) is None
+    assert choose([endpoint], make_call(tokens_in=700, tokens_out=300), 0.0) == "a"
+
+
+def test_long_answers_keep_away_from_engines_that_read_much():
+    """One engine reads large prompts all the time; another one has run as many small ones.
+
+    A long answer at the first gets a token in 110 ms instead of 5.
+    """
+    busy, calm = make_endpoint("busy"), make_endpoint("calm")
+    for step in range(20):
+        busy.load.note_read(5_000, step * 0.3)
+        calm.load.note_read(700, step * 0.3)
+    call = make_call(tokens_in=700, tokens_out=400)
+    assert choose([busy, calm], call, 6.5) == "calm"
+
+
+def test_an_engine_that_fails_is_used_last_and_never_shut_out():
+    sick, sound = make_endpoint("sick"), make_endpoint("sound")
+    for _ in range(3):
+        sick.load.note_failure(0.0)
+    assert choose([sick, sound], make_call(), 0.1) == "sound"
+    assert choose([sick], make_call(), 0.1) == "sick"
+
+
+def test_memory_bounds_what_runs_at_an_engine():
+    endpoint = make_endpoint("a")
+    load = SiblingLoad(running=20, unread=0, held=230_000, at=0.0)
+    endpoint.load.note_sibling("other", load, ())
+    assert choose([endpoint], make_call(tokens_in=9_000), 0.0) is None
+
+
+def test_loads_of_siblings_that_fell_silent_are_forgotten():
+    endpoint = make_endpoint("a")
+    endpoint.load.note_sibling("other", SiblingLoad(64, 0, 0, 0.0), ())
+    assert choose([endpoint], make_call(), 1.0) is None
+    assert choose([endpoint], make_call(), 3.0) == "a"
+
+
+def test_hosts_that_see_the_same_loads_spread_their_requests():
+    """Eight hosts see two idle endpoints and choose at the same moment, without a word."""
+    chosen = [
+        choose([make_endpoint("a", 6), make_endpoint("b", 6)], _plain(f"c{n}"), 0.0, DESK)
+        for n in range(40)
+    ]
+    assert 10 <= chosen.count("a") <= 30
+
+
+def _plain(name):
+    return Call(name, "POST", "/a/", "h", (), b"", 0.0, 5.0)
+
+
+def test_a_region_offers_what_its_engines_can_take_at_their_pace():
+    endpoint = make_endpoint("a")
+    _, idle = offer_region(MODEL, [endpoint], 0.0)
+    endpoint.load.note_read(BURST_TOKENS, 0.0)
+    wait_s, busy = offer_region(MODEL, [endpoint], 0.0)
+    assert idle > 0
+    assert busy == 0
+    assert wait_s > 0.3
+
+
+def test_a_request_leaves_its_region_only_for_a_clear_gain():
+    here = predict(make_call(), MODEL, make_endpoint("a"), hosts=1, now=0.0)
+    assert choose_region(here, [RegionOffer("south", here.wait_s - 0.1)], 0.3) is None
+    assert choose_region(here, [RegionOffer("south", here.wait_s - 0.5)], 0.3) is not None
+    assert choose_region(None, [RegionOffer("south", 9.0)], 0.3) is not None
+
+
+@pytest.mark.parametrize("hosts", [1, 3, 10])
+def test_extra_sends_of_all_hosts_stay_within_the_budget_of_any_window(hosts):
+    """All hosts are cut off from each other and each retries as often as it may."""
+    terms = BudgetTerms(ratio=0.2, slack=54.0, window_s=10.0)
+    budgets = [RetryBudget(terms) for _ in range(hosts)]
+    sends, requests = [], []
+    for step in range(3_000):
+        now = step * 0.01
+        for budget in budgets:
+            if step % 10 == 0:
+                budget.note_request(now)
+                requests.append(now)
+            if budget.take(hosts, now):
+                sends.append(now)
+    for start in range(20):
+        in_window = sum(start <= at < start + 10 for at in sends)
+        asked = sum(start <= at < start + 10 for at in requests)
+        assert in_window <= 0.2 * asked + 54
+
+
+@pytest.mark.parametrize("hosts", [1, 2, 3, 5, 24])
+def test_all_hosts_together_never_overload_a_cold_endpoint(hosts):
+    """Every host has requests without end; a cold endpoint bears 1.9 a second and some slack."""
+    terms = ColdTerms(overshoot=1.5, slack=3.0)
+    names = [f"host-{n}" for n in range(hosts)]
+    sends = []
+    for number, name in enumerate(names):
+        spacing = compute_cold_spacing(1.9, terms, "e", name, names)
+        at = number * 0.003
+        while spacing is not None and at < 10:
+            sends.append(at)
+            at += spacing
+    bound = int(1.9 * 1.5 + 3)
+    for start in range(0, 900, 7):
+        assert sum(start / 100 <= at < start / 100 + 1 for at in sends) <= bound
+    assert sends
--- /dev/null
+++ b/cloverway/tests/test_core_endpoints.py
@@ -0,0 +1,185 @@
+"""What a host believes of endpoints, hosts and the configuration; no network."""
+
+from __future__ import annotations
+
+from cloverway.core.deployment import (
+    CallKind,
+    Configuration,
+    ConfigurationPublished,
+    EndpointEntry,
+    EndpointPublished,
+    EvacuationPublished,
+    Route,
+    RouteTable,
+    Topology,
+    WeightedService,
+)
+from cloverway.core.endpoints import MISSING_GRACE_S, Directory
+from cloverway.core.members import ALIVE_S, FORGET_S, LINGER_S, Member, Members, choose_for_caller
+
+TOPOLOGY = Topology("d1", "north", {"d1": "north", "d2": "south"})
+
+
+def make_directory(*entries):
+    directory = Directory(TOPOLOGY)
+    directory.apply([EndpointPublished(entry.id, entry) for entry in entries], 0.0)
+    return directory
+
+
+def make_entry(name="e1", domain="d1", **fields):
+    return EndpointEntry(name, "desk", "10.0.0.1:80", domain, 6, **fields)
+
+
+def names(directory, now):
+    return [endpoint.entry.id for endpoint in directory.list_usable("desk", now)]
+
+
+def make_route(host="shop", prefix="/a/", homes=()):
+    share = (WeightedService("desk", 1.0),)
+    kind = CallKind.IDEMPOTENT
+    return Route("r", host, prefix, kind, share, 2.0, 0.5, homes=frozenset(homes))
+
+
+def publish(version, *routes):
+    return ConfigurationPublished(Configuration(version, routes, {}))
+
+
+def test_an_older_configuration_never_replaces_a_newer_one():
+    """The store serves a read from a replica that is behind, after a newer one was in force.
+
+    Callers would get 404 for a route that they have already used.
+    """
+    directory = make_directory()
+    directory.apply([publish(7, make_route())], 0.0)
+    directory.apply([publish(4)], 1.0)
+    assert directory.configuration.version == 7
+    assert directory.routes.find("shop", "/a/b") is not None
+
+
+def test_entries_that_lapse_with_the_store_are_used_until_they_can_be_back():
+    """The store was away, all entries lapsed, and the first read shows none.
+
+    Taken as it is, the host would have no endpoint, and refuse everything for two seconds.
+    """
+    directory = make_directory(make_entry())
+    directory.apply([EndpointPublished("e1", None)], 10.0)
+    assert names(directory, 10.0 + MISSING_GRACE_S - 0.1) == ["e1"]
+    assert names(directory, 10.0 + MISSING_GRACE_S + 0.1) == []
+    directory.forget_missing(13.0)
+    assert directory.endpoints == {}
+
+
+def test_an_entry_that_comes_back_is_used_again():
+    directory = make_directory(make_entry())
+    directory.apply([EndpointPublished("e1", None)], 10.0)
+    directory.apply([EndpointPublished("e1", make_entry())], 11.0)
+    assert names(directory, 20.0) == ["e1"]
+
+
+def test_draining_is_for_good():
+    """An entry from before the draining arrives late, from a peer that had read less."""
+    directory = make_directory(make_entry(draining=True))
+    directory.apply([EndpointPublished("e1", make_entry())], 1.0)
+    assert names(directory, 1.0) == []
+
+
+def test_an_endpoint_that_is_taken_away_at_short_notice_gets_nothing_new():
+    directory = make_directory(make_entry(leaves_s=2.0))
+    assert names(directory, 0.0) == []
+
+
+def test_an_evacuated_domain_gets_nothing_until_it_is_taken_back_and_then_slowly():
+    directory = make_directory(make_entry())
+    directory.apply([EvacuationPublished("d1", True)], 1.0)
+    assert names(directory, 1.0) == []
+    directory.apply([EvacuationPublished("d1", False)], 9.0)
+    (endpoint,) = directory.list_usable("desk", 9.0)
+    assert endpoint.is_cold(9.5)
+    assert not endpoint.is_cold(12.0)
+
+
+def test_the_longest_prefix_wins_and_hosts_are_apart():
+    table = RouteTable([make_route(), make_route(prefix="/a/b/"), make_route("other", "/")])
+    assert table.find("shop", "/a/b/c").prefix == "/a/b/"
+    assert table.find("shop", "/a/x").prefix == "/a/"
+    assert table.find("shop", "/b") is None
+    assert table.find("other", "/b").prefix == "/"
+    assert table.find("nobody", "/a/") is None
+
+
+# Hosts
+
+
+def make_member(name, domain="d1", **fields):
+    region = TOPOLOGY.region_of(domain)
+    fields = {"ready": True, "incarnation": 1} | fields
+    return Member(name, domain=domain, region=region, callers=f"{name}:80", inner="", **fields)
+
+
+def make_members(*members, own="own"):
+    known = Members(make_member(own))
+    for member in members:
+        known.hear(member, 0.0, True, 0.0)
+    return known
+
+
+def choose(members, domain="d1", now=0.0, homes=None):
+    return choose_for_caller(members, domain, TOPOLOGY.region_of(domain), homes or {}, now)
+
+
+def test_a_host_that_fell_silent_is_not_named():
+    members = make_members(make_member("peer"))
+    assert choose(members) == ["own:80", "peer:80"]
+    assert choose(members, now=ALIVE_S + 0.1) == ["own:80"]
+
+
+def test_words_of_others_do_not_revive_a_host_that_left():
+    members = make_members(make_member("peer", ready=False, leaving=True))
+    members.hear(make_member("peer"), 0.0, False, 0.5)
+    assert choose(members, now=0.5) == ["own:80"]
+
+
+def test_a_host_that_started_anew_at_the_same_address_is_named():
+    members = make_members(make_member("peer", ready=False, leaving=True))
+    members.hear(make_member("peer", incarnation=2), 0.0, True, 1.0)
+    assert choose(members, now=1.0) == ["own:80", "peer:80"]
+    members.hear(make_member("peer", leaving=True), 0.0, True, 1.1)
+    assert choose(members, now=1.1) == ["own:80", "peer:80"]
+
+
+def test_a_host_that_has_just_begun_to_leave_is_named_where_its_region_has_no_other():
+    """All hosts of a region are restarted, one after the other, and each waits for long streams.
+
+    Named were hosts of other regions, and bound requests went there.
+    """
+    members = make_members(make_member("far", "d2"))
+    members.begin_leaving(10.0)
+    members.hear(make_member("far", "d2"), 0.0, True, 10.0)
+    assert choose(members, now=10.0 + LINGER_S - 0.1) == ["own:80"]
+    members.hear(make_member("far", "d2"), 0.0, True, 12.0)
+    assert choose(members, now=10.0 + LINGER_S + 0.1) == ["far:80"]
+
+
+def test_callers_without_a_host_of_their_region_are_led_to_the_homes_of_what_they_ask_for():
+    """Two routes of one host name are bound, to regions of which only one is common.
+
+    The regions that all routes allow were none, and every region was named.
+    """
+    table = RouteTable(
+        [make_route(homes=("north", "south")), make_route(prefix="/b/", homes=("north", "east"))]
+    )
+    homes = table.count_homes("shop")
+    members = make_members(make_member("far", "d2"))
+    assert choose_for_caller(members, "d9", "west", homes, 0.0) == ["own:80"]
+
+
+def test_a_host_that_knows_nobody_names_itself():
+    members = Members(make_member("own", ready=False))
+    assert choose(members, "d2") == ["own:80"]
+
+
+def test_hosts_that_were_not_heard_for_long_are_forgotten():
+    members = make_members(make_member("peer"))
+    assert members.forget(FORGET_S + 1) == ["peer"]
+    assert members.count_fleet() == 1
+    assert members.hear(make_member("peer"), FORGET_S + 1, False, FORGET_S + 2) is None
--- /dev/null
+++ b/cloverway/tests/test_fleet_parts.py
@@ -0,0 +1,209 @@
+"""Parts of the path that need no host: events, the waiting line, settings, documents, log lines."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import logging
+import os
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cloverway.core.deployment import Document
+from cloverway.errors import ConfigurationError, Kind, Ran, RequestError
+from cloverway.platform.dialect import PlatformDialect
+from cloverway.platform.documents import decode_documents
+from cloverway.serving.clock import read_clock
+from cloverway.serving.events import EventSplitter
+from cloverway.serving.settings import FleetSettings
+from cloverway.serving.telemetry import PENDING_BYTES, LineWriter
+from cloverway.serving.waiting import Rank, WaitingLine
+
+STREAM = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 9))
+
+
+@given(st.lists(st.integers(1, len(STREAM) - 1), max_size=8))
+@settings(max_examples=200)
+def test_events_are_the_same_wherever_the_bytes_are_cut(cuts):
+    splitter = EventSplitter()
+    bounds = [0, *sorted(set(cuts)), len(STREAM)]
+    events = [
+        event
+        for start, end in itertools.pairwise(bounds)
+        for event in splitter.split(STREAM[start:end])
+    ]
+    assert b"".join(events) == STREAM
+    assert len(events) == 8
+    assert splitter.last_id == "8"
+
+
+def test_half_an_event_is_dropped_before_a_stream_goes_on_elsewhere():
+    splitter = EventSplitter()
+    assert splitter.split(b"id: 1\ndata: a\n\nid: 2\nda") == [b"id: 1\ndata: a\n\n"]
+    splitter.drop_rest()
+    assert splitter.last_id == "1"
+    assert splitter.split(b"id: 2\ndata: b\n\n") == [b"id: 2\ndata: b\n\n"]
+
+
+def test_the_most_urgent_and_the_oldest_get_the_next_place():
+    """Three requests wait for one place; the least urgent asks just when it gets free."""
+
+    async def scenario():
+        line = WaitingLine()
+        places = []
+        served = []
+
+        async def ask(name, priority, arrived_at):
+            until = read_clock() + 2
+            taken = await line.take(
+                Rank(priority, arrived_at),
+                lambda: places.pop() if places else None,
+                until,
+                places.append,
+            )
+            served.append((name, taken))
+
+        tasks = [
+            asyncio.create_task(ask("old", 1, 1.0)),
+            asyncio.create_task(ask("urgent", 0, 3.0)),
+            asyncio.create_task(ask("young", 1, 2.0)),
+        ]
+        await asyncio.sleep(0.05)
+        for _ in range(3):
+            places.append("place")
+            await asyncio.sleep(0.05)
+        await asyncio.gather(*tasks)
+        assert [name for name, _ in served] == ["urgent", "old", "young"]
+
+    asyncio.run(scenario())
+
+
+def test_a_place_is_given_back_when_the_caller_has_left_meanwhile():
+    async def scenario():
+        line = WaitingLine()
+        places = []
+        task = asyncio.create_task(
+            line.take(
+                Rank(0, 0.0),
+                lambda: places.pop() if places else None,
+                read_clock() + 2,
+                places.append,
+            )
+        )
+        await asyncio.sleep(0.03)
+        places.append("place")
+        while places:
+            await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert places == ["place"] or task.result() == "place"
+
+    asyncio.run(scenario())
+
+
+def test_a_request_that_waited_in_vain_is_told_so():
+    async def scenario():
+        line = WaitingLine()
+        taken = await line.take(Rank(0, 0.0), lambda: None, read_clock() + 0.05, lambda _: None)
+        assert taken is None
+        assert len(line) == 0
+
+    asyncio.run(scenario())
+
+
+def test_a_document_that_cannot_be_read_leaves_the_others_in_force(caplog):
+    good = {"service": "s", "address": "10.0.0.1:1", "zone": "d1", "slots": 3, "state": "ready"}
+    documents = [
+        Document("op/config", 2, b"{not json"),
+        Document("servers/a", 3, json.dumps(good).encode()),
+        Document("servers/b", 4, b'{"service": 1}'),
+        Document("servers/c", 5, None),
+        Document("other/d", 6, b"{}"),
+    ]
+    names = [publication.id for publication in decode_documents(documents)]
+    assert names == ["a", "c"]
+    assert sum("can't be read" in record.message for record in caplog.records) == 2
+
+
+@pytest.mark.parametrize("kind", list(Kind))
+@pytest.mark.parametrize("ran", list(Ran))
+def test_only_not_run_is_answered_with_a_status_that_promises_it(kind, ran):
+    error = RequestError(kind, ran=ran)
+    status, headers, _ = PlatformDialect().encode_refusal(error, "id")
+    if ran is not Ran.NO:
+        assert status not in (408, 421, 429, 503)
+        assert b"Retry-After" not in dict(headers)
+    if status in (429, 503):
+        assert ran is Ran.NO
+        assert kind is Kind.TIMED_OUT or error.retry_after is not None or status == 503
+
+
+SETTINGS = """
+host = "h"
+domain = "d1"
+region = "north"
+[regions]
+"d1" = "north"
+[listen]
+callers = "10.0.0.1:1"
+readiness = "10.0.0.1:2"
+lookup = "10.0.0.1:3"
+control = "10.0.0.1:4"
+inner_ports = [7660, 7675]
+[peers]
+seeds = ["10.0.0.2:4"]
+[store]
+address = "10.0.0.9:5"
+"""
+
+
+def test_settings_are_read_and_every_finding_is_told(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS)
+    assert FleetSettings.from_toml(path).listen.inner_ports == (7660, 7675)
+    broken = SETTINGS.replace("10.0.0.1:1", "nowhere").replace("7675", "99999")
+    path.write_text(broken.replace('"d1" = ', '"d2" = '))
+    with pytest.raises(ConfigurationError) as caught:
+        FleetSettings.from_toml(path)
+    text = str(caught.value)
+    assert "listen.callers" in text
+    assert "inner_ports" in text
+
+
+def make_record(text="x"):
+    return logging.LogRecord("n", logging.INFO, "p", 1, text, None, None)
+
+
+def test_the_log_never_waits_for_a_reader_and_counts_what_it_drops():
+    """Nobody reads the pipe of a process. A write that waited would stop all its requests."""
+    read_end, write_end = os.pipe()
+    try:
+        writer = LineWriter(write_end)
+        writer.setFormatter(logging.Formatter("%(message)s"))
+        for second in range(4_000):
+            record = make_record("x" * 1_000)
+            record.created = float(second)
+            writer.emit(record)
+        assert writer.dropped > 0
+        assert len(writer._pending) <= PENDING_BYTES + 2_000
+    finally:
+        os.close(read_end)
+        os.close(write_end)
+
+
+def test_the_log_is_bounded_in_a_second():
+    read_end, write_end = os.pipe()
+    try:
+        writer = LineWriter(write_end)
+        writer.setFormatter(logging.Formatter("%(message)s"))
+        for _ in range(2_000):
+            record = make_record()
+            record.created = 5.0
+            writer.emit(record)
+        assert writer.dropped == 1_500
+    finally:
+        os.close(read_end)
+        os.close(write_end)
