Bear silence only as long as it helps, keep connections between hosts, offer room by size

Cause: a request of 16,000 unread tokens went from region to region four times, each waiting 0.6 s to hear that it had no room; an endpoint or connection that falls silent held requests until their time was over; each request to another region opened a connection, 160 ms of its time. Tests of a hanging endpoint and of a stream that falls silent were red before.

--- a/cloverway/core/choice.py
+++ b/cloverway/core/choice.py
@@ -67,6 +67,17 @@
     """Whether it would have to wait for another request to end."""
 
 
+class Room(NamedTuple):
+    """What the endpoints of a region can take of a service."""
+
+    wait_s: float
+    """Until the first event at the best of them."""
+    free: int
+    """Requests that they can take now."""
+    tokens: int
+    """Prompt tokens of the largest of these."""
+
+
 class RegionOffer(NamedTuple):
     """One other region with what its hosts predict, the way there counted in."""
 
@@ -112,9 +123,9 @@
     return Candidate(endpoint, wait_s, cost_s, work.unread, full)
 
 
-def offer_region(service: Service, endpoints: Sequence[Endpoint], now: float) -> tuple[float, int]:
-    """Give the wait at the best of the endpoints, and how many requests they can take now."""
-    wait_s, free = float("inf"), 0
+def offer_region(service: Service, endpoints: Sequence[Endpoint], now: float) -> Room:
+    """Sum up what the endpoints of this region can take now."""
+    wait_s, free, tokens = float("inf"), 0, 0
     for endpoint in endpoints:
         load = endpoint.load
         slots = max(1, endpoint.entry.slots)
@@ -125,10 +136,25 @@
         else:
             backlog = load.backlog(now)
             queue_s = backlog * load.read_s_per_token
-            places = min(places, int(max(0.0, BURST_TOKENS - backlog) / OFFER_TOKENS))
+            left = int(max(0.0, BURST_TOKENS - backlog)) if places else 0
+            places = min(places, left // OFFER_TOKENS)
+            tokens = max(tokens, left)
         wait_s = min(wait_s, queue_s + FAILURE_S * load.failures(now))
         free += places
-    return wait_s, free
+    return Room(wait_s, free, tokens)
+
+
+def needs_room(call: Call) -> int:
+    """Give the prompt tokens that a request is taken to need in another region.
+
+    Its own part, and half of the shared ones, of which nobody here knows whether they lie there.
+    More than the burst is never needed: an idle engine takes every prompt.
+    """
+    if call.prompt is None:
+        return 0
+    own = call.prompt.parts[-1].tokens if call.prompt.parts else call.prompt.tokens_in
+    needed = own + (call.prompt.tokens_in - own) // 2
+    return min(needed, BURST_TOKENS)
 
 
 def choose_endpoint(candidates: Iterable[Candidate]) -> Candidate | None:
--- a/cloverway/core/members.py
+++ b/cloverway/core/members.py
@@ -48,6 +48,8 @@
     """Time until the first event of a request that goes there now."""
     free: int
     """Requests that may be sent there at once."""
+    room: int
+    """Prompt tokens of the largest of them."""
 
 
 class Peer:
--- a/cloverway/fleet.thrift
+++ b/cloverway/fleet.thrift
@@ -27,6 +27,7 @@
   1: string service_name
   2: i32 wait_ms
   3: i32 free
+  4: i32 room
 }
 
 struct Heartbeat {
--- a/cloverway/serving/client.py
+++ b/cloverway/serving/client.py
@@ -174,12 +174,15 @@
         except OSError as error:
             raise ConnectError(str(error) or type(error).__name__) from error
 
-    def release(self, address: str, sending: Sending) -> None:
-        """Keep the connection of a request that has ended, or close it."""
+    def release(self, address: str, sending: Sending, idle_s: float | None = None) -> None:
+        """Keep the connection of a request that has ended, or close it.
+
+        It is kept for as long as the other end says, or else for `idle_s`.
+        """
         if not sending.is_reusable or sending.head is None:
             sending.connection.abort()
             return
-        until = read_clock() + _get_idle_s(sending.head) - IDLE_MARGIN_S
+        until = read_clock() + _get_idle_s(sending.head, idle_s or IDLE_S) - IDLE_MARGIN_S
         self._kept[address].append(_Kept(sending.connection, until))
 
     def forget(self, address: str) -> None:
@@ -230,6 +233,6 @@
     return head, data
 
 
-def _get_idle_s(head: ReplyHead) -> float:
+def _get_idle_s(head: ReplyHead, default_s: float) -> float:
     match = KEEP_ALIVE_TIMEOUT.search(head.get(b"keep-alive") or b"")
-    return float(match.group(1)) if match else IDLE_S
+    return float(match.group(1)) if match else default_s
--- a/cloverway/serving/forwarding.py
+++ b/cloverway/serving/forwarding.py
@@ -10,6 +10,8 @@
 import asyncio
 import random
 from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import NamedTuple
 
 import h11
@@ -41,6 +43,13 @@
 """Time to open a connection within the region: a lost opening packet is sent again only after a
 second, and another endpoint answers sooner."""
 FAR_CONNECT_S = 1.0
+FIRST_PATIENCE = 2.5
+"""Silence before the answer, in objectives, after which a request that may be repeated is run
+elsewhere. A connection may have gone silent for good, and its endpoint may hang: neither says so.
+Requests wait at the hosts and not at endpoints, so a sound one answers well within it."""
+GAP_PATIENCE = 4.0
+"""The same between two events, in wanted pauses: over the longest pause of a loaded engine."""
+LEAST_GAP_PATIENCE_S = 2.0
 LEAST_S = 0.05
 """A request with less time left isn't sent: its answer could not come back in time."""
 LEAST_WAIT_PART = 0.1
@@ -49,6 +58,9 @@
 """The same at a host that it was passed on to: the one that passed it on may know another place."""
 WAIT_PART = 0.65
 """Part of the objective that a request waits for a place before it is refused."""
+PEER_IDLE_S = 8.0
+"""How long connections between hosts are kept: under the time after which hosts close them, and
+long, since a new one to another region takes as long as the request itself."""
 PEER_FAILED_S = 1.0
 """How long a host that could not be reached is not tried again."""
 BODY_LIMIT = 4 * 1024 * 1024
@@ -329,7 +341,7 @@
             return Broken(str(error))
         finally:
             if not kept:
-                pool.release(target.address, sending)
+                pool.release(target.address, sending, self._get_idle_s(target))
 
     def _make_request(self, target: Target) -> h11.Request | None:
         """Give the request as it is sent; None when the time is over.
@@ -350,15 +362,28 @@
             headers.append((PASS_HEADER, self._encode_pass()))
         return make_request(self.call.method, self.call.target, headers, self.call.body)
 
+    @staticmethod
+    def _get_idle_s(target: Target) -> float | None:
+        return PEER_IDLE_S if target.peer is not None else None
+
     def _encode_pass(self) -> bytes:
         configuration = self.forwarder.directory.configuration
         assert configuration is not None
         region = self.forwarder.settings.region
         return f"{configuration.version};{self.service.name};{region}".encode()
 
+    def _choose_patience(self, seconds: float) -> float | None:
+        """Give how long silence is borne; None where nothing else could be done about it."""
+        attempts = self.route.attempts if self.call.passed_on is None else 1
+        if not self.route.repeatable or self.runs + 1 >= attempts:
+            return None
+        return seconds
+
     async def _read_answer(self, target: Target, sending: Sending, sent_at: float) -> Outcome:
         dialect = self.forwarder.dialect
-        head = await sending.read_head(lambda head: dialect.is_answer_to(head, self.call))
+        patience_s = self._choose_patience(FIRST_PATIENCE * self.route.objective_s)
+        async with bear_silence(patience_s):
+            head = await sending.read_head(lambda head: dialect.is_answer_to(head, self.call))
         facts = dialect.decode_reply(head)
         said = head.get(RAN_HEADER) if target.peer is not None else None
         if said is not None:
@@ -419,14 +444,17 @@
             return False
         finally:
             self.forwarder.targeting.release(target)
-            self.forwarder.pool.release(target.address, sending)
+            self.forwarder.pool.release(target.address, sending, self._get_idle_s(target))
         self._note_result(target, False)
         self._tell_end(None, answered.head.status)
         return True
 
     async def _copy_events(self, target: Target, answered: Answered) -> None:
         sending = answered.sending
-        while part := await sending.read_part():
+        gap_s = max(LEAST_GAP_PATIENCE_S, GAP_PATIENCE * self.route.gap_objective_s)
+        # The send counts as a run already: what is left tells whether there is another attempt.
+        may_go_on = self._may_repeat()
+        while part := await self._read_event_bytes(sending, gap_s if may_go_on else None):
             events = self.events.split(part)
             if not events:
                 continue
@@ -442,6 +470,10 @@
             await self.exchange.send(rest)
         self.exchange.finish()
 
+    async def _read_event_bytes(self, sending: Sending, patience_s: float | None) -> bytes:
+        async with bear_silence(patience_s):
+            return await sending.read_part()
+
     def _note_events(self, target: Target, now: float) -> None:
         if self.first_at is None:
             self.first_at = now
@@ -554,6 +586,18 @@
         )
 
 
+@asynccontextmanager
+async def bear_silence(seconds: float | None) -> AsyncIterator[None]:
+    """Raise AnswerError when what is awaited inside takes longer; None for no limit."""
+    try:
+        async with asyncio.timeout(seconds):
+            yield
+    except TimeoutError:
+        if seconds is None:
+            raise
+        raise AnswerError(f"nothing was heard for {seconds:g} s") from None
+
+
 def _decode_pass(value: bytes) -> PassedOn | None:
     parts = value.decode("latin-1").split(";")
     if len(parts) != 3 or not parts[0].isdigit():
--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/gossip.py
@@ -237,8 +237,9 @@
             ]
             if not endpoints:
                 continue
-            wait_s, free = offer_region(service, endpoints, now)
-            offers.append(RegionOffer(service.name, int(wait_s * 1000), min(free, FREE_MOST)))
+            room = offer_region(service, endpoints, now)
+            free = min(room.free, FREE_MOST)
+            offers.append(RegionOffer(service.name, int(room.wait_s * 1000), free, room.tokens))
         return tuple(offers)
 
     # Hearing
@@ -259,7 +260,9 @@
         peer.read_age_s = heartbeat.read_age_ms / 1000
         if heartbeat.offers:
             peer.offers = {
-                offer.service_name: Offer(offer.service_name, offer.wait_ms / 1000, offer.free)
+                offer.service_name: Offer(
+                    offer.service_name, offer.wait_ms / 1000, offer.free, offer.room
+                )
                 for offer in heartbeat.offers
             }
         for use in heartbeat.uses:
--- a/cloverway/serving/peerwire.py
+++ b/cloverway/serving/peerwire.py
@@ -43,6 +43,8 @@
     service_name: str
     wait_ms: int
     free: int
+    room: int = 0
+    """Prompt tokens of the largest request that may be sent there at once."""
 
 
 class Heartbeat(NamedTuple):
--- a/cloverway/serving/targeting.py
+++ b/cloverway/serving/targeting.py
@@ -14,6 +14,7 @@
     choose_endpoint,
     choose_region,
     estimate_work,
+    needs_room,
     predict,
 )
 from cloverway.core.deployment import Route, Service
@@ -156,6 +157,8 @@
             offer = peer.offers.get(wanted.service.name)
             if region == own or offer is None or not peer.member.ready or offer.free <= 0:
                 continue
+            if offer.room < needs_room(wanted.call):
+                continue
             if wanted.route.homes and region not in wanted.route.homes:
                 continue
             if now < peer.failed_until or wanted.tried[region] >= FAR_TRIES:
--- a/cloverway/serving/transport.py
+++ b/cloverway/serving/transport.py
@@ -14,8 +14,12 @@
 USER_TIMEOUT_MS = 10_000
 """Sent bytes that are not acknowledged for this long end the connection: behind a cut nothing
 else would ever say so."""
+SEND_TIMEOUT_MS = 3_000
+"""The same for connections that this host opened: what takes longer to arrive is late anyway."""
 KEEPALIVE_S = 5
 """Time without traffic after which the other end is asked whether it is there."""
+KEEPALIVE_EVERY_S = 1
+KEEPALIVE_TRIES = 3
 BACKLOG = 512
 
 
@@ -43,6 +47,8 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_EVERY_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_TRIES)
         if self._on_made is not None:
             self._on_made(self)
 
@@ -152,6 +158,8 @@
     host, port = split_address(address)
     async with asyncio.timeout(timeout_s):
         _, connection = await loop.create_connection(Connection, host, port)
+    sock = connection.transport.get_extra_info("socket")
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SEND_TIMEOUT_MS)
     return connection
 
 
--- a/cloverway/tests/test_core_choice.py
+++ b/cloverway/tests/test_core_choice.py
@@ -160,12 +160,13 @@
 
 def test_a_region_offers_what_its_engines_can_take_at_their_pace():
     endpoint = make_endpoint("a")
-    _, idle = offer_region(MODEL, [endpoint], 0.0)
+    idle = offer_region(MODEL, [endpoint], 0.0)
     endpoint.load.note_read(BURST_TOKENS, 0.0)
-    wait_s, busy = offer_region(MODEL, [endpoint], 0.0)
-    assert idle > 0
-    assert busy == 0
-    assert wait_s > 0.3
+    busy = offer_region(MODEL, [endpoint], 0.0)
+    assert idle.free > 0
+    assert idle.tokens == BURST_TOKENS
+    assert (busy.free, busy.tokens) == (0, 0)
+    assert busy.wait_s > 0.3
 
 
 def test_a_request_leaves_its_region_only_for_a_clear_gain():
--- a/cloverway/tests/test_fleet_path.py
+++ b/cloverway/tests/test_fleet_path.py
@@ -477,3 +477,63 @@
                     continue
 
     play(scenario)
+
+
+def test_an_idempotent_request_is_run_elsewhere_when_an_endpoint_hangs():
+    """An endpoint takes a request and says nothing more, or its connection went silent for good.
+
+    Nothing tells the two from an endpoint that works. After a few objectives the request is run
+    elsewhere, well within the caller's time.
+    """
+
+    async def scenario():
+        async with run_fleet() as fleet:
+            first = fleet.endpoints["desk-0"]
+            first.answer = first.answer_never
+            replies = [await fleet.call("/safe/a") for _ in range(3)]
+            assert {reply.status for reply in replies} == {200}
+            assert first.cancelled == len(first.requests) > 0
+
+    play(scenario)
+
+
+def test_a_request_that_may_run_once_is_waited_for_however_long_its_endpoint_is_silent():
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            endpoint = fleet.endpoints["desk-0"]
+
+            async def answer_late(exchange):
+                await asyncio.sleep(1.8)
+                await endpoint.answer_plainly(exchange)
+
+            endpoint.answer = answer_late
+            reply = await fleet.call("/once/a")
+            assert reply.status == 200
+            assert len(endpoint.requests) == 1
+
+    play(scenario)
+
+
+def test_a_stream_that_falls_silent_goes_on_elsewhere():
+    """The connection to an endpoint goes silent after two events, without a close or a reset."""
+
+    async def scenario():
+        async with run_fleet() as fleet:
+            for endpoint in (fleet.endpoints["model-0"], fleet.endpoints["model-1"]):
+
+                async def answer(exchange, endpoint=endpoint):
+                    last = dict(exchange.headers).get(b"last-event-id")
+                    if last is not None:
+                        await endpoint.stream(int(last) + 1, 4)(exchange)
+                        return
+                    exchange.start(200, endpoint.head(exchange))
+                    for number in (1, 2):
+                        await exchange.send(b"id: %d\ndata: token %d\n\n" % (number, number))
+                    await asyncio.sleep(3600)
+
+                endpoint.answer = answer
+            reply = await fleet.call("/stream/a", deadline_ms=8000)
+            assert reply.whole
+            assert reply.body.count(b"data:") == 4
+
+    play(scenario)
