--- /dev/null
+++ b/cloverway/serving/context.py
@@ -0,0 +1,47 @@
+"""What all requests of one host share: beliefs, places, connections, budgets and figures."""
+
+from __future__ import annotations
+
+from cloverway.core.budget import RetryBudget
+from cloverway.core.deployment import Configuration
+from cloverway.core.endpoints import Directory
+from cloverway.core.members import Members
+from cloverway.serving.client import Pool
+from cloverway.serving.ports import Dialect
+from cloverway.serving.settings import FleetSettings
+from cloverway.serving.targeting import Targeting
+from cloverway.serving.telemetry import Figures
+
+
+class Context:
+    """The parts of a host that the course of a request works with."""
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        directory: Directory,
+        members: Members,
+        dialect: Dialect,
+        figures: Figures,
+    ) -> None:
+        self.settings = settings
+        self.directory = directory
+        self.members = members
+        self.dialect = dialect
+        self.figures = figures
+        self.pool = Pool(figures.note_connect)
+        self.targeting = Targeting(settings, directory, members)
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def get_budget(self, service: str) -> RetryBudget:
+        """Give this host's share of the retry budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(self.settings.retries)
+        return budget
+
+    def get_configuration(self) -> Configuration:
+        """Give the configuration in force; a route was found in it."""
+        configuration = self.directory.configuration
+        assert configuration is not None
+        return configuration
--- /dev/null
+++ b/cloverway/serving/course.py
@@ -0,0 +1,386 @@
+"""The course of one request: take a place, send, relay the answer, try again where that is safe.
+
+What may be told to the caller follows from what is known of all sends: a refusal that says "not
+run" is only given while no send may have run, and a request that may not be repeated is sent again
+only after its endpoint said that it did not run it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+
+from cloverway.core.calls import Call, Header
+from cloverway.core.deployment import Route, Service
+from cloverway.errors import Kind, Ran, RequestError, take_worse
+from cloverway.serving.attempt import (
+    LEAST_S,
+    RETRY_STATUS,
+    Answered,
+    Attempt,
+    AttemptTerms,
+    Broken,
+    Declined,
+    Outcome,
+    bear_silence,
+    get_idle_s,
+)
+from cloverway.serving.client import AnswerError, ReplyHead, Sending
+from cloverway.serving.clock import read_clock
+from cloverway.serving.context import Context
+from cloverway.serving.events import EventSplitter
+from cloverway.serving.server import Exchange
+from cloverway.serving.targeting import Target, Wanted
+from cloverway.serving.telemetry import tell
+from cloverway.serving.waiting import Rank
+
+FIRST_PATIENCE = 2.5
+"""Silence before the answer, in objectives, after which a request that may be repeated is run
+elsewhere. A connection may have gone silent for good, and its endpoint may hang: neither says so.
+Requests wait at the hosts and not at endpoints, so a sound one answers well within it."""
+GAP_PATIENCE = 4.0
+"""The same between two events, in wanted pauses: over the longest pause of a loaded engine."""
+LEAST_GAP_PATIENCE_S = 2.0
+WAIT_PART = 0.65
+"""Part of the objective that a request waits for a place before it is refused."""
+LEAST_WAIT_PART = 0.1
+"""The same after a send that did not run, however late it is."""
+PASSED_WAIT_PART = 0.3
+"""The same at a host that it was passed on to: the one that passed it on may know another place."""
+PEER_FAILED_S = 1.0
+"""How long a host that could not be reached is not tried again."""
+
+
+class Course:
+    """The state of one request while it is run."""
+
+    def __init__(self, context: Context, exchange: Exchange, call: Call, route: Route) -> None:
+        self.context = context
+        self.exchange = exchange
+        self.call = call
+        self.route = route
+        self.limit_at = min(call.deadline, call.arrived_at + route.timeout_s)
+        self.service = self._get_service()
+        self.ran = Ran.NO
+        self.runs = 0
+        """Sends that ran or may have run."""
+        self.sends = 0
+        self.arrivals = 0
+        """Sends that were written out: only those draw on the retry budget."""
+        self.tried: Counter[str] = Counter()
+        self.wanted = Wanted(call, route, self.service, self.tried)
+        self.events = EventSplitter(call.last_event_id)
+        self.first_at: float | None = None
+        self.longest_gap_s = 0.0
+        self.last_part_at = 0.0
+
+    async def run(self) -> None:
+        """Run the request to the end of its answer; raise RequestError."""
+        if self.call.passed_on is None:
+            self.context.get_budget(self.service.name).note_request(self.call.arrived_at)
+        left_s = self.limit_at - read_clock()
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
+                await self._run_attempts()
+        except TimeoutError:
+            error = RequestError(Kind.TIMED_OUT, "the time of the route is over", ran=self.ran)
+            self._fail(error)
+        except asyncio.CancelledError:
+            self._tell_end(RequestError(Kind.CALLER_LEFT, "the caller left", ran=self.ran), 0)
+            raise
+
+    async def _run_attempts(self) -> None:
+        while True:
+            target = await self._choose()
+            outcome = await self._send(target)
+            if isinstance(outcome, Answered):
+                if await self._relay(target, outcome):
+                    return
+                continue
+            self._note_failure(target, outcome)
+            if isinstance(outcome, Broken):
+                self._check_repeatable(outcome.reason)
+
+    def _get_service(self) -> Service:
+        passed = self.call.passed_on
+        name = passed.service if passed is not None else self.route.pick_service(random.random())
+        configuration = self.context.get_configuration()
+        allowed = {share.service for share in self.route.services}
+        service = configuration.services.get(name)
+        if service is None or name not in allowed:
+            raise RequestError(Kind.STARTING, "the service isn't in the configuration here")
+        return service
+
+    # Choice
+
+    async def _choose(self) -> Target:
+        """Take the next place, waiting for it a little; raise RequestError."""
+        targeting = self.context.targeting
+        now = read_clock()
+        if self.limit_at - now < LEAST_S:
+            raise RequestError(Kind.DEADLINE, "no time is left", ran=self.ran)
+        if self.arrivals and not self._may_send_again(now):
+            raise self._make_refusal("the retry budget is spent")
+        wanted = self.wanted
+        target = await targeting.get_line(self.service.name).take(
+            Rank(self.route.priority, self.call.arrived_at),
+            lambda: targeting.take(wanted, read_clock()),
+            now + self._choose_wait(now),
+            targeting.release,
+        )
+        if target is None:
+            raise self._make_refusal(targeting.explain(wanted, read_clock()))
+        return target
+
+    def _choose_wait(self, now: float) -> float:
+        """Give the time that the request may wait for a place."""
+        objective_s = self.route.objective_s
+        if self.call.passed_on is not None:
+            return PASSED_WAIT_PART * objective_s
+        waited_s = now - self.call.arrived_at
+        return max(LEAST_WAIT_PART * objective_s, WAIT_PART * objective_s - waited_s)
+
+    def _make_refusal(self, why: str) -> RequestError:
+        if self.ran is Ran.NO:
+            retry_s = max(0.2, self.route.objective_s * random.uniform(0.2, 0.6))
+            return RequestError(Kind.NO_CAPACITY, why, ran=Ran.NO, retry_after=retry_s)
+        return RequestError(Kind.ENDPOINT_FAILED, why, ran=self.ran)
+
+    def _may_send_again(self, now: float) -> bool:
+        hosts = self.context.members.count_fleet()
+        return self.context.get_budget(self.service.name).take(hosts, now)
+
+    # Sending
+
+    async def _send(self, target: Target) -> Outcome:
+        now = read_clock()
+        self.sends += 1
+        self._tell_choice(target, now)
+        attempt = Attempt(self.context, self.wanted, target, self._make_terms(), self._note_written)
+        ran_before = self.ran
+        outcome: Outcome = Broken("cancelled")
+        try:
+            outcome = await attempt.run()
+            self.arrivals += outcome.arrived
+            if isinstance(outcome, Declined):
+                self.ran = ran_before
+            else:
+                self.runs += 1
+            return outcome
+        finally:
+            if not isinstance(outcome, Answered) or outcome.body is not None:
+                self.context.targeting.release(target)
+            label = type(outcome).__name__.lower()
+            self.context.figures.note_attempt(self.service.name, label)
+
+    def _make_terms(self) -> AttemptTerms:
+        patience_s = None
+        if self._may_repeat(self.runs + 1):
+            patience_s = FIRST_PATIENCE * self.route.objective_s
+        return AttemptTerms(self.limit_at, self.events.last_id, patience_s)
+
+    def _note_written(self) -> None:
+        """Note that the request may run from now on.
+
+        If the time of the route ends while the answer is awaited, a refusal would otherwise say
+        "not run" of a request that its endpoint is working on.
+        """
+        self.ran = take_worse(self.ran, Ran.UNKNOWN)
+
+    # Answers
+
+    async def _relay(self, target: Target, answered: Answered) -> bool:
+        """Pass an answer on; tell whether the request has ended."""
+        if answered.body is not None:
+            return await self._relay_whole(target, answered, answered.body)
+        return await self._relay_stream(target, answered)
+
+    async def _relay_whole(self, target: Target, answered: Answered, body: bytes) -> bool:
+        failed = answered.head.status >= RETRY_STATUS
+        self._note_result(target, failed)
+        self.ran = Ran.YES
+        if self.exchange.started:
+            # A stream that began can't get another head: it ends visibly cut.
+            self._fail(RequestError(Kind.TRUNCATED, f"resumed with {answered.head.status}"))
+            return True
+        if failed and self._may_repeat(self.runs) and self._has_alternative(target):
+            return False
+        headers = list_end_to_end(answered.head)
+        self.first_at = read_clock()
+        await self.exchange.answer(answered.head.status, headers, body)
+        self._tell_end(None, answered.head.status)
+        return True
+
+    async def _relay_stream(self, target: Target, answered: Answered) -> bool:
+        sending = answered.sending
+        self.ran = Ran.YES
+        try:
+            await self._copy_events(target, answered)
+        except (AnswerError, ValueError) as error:
+            self.events.drop_rest()
+            self._note_failure(target, Broken(str(error)))
+            self._check_repeatable(str(error))
+            return False
+        finally:
+            self.context.targeting.release(target)
+            self.context.pool.release(target.address, sending, get_idle_s(target))
+        self._note_result(target, False)
+        self._tell_end(None, answered.head.status)
+        return True
+
+    async def _copy_events(self, target: Target, answered: Answered) -> None:
+        sending = answered.sending
+        gap_s = max(LEAST_GAP_PATIENCE_S, GAP_PATIENCE * self.route.gap_objective_s)
+        # The send counts as a run already: what is left tells whether there is another attempt.
+        may_go_on = self._may_repeat(self.runs)
+        while part := await self._read_event_bytes(sending, gap_s if may_go_on else None):
+            events = self.events.split(part)
+            if not events:
+                continue
+            now = read_clock()
+            self._note_events(target, now)
+            if not self.exchange.started:
+                self.exchange.start(answered.head.status, list_end_to_end(answered.head))
+            await self.exchange.send(b"".join(events))
+        rest = self.events.take_rest()
+        if not self.exchange.started:
+            self.exchange.start(answered.head.status, list_end_to_end(answered.head))
+        if rest:
+            await self.exchange.send(rest)
+        self.exchange.finish()
+
+    async def _read_event_bytes(self, sending: Sending, patience_s: float | None) -> bytes:
+        async with bear_silence(patience_s):
+            return await sending.read_part()
+
+    def _note_events(self, target: Target, now: float) -> None:
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.longest_gap_s = max(self.longest_gap_s, now - self.last_part_at)
+        self.last_part_at = now
+        if target.candidate is not None:
+            load = target.candidate.endpoint.load
+            load.note_first(target.number, now)
+
+    # Failures
+
+    def _note_failure(self, target: Target, outcome: Declined | Broken) -> None:
+        now = read_clock()
+        tell(
+            "attempt_failed",
+            request_id=self.call.id,
+            to=target.name,
+            outcome=type(outcome).__name__.lower(),
+            why=outcome.reason,
+        )
+        self.tried[target.name] += 1
+        if target.peer is not None:
+            self.tried[target.region] += 1
+        if not outcome.blames_host:
+            return
+        if target.peer is not None:
+            target.peer.failed_until = now + PEER_FAILED_S
+        if target.candidate is not None:
+            target.candidate.endpoint.load.note_failure(now)
+            self.context.pool.forget(target.address)
+
+    def _note_result(self, target: Target, failed: bool) -> None:
+        if target.candidate is None:
+            return
+        load = target.candidate.endpoint.load
+        now = read_clock()
+        if failed:
+            load.note_failure(now)
+        else:
+            load.note_success(now)
+
+    def _may_repeat(self, runs: int) -> bool:
+        """Tell whether the request may be run again after some runs."""
+        attempts = self.route.attempts if self.call.passed_on is None else 1
+        return self.route.repeatable and runs < attempts
+
+    def _has_alternative(self, target: Target) -> bool:
+        self.tried[target.name] = 1
+        now = read_clock()
+        if self.limit_at - now < self.route.objective_s * 0.3:
+            return False
+        return bool(self.context.targeting.list_candidates(self.wanted, now))
+
+    def _check_repeatable(self, reason: str) -> None:
+        """Raise RequestError unless a request that may have run may be sent again."""
+        if not self._may_repeat(self.runs):
+            raise RequestError(Kind.ENDPOINT_FAILED, reason, ran=self.ran)
+
+    def _fail(self, error: RequestError) -> None:
+        if self.exchange.started:
+            self._tell_end(error, 0)
+            self.exchange.cut()
+            return
+        raise error
+
+    # Log
+
+    def _tell_choice(self, target: Target, now: float) -> None:
+        candidate = target.candidate
+        tell(
+            "sent",
+            request_id=self.call.id,
+            route=self.route.name,
+            service=self.service.name,
+            to=target.name,
+            address=target.address,
+            region=target.region,
+            wait_s=round(candidate.wait_s, 3) if candidate else None,
+            cost_s=round(candidate.cost_s, 3) if candidate else None,
+            unread=candidate.unread if candidate else None,
+            waited_s=round(now - self.call.arrived_at, 3),
+            left_s=round(self.limit_at - now, 3),
+            send=self.sends,
+            version=(
+                self.context.directory.configuration.version
+                if self.context.directory.configuration
+                else 0
+            ),
+        )
+
+    def _tell_end(self, error: RequestError | None, status: int) -> None:
+        now = read_clock()
+        first_s = None if self.first_at is None else self.first_at - self.call.arrived_at
+        total_s = now - self.call.arrived_at
+        tell(
+            "answered" if error is None else "cut",
+            request_id=self.call.id,
+            route=self.route.name,
+            status=status,
+            why=error.detail if error else None,
+            sends=self.sends,
+            first_s=None if first_s is None else round(first_s, 3),
+            gap_s=round(self.longest_gap_s, 3),
+            total_s=round(total_s, 3),
+        )
+        kind = error.kind if error is not None else None
+        self.context.figures.note_request(
+            self.route.name, kind, first_s, total_s, self.longest_gap_s
+        )
+
+
+HOP_BY_HOP = frozenset(
+    (
+        *(b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade"),
+        *(b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"content-length"),
+    )
+)
+"""Headers that concern one connection only; the length is set anew where the body is known."""
+
+
+def list_end_to_end(head: ReplyHead) -> list[Header]:
+    """Give the headers of an answer that are the caller's."""
+    named = {
+        token.strip().lower()
+        for name, value in head.headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    return [item for item in head.headers if item[0] not in HOP_BY_HOP and item[0] not in named]
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -19,6 +19,7 @@
 from cloverway.errors import ConfigurationError, Kind, RequestError
 from cloverway.serving.catalogue import Catalogue
 from cloverway.serving.clock import read_clock
+from cloverway.serving.context import Context
 from cloverway.serving.forwarding import Forwarder
 from cloverway.serving.gossip import SNAPSHOT_PATH, Gossip, encode_snapshot
 from cloverway.serving.ports import Dialect, Store
@@ -59,7 +60,8 @@
         self.figures = Figures()
         self.directory = Directory(settings.topology)
         self.members = Members(_describe_own(settings))
-        self.forwarder = Forwarder(settings, self.directory, self.members, dialect, self.figures)
+        self.context = Context(settings, self.directory, self.members, dialect, self.figures)
+        self.forwarder = Forwarder(self.context)
         self.catalogue = Catalogue(
             self.directory,
             store,
@@ -73,7 +75,7 @@
             self.members,
             self.directory,
             self.catalogue,
-            self.forwarder.pool,
+            self.context.pool,
             self.figures,
             seeds=settings.peers.seeds,
         )
@@ -141,7 +143,7 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            self.forwarder.pool.expire(read_clock())
+            self.context.pool.expire(read_clock())
 
     async def _handle_call(self, exchange: Exchange) -> None:
         leaving_at = self.leaving_at
