Add 'cloverway trace' and 'cloverway fleet-settings', and measure control of a fleet host

Cause: on-call engineers have logs of many hosts, and one request's lines stand in several of them; the filled-in settings of a host could not be checked by hand. Before: grep by hand. After: one table in order of time; settings checked with every finding.

--- a/cloverway/__main__.py
+++ b/cloverway/__main__.py
@@ -13,10 +13,11 @@
 from typer.core import TyperGroup
 
 from cloverway import __version__
-from cloverway.commands import admin, bench, call, check, key, output, status, watch
+from cloverway.commands import admin, bench, call, check, key, output, status, trace, watch
 from cloverway.commands.options import AdminHost, CallerHosts, Json
 from cloverway.errors import CallError, Kind, UserError
 from cloverway.load import Plan
+from cloverway.serving.settings import FleetSettings
 
 CUT_SHORT = 3
 """Exit code for an answer that is not whole."""
@@ -115,6 +116,48 @@
     _print_report(check.check_settings(file, published), json)
 
 
+@app.command(
+    "fleet-settings",
+    epilog="""\b
+    Examples:
+      cloverway fleet-settings /etc/cloverway/settings.toml
+    """,
+)
+def _fleet_settings(
+    file: Annotated[Path, typer.Argument(help="Settings file of a host of a fleet, filled in.")],
+    json: Json = False,
+) -> None:
+    """Check the settings of a host on the users' platform. Exit code 1 on errors."""
+    _print_document(output.make_plain(FleetSettings.from_toml(file)), json)
+
+
+@app.command(
+    "trace",
+    epilog="""\b
+    Examples:
+      cloverway trace 58fc326d73f67bcc host-1.log host-2.log
+      cat *.log | cloverway trace 58fc326d73f67bcc
+    """,
+)
+def _trace(
+    request_id: Annotated[str, typer.Argument(help="The id that the caller's request had.")],
+    logs: Annotated[
+        list[Path] | None, typer.Argument(help="Logs of hosts; standard input without any.")
+    ] = None,
+    json: Json = False,
+) -> None:
+    """Show what hosts decided about one request, in order, from their logs.
+
+    Exit code 1 when no line names the request.
+    """
+    sources = trace.open_logs(logs) if logs else [sys.stdin]
+    lines = trace.trace_request(request_id, sources)
+    if json:
+        typer.echo(output.format_json([line._asdict() for line in lines]))
+        return
+    typer.echo(trace.format_trace(lines))
+
+
 @app.command(
     "key",
     epilog="""\b
--- a/cloverway/commands/output.py
+++ b/cloverway/commands/output.py
@@ -14,6 +14,15 @@
     return json.dumps(value, indent=2, sort_keys=True, default=str)
 
 
+def make_plain(value: Any) -> Any:
+    """Give a NamedTuple, and those inside it, as tables."""
+    if hasattr(value, "_asdict"):
+        value = value._asdict()
+    if isinstance(value, Mapping):
+        return {name: make_plain(item) for name, item in value.items()}
+    return [make_plain(item) for item in value] if isinstance(value, tuple) else value
+
+
 def format_table(head: Sequence[str], rows: Iterable[Sequence[Any]]) -> str:
     """Give rows in columns below a head."""
     cells = [list(head), *([format_cell(cell) for cell in row] for row in rows)]
--- /dev/null
+++ b/cloverway/commands/trace.py
@@ -0,0 +1,82 @@
+"""Gather what hosts logged of one request, in the order in which it happened."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from pathlib import Path
+from typing import Any, NamedTuple, TextIO
+
+from cloverway.commands.output import format_cell, format_table
+from cloverway.errors import UserError
+
+HEAD = ("time", "host", "event", "what decided it")
+COMMON = frozenset(("time", "level", "logger", "message", "host", "incarnation", "request_id"))
+"""Fields of a line that are shown in columns of their own, or say nothing of the decision."""
+
+
+class Line(NamedTuple):
+    """One line of a host's log."""
+
+    time: str
+    host: str
+    event: str
+    inputs: Mapping[str, Any]
+
+
+def trace_request(request_id: str, sources: Sequence[TextIO]) -> list[Line]:
+    """Give the lines of a request from logs of any hosts; raise UserError when there is none."""
+    found = (line for source in sources for line in _read_lines(source, request_id))
+    lines = sorted(found, key=lambda line: line.time)
+    if not lines:
+        raise UserError(
+            f"no line of the request {request_id!r}; give the logs of all hosts of its time"
+        )
+    return lines
+
+
+def open_logs(paths: Sequence[Path]) -> list[TextIO]:
+    """Open log files; raise UserError for one that can't be read."""
+    try:
+        return [path.open(encoding="utf-8", errors="replace") for path in paths]
+    except OSError as error:
+        raise UserError(f"{error.filename}: can't be read: {error.strerror}") from error
+
+
+def format_trace(lines: Iterable[Line]) -> str:
+    """Give the lines as a table."""
+    rows = [(line.time, line.host, line.event, _format_inputs(line.inputs)) for line in lines]
+    return format_table(HEAD, rows)
+
+
+def _read_lines(source: TextIO, request_id: str) -> Iterator[Line]:
+    for text in source:
+        # Logs of a fleet are large: only lines that hold the id are decoded.
+        if request_id not in text:
+            continue
+        fields = _decode(text)
+        if fields.get("request_id") != request_id:
+            continue
+        inputs = {name: value for name, value in fields.items() if name not in COMMON}
+        yield Line(
+            str(fields.get("time", "")),
+            str(fields.get("host", "")),
+            str(fields.get("message", "")),
+            inputs,
+        )
+
+
+def _decode(text: str) -> dict[str, Any]:
+    """Decode a line, which may have other text before its JSON."""
+    start = text.find("{")
+    try:
+        fields = json.loads(text[start:]) if start >= 0 else {}
+    except ValueError:
+        return {}
+    return fields if isinstance(fields, dict) else {}
+
+
+def _format_inputs(inputs: Mapping[str, Any]) -> str:
+    return " ".join(
+        f"{name}={format_cell(value)}" for name, value in inputs.items() if value not in (None, "")
+    )
