--- a/cloverway/config/options.py
+++ b/cloverway/config/options.py
@@ -4,8 +4,10 @@
 
 import difflib
 import logging
+import tomllib
 from collections.abc import Iterable, Mapping
 from functools import cache
+from pathlib import Path
 from typing import Any, TypeVar, cast, get_type_hints
 
 from pydantic import TypeAdapter, ValidationError
@@ -70,6 +72,16 @@
         return self.source
 
 
+def read_toml(path: Path) -> dict[str, Any]:
+    """Read a file of TOML; raise ConfigurationError."""
+    try:
+        return tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ConfigurationError([f"{path}: can't be read: {error.strerror}"]) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ConfigurationError([f"{path}: is not TOML: {error}"]) from error
+
+
 def validate(
     model: type[T], values: Mapping[str, Any], findings: Findings, where: str = ""
 ) -> T | None:
--- a/cloverway/serving/settings.py
+++ b/cloverway/serving/settings.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-import tomllib
 from pathlib import Path
 from typing import Annotated, Literal, NamedTuple
 
 from pydantic import Field
 
-from cloverway.config.options import Findings, validate
+from cloverway.config.options import Findings, read_toml, validate
 from cloverway.config.published import Address
 from cloverway.core.budget import BudgetTerms
 from cloverway.core.deployment import Topology
 from cloverway.core.pacing import ColdTerms
-from cloverway.errors import ConfigurationError
 
 Seconds = Annotated[float, Field(ge=0, le=86_400)]
 Port = Annotated[int, Field(ge=1, le=65_535)]
@@ -71,12 +69,7 @@
     @classmethod
     def from_toml(cls, path: Path) -> FleetSettings:
         """Read a settings file; raise ConfigurationError with every finding."""
-        try:
-            values = tomllib.loads(path.read_text(encoding="utf-8"))
-        except OSError as error:
-            raise ConfigurationError([f"{path}: can't be read: {error.strerror}"]) from error
-        except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-            raise ConfigurationError([f"{path}: is not TOML: {error}"]) from error
+        values = read_toml(path)
         findings = Findings(str(path))
         settings = validate(cls, values, findings)
         if settings is not None and settings.domain not in settings.regions:
