Remove what nothing calls in the fleet's code

Cause: seven functions and one type were left from earlier tries: lengths of prompts by part, a learnt reading time that was never fed, an endpoint's own report of its load. That the reading time isn't measured is said where the constant stands.

--- a/cloverway/core/calls.py
+++ b/cloverway/core/calls.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from itertools import accumulate
 from typing import NamedTuple
 
 Header = tuple[bytes, bytes]
@@ -25,10 +24,6 @@
     likely_out: int | None = None
     """The caller's estimate of the tokens that will be generated."""
 
-    def list_ends(self) -> list[int]:
-        """Give the count of tokens up to the end of each part."""
-        return list(accumulate(part.tokens for part in self.parts))
-
 
 class Call(NamedTuple):
     """One request of a caller. Times are seconds on this host's clock."""
--- a/cloverway/core/deployment.py
+++ b/cloverway/core/deployment.py
@@ -193,8 +193,3 @@
     def region_of(self, domain: str) -> str:
         """Give the region of a failure domain; an unknown domain is a region of its own."""
         return self.regions.get(domain, domain)
-
-    @property
-    def others(self) -> tuple[str, ...]:
-        """The other regions."""
-        return tuple(sorted(set(self.regions.values()) - {self.region}))
--- a/cloverway/core/load.py
+++ b/cloverway/core/load.py
@@ -11,8 +11,9 @@
 
 SIBLING_AGE_S = 2.0
 """How long a sibling's report counts; four lost datagrams in a row are rarer than a dead host."""
-FIRST_READ_S_PER_TOKEN = 1 / 30_000
-"""Time to read a prompt token before it was measured: between the engines known."""
+READ_S_PER_TOKEN = 1 / 30_000
+"""Time to read a prompt token, with the attention to what stands before it: between the engines
+known. It isn't measured yet, so a slow engine is paced too fast and shows by its failures only."""
 FIRST_WORK_S = 0.05
 """Time of one request of a plain service before it was measured."""
 LEARN = 0.1
@@ -67,7 +68,7 @@
         self._fresh_read = 0
         self.fresh_parts: deque[PromptPart] = deque(maxlen=FRESH_PARTS)
         """Parts sent since the last heartbeat, to be told to siblings."""
-        self.read_s_per_token = FIRST_READ_S_PER_TOKEN
+        self.read_s_per_token = READ_S_PER_TOKEN
         self.work_s = FIRST_WORK_S
         self.progress_at = 0.0
         self.was_told = False
@@ -97,11 +98,6 @@
         """Note that a request has ended, however."""
         self._own.pop(number, None)
 
-    def learn_read(self, seconds: float, tokens: int) -> None:
-        """Learn from the time in which a count of prompt tokens was read."""
-        measured = min(max(seconds / max(tokens, 1), 1e-6), 1e-3)
-        self.read_s_per_token += LEARN * (measured - self.read_s_per_token)
-
     def learn_work(self, seconds: float) -> None:
         """Learn from the time that a plain request took."""
         self.work_s += LEARN * (seconds - self.work_s)
@@ -126,10 +122,6 @@
         self._siblings[host] = load
         self.note_parts(parts)
 
-    def forget_sibling(self, host: str) -> None:
-        """Forget what a host said that has gone or started anew."""
-        self._siblings.pop(host, None)
-
     def sum_own(self) -> SiblingLoad:
         """Give what this host has at the endpoint."""
         works = self._own.values()
--- a/cloverway/platform/dialect.py
+++ b/cloverway/platform/dialect.py
@@ -12,7 +12,7 @@
 from cloverway.platform import names
 from cloverway.platform.documents import decode_documents
 from cloverway.serving.client import ReplyHead
-from cloverway.serving.ports import LoadReport, Lookup, ReplyFacts, SendTerms
+from cloverway.serving.ports import Lookup, ReplyFacts, SendTerms
 from cloverway.serving.server import Exchange
 
 LOOKUP_PATH = "/resolve"
@@ -101,7 +101,7 @@
         """Decode the head of an endpoint's answer."""
         not_run = head.get(names.NOT_RUN) is not None or head.status == MISDIRECTED
         sealed = head.get(names.SIGNATURE) is not None
-        return ReplyFacts(not_run, sealed, _decode_load(head.get(names.LOAD)))
+        return ReplyFacts(not_run, sealed)
 
     def encode_refusal(self, error: RequestError, call_id: str) -> tuple[int, list[Header], bytes]:
         """Give status, headers and body of the answer to a request that failed here."""
@@ -163,14 +163,6 @@
             raise RequestError(Kind.MALFORMED, "the parts of the prompt can't be read") from None
 
 
-def _decode_load(value: bytes | None) -> LoadReport | None:
-    try:
-        running, waiting, slots = (int(part) for part in (value or b"").split(b","))
-    except ValueError:
-        return None
-    return LoadReport(running, waiting, slots)
-
-
 def _read_number(value: bytes | None, default: float) -> float:
     if value is None:
         return default
--- a/cloverway/platform/names.py
+++ b/cloverway/platform/names.py
@@ -4,7 +4,6 @@
 
 REQUEST_ID = b"x-cloverway-request-id"
 DEADLINE = b"x-cloverway-deadline-ms"
-MODEL = b"x-cloverway-model"
 TOKENS = b"x-cloverway-token-usage"
 """Tokens of the prompt, and the most tokens of the answer: not what was used."""
 PREFIX = b"x-cloverway-prompt-prefix"
--- a/cloverway/serving/ports.py
+++ b/cloverway/serving/ports.py
@@ -32,14 +32,6 @@
         ...
 
 
-class LoadReport(NamedTuple):
-    """What an endpoint says of its load in an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 class ReplyFacts(NamedTuple):
     """What the head of an endpoint's answer says beside its status."""
 
@@ -47,7 +39,6 @@
     """Whether the endpoint says that it did not run the request, and never will."""
     sealed: bool
     """Whether the endpoint's signature is there: without it the bytes are not the endpoint's."""
-    load: LoadReport | None = None
 
 
 class SendTerms(NamedTuple):
--- a/cloverway/serving/transport.py
+++ b/cloverway/serving/transport.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from cloverway.addresses import format_address, split_address
+from cloverway.addresses import split_address
 
 READ_AHEAD_BYTES = 128 * 1024
 """Bytes that are received before they are asked for; then the sender is made to wait."""
@@ -84,22 +84,11 @@
             self._writable.set_result(None)
         self._writable = None
 
-    @property
-    def peer(self) -> str:
-        """The address of the other end."""
-        name = self.transport.get_extra_info("peername")
-        return format_address(name) if name else ""
-
     @property
     def has_input(self) -> bool:
         """Whether bytes, or the end, are there to be read."""
         return bool(self._received) or self._eof
 
-    @property
-    def is_broken(self) -> bool:
-        """Whether the connection ended with an error rather than an end."""
-        return self._error is not None
-
     @property
     def unsent_bytes(self) -> int:
         """Bytes that were written and have not left yet."""
