Show one call over the platform's protocol in the demo

Cause: the demo showed our own interface only. Before and after: 'make demo' ends as expected; it streams three events through a host, its store and an endpoint of the stand-ins.

--- a/cloverway/tests/demo.py
+++ b/cloverway/tests/demo.py
@@ -18,6 +18,7 @@
 from cloverway.answers import Answer
 from cloverway.client import Call, Client
 from cloverway.errors import CallError, Kind, Ran
+from cloverway.tests.fleet.demo import run_platform_call
 from cloverway.tests.standins.deployment import Deployment
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
@@ -264,6 +265,7 @@
     """Run both deployments; give the exit code."""
     started_at = time.monotonic()
     faults = [fault for plan in (RIVIERE, CARONI) for fault in run_plan(plan, _say)]
+    faults += run_platform_call(_say)
     for fault in faults:
         print(f"NOT AS EXPECTED: {fault}", file=sys.stderr)
     verdict = f"{len(faults)} faults" if faults else "all answers are as expected"
--- /dev/null
+++ b/cloverway/tests/fleet/demo.py
@@ -0,0 +1,31 @@
+"""One call over the platform's protocol: store, endpoint and host in this process."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from cloverway.tests.fleet.deployment import Reply, run_fleet
+
+EVENTS = 3
+
+
+def run_platform_call(say: Callable[[str], Any]) -> list[str]:
+    """Show a stream over the platform's protocol; give what was not as expected."""
+    logging.getLogger("asyncio").setLevel(logging.WARNING)
+    reply = asyncio.run(_call())
+    events = reply.body.count(b"data:")
+    say("\nOn the users' platform: a host reads the stand-in store and streams an answer")
+    say(f"    status {reply.status}, {events} events, whole: {'yes' if reply.whole else 'no'}")
+    if (reply.status, events, reply.whole) != (200, EVENTS, True):
+        return [f"the platform's call had status {reply.status} and {events} events"]
+    return []
+
+
+async def _call() -> Reply:
+    async with run_fleet(endpoints=1) as fleet:
+        endpoint = fleet.endpoints["model-0"]
+        endpoint.answer = endpoint.stream(1, EVENTS)
+        return await fleet.call("/stream/a")
--- a/cloverway/tests/test_demo.py
+++ b/cloverway/tests/test_demo.py
@@ -20,6 +20,7 @@
     find_repeat_faults,
     find_stop_faults,
 )
+from cloverway.tests.fleet.demo import run_platform_call
 
 BOUND = RIVIERE.steps[2]
 REFUSED = RIVIERE.steps[3]
@@ -99,3 +100,9 @@
         assert set(step.regions) <= published.regions.keys()
         assert not team.bound or step.refusal or step.regions == (team.home,)
     assert not published.profiles[plan.once.call.profile].idempotent
+
+
+def test_the_demo_streams_over_the_platforms_protocol():
+    said = []
+    assert run_platform_call(said.append) == []
+    assert "status 200, 3 events, whole: yes" in said[-1]
