--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -42,12 +42,17 @@
 GAP_PATIENCE = 4.0
 """The same between two events, in wanted pauses: over the longest pause of a loaded engine."""
 LEAST_GAP_PATIENCE_S = 2.0
+"""The same at least: callers give a stream up after two seconds at the earliest."""
 WAIT_PART = 0.65
 """Part of the objective that a request waits for a place before it is refused."""
 LEAST_WAIT_PART = 0.1
 """The same after a send that did not run, however late it is."""
 PASSED_WAIT_PART = 0.3
 """The same at a host that it was passed on to: the one that passed it on may know another place."""
+RETRY_PARTS = (0.2, 0.6)
+"""Parts of the objective between which a refused caller is told to come back: spread, so that those
+refused together don't return together. It isn't taken from the measured rate of work yet."""
+LEAST_RETRY_S = 0.2
 PEER_FAILED_S = 1.0
 """How long a host that could not be reached is not tried again."""
 
@@ -143,7 +148,8 @@
 
     def _make_refusal(self, why: str) -> RequestError:
         if self.ran is Ran.NO:
-            retry_s = max(0.2, self.route.objective_s * random.uniform(0.2, 0.6))
+            part = random.uniform(*RETRY_PARTS)
+            retry_s = max(LEAST_RETRY_S, part * self.route.objective_s)
             return RequestError(Kind.NO_CAPACITY, why, ran=Ran.NO, retry_after=retry_s)
         return RequestError(Kind.ENDPOINT_FAILED, why, ran=self.ran)
 
