Keep the ports of the fleet's tests reserved until their servers bind them

The harness let a free port go at once, and a connection of another test process got it first. Ruled out: a server of the test itself (each takes ports of its own); load (the run had none beside it).

--- a/cloverway/tests/fleet/standins.py
+++ b/cloverway/tests/fleet/standins.py
@@ -17,14 +17,22 @@
 SIGNATURE = (b"X-Cloverway-Response-Seal", b"1.2.3")
 
 
+RESERVED: list[socket.socket] = []
+
+
 def take_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
+    """Reserve ports for servers that are started later.
+
+    The reserving sockets stay bound for the life of the process. Closed at once, their ports were
+    given to connections of other test processes before the servers could bind them. A server binds
+    beside them, since neither of the two listens yet.
+    """
+    for _ in range(count):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+        RESERVED.append(sock)
+    return [sock.getsockname()[1] for sock in RESERVED[len(RESERVED) - count :]]
 
 
 def make_server(handler: Callable[[Exchange], Awaitable[None]]) -> Server:
