--- /dev/null
+++ b/cloverway/tests/conftest.py
@@ -0,0 +1,24 @@
+"""Passes over the tests that KNOWN-RED.txt lists, and prints them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+KNOWN_RED = Path(__file__).parents[2] / "KNOWN-RED.txt"
+
+
+def list_known_red():
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines() if KNOWN_RED.exists() else []
+    return {line.split(" | ")[0].strip(): line for line in lines if line.strip()}
+
+
+def pytest_report_header():
+    return [f"known red, passed over: {line}" for line in list_known_red().values()]
+
+
+def pytest_collection_modifyitems(config, items):
+    known = list_known_red()
+    passed_over = [item for item in items if item.nodeid in known]
+    if passed_over:
+        config.hook.pytest_deselected(items=passed_over)
+        items[:] = [item for item in items if item.nodeid not in known]
