Let two hosts of a domain read the store, and the others follow them

Ruled out: reading less often (a change must be in force within four seconds); passing each write on (endpoints write every second, and nearly all of it says nothing new). Change: hosts tell a digest of what their documents mean. A host whose digest is that of a host that read is as up to date as that one; otherwise it asks what has changed since its revision. Two hosts of a domain read, by rendezvous rank; a host whose documents are older than 2.4 s reads itself, so no election has to be right. Gossip of documents moves out of the heartbeats' module. Tests red with each part taken out: ranks, own reads of followers, the comparison of digests, the meaning in place of bytes. The matrix's step now says what a call was told that never arrived.

--- a/cloverway/core/members.py
+++ b/cloverway/core/members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import NamedTuple
 
 from cloverway.core.decay import DecayingSum
@@ -69,7 +70,9 @@
         self.version = 0
         """The version of its configuration."""
         self.revision = 0
-        """How far it has read the store."""
+        """How far it has read the store, itself or through others."""
+        self.digest = 0
+        """Of the documents that it knows."""
         self.read_age_s = float("inf")
         """How long ago it read the store, when it was heard."""
         self.rate = 0.0
@@ -182,3 +185,8 @@
             and self.is_alive(peer, now)
             and now >= peer.failed_until
         ]
+
+
+def rank_for(duty: str, host: str) -> bytes:
+    """Give the rank of a host for a duty; the lowest do it, and all hosts agree who that is."""
+    return hashlib.blake2b(f"{duty} {host}".encode(), digest_size=8).digest()
--- a/cloverway/core/pacing.py
+++ b/cloverway/core/pacing.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from cloverway.core.members import rank_for
+
 WINDOW_S = 1.1
 """The second in which sends are counted, and a tenth more: sends spaced by just a second may
 arrive closer together than they left."""
@@ -28,11 +29,7 @@
     only as many as that send at all, those that a hash ranks first for this endpoint.
     """
     bound = int(cold_per_s * terms.overshoot + terms.slack)
-    rank = sorted({host, *hosts}, key=lambda name: _score(endpoint, name))
+    rank = sorted({host, *hosts}, key=lambda name: rank_for(endpoint, name))
     if rank.index(host) >= bound:
         return None
     return WINDOW_S / max(1, bound // len(rank))
-
-
-def _score(endpoint: str, host: str) -> bytes:
-    return hashlib.blake2b(f"{endpoint} {host}".encode(), digest_size=8).digest()
--- a/cloverway/fleet.thrift
+++ b/cloverway/fleet.thrift
@@ -40,17 +40,21 @@
   6: list<EndpointUse> uses
   7: list<RegionOffer> offers
   8: i32 rate_mhz
+  9: i64 digest
 }
 
 struct StoredDocument {
   1: string key
   2: i64 revision
   3: binary value
+  4: bool removed
 }
 
 struct StoredSnapshot {
   1: i64 revision
   2: list<StoredDocument> documents
+  3: bool whole
+  4: i64 digest
 }
 
 struct Message {
--- a/cloverway/serving/catalogue.py
+++ b/cloverway/serving/catalogue.py
@@ -7,9 +7,10 @@
 import random
 from collections.abc import Callable
 
-from cloverway.core.deployment import Document, Snapshot
+from cloverway.core.deployment import Snapshot
+from cloverway.core.documents import DocumentTable
 from cloverway.core.endpoints import Change, Directory
-from cloverway.core.members import Members
+from cloverway.core.members import Members, rank_for
 from cloverway.errors import PlatformError
 from cloverway.serving.clock import read_clock
 from cloverway.serving.ports import Dialect, HistoryGoneError, Store
@@ -23,6 +24,15 @@
 each read is paid for, and a second is a quarter of the strictest time to act on a change."""
 READS_PART = 0.5
 """Part of the store's reads that all hosts together take; the rest is for starts and repairs."""
+READERS = 2
+"""Hosts of a failure domain that read the store for all of it: each read is paid for. With two, one
+that dies or is cut off from the store delays nothing."""
+FOLLOW_S = 2.4
+"""A host that doesn't read for others reads the store itself when what it knows is older than this:
+a read by a reader, its pace, and one heartbeat of a large region. A change is then still in force
+within the four seconds that the strictest deployments give it."""
+LOOK_S = 0.1
+"""How often such a host looks how old its documents are."""
 RETRY_S = 0.3
 LONGEST_RETRY_S = 1.0
 FORGET_EVERY_S = 0.5
@@ -42,17 +52,17 @@
         reads_per_s: float,
     ) -> None:
         self.directory = directory
-        self.revision = 0
+        self.table = DocumentTable(dialect.decode_documents)
         self.read_at = float("-inf")
         """When the store, or a peer that had read it, was read last."""
-        self._documents: dict[str, Document] = {}
         self._store = store
-        self._dialect = dialect
         self._members = members
         self._figures = figures
         self._reads_per_s = reads_per_s
         self._lost = False
         self.on_change: Callable[[list[Change]], None] = lambda changes: None
+        self.on_news: Callable[[], None] = lambda: None
+        """Called when the store had something that means anything new."""
 
     async def run(self) -> None:
         """Read the store for ever."""
@@ -60,13 +70,16 @@
         retry_s = RETRY_S
         while True:
             began_at = read_clock()
+            if not whole and not self._must_read(began_at):
+                await asyncio.sleep(LOOK_S)
+                continue
             try:
                 whole = not await self._read(whole)
                 retry_s = RETRY_S
                 pace_s = began_at + self._choose_pace() - read_clock()
             except HistoryGoneError:
                 self._figures.note_read("history_gone")
-                tell("store_history_gone", revision=self.revision)
+                tell("store_history_gone", revision=self.table.revision)
                 whole = True
                 pace_s = 0.0
             except PlatformError as error:
@@ -83,57 +96,55 @@
 
     def apply(self, snapshot: Snapshot, source: str, now: float) -> None:
         """Take over documents, from the store or from a peer; older ones change nothing."""
-        if snapshot.revision < self.revision:
-            tell("snapshot_is_older", source=source, revision=snapshot.revision, own=self.revision)
+        if snapshot.revision < self.table.revision:
+            own = self.table.revision
+            tell("snapshot_is_older", source=source, revision=snapshot.revision, own=own)
             return
-        documents = [item for item in snapshot.documents if self._is_newer(item)]
-        if snapshot.whole:
-            documents += self._list_removed(snapshot)
-        for document in documents:
-            if document.value is None:
-                self._documents.pop(document.key, None)
-            else:
-                self._documents[document.key] = document
-        self.revision = snapshot.revision
-        self._tell(self.directory.apply(self._dialect.decode_documents(documents), now))
-
-    def export(self) -> Snapshot:
-        """Give all documents, for a peer that can't read the store."""
-        return Snapshot(self.revision, tuple(self._documents.values()), True)
+        self._tell(self.directory.apply(self.table.apply(snapshot), now))
+
+    def is_reader(self, now: float) -> bool:
+        """Tell whether this host reads the store for the others of its failure domain.
+
+        Hosts may disagree for a moment: then one more reads, or none until its documents are old.
+        """
+        own = self._members.own
+        names = [
+            peer.member.name
+            for peer in self._members.list_alive(now)
+            if peer.member.domain == own.domain and not peer.member.leaving
+        ]
+        ranked = sorted([own.name, *names], key=lambda name: rank_for(own.domain, name))
+        return own.name in ranked[:READERS]
 
     async def _read(self, whole: bool) -> bool:
         if whole:
             snapshot = await self._store.read_all()
         else:
-            snapshot = await self._store.watch(self.revision, WATCH_S)
+            snapshot = await self._store.watch(self.table.revision, WATCH_S)
         now = read_clock()
         self._figures.note_read("whole" if whole else "changes")
         if self._lost:
             self._lost = False
             tell("store_regained", revision=snapshot.revision, age_s=round(now - self.read_at, 3))
         self.read_at = now
+        digest = self.table.digest
         self.apply(snapshot, "store", now)
+        if self.table.digest != digest:
+            self.on_news()
         return True
 
+    def _must_read(self, now: float) -> bool:
+        return now - self.read_at > FOLLOW_S or self.is_reader(now)
+
     def _choose_pace(self) -> float:
         share = self._reads_per_s * READS_PART / self._members.count_fleet()
         return max(PACE_S, 1 / share)
 
-    def _is_newer(self, document: Document) -> bool:
-        held = self._documents.get(document.key)
-        return held is None or document.revision > held.revision
-
-    def _list_removed(self, snapshot: Snapshot) -> list[Document]:
-        present = {document.key for document in snapshot.documents}
-        return [
-            Document(key, snapshot.revision, None) for key in self._documents if key not in present
-        ]
-
     def _note_lost(self, error: PlatformError) -> None:
         self._figures.note_read(type(error).__name__)
         if not self._lost:
             self._lost = True
-            tell("store_lost", logging.WARNING, why=str(error), revision=self.revision)
+            tell("store_lost", logging.WARNING, why=str(error), revision=self.table.revision)
 
     def _tell(self, changes: list[Change]) -> None:
         for change in changes:
@@ -143,7 +154,7 @@
                 what=change.what,
                 subject=change.subject,
                 detail=change.detail,
-                revision=self.revision,
+                revision=self.table.revision,
             )
         if changes:
             self.on_change(changes)
--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/gossip.py
@@ -7,18 +7,14 @@
 import random
 from typing import cast
 
-import h11
-
 from cloverway.addresses import format_address, split_address
 from cloverway.core.calls import PromptPart
 from cloverway.core.choice import offer_region
-from cloverway.core.deployment import Document, Snapshot
 from cloverway.core.endpoints import Directory
 from cloverway.core.load import SiblingLoad
 from cloverway.core.members import Member, Members, Offer, Peer
 from cloverway.errors import PeerError
 from cloverway.serving.catalogue import Catalogue
-from cloverway.serving.client import AnswerError, ConnectError, Pool, fetch
 from cloverway.serving.clock import read_clock
 from cloverway.serving.peerwire import (
     CODEC,
@@ -26,9 +22,8 @@
     Heartbeat,
     HostState,
     RegionOffer,
-    StoredDocument,
-    StoredSnapshot,
 )
+from cloverway.serving.sync import DocumentSync
 from cloverway.serving.telemetry import Figures, tell
 
 log = logging.getLogger(__name__)
@@ -52,24 +47,18 @@
 """Hosts that a heartbeat speaks of, besides its sender."""
 MOST_PARTS = 32
 MAX_DATAGRAM_BYTES = 8 * 1024
-READ_STALE_S = 1.6
-"""A host whose last read of the store is older than this asks a peer that knows more: one whole
-read that was missed, and a little."""
-FETCH_S = 1.0
-FETCH_LIMIT = 64 * 1024 * 1024
-SNAPSHOT_PATH = "/snapshot"
 FREE_MOST = 1000
 
 
 class Gossip(asyncio.DatagramProtocol):
-    """Sends and hears heartbeats; asks a peer for documents where the store can't be read."""
+    """Sends and hears heartbeats."""
 
     def __init__(
         self,
         members: Members,
         directory: Directory,
         catalogue: Catalogue,
-        pool: Pool,
+        sync: DocumentSync,
         figures: Figures,
         *,
         seeds: tuple[str, ...],
@@ -77,7 +66,7 @@
         self.members = members
         self.directory = directory
         self.catalogue = catalogue
-        self.pool = pool
+        self.sync = sync
         self.figures = figures
         self.seeds = seeds
         self._transport: asyncio.DatagramTransport
@@ -126,23 +115,19 @@
             self._note_alive(now)
             await asyncio.sleep(NEAR_S)
 
-    async def repair(self) -> None:
-        """Ask peers for documents when the store has not been read lately, for ever."""
-        while True:
-            await asyncio.sleep(NEAR_S)
-            now = read_clock()
-            if now - self.catalogue.read_at < READ_STALE_S:
-                continue
-            peer = self._choose_source(now)
-            if peer is not None:
-                await self._fetch_from(peer)
-
     def announce(self) -> None:
         """Tell all hosts at once what has changed of this one."""
         now = read_clock()
         self._send_near(now, True)
         self._send_far(now)
 
+    def announce_news(self) -> None:
+        """Tell the hosts of the domain at once that there are new documents to be had here."""
+        data = self._encode(read_clock(), (), (), ())
+        for peer in self.members.peers.values():
+            if peer.member.domain == self.members.own.domain:
+                self._send(peer.member.name, data)
+
     def tell_uses(self) -> None:
         """Tell the hosts that send to the same endpoints, at once, what this one has there.
 
@@ -224,12 +209,13 @@
         heartbeat = Heartbeat(
             _describe(self.members.own, 0.0),
             configuration.version if configuration is not None else 0,
-            self.catalogue.revision,
+            self.catalogue.table.revision,
             int(age_ms),
             others,
             uses,
             offers,
             int(self.members.get_own_rate(now) * 1000),
+            self.catalogue.table.digest,
         )
         return CODEC.encode(heartbeat)
 
@@ -293,6 +279,8 @@
         peer.revision = heartbeat.revision
         peer.read_age_s = heartbeat.read_age_ms / 1000
         peer.rate = heartbeat.rate_mhz / 1000
+        peer.digest = heartbeat.digest
+        self.sync.note(peer, now)
         if heartbeat.offers:
             peer.offers = {
                 offer.service_name: Offer(
@@ -322,52 +310,6 @@
             tell("host_silent", peer=name)
         self._alive = alive
 
-    # Repair
-
-    def _choose_source(self, now: float) -> Peer | None:
-        """Choose a peer that has read the store later than this host."""
-        own_age = now - self.catalogue.read_at
-        known = [
-            peer
-            for peer in self.members.list_alive(now)
-            if peer.revision > self.catalogue.revision
-            and peer.read_age_s + now - peer.direct_at < own_age
-            and now >= peer.failed_until
-        ]
-        near = [peer for peer in known if self._is_near(peer.member)]
-        return random.choice(near or known) if known else None
-
-    async def _fetch_from(self, peer: Peer) -> None:
-        request = h11.Request(method="GET", target=SNAPSHOT_PATH, headers=[(b"Host", b"peer")])
-        asked_at = read_clock()
-        try:
-            head, body = await fetch(
-                self.pool, peer.member.inner, request, b"", timeout_s=FETCH_S, limit=FETCH_LIMIT
-            )
-            if head.status != 200:
-                raise AnswerError(f"status {head.status}")
-            snapshot = CODEC.decode(body)
-            assert isinstance(snapshot, StoredSnapshot)
-        except (ConnectError, AnswerError, PeerError) as error:
-            peer.failed_until = read_clock() + FETCH_S
-            tell("documents_not_fetched", peer=peer.member.name, why=str(error))
-            return
-        documents = tuple(Document(d.key, d.revision, d.value) for d in snapshot.documents)
-        tell("documents_fetched", peer=peer.member.name, revision=snapshot.revision)
-        now = read_clock()
-        self.catalogue.apply(Snapshot(snapshot.revision, documents, True), "peer", now)
-        self.catalogue.read_at = max(self.catalogue.read_at, asked_at - peer.read_age_s)
-
-
-def encode_snapshot(snapshot: Snapshot) -> bytes:
-    """Give the documents that this host knows, for a peer."""
-    documents = tuple(
-        StoredDocument(document.key, document.revision, document.value)
-        for document in snapshot.documents
-        if document.value is not None
-    )
-    return CODEC.encode(StoredSnapshot(snapshot.revision, documents))
-
 
 def _describe(member: Member, age_s: float) -> HostState:
     return HostState(*member[:6], member.ready, member.leaving, int(age_s * 1000), member.capacity)
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -22,10 +22,11 @@
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
 from cloverway.serving.forwarding import Forwarder
-from cloverway.serving.gossip import SNAPSHOT_PATH, Gossip, encode_snapshot
+from cloverway.serving.gossip import Gossip
 from cloverway.serving.ports import Dialect, Store
 from cloverway.serving.server import REASONS, Exchange, Server, ServerTerms
 from cloverway.serving.settings import FleetSettings
+from cloverway.serving.sync import DocumentSync, answer_fetch
 from cloverway.serving.telemetry import Figures, LineWriter, configure_lines, tell
 
 log = logging.getLogger(__name__)
@@ -72,14 +73,16 @@
             reads_per_s=settings.store.reads_per_s,
         )
         self.catalogue.on_change = self._note_changes
+        self.sync = DocumentSync(self.members, self.catalogue, self.context.pool)
         self.gossip = Gossip(
             self.members,
             self.directory,
             self.catalogue,
-            self.context.pool,
+            self.sync,
             self.figures,
             seeds=settings.peers.seeds,
         )
+        self.catalogue.on_news = self.gossip.announce_news
         self.context.targeting.on_prompt = self.gossip.tell_uses
         self.leaving_at: float | None = None
         terms = ServerTerms(self._get_limits, self._is_leaving, self._format_refusal)
@@ -102,7 +105,7 @@
         await self.metrics.start(f"{ip}:{listen.metrics_port}")
         runs = (
             self.gossip.run,
-            self.gossip.repair,
+            self.sync.run,
             self.catalogue.run,
             self.catalogue.forget,
             self._tick,
@@ -159,9 +162,9 @@
         await self.forwarder.handle(exchange)
 
     async def _handle_inner(self, exchange: Exchange) -> None:
-        if exchange.target == SNAPSHOT_PATH:
-            body = encode_snapshot(self.catalogue.export())
-            await exchange.answer(200, [], body)
+        documents = answer_fetch(self.catalogue.table, exchange.target)
+        if documents is not None:
+            await exchange.answer(200, [], documents)
             return
         await self.forwarder.handle_passed_on(exchange)
 
--- a/cloverway/serving/peerwire.py
+++ b/cloverway/serving/peerwire.py
@@ -56,7 +56,7 @@
     version: int
     """The version of the sender's configuration."""
     revision: int
-    """How far the sender has read the store."""
+    """How far the sender has read the store, itself or through others."""
     read_age_ms: int
     """How long ago it read the store."""
     others: tuple[HostState, ...] = ()
@@ -64,6 +64,8 @@
     offers: tuple[RegionOffer, ...] = ()
     rate_mhz: int = 0
     """Requests of callers at the sender, in thousandths per second."""
+    digest: int = 0
+    """Of what the documents mean that the sender knows."""
 
 
 class StoredDocument(NamedTuple):
@@ -72,13 +74,17 @@
     key: str
     revision: int
     value: bytes
+    removed: bool = False
 
 
 class StoredSnapshot(NamedTuple):
-    """All published documents that the sender knows."""
+    """Published documents that the sender knows: all, or those that changed."""
 
     revision: int
     documents: tuple[StoredDocument, ...]
+    whole: bool = True
+    digest: int = 0
+    """Of all documents that the sender knows."""
 
 
 CODEC = StructCodec("fleet.thrift", (Heartbeat, StoredSnapshot))
--- a/cloverway/tests/matrix/steps.py
+++ b/cloverway/tests/matrix/steps.py
@@ -180,7 +180,13 @@
     bench.set_faults(bench.endpoints(call), **hold)
     flight = _make_flight(bench, call, name)
     _depart(bench, flight)
-    wait_until(lambda: bench.runs(flight.mark) == 1, 5, "the request to reach an endpoint")
+
+    def has_arrived() -> bool:
+        # A call that was refused never arrives: what it was told is the trace of the cause.
+        assert not flight.result.done(), flight.result.result()
+        return bench.runs(flight.mark) == 1
+
+    wait_until(has_arrived, 5, "the request to reach an endpoint")
     flight.release = bench.clear_faults  # type: ignore[method-assign]
     return flight
 
--- /dev/null
+++ b/cloverway/tests/test_core_documents.py
@@ -0,0 +1,121 @@
+"""Published documents passed from host to host; no network."""
+
+from __future__ import annotations
+
+import json
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cloverway.core import documents as documents_module
+from cloverway.core.deployment import Document, Snapshot
+from cloverway.core.documents import DocumentTable
+from cloverway.platform.documents import decode_documents
+
+
+def make_entry(state="ready", sequence=1, **fields):
+    entry = {"service": "s", "address": "10.0.0.1:1", "zone": "d1", "slots": 3, "state": state}
+    return json.dumps(entry | {"sequence": sequence} | fields).encode()
+
+
+def make_table(*documents, revision=10):
+    table = DocumentTable(decode_documents)
+    table.apply(Snapshot(revision, documents, True))
+    return table
+
+
+def change(table, revision, *documents):
+    return table.apply(Snapshot(revision, documents, False))
+
+
+def test_an_endpoints_heartbeat_that_says_nothing_new_is_no_news():
+    """70 endpoints write each second; told on as news, each write would go to every host."""
+    table = make_table(Document("servers/a", 5, make_entry()))
+    digest = table.digest
+    assert change(table, 11, Document("servers/a", 11, make_entry(sequence=2))) == []
+    assert table.digest == digest
+    assert len(change(table, 12, Document("servers/a", 12, make_entry("draining", 3)))) == 1
+    assert table.digest != digest
+
+
+def test_a_host_that_knows_the_same_takes_over_how_far_another_has_read():
+    reader = make_table(Document("servers/a", 5, make_entry()))
+    follower = make_table(Document("servers/a", 4, make_entry()), revision=9)
+    change(reader, 20, Document("servers/a", 20, make_entry(sequence=9)))
+    assert follower.follow(reader.revision, reader.digest)
+    assert follower.revision == 20
+    assert not follower.follow(19, reader.digest)
+
+
+def test_a_host_that_misses_a_change_does_not_take_it_for_known():
+    """It would go on sending to an endpoint that drains, and believe itself up to date."""
+    reader = make_table(Document("servers/a", 5, make_entry()))
+    follower = make_table(Document("servers/a", 5, make_entry()))
+    change(reader, 12, Document("servers/a", 12, make_entry("draining")))
+    assert not follower.follow(reader.revision, reader.digest)
+    assert follower.revision == 10
+
+
+def test_what_has_changed_is_told_with_deletions():
+    reader = make_table(Document("servers/a", 5, make_entry()), Document("servers/b", 6, b"{}"))
+    follower = make_table(Document("servers/a", 5, make_entry()), Document("servers/b", 6, b"{}"))
+    change(reader, 12, Document("servers/a", 12, None))
+    told = reader.export(follower.revision)
+    assert not told.whole
+    assert [item.key for item in told.documents] == ["servers/a"]
+    follower.apply(told)
+    assert follower.digest == reader.digest
+
+
+def test_who_is_far_behind_is_given_everything(monkeypatch):
+    """A host that was frozen for long asks for changes, some of which nobody remembers."""
+    monkeypatch.setattr(documents_module, "MOST_REMOVED", 2)
+    keys = [f"servers/{number}" for number in range(6)]
+    reader = make_table(*(Document(key, 5, make_entry()) for key in keys))
+    behind = make_table(*(Document(key, 5, make_entry()) for key in keys))
+    for number, key in enumerate(keys[:4]):
+        change(reader, 20 + number, Document(key, 20 + number, None))
+    told = reader.export(behind.revision)
+    assert told.whole
+    behind.apply(told)
+    assert behind.digest == reader.digest
+    assert reader.export(-1).whole
+
+
+def test_an_older_snapshot_changes_nothing():
+    table = make_table(Document("servers/a", 5, make_entry()))
+    digest = table.digest
+    assert table.apply(Snapshot(9, (), True)) == []
+    assert table.digest == digest
+
+
+WRITES = st.lists(
+    st.tuples(st.sampled_from("abcd"), st.sampled_from(["ready", "draining", None])), max_size=30
+)
+
+
+@given(WRITES, st.lists(st.integers(0, 3), min_size=30, max_size=30))
+@settings(max_examples=300)
+def test_hosts_that_read_and_hosts_that_follow_come_to_know_the_same(writes, steps):
+    """Two hosts read now and then, a third only follows; in the end all know what the store has."""
+    readers = [make_table(revision=0), make_table(revision=0)]
+    follower = make_table(revision=0)
+    history = []
+    for number, (key, state) in enumerate(writes):
+        revision = number + 1
+        value = None if state is None else make_entry(state, revision)
+        history.append(Document(f"servers/{key}", revision, value))
+        match steps[number]:
+            case 0 | 1 as which:
+                table = readers[which]
+                new = [item for item in history if item.revision > table.revision]
+                change(table, revision, *new)
+            case which:
+                table = readers[which - 2]
+                if not follower.follow(table.revision, table.digest):
+                    follower.apply(table.export(follower.revision))
+    for table in readers:
+        change(table, 100, *(item for item in history if item.revision > table.revision))
+    if not follower.follow(100, readers[0].digest):
+        follower.apply(readers[0].export(follower.revision))
+    assert readers[0].digest == readers[1].digest == follower.digest
--- a/cloverway/tests/test_fleet_path.py
+++ b/cloverway/tests/test_fleet_path.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from cloverway.serving.catalogue import FOLLOW_S
 from cloverway.serving.client import AnswerError, fetch, make_request
 from cloverway.serving.clock import read_clock
 from cloverway.tests.fleet.deployment import read_reply, run_fleet, wait_for
@@ -395,6 +396,52 @@
     play(scenario)
 
 
+def test_two_hosts_of_a_domain_read_the_store_and_the_others_follow_them():
+    """Each read is paid for; with 90 hosts reading each second, a twentieth of what callers got.
+
+    A change must still be in force everywhere at once, as if all of them had read.
+    """
+
+    async def scenario():
+        async with run_fleet(hosts=5) as fleet:
+            await wait_for(
+                lambda: sum(h.catalogue.is_reader(read_clock()) for h in fleet.hosts) == 2
+            )
+            await asyncio.sleep(0.5)
+            before = len(fleet.store.calls)
+            await asyncio.sleep(3.0)
+            assert len(fleet.store.calls) - before <= 2 * 4
+            assert all(read_clock() - host.catalogue.read_at < FOLLOW_S for host in fleet.hosts)
+            fleet.store.put("op/evacuate/d1", {})
+            await wait_for(lambda: all(h.directory.evacuated for h in fleet.hosts), 1.5)
+            fleet.store.delete("op/evacuate/d1")
+            await wait_for(lambda: not any(h.directory.evacuated for h in fleet.hosts), 1.5)
+
+    play(scenario)
+
+
+def test_the_others_read_for_themselves_when_no_reader_reads():
+    """Both hosts that read for their domain are cut off from the store, and nothing else is.
+
+    Their documents grow old, and so do those of the hosts that follow them. The followers see that
+    by the age alone, read the store, and tell the readers.
+    """
+
+    async def scenario():
+        async with run_fleet(hosts=4) as fleet:
+            await wait_for(
+                lambda: sum(h.catalogue.is_reader(read_clock()) for h in fleet.hosts) == 2
+            )
+            for host in fleet.hosts:
+                if host.catalogue.is_reader(read_clock()):
+                    host.catalogue._store._address = "127.0.0.1:9"
+            await asyncio.sleep(0.1)
+            fleet.store.put("op/evacuate/d1", {})
+            await wait_for(lambda: all(h.directory.evacuated for h in fleet.hosts), 3.9)
+
+    play(scenario)
+
+
 def test_a_leaving_host_is_not_ready_answers_on_and_refuses_later_with_not_run():
     async def scenario():
         async with run_fleet(endpoints=1) as fleet:
