Tell what hosts have at endpoints in messages of their own, and others to a few hosts only

Each heartbeat had a list of all endpoints in use, went to 29 hosts, and spoke of eight others to each of them. Ruled out: reads of the store (with six in seven taken away the bytes stayed the same). Change: uses of endpoints go in a message of their own with what has changed, to the hosts that serve callers (to all in a small region), and again each second; a host speaks of others to three hosts a second. A newcomer is told of the others by the first that hears it, since it would otherwise learn of them slowly now.

--- a/cloverway/core/load.py
+++ b/cloverway/core/load.py
@@ -51,6 +51,16 @@
     at: float
 
 
+class LoadNews(NamedTuple):
+    """What a host tells others of its requests at an endpoint."""
+
+    own: SiblingLoad
+    parts: tuple[PromptPart, ...]
+    """Parts of prompts that were sent there lately."""
+    read: int
+    """Prompt tokens that were sent there since the last time."""
+
+
 class EndpointLoad:
     """The load of one endpoint as far as this host knows it."""
 
@@ -65,13 +75,13 @@
         self._read_at = 0.0
         self._backlog = 0.0
         self._fresh_read = 0
-        self.fresh_parts: deque[PromptPart] = deque(maxlen=FRESH_PARTS)
-        """Parts sent since the last heartbeat, to be told to siblings."""
+        self._fresh_parts: deque[PromptPart] = deque(maxlen=FRESH_PARTS)
+        """Parts that were sent, to be told to siblings."""
         self.read_s_per_token = READ_S_PER_TOKEN
         self.work_s = FIRST_WORK_S
         self.progress_at = 0.0
-        self.was_told = False
-        """Whether the last heartbeat spoke of requests at the endpoint: their end is told once."""
+        self._has_changed = False
+        """Whether something here was not told to the other hosts yet."""
         self._failures = DecayingSum(FAIL_FORGET_S)
 
     def begin(self, number: int, work: Work, prompt: Prompt | None, now: float) -> None:
@@ -79,22 +89,25 @@
         if not self._own:
             self.progress_at = now
         self._own[number] = work
+        self._has_changed = True
         self.note_read(work.unread, now)
         self._fresh_read += work.unread
         if prompt is not None:
             self.note_parts(prompt.parts)
-            self.fresh_parts.extend(prompt.parts)
+            self._fresh_parts.extend(prompt.parts)
 
     def note_first(self, number: int, now: float) -> None:
         """Note the first event of a request: its prompt has been read."""
         self.progress_at = now
         work = self._own.get(number)
-        if work is not None:
+        if work is not None and work.unread:
             self._own[number] = work._replace(unread=0)
+            self._has_changed = True
 
     def end(self, number: int) -> None:
         """Note that a request has ended, however."""
         self._own.pop(number, None)
+        self._has_changed = True
 
     def learn_work(self, seconds: float) -> None:
         """Learn from the time that a plain request took."""
@@ -137,10 +150,17 @@
         self._read.add(tokens, now)
         self._read_at = now
 
-    def take_fresh_read(self) -> int:
-        """Give the prompt tokens that this host sent since it was asked last."""
-        tokens, self._fresh_read = self._fresh_read, 0
-        return tokens
+    def has_news(self, is_refresh: bool) -> bool:
+        """Tell whether other hosts should hear of this load; a refresh repeats what still holds."""
+        return self._has_changed or bool(self._fresh_parts) or (is_refresh and bool(self._own))
+
+    def take_news(self, most_parts: int) -> LoadNews:
+        """Give what other hosts should hear, and note that they were told."""
+        count = min(most_parts, len(self._fresh_parts))
+        parts = tuple(self._fresh_parts.popleft() for _ in range(count))
+        read, self._fresh_read = self._fresh_read, 0
+        self._has_changed = False
+        return LoadNews(self.sum_own(), parts, read)
 
     def sum_all(self, now: float) -> SiblingLoad:
         """Give what all hosts of the region have at the endpoint."""
--- a/cloverway/fleet.thrift
+++ b/cloverway/fleet.thrift
@@ -37,10 +37,15 @@
   3: i64 revision
   4: i32 read_age_ms
   5: list<HostState> others
-  6: list<EndpointUse> uses
   7: list<RegionOffer> offers
   8: i32 rate_mhz
   9: i64 digest
+  10: i32 known
+}
+
+struct EndpointUses {
+  1: string host
+  2: list<EndpointUse> uses
 }
 
 struct StoredDocument {
@@ -60,4 +65,5 @@
 struct Message {
   1: Heartbeat Heartbeat
   2: StoredSnapshot StoredSnapshot
+  3: EndpointUses EndpointUses
 }
--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/gossip.py
@@ -8,44 +8,44 @@
 from typing import cast
 
 from cloverway.addresses import format_address, split_address
-from cloverway.core.calls import PromptPart
 from cloverway.core.choice import offer_region
 from cloverway.core.endpoints import Directory
-from cloverway.core.load import SiblingLoad
 from cloverway.core.members import Member, Members, Offer, Peer
 from cloverway.errors import PeerError
 from cloverway.serving.catalogue import Catalogue
 from cloverway.serving.clock import read_clock
 from cloverway.serving.peerwire import (
     CODEC,
-    EndpointUse,
+    EndpointUses,
     Heartbeat,
     HostState,
     RegionOffer,
 )
 from cloverway.serving.sync import DocumentSync
 from cloverway.serving.telemetry import Figures, tell
+from cloverway.serving.uses import UseExchange
 
 log = logging.getLogger(__name__)
 
-NEAR_S = 0.2
-"""Period of heartbeats within the region, and in large ones of what hosts that serve callers tell
-each other: loads of endpoints change as fast as a prompt is read."""
+TICK_S = 0.2
+NEAR_S = 0.4
+"""Period of heartbeats within a small region: a host is missed after four of them."""
 NEAR_HOSTS = 8
 """Hosts of a region up to which that period holds; with more it grows with their number. A host
-then sends 40 heartbeats a second at most, whatever the size of its region."""
+then sends 20 heartbeats a second at most, whatever the size of its region."""
 MOST_NEAR_S = 1.0
 """The longest such period: a host is taken for gone after less than four of them."""
-ACTIVE_RATE = 1.5
-"""Requests per second from which a host is told at once what others send to endpoints. Hosts that
-callers are not led to get fewer: those that try which configuration is in force."""
+NEAR_TOLD = 3
+"""Hosts of the region that are told each second of others. All hosts of a region send heartbeats to
+each other, so this only mends what a host has missed."""
 FAR_S = 1.0
 """Period of heartbeats to other regions, where bytes cost and only sums are told."""
 FAR_HOSTS = 2
 """Hosts of each other region that get them; those tell their siblings."""
 OTHERS = 8
 """Hosts that a heartbeat speaks of, besides its sender."""
-MOST_PARTS = 32
+MOST_WELCOME = 40
+"""Hosts that a newcomer is told of at once: 6 KB."""
 MAX_DATAGRAM_BYTES = 8 * 1024
 FREE_MOST = 1000
 
@@ -70,8 +70,8 @@
         self.figures = figures
         self.seeds = seeds
         self._transport: asyncio.DatagramTransport
+        self.uses = UseExchange(members, directory, self._send)
         self._alive: set[str] = set()
-        self._is_telling = False
 
     async def start(self, address: str) -> None:
         """Bind the address for heartbeats; raise OSError."""
@@ -91,6 +91,8 @@
             return
         if isinstance(message, Heartbeat):
             self._hear(message, format_address(addr), read_clock())
+        elif isinstance(message, EndpointUses):
+            self.uses.hear(message, read_clock())
 
     def error_received(self, exc: Exception) -> None:
         """Note that a datagram met no listener; the host is missed by its silence."""
@@ -101,71 +103,59 @@
         near_at = far_at = 0.0
         while True:
             now = read_clock()
-            speaks_of_others = now >= far_at
-            if speaks_of_others or now >= near_at:
+            if now >= near_at:
                 near_at = now + self._choose_period()
-                self._send_near(now, speaks_of_others)
-            else:
-                self._send_uses()
-            if speaks_of_others:
+                self._send_near(now)
+            if now >= far_at:
                 far_at = now + FAR_S
+                self._send_others(now)
                 self._send_far(now)
                 self._send_seeds(now)
                 self.members.forget(now)
             self._note_alive(now)
-            await asyncio.sleep(NEAR_S)
+            await asyncio.sleep(TICK_S)
 
     def announce(self) -> None:
         """Tell all hosts at once what has changed of this one."""
         now = read_clock()
-        self._send_near(now, True)
+        self._send_near(now)
         self._send_far(now)
 
     def announce_news(self) -> None:
         """Tell the hosts of the domain at once that there are new documents to be had here."""
-        data = self._encode(read_clock(), (), (), ())
+        data = self._encode(read_clock(), (), ())
         for peer in self.members.peers.values():
             if peer.member.domain == self.members.own.domain:
                 self._send(peer.member.name, data)
 
-    def tell_uses(self) -> None:
-        """Tell the hosts that send to the same endpoints, at once, what this one has there.
-
-        Until the next heartbeat they would take an engine for idle that has just got a long prompt.
-        What is sent within one turn of the event loop goes in one datagram.
-        """
-        if not self._is_telling:
-            self._is_telling = True
-            asyncio.get_running_loop().call_soon(self._send_uses)
-
     # Sending
 
-    def _send_uses(self) -> None:
-        self._is_telling = False
-        active = [
-            peer
-            for peer in self.members.peers.values()
-            if self._is_near(peer.member) and peer.rate >= ACTIVE_RATE
-        ]
-        if active:
-            data = self._encode(read_clock(), (), self._list_uses(), ())
-            for peer in active:
-                self._send(peer.member.name, data)
-
     def _choose_period(self) -> float:
         hosts = len(self.members.list_region())
-        if hosts <= NEAR_HOSTS:
-            return 0.0
-        return min(MOST_NEAR_S, NEAR_S * hosts / NEAR_HOSTS)
-
-    def _send_near(self, now: float, speaks_of_others: bool) -> None:
-        near = [p for p in self.members.peers.values() if self._is_near(p.member)]
-        if not near:
+        return min(MOST_NEAR_S, NEAR_S * max(1.0, hosts / NEAR_HOSTS)) - TICK_S / 2
+
+    def _send_near(self, now: float) -> None:
+        near = self.members.list_region()
+        if near:
+            data = self._encode(now, (), ())
+            for name in near:
+                self._send(name, data)
+
+    def _send_others(self, now: float) -> None:
+        near = self.members.list_region()
+        if near:
+            data = self._encode(now, self._list_others(now), ())
+            for name in random.sample(near, min(NEAR_TOLD, len(near))):
+                self._send(name, data)
+
+    def _welcome(self, peer: Peer, known: int, now: float) -> None:
+        """Tell a host that knows few others of them, those of its region first."""
+        alive = self.members.list_alive(now)
+        if known + OTHERS >= len(alive):
             return
-        others = self._list_others(now) if speaks_of_others else ()
-        data = self._encode(now, others, self._list_uses(), ())
-        for peer in near:
-            self._send(peer.member.name, data)
+        alive.sort(key=lambda other: other.member.region != peer.member.region)
+        others = tuple(_describe(p.member, now - p.heard_at) for p in alive[:MOST_WELCOME])
+        self._send(peer.member.name, self._encode(now, others, ()))
 
     def _send_far(self, now: float) -> None:
         regions: dict[str, list[Peer]] = {}
@@ -174,7 +164,7 @@
                 regions.setdefault(peer.member.region, []).append(peer)
         if not regions:
             return
-        data = self._encode(now, self._list_others(now), (), self._list_offers(now))
+        data = self._encode(now, self._list_others(now), self._list_offers(now))
         for peers in regions.values():
             for peer in random.sample(peers, min(FAR_HOSTS, len(peers))):
                 self._send(peer.member.name, data)
@@ -183,7 +173,7 @@
         """Reach hosts that are not known: at the start, and after everybody was cut off."""
         unknown = [s for s in self.seeds if s not in self.members.peers and s != self._own_name]
         if unknown:
-            data = self._encode(now, self._list_others(now), (), ())
+            data = self._encode(now, self._list_others(now), ())
             for seed in unknown:
                 self._send(seed, data)
 
@@ -201,7 +191,6 @@
         self,
         now: float,
         others: tuple[HostState, ...],
-        uses: tuple[EndpointUse, ...],
         offers: tuple[RegionOffer, ...],
     ) -> bytes:
         age_ms = min(now - self.catalogue.read_at, 1e6) * 1000
@@ -212,10 +201,10 @@
             self.catalogue.table.revision,
             int(age_ms),
             others,
-            uses,
             offers,
             int(self.members.get_own_rate(now) * 1000),
             self.catalogue.table.digest,
+            len(self.members.peers),
         )
         return CODEC.encode(heartbeat)
 
@@ -224,25 +213,6 @@
         chosen = random.sample(alive, min(OTHERS, len(alive)))
         return tuple(_describe(peer.member, now - peer.heard_at) for peer in chosen)
 
-    def _list_uses(self) -> tuple[EndpointUse, ...]:
-        uses = []
-        for endpoint in self.directory.endpoints.values():
-            load = endpoint.load
-            fresh = [
-                load.fresh_parts.popleft() for _ in range(min(MOST_PARTS, len(load.fresh_parts)))
-            ]
-            own = load.sum_own()
-            if own.running or fresh or load.was_told:
-                load.was_told = bool(own.running)
-                parts = tuple(part.id for part in fresh)
-                tokens = tuple(part.tokens for part in fresh)
-                name = endpoint.entry.id
-                read = load.take_fresh_read()
-                uses.append(
-                    EndpointUse(name, own.running, own.unread, own.held, parts, tokens, read)
-                )
-        return tuple(uses)
-
     def _list_offers(self, now: float) -> tuple[RegionOffer, ...]:
         """Sum up what this region's endpoints can take, by service."""
         configuration = self.directory.configuration
@@ -268,9 +238,12 @@
         state = heartbeat.sender
         for other in heartbeat.others:
             self.members.hear(_read_member(other), other.age_ms / 1000, False, now)
+        known = self.members.peers.get(state.name)
         peer = self.members.hear(_read_member(state), 0.0, True, now)
         if peer is None:
             return
+        if peer is not known:
+            self._welcome(peer, heartbeat.known, now)
         if address != state.name:
             log.warning(
                 "a heartbeat came from elsewhere", extra={"from": address, "is": state.name}
@@ -288,17 +261,6 @@
                 )
                 for offer in heartbeat.offers
             }
-        for use in heartbeat.uses:
-            self._hear_use(state.name, use, now)
-
-    def _hear_use(self, host: str, use: EndpointUse, now: float) -> None:
-        endpoint = self.directory.endpoints.get(use.endpoint)
-        if endpoint is None:
-            return
-        parts = [PromptPart(*pair) for pair in zip(use.parts, use.tokens, strict=False)]
-        load = SiblingLoad(use.running, use.unread, use.held, now)
-        endpoint.load.note_sibling(host, load, parts)
-        endpoint.load.note_read(use.read, now)
 
     def _note_alive(self, now: float) -> None:
         alive = {peer.member.name for peer in self.members.list_alive(now)}
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -83,7 +83,7 @@
             seeds=settings.peers.seeds,
         )
         self.catalogue.on_news = self.gossip.announce_news
-        self.context.targeting.on_prompt = self.gossip.tell_uses
+        self.context.targeting.on_prompt = self.gossip.uses.tell_at_once
         self.leaving_at: float | None = None
         terms = ServerTerms(self._get_limits, self._is_leaving, self._format_refusal)
         self.callers = Server(self._handle_call, terms)
@@ -105,6 +105,7 @@
         await self.metrics.start(f"{ip}:{listen.metrics_port}")
         runs = (
             self.gossip.run,
+            self.gossip.uses.run,
             self.sync.run,
             self.catalogue.run,
             self.catalogue.forget,
--- a/cloverway/serving/peerwire.py
+++ b/cloverway/serving/peerwire.py
@@ -36,7 +36,14 @@
     tokens: tuple[int, ...] = ()
     """The size of each of the parts."""
     read: int = 0
-    """Prompt tokens that the sender sent there since its last heartbeat."""
+    """Prompt tokens that the sender sent there since it told of them last."""
+
+
+class EndpointUses(NamedTuple):
+    """What one host has at endpoints; those that are not named are as it said before."""
+
+    host: str
+    uses: tuple[EndpointUse, ...]
 
 
 class RegionOffer(NamedTuple):
@@ -60,12 +67,13 @@
     read_age_ms: int
     """How long ago it read the store."""
     others: tuple[HostState, ...] = ()
-    uses: tuple[EndpointUse, ...] = ()
     offers: tuple[RegionOffer, ...] = ()
     rate_mhz: int = 0
     """Requests of callers at the sender, in thousandths per second."""
     digest: int = 0
     """Of what the documents mean that the sender knows."""
+    known: int = 0
+    """Hosts that the sender knows."""
 
 
 class StoredDocument(NamedTuple):
@@ -87,4 +95,4 @@
     """Of all documents that the sender knows."""
 
 
-CODEC = StructCodec("fleet.thrift", (Heartbeat, StoredSnapshot))
+CODEC = StructCodec("fleet.thrift", (Heartbeat, StoredSnapshot, EndpointUses))
--- /dev/null
+++ b/cloverway/serving/uses.py
@@ -0,0 +1,113 @@
+"""What hosts of a region tell each other of the requests that they have at endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from cloverway.core.calls import PromptPart
+from cloverway.core.endpoints import Directory, Endpoint
+from cloverway.core.load import SiblingLoad
+from cloverway.core.members import Members, Peer
+from cloverway.serving.clock import read_clock
+from cloverway.serving.peerwire import CODEC, EndpointUse, EndpointUses
+
+TELL_S = 0.2
+"""Period in which changes are told: loads of endpoints change as fast as a prompt is read."""
+REFRESH_S = 1.0
+"""Period in which everything is told again: half of the time for which it counts, since datagrams
+are lost."""
+SMALL_REGION = 8
+"""Hosts of a region up to which all of them are told. In larger ones, of which only few hosts serve
+callers, the others would get most of what is told and make no use of it."""
+ACTIVE_RATE = 1.5
+"""Requests per second from which a host of a large region is told. Hosts that callers are not led
+to get fewer: those that try which configuration is in force."""
+MOST_TOLD_AT_ONCE = 8
+"""Hosts that are told of one long prompt at once. Where more serve callers, all hear of it with the
+next period: what the requests cost the hosts of a region stays bounded so."""
+MOST_PARTS = 32
+
+
+class UseExchange:
+    """Tells and hears what hosts have at endpoints."""
+
+    def __init__(
+        self, members: Members, directory: Directory, send: Callable[[str, bytes], None]
+    ) -> None:
+        self._members = members
+        self._directory = directory
+        self._send = send
+        self._is_telling = False
+
+    async def run(self) -> None:
+        """Tell what has changed, for ever."""
+        refresh_at = 0.0
+        while True:
+            now = read_clock()
+            is_refresh = now >= refresh_at
+            if is_refresh:
+                refresh_at = now + REFRESH_S
+            self._tell(self._list_listeners(), is_refresh)
+            await asyncio.sleep(TELL_S)
+
+    def tell_at_once(self) -> None:
+        """Tell the other hosts of a long prompt without waiting for the next period.
+
+        Until then they would take an engine for idle that has just got it. What is sent within one
+        turn of the event loop is told together.
+        """
+        if not self._is_telling:
+            self._is_telling = True
+            asyncio.get_running_loop().call_soon(self._tell_now)
+
+    def hear(self, message: EndpointUses, now: float) -> None:
+        """Take over what another host has at endpoints."""
+        if message.host not in self._members.peers:
+            return
+        for use in message.uses:
+            endpoint = self._directory.endpoints.get(use.endpoint)
+            if endpoint is not None:
+                parts = [PromptPart(*pair) for pair in zip(use.parts, use.tokens, strict=False)]
+                load = SiblingLoad(use.running, use.unread, use.held, now)
+                endpoint.load.note_sibling(message.host, load, parts)
+                endpoint.load.note_read(use.read, now)
+
+    def _tell_now(self) -> None:
+        self._is_telling = False
+        listeners = self._list_listeners()
+        if len(listeners) <= MOST_TOLD_AT_ONCE:
+            self._tell(listeners, False)
+
+    def _tell(self, listeners: list[Peer], is_refresh: bool) -> None:
+        if not listeners:
+            return
+        endpoints = self._directory.endpoints.values()
+        uses = tuple(
+            _take_use(endpoint) for endpoint in endpoints if endpoint.load.has_news(is_refresh)
+        )
+        if not uses:
+            return
+        data = CODEC.encode(EndpointUses(self._members.own.name, uses))
+        for peer in listeners:
+            self._send(peer.member.name, data)
+
+    def _list_listeners(self) -> list[Peer]:
+        region = self._members.own.region
+        peers = [p for p in self._members.peers.values() if p.member.region == region]
+        if len(peers) < SMALL_REGION:
+            return peers
+        return [peer for peer in peers if peer.rate >= ACTIVE_RATE]
+
+
+def _take_use(endpoint: Endpoint) -> EndpointUse:
+    news = endpoint.load.take_news(MOST_PARTS)
+    return EndpointUse(
+        endpoint.entry.id,
+        news.own.running,
+        news.own.unread,
+        news.own.held,
+        tuple(part.id for part in news.parts),
+        tuple(part.tokens for part in news.parts),
+        news.read,
+    )
--- a/cloverway/tests/test_fleet_path.py
+++ b/cloverway/tests/test_fleet_path.py
@@ -619,15 +619,15 @@
 def test_a_long_prompt_is_told_to_the_other_hosts_of_the_region_at_once(monkeypatch):
     """Two callers send long prompts through two hosts, 50 ms apart, and one stream stands still.
 
-    The second host takes the engine for idle until the next heartbeat, which in a large region is
-    due after a second. So the first tells it at once, and heartbeats here are out of the way.
+    The second host takes the engine for idle until the first one tells of its requests, which is
+    due each 200 ms. So the first tells it at once; the period here is out of the way.
     """
 
     async def scenario():
         async with run_fleet(hosts=2) as fleet:
             first, second = fleet.hosts
             await wait_for(lambda: first.members.peers and second.members.peers)
-            monkeypatch.setattr("cloverway.serving.gossip.NEAR_S", 60.0)
+            monkeypatch.setattr("cloverway.serving.uses.TELL_S", 60.0)
             await asyncio.sleep(0.3)
             for host in fleet.hosts:
                 for peer in host.members.peers.values():
@@ -641,3 +641,20 @@
             sending.connection.abort()
 
     play(scenario)
+
+
+def test_a_newcomer_learns_of_the_other_hosts_at_once(monkeypatch):
+    """One of many hosts starts again and knows its seeds only.
+
+    A lookup would name few hosts, and it would take itself for one that reads the store, until by
+    and by it had heard of all. The first host that hears it tells it of the others.
+    """
+
+    async def scenario():
+        async with run_fleet(hosts=12) as fleet:
+            await wait_for(lambda: all(len(h.members.peers) == 11 for h in fleet.hosts))
+            monkeypatch.setattr("cloverway.serving.gossip.OTHERS", 0)
+            newcomer = await fleet.add_host()
+            await wait_for(lambda: len(newcomer.members.peers) == 12, 1.0)
+
+    play(scenario)
--- /dev/null
+++ b/cloverway/tests/test_uses.py
@@ -0,0 +1,108 @@
+"""What hosts tell each other of their requests at endpoints; messages are caught, no network."""
+
+from __future__ import annotations
+
+import asyncio
+
+from cloverway.core.calls import Prompt, PromptPart
+from cloverway.core.deployment import EndpointEntry, EndpointPublished, Topology
+from cloverway.core.endpoints import Directory
+from cloverway.core.load import Work
+from cloverway.core.members import Member, Members
+from cloverway.serving.peerwire import CODEC
+from cloverway.serving.uses import MOST_TOLD_AT_ONCE, SMALL_REGION, UseExchange
+
+TOPOLOGY = Topology("d1", "north", {"d1": "north"})
+PROMPT = Prompt(9_000, 50, (PromptPart(1, 6_000), PromptPart(2, 3_000)))
+
+
+def make_member(name):
+    return Member(name, 1, "d1", "north", f"{name}:80", f"{name}:81", True)
+
+
+class Side:
+    """One host with the messages that it sent."""
+
+    def __init__(self, name, others, rate=10.0):
+        self.members = Members(make_member(name))
+        for other in others:
+            peer = self.members.hear(make_member(other), 0.0, True, 0.0)
+            peer.rate = rate
+        self.directory = Directory(TOPOLOGY)
+        entry = EndpointEntry("e1", "model", "10.0.0.1:80", "d1", 64)
+        idle = EndpointEntry("e2", "model", "10.0.0.2:80", "d1", 64)
+        self.directory.apply([EndpointPublished(e.id, e) for e in (entry, idle)], 0.0)
+        self.sent = []
+        self.exchange = UseExchange(self.members, self.directory, self._send)
+
+    def _send(self, name, data):
+        self.sent.append((name, CODEC.decode(data)))
+
+    def load(self, name="e1"):
+        return self.directory.endpoints[name].load
+
+    def tell(self, is_refresh=False):
+        self.exchange._tell(self.exchange._list_listeners(), is_refresh)
+        sent, self.sent = self.sent, []
+        return sent
+
+
+def test_a_host_hears_what_another_sent_to_an_endpoint():
+    here, there = Side("a", ["b"]), Side("b", ["a"])
+    here.load().begin(1, Work(9_000, 9_050), PROMPT, 0.0)
+    [(name, message)] = here.tell()
+    assert name == "b"
+    there.exchange.hear(message, 0.0)
+    assert there.load().sum_all(0.1).running == 1
+    assert there.load().backlog(0.0) == 9_000
+    assert there.load().count_unread(PROMPT) == 0
+    assert there.load("e2").backlog(0.0) == 0
+
+
+def test_only_changes_are_told_and_all_again_now_and_then():
+    """With whole lists, 28 hosts of a region spent more bytes on them than on the requests."""
+    here = Side("a", ["b"])
+    here.load().begin(1, Work(9_000, 9_050), PROMPT, 0.0)
+    assert len(here.tell()) == 1
+    assert here.tell() == []
+    [(_, refresh)] = here.tell(is_refresh=True)
+    assert refresh.uses[0].running == 1
+    assert refresh.uses[0].read == 0
+    here.load().end(1)
+    [(_, last)] = here.tell()
+    assert [use.running for use in last.uses] == [0]
+    assert here.tell(is_refresh=True) == []
+
+
+def test_in_a_large_region_only_hosts_that_serve_callers_are_told():
+    others = [f"h{number}" for number in range(SMALL_REGION + 4)]
+    here = Side("a", others, rate=0.5)
+    here.members.peers["h3"].rate = 40.0
+    here.load().begin(1, Work(9_000, 9_050), PROMPT, 0.0)
+    assert [name for name, _ in here.tell()] == ["h3"]
+
+
+def test_what_one_prompt_costs_the_hosts_is_bounded():
+    """A burst makes all hosts of a region serve callers, and each prompt is told to all at once.
+
+    The telling then costs their number squared, just when they have the least to spare. So all of
+    them hear of it with the next period, and of many prompts together.
+    """
+    here = Side("a", [f"h{number}" for number in range(MOST_TOLD_AT_ONCE + 1)])
+    here.load().begin(1, Work(9_000, 9_050), PROMPT, 0.0)
+
+    async def tell_twice():
+        here.exchange.tell_at_once()
+        here.exchange.tell_at_once()
+        await asyncio.sleep(0)
+
+    asyncio.run(tell_twice())
+    assert here.sent == []
+    assert len(here.tell()) == MOST_TOLD_AT_ONCE + 1
+
+
+def test_words_of_a_host_that_is_not_known_are_dropped():
+    here, stranger = Side("a", ["b"]), Side("c", ["a"])
+    stranger.load().begin(1, Work(9_000, 9_050), PROMPT, 0.0)
+    here.exchange.hear(stranger.tell()[0][1], 0.0)
+    assert here.load().sum_all(0.1).running == 0
