Give back prompt tokens that an engine had already, and write down how the fleet reads and tells

Cause: a host that has just started counts every prompt as unread, so requests wait before engines that have the prompts. Change: a first event that comes in less than half the time that the prompt takes to read gives the rest of its tokens back, also at the siblings. Test red without it.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test check matrix soak venv
+.PHONY: demo test check matrix soak fleet-soak venv
 
 venv: $(VENV)/.installed
 
@@ -32,3 +32,8 @@
 
 soak: venv
 	$(BIN)/python -m cloverway.tests.soak $(SECONDS) $(SEED)
+
+SEEDS ?= 1
+
+fleet-soak: venv
+	$(BIN)/python -m cloverway.tests.fleet.soak $(SECONDS) $(SEEDS)
--- a/cloverway/core/load.py
+++ b/cloverway/core/load.py
@@ -24,6 +24,9 @@
 """Part of its time that an engine is given prompts for. An engine reads a chunk of prompts in each
 step, and each running answer gets one token a step: with prompts in every step, five tokens take
 longer than the pause that callers bear."""
+SURE_FACTOR = 2.0
+"""An engine is taken to have read at most so many times the tokens that its usual pace gives: only
+what is left beyond that was there already without doubt."""
 RATE_HALF_S = 1.5
 """Age at which sent prompt tokens count half in the rate: long against one prompt, short against a
 change of the traffic."""
@@ -66,6 +69,7 @@
 
     def __init__(self) -> None:
         self._own: dict[int, Work] = {}
+        self._begun_at: dict[int, float] = {}
         self._siblings: dict[str, SiblingLoad] = {}
         self._parts: OrderedDict[int, int] = OrderedDict()
         self._parts_tokens = 0
@@ -89,6 +93,7 @@
         if not self._own:
             self.progress_at = now
         self._own[number] = work
+        self._begun_at[number] = now
         self._has_changed = True
         self.note_read(work.unread, now)
         self._fresh_read += work.unread
@@ -103,12 +108,26 @@
         if work is not None and work.unread:
             self._own[number] = work._replace(unread=0)
             self._has_changed = True
+            self._give_back(work.unread, now - self._begun_at[number], now)
 
     def end(self, number: int) -> None:
         """Note that a request has ended, however."""
         self._own.pop(number, None)
+        self._begun_at.pop(number, None)
         self._has_changed = True
 
+    def _give_back(self, unread: int, took_s: float, now: float) -> None:
+        """Take back tokens that can't have been read in the time that the first event took.
+
+        A host that has just started doesn't know which parts of prompts an endpoint has. It would
+        count all of them as work, and requests would wait at the hosts before engines that are
+        idle.
+        """
+        surplus = unread - int(SURE_FACTOR * took_s / self.read_s_per_token)
+        if surplus > 0:
+            self.note_read(-surplus, now)
+            self._fresh_read -= surplus
+
     def learn_work(self, seconds: float) -> None:
         """Learn from the time that a plain request took."""
         self.work_s += LEARN * (seconds - self.work_s)
@@ -146,7 +165,7 @@
 
     def note_read(self, tokens: int, now: float) -> None:
         """Note prompt tokens that this host or another one has sent there."""
-        self._backlog = self.backlog(now) + tokens
+        self._backlog = max(0.0, self.backlog(now) + tokens)
         self._read.add(tokens, now)
         self._read_at = now
 
--- a/cloverway/tests/bench_fleet.py
+++ b/cloverway/tests/bench_fleet.py
@@ -8,10 +8,25 @@
 
 from cloverway.core.calls import Call, Prompt, PromptPart
 from cloverway.core.choice import predict
-from cloverway.core.deployment import Document, EndpointEntry, EngineShape, Service, Topology
+from cloverway.core.deployment import (
+    Document,
+    EndpointEntry,
+    EngineShape,
+    Service,
+    Snapshot,
+    Topology,
+)
+from cloverway.core.documents import DocumentTable
 from cloverway.core.endpoints import Directory, Endpoint
 from cloverway.platform.documents import decode_documents
-from cloverway.serving.peerwire import CODEC, EndpointUse, Heartbeat, HostState, RegionOffer
+from cloverway.serving.peerwire import (
+    CODEC,
+    EndpointUse,
+    EndpointUses,
+    Heartbeat,
+    HostState,
+    RegionOffer,
+)
 
 ROUNDS = 2_000
 
@@ -28,7 +43,7 @@
     return time.process_time() - started
 
 
-def make_heartbeat(others: int, uses: int, offers: int) -> Heartbeat:
+def make_heartbeat(others: int, offers: int) -> Heartbeat:
     host = HostState(
         "10.1.0.35:8146", 1 << 50, "pl-a", "north", "10.1.0.35:1", "10.1.0.35:2", True, False, 12
     )
@@ -38,18 +53,48 @@
         1000,
         200,
         (host,) * others,
-        tuple(EndpointUse(f"i-99ab12ff{n:02d}", 5, 9_000, 90_000) for n in range(uses)),
         tuple(RegionOffer(f"service-{n}", 30, 12, 9_000) for n in range(offers)),
     )
 
 
+def make_uses(count: int) -> EndpointUses:
+    use = EndpointUse("i-99ab12ff00", 5, 9_000, 90_000, (1 << 40, 1 << 50), (6_000, 3_000), 9_000)
+    return EndpointUses("10.1.0.35:8146", (use,) * count)
+
+
+def measure_documents() -> None:
+    """Measure what a reader spends on each write of an endpoint, and a follower on a change."""
+
+    def make(number: int, revision: int, state: str) -> Document:
+        value = {"service": "s", "address": "10.0.0.1:1", "zone": "d", "slots": 64, "state": state}
+        name = f"servers/i-{number:08d}"
+        return Document(name, revision, json.dumps(value | {"sequence": revision}).encode())
+
+    documents = tuple(make(number, 1, "ready") for number in range(1_000))
+    table = DocumentTable(decode_documents)
+    table.apply(Snapshot(1, documents, True))
+    revisions = iter(range(2, 1 << 60))
+
+    def write(state: str) -> None:
+        revision = next(revisions)
+        table.apply(Snapshot(revision, (make(revision % 1_000, revision, state),), False))
+
+    measure("a reader: a write that says nothing new", lambda: write("ready"))
+    measure("a reader: a write that says something new, half of them", lambda: write("draining"))
+    measure("a follower: a heartbeat of who knows the same", lambda: table.follow(1, 2))
+    measure("changes of 1,000 entries for a follower", lambda: table.export(table.revision), 200)
+
+
 def main() -> None:
-    for others, uses, offers in ((0, 0, 0), (8, 0, 0), (0, 4, 0), (0, 90, 0), (8, 0, 17)):
-        heartbeat = make_heartbeat(others, uses, offers)
-        data = CODEC.encode(heartbeat)
-        name = f"heartbeat of {others} hosts, {uses} endpoints, {offers} services"
+    messages = {
+        f"heartbeat of {others} hosts, {offers} services": make_heartbeat(others, offers)
+        for others, offers in ((0, 0), (8, 0), (8, 17))
+    }
+    messages |= {f"uses of {count} endpoints": make_uses(count) for count in (1, 4, 90)}
+    for name, message in messages.items():
+        data = CODEC.encode(message)
         print(f"{name}: {len(data)} bytes")
-        measure("  encode", lambda heartbeat=heartbeat: CODEC.encode(heartbeat))
+        measure("  encode", lambda message=message: CODEC.encode(message))
         measure("  decode", lambda data=data: CODEC.decode(data))
 
     service = Service("model", 360, engine=EngineShape(64, 240_000))
@@ -67,6 +112,7 @@
     measure("decode one entry", lambda: decode_documents([document]))
     publications = decode_documents([document]) * 1
     measure("apply one entry", lambda: directory.apply(publications, 1.0))
+    measure_documents()
 
 
 if __name__ == "__main__":
--- a/cloverway/tests/test_core_choice.py
+++ b/cloverway/tests/test_core_choice.py
@@ -247,3 +247,27 @@
     far.load.end(1)
     call = make_call("second", parts=((1, 6_000), (3, 3_000)))._replace(body=b"x" * 9_000)
     assert choose([far, near], call, 1.0) == "far"
+
+
+def test_prompts_that_an_engine_had_already_are_not_counted_as_work():
+    """All hosts start again and know nothing of what the engines have read before.
+
+    Each prompt counts as 9,000 tokens to read, so after two of them the engine takes no more, and
+    callers wait at the hosts. Its first events come within 30 ms: it had the prompts.
+    """
+    engine = make_endpoint("a")
+    for number in range(8):
+        now = number * 0.1
+        call = make_call(f"c{number}", parts=((number, 9_000),))
+        assert choose([engine], call, now) == "a"
+        send(engine, call, number, now)
+        engine.load.note_first(number, now + 0.03)
+    assert engine.load.take_news(8).read < 8 * 9_000 / 2
+
+
+def test_prompts_that_an_engine_did_read_stay_counted():
+    engine = make_endpoint("a")
+    send(engine, make_call(), 1, 0.0)
+    before = engine.load.backlog(0.25)
+    engine.load.note_first(1, 0.25)
+    assert engine.load.backlog(0.25) == before
