Hold long prompts back from an engine whose answers pause, and name hosts up to half of their load

Changes: a host is expected to use half of its capacity, not 0.3; up to 32 hosts are told of long prompts at once; a pause over 450 ms between two events of a running answer holds long prompts back for 0.4 s, whatever is believed of the backlog; a host that has just started gives lookups that hold 0.5 s, since it may know nobody else yet; the prefixes of the store are read at the same time, which saves a host in a region far away one trip of 160 ms before it is ready.

--- a/cloverway/core/choice.py
+++ b/cloverway/core/choice.py
@@ -133,6 +133,7 @@
     backlog = load.backlog(now)
     wait_s = (backlog + work.unread) * load.read_s_per_token + penalty + spread
     full = full or (backlog > 0 and backlog + work.unread > _get_burst(work))
+    full = full or (load.is_strained(now) and work.unread > SMALL_TOKENS)
     cost_s = wait_s + _estimate_harm(call, endpoint, work, total, now)
     cost_s += _estimate_crossing(call, endpoint, domain)
     load.kv_tokens = service.engine.kv_tokens
--- a/cloverway/core/entry.py
+++ b/cloverway/core/entry.py
@@ -13,9 +13,15 @@
 REQUEST_BITS = 80_000
 """Bits on a host's link in one direction for one request: half of the requests have bodies of 9 to
 18 KB, and each goes in and out again."""
-BUSY_PART = 0.3
+BUSY_PART = 0.5
 """Part of its capacity that a named host is expected to use. What is left takes bursts, and the
-requests of a host that fails, for the seconds until more hosts are named."""
+requests of a host that fails, for the seconds until more hosts are named. With 0.3 all hosts were
+named at each peak of a large deployment."""
+YOUNG_S = 3.0
+"""Age up to which a host may not have heard of all others yet: three rounds of heartbeats."""
+YOUNG_TTL_S = 0.5
+"""How long its answers hold. After a restart of all hosts, callers would otherwise stay for seconds
+with the one weak host that answered first."""
 LEAST_NAMED = 2
 """Hosts that are named at least, where there are as many: a caller whose host fails has another
 address at once."""
@@ -37,6 +43,11 @@
         return max(1, int(min(by_cores, by_link)))
 
 
+def choose_ttl(ttl_s: float, age_s: float) -> float:
+    """Give how long callers may keep the answer of a host of some age."""
+    return min(ttl_s, YOUNG_TTL_S) if age_s < YOUNG_S else ttl_s
+
+
 def choose_for_caller(
     members: Members,
     domain: str,
--- a/cloverway/core/load.py
+++ b/cloverway/core/load.py
@@ -32,6 +32,11 @@
 change of the traffic."""
 FRESH_PARTS = 64
 """Parts that wait to be told to siblings; a host that has none must not keep them for ever."""
+STRAINED_GAP_S = 0.45
+"""A pause between two events from which an engine gets no more long prompts for a moment: callers
+bear 600 ms, and an engine that reads prompts in every step makes pauses of 600 to 900 ms."""
+STRAINED_S = 0.4
+"""How long that holds: about as long as an engine takes to read what waits there at most."""
 FAIL_FORGET_S = 4.0
 """After this time a failure counts half."""
 
@@ -64,6 +69,22 @@
     """Prompt tokens that were sent there since the last time."""
 
 
+class Strain:
+    """Whether an engine reads prompts in every step, by the pauses of answers that run there."""
+
+    def __init__(self) -> None:
+        self._seen_at = float("-inf")
+
+    def note(self, gap_s: float, now: float) -> None:
+        """Note the pause between two events."""
+        if gap_s > STRAINED_GAP_S:
+            self._seen_at = now
+
+    def is_on(self, now: float) -> bool:
+        """Tell whether such a pause was seen lately."""
+        return now - self._seen_at < STRAINED_S
+
+
 class EndpointLoad:
     """The load of one endpoint as far as this host knows it."""
 
@@ -87,6 +108,7 @@
         self._has_changed = False
         """Whether something here was not told to the other hosts yet."""
         self._failures = DecayingSum(FAIL_FORGET_S)
+        self._strain = Strain()
 
     def begin(self, number: int, work: Work, prompt: Prompt | None, now: float) -> None:
         """Note a request that is being sent."""
@@ -110,6 +132,14 @@
             self._has_changed = True
             self._give_back(work.unread, now - self._begun_at[number], now)
 
+    def note_gap(self, gap_s: float, now: float) -> None:
+        """Note the pause between two events of an answer."""
+        self._strain.note(gap_s, now)
+
+    def is_strained(self, now: float) -> bool:
+        """Tell whether running answers paused too long just now."""
+        return self._strain.is_on(now)
+
     def end(self, number: int) -> None:
         """Note that a request has ended, however."""
         self._own.pop(number, None)
--- a/cloverway/platform/store.py
+++ b/cloverway/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import binascii
 import json
@@ -29,7 +30,7 @@
 
 
 class PlatformStore:
-    """Reads the store over kept connections, one call at a time."""
+    """Reads the store over kept connections."""
 
     def __init__(self, address: str) -> None:
         self._address = address
@@ -39,21 +40,13 @@
         """Give all documents; raise PlatformError.
 
         Pages are no snapshot. The revision is that of the first page, so that the watch that
-        follows tells again of whatever was written while the later pages were read.
+        follows tells again of whatever was written while the later pages were read. All prefixes
+        are read at once: a host far from the store is ready only with them, and each call takes
+        a trip of 160 ms.
         """
-        documents: list[Document] = []
-        revisions: list[int] = []
-        for prefix in PREFIXES:
-            after = ""
-            for _ in range(MOST_PAGES):
-                answer = await self._call("/kv-range", {"prefix": prefix, "after": after}, 0.0)
-                revisions.append(int(answer["at"]))
-                items = answer["items"]
-                documents += [_decode_item(item) for item in items]
-                if not answer.get("hasMore") or not items:
-                    break
-                after = items[-1]["key"]
-        return Snapshot(min(revisions), tuple(documents), True)
+        parts = await asyncio.gather(*(self._read_prefix(prefix) for prefix in PREFIXES))
+        documents = tuple(document for part in parts for document in part.documents)
+        return Snapshot(min(part.revision for part in parts), documents, True)
 
     async def watch(self, after: int, wait_s: float) -> Snapshot:
         """Give what changed after a revision; raise PlatformError."""
@@ -63,6 +56,20 @@
         documents = tuple(_decode_item(item) for item in answer["events"])
         return Snapshot(max(after, int(answer["at"])), documents, False)
 
+    async def _read_prefix(self, prefix: str) -> Snapshot:
+        documents: list[Document] = []
+        revisions: list[int] = []
+        after = ""
+        for _ in range(MOST_PAGES):
+            answer = await self._call("/kv-range", {"prefix": prefix, "after": after}, 0.0)
+            revisions.append(int(answer["at"]))
+            items = answer["items"]
+            documents += [_decode_item(item) for item in items]
+            if not answer.get("hasMore") or not items:
+                break
+            after = items[-1]["key"]
+        return Snapshot(min(revisions), tuple(documents), True)
+
     async def _call(self, path: str, query: dict[str, str], wait_s: float) -> Fields:
         fields = {name: value for name, value in query.items() if value or name == "prefix"}
         target = f"{path}?{urlencode(fields, safe='/')}"
--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -264,7 +264,10 @@
         if self.first_at is None:
             self.first_at = now
         else:
-            self.longest_gap_s = max(self.longest_gap_s, now - self.last_part_at)
+            gap_s = now - self.last_part_at
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+            if target.candidate is not None:
+                target.candidate.endpoint.load.note_gap(gap_s, now)
         self.last_part_at = now
         if target.candidate is not None:
             load = target.candidate.endpoint.load
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -15,7 +15,7 @@
 from cloverway.addresses import split_address
 from cloverway.core.deployment import CallerLimits
 from cloverway.core.endpoints import Change, Directory
-from cloverway.core.entry import choose_for_caller
+from cloverway.core.entry import choose_for_caller, choose_ttl
 from cloverway.core.members import Member, Members
 from cloverway.errors import ConfigurationError, Kind, RequestError
 from cloverway.serving.catalogue import Catalogue
@@ -84,6 +84,7 @@
         )
         self.catalogue.on_news = self.gossip.announce_news
         self.context.targeting.on_prompt = self.gossip.uses.tell_at_once
+        self.started_at = read_clock()
         self.leaving_at: float | None = None
         terms = ServerTerms(self._get_limits, self._is_leaving, self._format_refusal)
         self.callers = Server(self._handle_call, terms)
@@ -185,7 +186,8 @@
             homes=dict(homes),
             addresses=addresses,
         )
-        body = self.dialect.encode_lookup(addresses, self.settings.lookup_ttl_s)
+        ttl_s = choose_ttl(self.settings.lookup_ttl_s, read_clock() - self.started_at)
+        body = self.dialect.encode_lookup(addresses, ttl_s)
         await exchange.answer(200, [JSON], body)
 
     async def _handle_readiness(self, exchange: Exchange) -> None:
--- a/cloverway/serving/uses.py
+++ b/cloverway/serving/uses.py
@@ -23,7 +23,7 @@
 ACTIVE_RATE = 1.5
 """Requests per second from which a host of a large region is told. Hosts that callers are not led
 to get fewer: those that try which configuration is in force."""
-MOST_TOLD_AT_ONCE = 8
+MOST_TOLD_AT_ONCE = 32
 """Hosts that are told of one long prompt at once. Where more serve callers, all hear of it with the
 next period: what the requests cost the hosts of a region stays bounded so."""
 MOST_PARTS = 32
--- a/cloverway/tests/test_core_choice.py
+++ b/cloverway/tests/test_core_choice.py
@@ -21,7 +21,7 @@
 )
 from cloverway.core.deployment import EndpointEntry, EngineShape, Service
 from cloverway.core.endpoints import Endpoint
-from cloverway.core.load import DUTY, SiblingLoad
+from cloverway.core.load import DUTY, STRAINED_GAP_S, STRAINED_S, SiblingLoad, Work
 from cloverway.core.pacing import ColdTerms, compute_cold_spacing
 
 MODEL = Service("model", 360, engine=EngineShape(64, 240_000))
@@ -271,3 +271,18 @@
     before = engine.load.backlog(0.25)
     engine.load.note_first(1, 0.25)
     assert engine.load.backlog(0.25) == before
+
+
+def test_an_engine_whose_answers_pause_gets_no_more_long_prompts_for_a_moment():
+    """Several hosts chose one engine before they heard of each other; it reads in every step.
+
+    What each of them believes of its backlog is too little, and they would send on. Its running
+    answers pause for over 450 ms: that is seen at once, whatever is believed.
+    """
+    strained, other = make_endpoint("a"), make_endpoint("b")
+    strained.load.note_gap(STRAINED_GAP_S + 0.1, 1.0)
+    other.load.begin(1, Work(8_000, 9_000), None, 1.0)
+    assert choose([strained, other], make_call(tokens_in=3_000), 1.1) == "b"
+    assert choose([strained], make_call(tokens_in=9_000), 1.1) is None
+    assert choose([strained], make_call(tokens_in=900), 1.1) == "a"
+    assert choose([strained], make_call(tokens_in=9_000), 1.0 + STRAINED_S + 0.1) == "a"
