After a start, lead nobody for a second, send one prompt at a time, and hear far hosts longer

The hosts of port-louis sent 1.4 million prompt tokens in one second to engines that read 0.5 million; answers paused until 44 s. Besides, each host took 4 of 48 far hosts for silent and for back each second, by the log. Ruled out: waiting at the hosts (0 s at p50), endpoints missing (15 in use). Changes: lookups get no answer in the first second of a host that has seeds, so callers keep their old answer; a host younger than 1.5 s sends an engine that it believes busy no long prompt more; the time after which far hosts count as silent grows with their number, 8 s at most.

--- a/cloverway/core/choice.py
+++ b/cloverway/core/choice.py
@@ -80,6 +80,18 @@
     """Whether it would have to wait for another request to end."""
 
 
+class Sender(NamedTuple):
+    """The host that would send a request."""
+
+    domain: str
+    hosts: int = 1
+    """Hosts of its region, itself counted."""
+    is_young: bool = False
+    """Whether it has just started, and may not know what others sent. An engine that it believes to
+    be idle then gets one prompt and no more: with all hosts started at once, each would otherwise
+    fill every engine by itself."""
+
+
 class Room(NamedTuple):
     """What the endpoints of a region can take of a service."""
 
@@ -109,12 +121,9 @@
 
 
 def predict(
-    call: Call, service: Service, endpoint: Endpoint, *, domain: str, hosts: int, now: float
+    call: Call, service: Service, endpoint: Endpoint, *, sender: Sender, now: float
 ) -> Candidate:
-    """Predict when a request would have its first answer at an endpoint.
-
-    `domain` is the failure domain and `hosts` the number of hosts of the region that it is sent by.
-    """
+    """Predict when a request would have its first answer at an endpoint."""
     load = endpoint.load
     total = load.sum_all(now)
     penalty = FAILURE_S * load.failures(now)
@@ -122,20 +131,21 @@
         penalty += STALLED_S
     spread = SPREAD_S * _point(call.id, endpoint.entry.id)
     slots = max(1, endpoint.entry.slots)
-    connections = service.max_connections // max(1, hosts)
+    connections = service.max_connections // max(1, sender.hosts)
     full = load.sum_own().running >= max(1, connections) or total.running >= slots
     if service.engine is None or call.prompt is None:
         queue = max(0.0, (total.running + 1 - slots) / slots)
         wait_s = load.work_s * (1 + queue) + penalty + spread
-        cost_s = wait_s + _estimate_crossing(call, endpoint, domain)
+        cost_s = wait_s + _estimate_crossing(call, endpoint, sender.domain)
         return Candidate(endpoint, wait_s, cost_s, 0, full)
     work = estimate_work(call, endpoint)
     backlog = load.backlog(now)
     wait_s = (backlog + work.unread) * load.read_s_per_token + penalty + spread
-    full = full or (backlog > 0 and backlog + work.unread > _get_burst(work))
+    burst = 0 if sender.is_young else _get_burst(work)
+    full = full or (backlog > 0 and backlog + work.unread > burst)
     full = full or (load.is_strained(now) and work.unread > SMALL_TOKENS)
     cost_s = wait_s + _estimate_harm(call, endpoint, work, total, now)
-    cost_s += _estimate_crossing(call, endpoint, domain)
+    cost_s += _estimate_crossing(call, endpoint, sender.domain)
     load.kv_tokens = service.engine.kv_tokens
     kv_limit = service.engine.kv_tokens * KV_USED_PART
     full = full or (total.running > 0 and total.held + work.held > kv_limit)
--- a/cloverway/core/entry.py
+++ b/cloverway/core/entry.py
@@ -17,14 +17,16 @@
 """Part of its capacity that a named host is expected to use. What is left takes bursts, and the
 requests of a host that fails, for the seconds until more hosts are named. With 0.3 all hosts were
 named at each peak of a large deployment."""
-YOUNG_S = 3.0
-"""Age up to which a host may not have heard of all others yet: three rounds of heartbeats."""
-YOUNG_TTL_S = 0.5
-"""How long its answers hold. After a restart of all hosts, callers would otherwise stay for seconds
-with the one weak host that answered first."""
 LEAST_NAMED = 2
 """Hosts that are named at least, where there are as many: a caller whose host fails has another
 address at once."""
+SETTLE_S = 1.0
+"""Age from which a host knows enough others to lead callers: it is told of them by the first that
+hears it, and hears all of its region with their next heartbeats."""
+YOUNG_S = 3.0
+"""Age up to which it may still miss some."""
+YOUNG_TTL_S = 0.5
+"""How long its answers hold until then."""
 
 
 class Machine(NamedTuple):
@@ -43,8 +45,16 @@
         return max(1, int(min(by_cores, by_link)))
 
 
-def choose_ttl(ttl_s: float, age_s: float) -> float:
-    """Give how long callers may keep the answer of a host of some age."""
+def choose_ttl(ttl_s: float, age_s: float) -> float | None:
+    """Give how long callers may keep the answer of a host of some age; None when it has none.
+
+    After a restart of all hosts, each of them knows only itself for a moment. Named by itself, each
+    weak host got callers and sent their prompts as if it were alone: engines got three times what
+    they can read in a second, and answers paused for ten. Callers without a new answer keep their
+    old one, which names the strong hosts.
+    """
+    if age_s < SETTLE_S:
+        return None
     return min(ttl_s, YOUNG_TTL_S) if age_s < YOUNG_S else ttl_s
 
 
--- a/cloverway/core/members.py
+++ b/cloverway/core/members.py
@@ -17,6 +17,11 @@
 """The longest such time."""
 FAR_ALIVE_S = 4.0
 """The same for hosts of other regions, which send less often."""
+FAR_HOSTS = 16
+"""Hosts of other regions up to which that time holds; of more each is heard less often, by others,
+and it grows with them."""
+MOST_FAR_ALIVE_S = 8.0
+"""The longest such time. With 4 s, four of 48 hosts were taken for gone and back each second."""
 LINGER_S = 2.0
 """How long a leaving host is still named to callers where its region has no other: it takes
 requests for longer than this, and sends to another region cost more than a short stay."""
@@ -145,7 +150,8 @@
         """Tell whether a host was heard lately."""
         age_s = now - peer.heard_at
         if peer.member.region != self.own.region:
-            return age_s <= FAR_ALIVE_S
+            far = len(self.peers) - self._region_size
+            return age_s <= min(MOST_FAR_ALIVE_S, FAR_ALIVE_S * max(1.0, far / FAR_HOSTS))
         return age_s <= min(MOST_ALIVE_S, ALIVE_S * max(1.0, self._region_size / SMALL_REGION))
 
     def list_alive(self, now: float) -> list[Peer]:
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import logging
+import math
 import secrets
 import signal
 import time
@@ -175,6 +176,11 @@
         if lookup is None:
             await exchange.answer(404, [], b"")
             return
+        age_s = read_clock() - self.started_at
+        ttl_s = choose_ttl(self.settings.lookup_ttl_s, age_s if self._has_seeds() else math.inf)
+        if ttl_s is None:
+            await exchange.answer(503, [], b"")
+            return
         homes = self.directory.routes.count_homes(lookup.host)
         addresses = choose_for_caller(
             self.members, lookup.domain, lookup.region, homes, read_clock()
@@ -186,10 +192,12 @@
             homes=dict(homes),
             addresses=addresses,
         )
-        ttl_s = choose_ttl(self.settings.lookup_ttl_s, read_clock() - self.started_at)
         body = self.dialect.encode_lookup(addresses, ttl_s)
         await exchange.answer(200, [JSON], body)
 
+    def _has_seeds(self) -> bool:
+        return any(seed != self.members.own.name for seed in self.settings.peers.seeds)
+
     async def _handle_readiness(self, exchange: Exchange) -> None:
         if not self.dialect.is_readiness(exchange):
             await exchange.answer(404, [], b"")
--- a/cloverway/serving/targeting.py
+++ b/cloverway/serving/targeting.py
@@ -12,6 +12,7 @@
 from cloverway.core.choice import (
     Candidate,
     RegionOffer,
+    Sender,
     choose_endpoint,
     choose_region,
     estimate_work,
@@ -22,9 +23,13 @@
 from cloverway.core.endpoints import Directory, Endpoint
 from cloverway.core.members import Members, Peer
 from cloverway.core.pacing import compute_cold_spacing
+from cloverway.serving.clock import read_clock
 from cloverway.serving.settings import FleetSettings
 from cloverway.serving.waiting import WaitingLine
 
+YOUNG_S = 1.5
+"""Age up to which a host may not have heard yet what the others have at endpoints: its own start,
+their heartbeats, and one period in which uses are told again."""
 FAR_S = 0.2
 """Time that the way to another region and back takes, as far as it isn't measured."""
 FAR_MARGIN_S = 0.3
@@ -67,6 +72,7 @@
         self._settings = settings
         self._directory = directory
         self._members = members
+        self._started_at = read_clock()
         self._numbers = itertools.count(1)
         self._lines: dict[str, WaitingLine[Target]] = {}
         self.on_prompt: Callable[[], None] = lambda: None
@@ -116,16 +122,13 @@
         region = self._settings.region
         if wanted.route.homes and region not in wanted.route.homes:
             return []
-        hosts = len(self._members.list_region()) + 1
+        sender = Sender(
+            self._settings.domain,
+            len(self._members.list_region()) + 1,
+            now - self._started_at < YOUNG_S,
+        )
         return [
-            predict(
-                wanted.call,
-                wanted.service,
-                endpoint,
-                domain=self._settings.domain,
-                hosts=hosts,
-                now=now,
-            )
+            predict(wanted.call, wanted.service, endpoint, sender=sender, now=now)
             for endpoint in self._directory.list_usable(wanted.service.name, now)
             if endpoint.region == region
             and not wanted.tried[endpoint.entry.id]
