Take only an engine's own pauses for strain, and let young hosts send small prompts

The pause that a slow caller or the change to another endpoint makes was taken for one of the engine, which then got no long prompts for 0.4 s. A host in its first 1.5 s held small prompts back as well, which add next to nothing. Test red before: a stream that breaks and goes on elsewhere after 0.7 s strained the second engine; one that pauses between its events still does.

--- a/cloverway/core/choice.py
+++ b/cloverway/core/choice.py
@@ -88,8 +88,8 @@
     """Hosts of its region, itself counted."""
     is_young: bool = False
     """Whether it has just started, and may not know what others sent. An engine that it believes to
-    be idle then gets one prompt and no more: with all hosts started at once, each would otherwise
-    fill every engine by itself."""
+    be idle then gets one long prompt and no more: with all hosts started at once, each would
+    otherwise fill every engine by itself."""
 
 
 class Room(NamedTuple):
@@ -141,9 +141,10 @@
     work = estimate_work(call, endpoint)
     backlog = load.backlog(now)
     wait_s = (backlog + work.unread) * load.read_s_per_token + penalty + spread
-    burst = 0 if sender.is_young else _get_burst(work)
+    is_long = work.unread > SMALL_TOKENS
+    burst = 0 if sender.is_young and is_long else _get_burst(work)
     full = full or (backlog > 0 and backlog + work.unread > burst)
-    full = full or (load.is_strained(now) and work.unread > SMALL_TOKENS)
+    full = full or (load.is_strained(now) and is_long)
     cost_s = wait_s + _estimate_harm(call, endpoint, work, total, now)
     cost_s += _estimate_crossing(call, endpoint, sender.domain)
     load.kv_tokens = service.engine.kv_tokens
--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -240,15 +240,20 @@
         gap_s = max(LEAST_GAP_PATIENCE_S, GAP_PATIENCE * self.route.gap_objective_s)
         # The send counts as a run already: what is left tells whether there is another attempt.
         may_go_on = self._may_repeat(self.runs)
+        waiting_since: float | None = None
         while part := await self._read_event_bytes(sending, gap_s if may_go_on else None):
             events = self.events.split(part)
             if not events:
                 continue
             now = read_clock()
             self._note_events(target, now)
+            if waiting_since is not None and target.candidate is not None:
+                # A slow caller, or the change to another endpoint, is no pause of this engine.
+                target.candidate.endpoint.load.note_gap(now - waiting_since, now)
             if not self.exchange.started:
                 self.exchange.start(answered.head.status, list_end_to_end(answered.head))
             await self.exchange.send(b"".join(events))
+            waiting_since = read_clock()
         rest = self.events.take_rest()
         if not self.exchange.started:
             self.exchange.start(answered.head.status, list_end_to_end(answered.head))
@@ -264,10 +269,7 @@
         if self.first_at is None:
             self.first_at = now
         else:
-            gap_s = now - self.last_part_at
-            self.longest_gap_s = max(self.longest_gap_s, gap_s)
-            if target.candidate is not None:
-                target.candidate.endpoint.load.note_gap(gap_s, now)
+            self.longest_gap_s = max(self.longest_gap_s, now - self.last_part_at)
         self.last_part_at = now
         if target.candidate is not None:
             load = target.candidate.endpoint.load
--- a/cloverway/tests/test_fleet_path.py
+++ b/cloverway/tests/test_fleet_path.py
@@ -684,3 +684,33 @@
             await wait_for(lambda: len(newcomer.members.peers) == 12, 1.0)
 
     play(scenario)
+
+
+@pytest.mark.parametrize(("pause_s", "strained"), [(0.6, True), (0.0, False)])
+def test_the_pauses_of_an_engine_are_its_own(pause_s, strained):
+    """A stream breaks off, and goes on at another endpoint after 0.7 s.
+
+    Its caller sees a pause, but no engine reads prompts in every step: taken for strained, the
+    second one would get no long prompts. An engine that pauses between its events is strained.
+    """
+
+    async def scenario():
+        async with run_fleet() as fleet:
+            first, second = fleet.endpoints["model-0"], fleet.endpoints["model-1"]
+            host = fleet.hosts[0]
+
+            async def go_on_late(exchange):
+                await asyncio.sleep(0.7)
+                await second.stream(3, 5, gap_s=pause_s)(exchange)
+
+            first.answer = first.stream(1, 2, breaks=True)
+            second.answer = go_on_late
+            host.directory.endpoints["model-1"].load.note_failure(read_clock())
+            reply = await fleet.call("/stream/")
+            assert reply.whole
+            assert reply.body.count(b"id: ") == 5
+            loads = [endpoint.load for endpoint in host.directory.endpoints.values()]
+            last_event_at = read_clock() - pause_s
+            assert any(load.is_strained(last_event_at) for load in loads) == strained
+
+    play(scenario)
