Log who reads the store for its domain, and a lookup that a young host doesn't answer

Cause: both decide what callers and hosts believe, and no line told of them. Test red without the line of the lookup. OPERATIONS.md names both.

--- a/cloverway/serving/catalogue.py
+++ b/cloverway/serving/catalogue.py
@@ -60,6 +60,7 @@
         self._figures = figures
         self._reads_per_s = reads_per_s
         self._lost = False
+        self._was_reader = False
         self.on_change: Callable[[list[Change]], None] = lambda changes: None
         self.on_news: Callable[[], None] = lambda: None
         """Called when the store had something that means anything new."""
@@ -134,7 +135,12 @@
         return True
 
     def _must_read(self, now: float) -> bool:
-        return now - self.read_at > FOLLOW_S or self.is_reader(now)
+        is_reader = self.is_reader(now)
+        age_s = now - self.read_at
+        if is_reader != self._was_reader:
+            self._was_reader = is_reader
+            tell("store_reader", reads=is_reader, age_s=round(age_s, 3))
+        return is_reader or age_s > FOLLOW_S
 
     def _choose_pace(self) -> float:
         share = self._reads_per_s * READS_PART / self._members.count_fleet()
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -179,6 +179,7 @@
         age_s = read_clock() - self.started_at
         ttl_s = choose_ttl(self.settings.lookup_ttl_s, age_s if self._has_seeds() else math.inf)
         if ttl_s is None:
+            tell("lookup_refused", domain=lookup.domain, age_s=round(age_s, 3))
             await exchange.answer(503, [], b"")
             return
         homes = self.directory.routes.count_homes(lookup.host)
--- a/cloverway/tests/test_fleet_path.py
+++ b/cloverway/tests/test_fleet_path.py
@@ -495,7 +495,7 @@
     return head.status, json.loads(body)["addresses"] if body else []
 
 
-def test_a_host_that_has_just_started_leads_callers_only_once_it_knows_the_others():
+def test_a_host_that_has_just_started_leads_callers_only_once_it_knows_the_others(caplog):
     """All hosts start again; a weak one answers first, knows nobody, and would name itself.
 
     Callers that get no answer keep their old one. A host without seeds is alone, and answers.
@@ -506,7 +506,9 @@
             alone, other = fleet.hosts
             assert (await look_up(fleet, alone))[0] == 200
             other.started_at = read_clock()
-            assert (await look_up(fleet, other))[0] == 503
+            with caplog.at_level("INFO"):
+                assert (await look_up(fleet, other))[0] == 503
+            assert "lookup_refused" in caplog.messages
             await asyncio.sleep(SETTLE_S)
             status, addresses = await look_up(fleet, other)
             assert (status, len(addresses)) == (200, 2)
