Split the schema of published documents from the whole configuration and its checks

Moves only: config/checks.py and config/published.py imported each other, the one behind TYPE_CHECKING. The types of the documents are in config/schema.py now, which both import; checks take the tables, not the class that checks itself with them.

--- a/cloverway/admission.py
+++ b/cloverway/admission.py
@@ -12,7 +12,7 @@
 from random import Random
 from typing import NamedTuple
 
-from cloverway.config.published import Urgency
+from cloverway.config.schema import Urgency
 from cloverway.errors import Kind, Ran
 from cloverway.messages import Refused, Request
 from cloverway.prompts import Prefix
--- a/cloverway/authentication.py
+++ b/cloverway/authentication.py
@@ -7,7 +7,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from cloverway.config.published import Profile, Published
+from cloverway.config.published import Published
+from cloverway.config.schema import Profile
 from cloverway.errors import Kind, RequestError
 
 SCHEME = "bearer"
--- a/cloverway/commands/admin.py
+++ b/cloverway/commands/admin.py
@@ -6,14 +6,14 @@
 from typing import Any
 
 from cloverway.client import Call, ask
-from cloverway.config import published
+from cloverway.config import schema
 from cloverway.errors import CallError, UserError
 
 
 def check_address(address: str) -> str:
     """Give the address back, or raise UserError when it is not an IP number and a port."""
     try:
-        return published.check_address(address)
+        return schema.check_address(address)
     except ValueError as error:
         raise UserError(f"{address!r}: give IP:PORT, for example 127.0.0.11:8011") from error
 
--- a/cloverway/config/checks.py
+++ b/cloverway/config/checks.py
@@ -7,10 +7,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator, Mapping
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import Any, NamedTuple
 
-if TYPE_CHECKING:
-    from cloverway.config.published import Domain, Endpoint, Host, Profile, Published, Team
+from cloverway.config.schema import Domain, Endpoint, Host, Profile, Tables, Team
 
 
 class Place(NamedTuple):
@@ -62,7 +61,7 @@
 """Parsed documents of one change; None for a deleted one."""
 
 
-def find_faults(published: Published, changed: Changed, claims: Claims) -> Iterator[Fault]:
+def find_faults(published: Tables, changed: Changed, claims: Claims) -> Iterator[Fault]:
     """Yield what is wrong in a configuration that a change leads to.
 
     All documents but the changed ones must have been valid together, with their claims noted.
@@ -80,7 +79,7 @@
 
 
 def _find_referrers(
-    published: Published, regions: set[str], domains: set[str], profiles: set[str]
+    published: Tables, regions: set[str], domains: set[str], profiles: set[str]
 ) -> Iterator[tuple[Place, Any]]:
     """Yield the documents that refer to deleted ones; only plain look-ups for all the others."""
     for name, domain in published.domains.items():
@@ -131,7 +130,7 @@
     return Fault(where, f"{claim.value} is taken by {holder.dotted}; choose another")
 
 
-def _find_own_faults(published: Published, place: Place, document: Any) -> Iterator[Fault]:
+def _find_own_faults(published: Tables, place: Place, document: Any) -> Iterator[Fault]:
     """Yield what is wrong in one document, given all others."""
     if document is None:
         return
@@ -148,17 +147,17 @@
         yield from _find_team_faults(published, where, document)
 
 
-def _find_domain_faults(published: Published, where: str, domain: Domain) -> Iterator[Fault]:
+def _find_domain_faults(published: Tables, where: str, domain: Domain) -> Iterator[Fault]:
     if domain.region not in published.regions:
         yield Fault(f"{where}.region", f"there is no region {domain.region!r}; publish it")
 
 
-def _find_host_faults(published: Published, where: str, host: Host) -> Iterator[Fault]:
+def _find_host_faults(published: Tables, where: str, host: Host) -> Iterator[Fault]:
     if host.domain not in published.domains:
         yield Fault(f"{where}.domain", f"there is no domain {host.domain!r}; publish it")
 
 
-def _find_endpoint_faults(published: Published, where: str, endpoint: Endpoint) -> Iterator[Fault]:
+def _find_endpoint_faults(published: Tables, where: str, endpoint: Endpoint) -> Iterator[Fault]:
     if endpoint.domain not in published.domains:
         yield Fault(f"{where}.domain", f"there is no domain {endpoint.domain!r}; publish it")
     if endpoint.kind == "engine" and endpoint.services:
@@ -167,7 +166,7 @@
         yield Fault(f"{where}.models", 'a service has services; set kind = "engine"')
 
 
-def _find_profile_faults(published: Published, where: str, profile: Profile) -> Iterator[Fault]:
+def _find_profile_faults(published: Tables, where: str, profile: Profile) -> Iterator[Fault]:
     if (profile.model is None) == (profile.service is None):
         yield Fault(where, "name either a model or a service, and not both")
     for region in profile.regions:
@@ -175,7 +174,7 @@
             yield Fault(f"{where}.regions", f"there is no region {region!r}; publish it")
 
 
-def _find_team_faults(published: Published, where: str, team: Team) -> Iterator[Fault]:
+def _find_team_faults(published: Tables, where: str, team: Team) -> Iterator[Fault]:
     if team.home not in published.regions:
         yield Fault(f"{where}.home", f"there is no region {team.home!r}; publish it")
     for profile in team.profiles:
--- a/cloverway/config/directory.py
+++ b/cloverway/config/directory.py
@@ -8,7 +8,8 @@
 from typing import Any, NamedTuple
 
 from cloverway.config.options import Findings
-from cloverway.config.published import TABLES, Published
+from cloverway.config.published import Published
+from cloverway.config.schema import TABLES
 
 
 class Collected(NamedTuple):
--- a/cloverway/config/settings.py
+++ b/cloverway/config/settings.py
@@ -8,7 +8,7 @@
 from pydantic import Field
 
 from cloverway.config.options import Findings, read_toml, validate
-from cloverway.config.published import Address, Name
+from cloverway.config.schema import Address, Name
 
 Seconds = Annotated[float, Field(gt=0, le=86_400)]
 Count = Annotated[int, Field(ge=1, le=1_000_000)]
--- a/cloverway/decisions.py
+++ b/cloverway/decisions.py
@@ -13,7 +13,7 @@
 
 from cloverway.admission import Line, Waiting, refuse
 from cloverway.catalogue import Catalogue
-from cloverway.config.published import Objective, Urgency
+from cloverway.config.schema import Objective, Urgency
 from cloverway.config.settings import Settings
 from cloverway.errors import Kind, Ran
 from cloverway.explanation import Explanation, explain, explain_unready
--- a/cloverway/estimates.py
+++ b/cloverway/estimates.py
@@ -4,7 +4,7 @@
 
 from math import exp
 
-from cloverway.config.published import Profile
+from cloverway.config.schema import Profile
 
 SAMPLE_WEIGHT = 0.03
 PRIOR_SERVICE_S = 1.0
--- a/cloverway/gateway.py
+++ b/cloverway/gateway.py
@@ -12,7 +12,8 @@
 
 from cloverway import residency
 from cloverway.claims import Granted, Replayed
-from cloverway.config.published import Profile, Published
+from cloverway.config.published import Published
+from cloverway.config.schema import Profile
 from cloverway.errors import Kind, Ran, RequestError, take_worse
 from cloverway.exchange import Reply
 from cloverway.messages import Admitted, Away, Local, Outcome, Refused, Request, Verdict
--- a/cloverway/policies.py
+++ b/cloverway/policies.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple, Protocol
 
 from cloverway.admission import Waiting
-from cloverway.config.published import Objective, Urgency
+from cloverway.config.schema import Objective, Urgency
 from cloverway.routing import Candidate
 
 SENT_AWAY_PART = 0.25
--- a/cloverway/reports.py
+++ b/cloverway/reports.py
@@ -18,7 +18,7 @@
 from urllib3.util import SKIP_HEADER
 
 from cloverway.addresses import split_url
-from cloverway.config.published import Endpoint, EndpointKind
+from cloverway.config.schema import Endpoint, EndpointKind
 from cloverway.errors import PeerError
 from cloverway.readings import Report
 
--- a/cloverway/revisions.py
+++ b/cloverway/revisions.py
@@ -13,15 +13,8 @@
 
 from cloverway.config.checks import Claims, Place, find_faults
 from cloverway.config.options import Findings
-from cloverway.config.published import (
-    SINGLES,
-    TABLES,
-    Objective,
-    Published,
-    is_revision,
-    parse_document,
-    warn_unknown,
-)
+from cloverway.config.published import Published, is_revision, parse_document, warn_unknown
+from cloverway.config.schema import SINGLES, TABLES, Objective
 from cloverway.documents import Documents, Entry
 from cloverway.sources.port import Changes
 
--- a/cloverway/serving/settings.py
+++ b/cloverway/serving/settings.py
@@ -8,7 +8,7 @@
 from pydantic import Field
 
 from cloverway.config.options import Findings, read_toml, validate
-from cloverway.config.published import Address
+from cloverway.config.schema import Address
 from cloverway.core.budget import BudgetTerms
 from cloverway.core.deployment import Topology
 from cloverway.core.entry import Machine
--- a/cloverway/tests/standins/deployment.py
+++ b/cloverway/tests/standins/deployment.py
@@ -15,7 +15,8 @@
 import urllib3
 
 from cloverway.config.directory import load_directory
-from cloverway.config.published import Endpoint, EndpointKind, Published
+from cloverway.config.published import Published
+from cloverway.config.schema import Endpoint, EndpointKind
 from cloverway.tests.standins.processes import Ports, Process
 from cloverway.tests.standins.topology import PEER_SECRET, to_toml
 
--- a/cloverway/tests/test_admission.py
+++ b/cloverway/tests/test_admission.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cloverway.admission import Line, Throughput, Waiting
-from cloverway.config.published import Urgency
+from cloverway.config.schema import Urgency
 from cloverway.errors import Kind, Ran
 from cloverway.messages import Admitted, Outcome, Refused
 from cloverway.prompts import Prefix
--- a/cloverway/tests/test_authentication.py
+++ b/cloverway/tests/test_authentication.py
@@ -12,7 +12,8 @@
     hash_key,
     read_bearer,
 )
-from cloverway.config.published import Profile, Published
+from cloverway.config.published import Published
+from cloverway.config.schema import Profile
 from cloverway.errors import RequestError
 from cloverway.tests.callers_bench import BEARER, DOCUMENTS
 
--- a/cloverway/tests/test_configuration_reference.py
+++ b/cloverway/tests/test_configuration_reference.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from cloverway.config.published import SINGLES, TABLES
+from cloverway.config.schema import SINGLES, TABLES
 from cloverway.config.settings import Settings
 
 PAGE = Path(__file__).parents[2] / "docs" / "operator-guide" / "configuration-reference.md"
--- a/cloverway/tests/test_examples.py
+++ b/cloverway/tests/test_examples.py
@@ -13,7 +13,8 @@
 from cloverway.commands.check import check_directory, check_settings
 from cloverway.commands.key import hash_key
 from cloverway.config.directory import load_directory
-from cloverway.config.published import EndpointKind, Published
+from cloverway.config.published import Published
+from cloverway.config.schema import EndpointKind
 from cloverway.config.settings import Settings
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
--- a/cloverway/tests/test_reports.py
+++ b/cloverway/tests/test_reports.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cloverway.config.published import Endpoint, EndpointKind
+from cloverway.config.schema import Endpoint, EndpointKind
 from cloverway.errors import PeerError
 from cloverway.reports import FIRST_S, REPORT_BYTES, EndpointReader, Rounds, parse_report
 from cloverway.tests.standins.engine import Engine
--- a/cloverway/tickets.py
+++ b/cloverway/tickets.py
@@ -8,7 +8,7 @@
 
 from cloverway.admission import Waiting
 from cloverway.affinity import MAYBE_S
-from cloverway.config.published import Urgency
+from cloverway.config.schema import Urgency
 from cloverway.limits import HEADROOM
 from cloverway.messages import Admitted, Away, Local, Outcome
 from cloverway.routing import Candidate, Knowledge, name_domain, name_host
