Name the age by which a host has heard the loads, and explain two lines of the heartbeats

Read as a newcomer: two constants of different meaning had one name, a bound was not used, and a docstring said half of what its function does. No change of behaviour.

--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/gossip.py
@@ -28,6 +28,7 @@
 log = logging.getLogger(__name__)
 
 TICK_S = 0.2
+"""How often is looked whether a heartbeat is due: half of the shortest period."""
 NEAR_S = 0.4
 """Period of heartbeats within a small region: a host is missed after four of them."""
 NEAR_HOSTS = 8
@@ -46,7 +47,6 @@
 """Hosts that a heartbeat speaks of, besides its sender."""
 MOST_WELCOME = 40
 """Hosts that a newcomer is told of at once: 6 KB."""
-MAX_DATAGRAM_BYTES = 8 * 1024
 FREE_MOST = 1000
 
 
@@ -83,7 +83,7 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Hear a heartbeat."""
+        """Hear a heartbeat, or what another host has at endpoints."""
         try:
             message = CODEC.decode(data)
         except PeerError as error:
--- a/cloverway/serving/targeting.py
+++ b/cloverway/serving/targeting.py
@@ -27,7 +27,7 @@
 from cloverway.serving.settings import FleetSettings
 from cloverway.serving.waiting import WaitingLine
 
-YOUNG_S = 1.5
+LOADS_HEARD_S = 1.5
 """Age up to which a host may not have heard yet what the others have at endpoints: its own start,
 their heartbeats, and one period in which uses are told again."""
 FAR_S = 0.2
@@ -125,7 +125,7 @@
         sender = Sender(
             self._settings.domain,
             len(self._members.list_region()) + 1,
-            now - self._started_at < YOUNG_S,
+            now - self._started_at < LOADS_HEARD_S,
         )
         return [
             predict(wanted.call, wanted.service, endpoint, sender=sender, now=now)
