--- a/cloverway/serving/settings.py
+++ b/cloverway/serving/settings.py
@@ -76,6 +76,10 @@
         settings = validate(cls, values, findings)
         if settings is not None and settings.domain not in settings.regions:
             findings.add("regions", f"set the region of {settings.domain!r}, this host's domain")
+        if settings is not None:
+            for name, value in settings.machine._asdict().items():
+                if not value > 0:
+                    findings.add(f"machine.{name}", f"{value:g} must be over 0")
         findings.raise_if_any()
         assert settings is not None
         return settings
--- a/cloverway/tests/test_fleet_parts.py
+++ b/cloverway/tests/test_fleet_parts.py
@@ -173,6 +173,15 @@
     assert "inner_ports" in text
 
 
+def test_a_machine_that_gives_nothing_is_refused(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS + "[machine]\ncore_share = -1\nlink_mbps = 0\n")
+    with pytest.raises(ConfigurationError) as caught:
+        FleetSettings.from_toml(path)
+    assert "machine.core_share" in str(caught.value)
+    assert "machine.link_mbps" in str(caught.value)
+
+
 def make_record(text="x"):
     return logging.LogRecord("n", logging.INFO, "p", 1, text, None, None)
 
