--- /dev/null
+++ b/cloverway/tests/test_fleet_hosts.py
@@ -0,0 +1,239 @@
+"""What hosts of a fleet know of the store and of each other, and whom they lead callers to."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from cloverway.core.entry import SETTLE_S
+from cloverway.serving.catalogue import FOLLOW_S
+from cloverway.serving.client import fetch, make_request
+from cloverway.serving.clock import read_clock
+from cloverway.tests.fleet.deployment import read_reply, run_fleet, wait_for
+from cloverway.tests.fleet.standins import make_route, make_service
+
+
+def play(scenario):
+    asyncio.run(scenario())
+
+
+def test_a_host_that_knows_no_configuration_refuses_and_is_not_ready():
+    """A host starts while the store is away and no other host is there.
+
+    It can't know whether a route exists. A 404 would make the caller give up for good; 503 with a
+    time to come back is true.
+    """
+
+    async def scenario():
+        async with run_fleet(hosts=0, endpoints=1) as fleet:
+            fleet.store.status = 503
+            host = await fleet.add_host()
+            reply = await fleet.call("/safe/a")
+            assert reply.status == 503
+            assert float(reply.headers[b"retry-after"]) > 0
+            assert not host.members.own.ready
+
+    play(scenario)
+
+
+def test_a_host_that_cannot_read_the_store_gets_its_documents_from_a_peer():
+    async def scenario():
+        async with run_fleet(hosts=1, endpoints=1) as fleet:
+            cut_off = await fleet.add_host(store="127.0.0.1:9")
+            await wait_for(lambda: cut_off.members.own.ready)
+            fleet.publish([make_route("new", "idempotent", "desk")], [make_service("desk")])
+            await wait_for(lambda: cut_off.directory.configuration.version == fleet.version, 4.0)
+            reply = await fleet.call("/new/a", cut_off)
+            assert reply.status == 200
+
+    play(scenario)
+
+
+def test_two_hosts_of_a_domain_read_the_store_and_the_others_follow_them():
+    """Each read is paid for; with 90 hosts reading each second, a twentieth of what callers got.
+
+    A change must still be in force everywhere at once, as if all of them had read.
+    """
+
+    async def scenario():
+        async with run_fleet(hosts=5) as fleet:
+            await wait_for(
+                lambda: sum(h.catalogue.is_reader(read_clock()) for h in fleet.hosts) == 2
+            )
+            await asyncio.sleep(0.5)
+            before = len(fleet.store.calls)
+            await asyncio.sleep(3.0)
+            assert len(fleet.store.calls) - before <= 2 * 4
+            assert all(read_clock() - host.catalogue.read_at < FOLLOW_S for host in fleet.hosts)
+            fleet.store.put("op/evacuate/d1", {})
+            await wait_for(lambda: all(h.directory.evacuated for h in fleet.hosts), 1.5)
+            fleet.store.delete("op/evacuate/d1")
+            await wait_for(lambda: not any(h.directory.evacuated for h in fleet.hosts), 1.5)
+
+    play(scenario)
+
+
+def test_the_others_read_for_themselves_when_no_reader_reads():
+    """Both hosts that read for their domain are cut off from the store, and nothing else is.
+
+    Their documents grow old, and so do those of the hosts that follow them. The followers see that
+    by the age alone, read the store, and tell the readers.
+    """
+
+    async def scenario():
+        async with run_fleet(hosts=4) as fleet:
+            await wait_for(
+                lambda: sum(h.catalogue.is_reader(read_clock()) for h in fleet.hosts) == 2
+            )
+            for host in fleet.hosts:
+                if host.catalogue.is_reader(read_clock()):
+                    host.catalogue._store._address = "127.0.0.1:9"
+            await asyncio.sleep(0.1)
+            fleet.store.put("op/evacuate/d1", {})
+            await wait_for(lambda: all(h.directory.evacuated for h in fleet.hosts), 3.9)
+
+    play(scenario)
+
+
+def test_a_leaving_host_is_not_ready_answers_on_and_refuses_later_with_not_run():
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            host = fleet.hosts[0]
+            endpoint = fleet.endpoints["model-0"]
+            endpoint.answer = endpoint.stream(1, 20, gap_s=0.2)
+            sending = await fleet.begin_call("/cut/a", deadline_ms=8000)
+            await wait_for(lambda: endpoint.requests)
+            leaving = asyncio.create_task(host.leave())
+            await asyncio.sleep(0.1)
+            assert not host.members.own.ready
+            early = await fleet.call("/once/a")
+            assert early.status == 200
+            assert early.headers[b"connection"] == b"close"
+            await asyncio.sleep(2.8)
+            late = await fleet.call("/once/a")
+            assert late.status == 503
+            reply = await read_reply(sending)
+            assert reply.body.count(b"data:") == 20 or not reply.whole
+            await leaving
+
+    play(scenario)
+
+
+def test_lookup_names_the_hosts_of_the_callers_domain():
+    async def scenario():
+        async with run_fleet(hosts=2, endpoints=1) as fleet:
+            north = {host.settings.listen.callers for host in fleet.hosts}
+            south = await fleet.add_host("d2")
+            await wait_for(
+                lambda: sum(peer.member.ready for peer in south.members.peers.values()) == 2
+            )
+            south.started_at -= SETTLE_S
+            status, addresses = await look_up(fleet, south)
+            assert status == 200
+            assert set(addresses) == north
+
+    play(scenario)
+
+
+async def look_up(fleet, host):
+    request = make_request(
+        "GET",
+        "/resolve?name=shop.example&region=north&zone=d1",
+        [(b"Host", b"directory")],
+        b"",
+    )
+    address = host.settings.listen.lookup
+    head, body = await fetch(fleet.pool, address, request, b"", timeout_s=1.0, limit=10_000)
+    return head.status, json.loads(body)["addresses"] if body else []
+
+
+def test_a_host_that_has_just_started_leads_callers_only_once_it_knows_the_others(caplog):
+    """All hosts start again; a weak one answers first, knows nobody, and would name itself.
+
+    Callers that get no answer keep their old one. A host without seeds is alone, and answers.
+    """
+
+    async def scenario():
+        async with run_fleet(hosts=2, endpoints=1) as fleet:
+            alone, other = fleet.hosts
+            assert (await look_up(fleet, alone))[0] == 200
+            other.started_at = read_clock()
+            with caplog.at_level("INFO"):
+                assert (await look_up(fleet, other))[0] == 503
+            assert "lookup_refused" in caplog.messages
+            await asyncio.sleep(SETTLE_S)
+            status, addresses = await look_up(fleet, other)
+            assert (status, len(addresses)) == (200, 2)
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("how", ["compact", "silent", "busy"])
+def test_a_change_is_in_force_within_four_seconds_whatever_became_of_the_watch(how):
+    """The watch is cut, goes silent, or is refused while an operator changes the configuration."""
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            store = fleet.store
+            if how == "busy":
+                store.status = 429
+                await asyncio.sleep(1.5)
+                store.status = 200
+            if how == "silent":
+                store.silent = True
+                await asyncio.sleep(1.2)
+                store.silent = False
+            fleet.publish([make_route("new", "idempotent", "desk")], [make_service("desk")])
+            if how == "compact":
+                store.compact()
+            await wait_for(
+                lambda: fleet.hosts[0].directory.configuration.version == fleet.version, 4.0
+            )
+
+    play(scenario)
+
+
+def test_a_long_prompt_is_told_to_the_other_hosts_of_the_region_at_once(monkeypatch):
+    """Two callers send long prompts through two hosts, 50 ms apart, and one stream stands still.
+
+    The second host takes the engine for idle until the first one tells of its requests, which is
+    due each 200 ms. So the first tells it at once; the period here is out of the way.
+    """
+
+    async def scenario():
+        async with run_fleet(hosts=2) as fleet:
+            first, second = fleet.hosts
+            await wait_for(lambda: first.members.peers and second.members.peers)
+            monkeypatch.setattr("cloverway.serving.uses.TELL_S", 60.0)
+            await asyncio.sleep(0.3)
+            for host in fleet.hosts:
+                for peer in host.members.peers.values():
+                    peer.rate = 10.0
+            for endpoint in fleet.endpoints.values():
+                endpoint.answer = endpoint.answer_never
+            tokens = (b"X-Cloverway-Token-Usage", b"9000,50")
+            sending = await fleet.begin_call("/stream/", first, headers=(tokens,))
+            endpoints = second.directory.endpoints.values()
+            await wait_for(lambda: any(e.load.backlog(read_clock()) for e in endpoints), 1.0)
+            sending.connection.abort()
+
+    play(scenario)
+
+
+def test_a_newcomer_learns_of_the_other_hosts_at_once(monkeypatch):
+    """One of many hosts starts again and knows its seeds only.
+
+    A lookup would name few hosts, and it would take itself for one that reads the store, until by
+    and by it had heard of all. The first host that hears it tells it of the others.
+    """
+
+    async def scenario():
+        async with run_fleet(hosts=12) as fleet:
+            await wait_for(lambda: all(len(h.members.peers) == 11 for h in fleet.hosts))
+            monkeypatch.setattr("cloverway.serving.gossip.OTHERS", 0)
+            newcomer = await fleet.add_host()
+            await wait_for(lambda: len(newcomer.members.peers) == 12, 1.0)
+
+    play(scenario)
