--- a/cloverway/tests/test_fleet_path.py
+++ b/cloverway/tests/test_fleet_path.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cloverway.serving.client import AnswerError
+from cloverway.serving.client import AnswerError, fetch, make_request
 from cloverway.serving.clock import read_clock
 from cloverway.tests.fleet.deployment import run_fleet, wait_for
 from cloverway.tests.fleet.standins import make_route, make_service
