--- a/cloverway/tests/test_core_endpoints.py
+++ b/cloverway/tests/test_core_endpoints.py
@@ -16,7 +16,15 @@
 )
 from cloverway.core.endpoints import Directory
 from cloverway.core.entry import choose_for_caller
-from cloverway.core.members import ALIVE_S, FORGET_S, LINGER_S, Member, Members
+from cloverway.core.members import (
+    ALIVE_S,
+    FAR_ALIVE_S,
+    FORGET_S,
+    LINGER_S,
+    MOST_FAR_ALIVE_S,
+    Member,
+    Members,
+)
 
 TOPOLOGY = Topology("d1", "north", {"d1": "north", "d2": "south"})
 
@@ -184,3 +192,16 @@
     assert members.forget(FORGET_S + 1) == ["peer"]
     assert members.count_fleet() == 1
     assert members.hear(make_member("peer"), FORGET_S + 1, False, FORGET_S + 2) is None
+
+
+def test_hosts_far_away_count_as_alive_for_longer_in_a_large_fleet():
+    """Of 48 hosts in other regions each is heard by others, every few seconds.
+
+    With the time of a small fleet, each host took four of them for gone and back each second. A
+    host that is silent for longer than any of this is gone, also there.
+    """
+    few = make_members(*(make_member(f"far-{n}", "d2") for n in range(4)))
+    many = make_members(*(make_member(f"far-{n}", "d2") for n in range(48)))
+    assert few.list_alive(FAR_ALIVE_S + 1) == []
+    assert len(many.list_alive(FAR_ALIVE_S + 1)) == 48
+    assert many.list_alive(MOST_FAR_ALIVE_S + 0.1) == []
--- a/cloverway/tests/test_fleet_hosts.py
+++ b/cloverway/tests/test_fleet_hosts.py
@@ -237,3 +237,30 @@
             await wait_for(lambda: len(newcomer.members.peers) == 12, 1.0)
 
     play(scenario)
+
+
+def test_all_prefixes_of_the_store_are_read_at_the_same_time():
+    """A host far from the store starts again; each call takes a trip of 160 ms.
+
+    Read one after the other, it is ready a trip later, and its callers are refused meanwhile.
+    """
+
+    async def scenario():
+        async with run_fleet() as fleet:
+            begun = []
+            both = asyncio.Event()
+
+            async def call(path, query, wait_s):
+                begun.append(query["prefix"])
+                if len(begun) == 2:
+                    both.set()
+                await asyncio.wait_for(both.wait(), 1.0)
+                return {"items": [], "hasMore": False, "at": 7}
+
+            store = fleet.hosts[0].catalogue._store
+            fleet.hosts[0].catalogue._store = None
+            store._call = call
+            assert (await store.read_all()).revision == 7
+            assert len(set(begun)) == 2
+
+    play(scenario)
