Fetch parts of prompts from an engine of the region that has read them

Hypothesis: shared parts are read again because engines are chosen by load; a fetch moves 5,000 tokens in 10 ms, reading them takes 130 ms of an engine. Change: hosts note which parts each endpoint has been sent and when it has read them (core/parts.py); the endpoint that has read most of a prompt, is sound, stays and isn't cold is named to the one that is chosen (core/fetch.py), and the tokens that it fetches count as a tenth of their reading. The preference by hash holds only for parts that no endpoint has read.

--- a/cloverway/core/choice.py
+++ b/cloverway/core/choice.py
@@ -9,6 +9,7 @@
 from cloverway.core.calls import Call
 from cloverway.core.deployment import Service
 from cloverway.core.endpoints import Endpoint
+from cloverway.core.fetch import Source, count_fetched, estimate_fetch
 from cloverway.core.load import SiblingLoad, Work
 
 FAILURE_S = 0.5
@@ -51,8 +52,11 @@
 to the pauses of others."""
 MOST_BUSY = 0.95
 HOME_BONUS = 0.3
-"""Part of the time to read a shared part that its own endpoint, by hash, is preferred by. All
-hosts then read a part that no endpoint has at the same one, without a word between them."""
+"""Part of the time to read a shared part that its own endpoint, by hash, is preferred by, while
+none is known to have it. All hosts then read it at the same one, without a word between them."""
+FETCH_PART = 0.1
+"""Part of the time to read them that tokens count which an endpoint fetches from another one: the
+links of both carry them, and they fill the memory of two engines."""
 CROSS_S_PER_BYTE = 3e-6
 """Time that each byte counts which goes to an endpoint of another failure domain of the region, and
 back. Bytes between domains are paid for: a body of 9 KB costs as much as a twentieth of what a
@@ -75,9 +79,11 @@
     """Until the first event or the answer."""
     cost_s: float
     """The wait, and what the request costs others and itself later."""
-    unread: int
+    work: Work
     full: bool
     """Whether it would have to wait for another request to end."""
+    source: Endpoint | None = None
+    """The endpoint that it would fetch parts of the prompt from."""
 
 
 class Sender(NamedTuple):
@@ -110,20 +116,31 @@
     wait_s: float
 
 
-def estimate_work(call: Call, endpoint: Endpoint) -> Work:
-    """Estimate what a request asks of an endpoint."""
+def estimate_work(call: Call, endpoint: Endpoint, source: Source | None = None) -> Work:
+    """Estimate what a request asks of an endpoint that may fetch from a source."""
     prompt = call.prompt
     if prompt is None:
         return Work()
     likely = prompt.likely_out
     out = likely if likely is not None else int(prompt.tokens_out * DECODE_LIKELY)
-    return Work(endpoint.load.count_unread(prompt), prompt.tokens_in + out)
+    fetched = count_fetched(prompt, endpoint, source)
+    unread = endpoint.load.count_unread(prompt) - fetched
+    return Work(unread, prompt.tokens_in + out, fetched)
 
 
 def predict(
-    call: Call, service: Service, endpoint: Endpoint, *, sender: Sender, now: float
+    call: Call,
+    service: Service,
+    endpoint: Endpoint,
+    *,
+    sender: Sender,
+    now: float,
+    source: Source | None = None,
 ) -> Candidate:
-    """Predict when a request would have its first answer at an endpoint."""
+    """Predict when a request would have its first answer at an endpoint.
+
+    `source` is where the parts of its prompt lie that the endpoint may fetch.
+    """
     load = endpoint.load
     total = load.sum_all(now)
     penalty = FAILURE_S * load.failures(now)
@@ -137,20 +154,26 @@
         queue = max(0.0, (total.running + 1 - slots) / slots)
         wait_s = load.work_s * (1 + queue) + penalty + spread
         cost_s = wait_s + _estimate_crossing(call, endpoint, sender.domain)
-        return Candidate(endpoint, wait_s, cost_s, 0, full)
-    work = estimate_work(call, endpoint)
+        return Candidate(endpoint, wait_s, cost_s, estimate_work(call, endpoint), full)
+    work = estimate_work(call, endpoint, source)
     backlog = load.backlog(now)
-    wait_s = (backlog + work.unread) * load.read_s_per_token + penalty + spread
+    fetch_s = estimate_fetch(work.fetched, service.engine)
+    wait_s = (backlog + work.unread) * load.read_s_per_token + fetch_s + penalty + spread
     is_long = work.unread > SMALL_TOKENS
     burst = 0 if sender.is_young and is_long else _get_burst(work)
     full = full or (backlog > 0 and backlog + work.unread > burst)
     full = full or (load.is_strained(now) and is_long)
     cost_s = wait_s + _estimate_harm(call, endpoint, work, total, now)
+    if source is None:
+        cost_s -= _home_bonus(call, endpoint)
     cost_s += _estimate_crossing(call, endpoint, sender.domain)
     load.kv_tokens = service.engine.kv_tokens
     kv_limit = service.engine.kv_tokens * KV_USED_PART
     full = full or (total.running > 0 and total.held + work.held > kv_limit)
-    return Candidate(endpoint, wait_s, cost_s, work.unread, full)
+    fetches = source is not None and work.fetched > 0
+    return Candidate(
+        endpoint, wait_s, cost_s, work, full, source.endpoint if source and fetches else None
+    )
 
 
 def offer_region(service: Service, endpoints: Sequence[Endpoint], now: float) -> Room:
@@ -227,7 +250,8 @@
     assert call.prompt is not None
     tokens_out = work.held - call.prompt.tokens_in
     stretch_s = tokens_out * STEP_S * busy / (1 - busy)
-    return delay_s + DECODE_WEIGHT * stretch_s - _home_bonus(call, endpoint)
+    fetch_s = FETCH_PART * work.fetched * load.read_s_per_token
+    return delay_s + fetch_s + DECODE_WEIGHT * stretch_s
 
 
 def _estimate_crossing(call: Call, endpoint: Endpoint, domain: str) -> float:
--- a/cloverway/core/deployment.py
+++ b/cloverway/core/deployment.py
@@ -67,6 +67,15 @@
     slots: int
     kv_tokens: int
     """Tokens of prompts and answers that fit into its memory."""
+    token_bytes: int = 0
+    """Memory of one token."""
+    link_mbps: float = 0.0
+    """Over which a replica fetches memory from another one; 0 where it can't."""
+
+    @property
+    def can_fetch(self) -> bool:
+        """Whether a replica can fetch parts of prompts that another one has read."""
+        return self.token_bytes > 0 and self.link_mbps > 0
 
 
 class Service(NamedTuple):
--- a/cloverway/core/load.py
+++ b/cloverway/core/load.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import deque
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from cloverway.core.calls import Prompt, PromptPart
 from cloverway.core.decay import DecayingSum
+from cloverway.core.parts import HeldParts
 
 SIBLING_AGE_S = 2.0
 """How long a sibling's report counts; four lost datagrams in a row are rarer than a dead host."""
@@ -48,6 +49,16 @@
     """Prompt tokens that were not read yet."""
     held: int = 0
     """Tokens of memory until its end."""
+    fetched: int = 0
+    """Prompt tokens that the endpoint fetches from another one instead of reading them."""
+
+
+class _Running(NamedTuple):
+    """One request of this host at the endpoint."""
+
+    work: Work
+    prompt: Prompt | None
+    begun_at: float
 
 
 class SiblingLoad(NamedTuple):
@@ -89,11 +100,9 @@
     """The load of one endpoint as far as this host knows it."""
 
     def __init__(self) -> None:
-        self._own: dict[int, Work] = {}
-        self._begun_at: dict[int, float] = {}
+        self._own: dict[int, _Running] = {}
         self._siblings: dict[str, SiblingLoad] = {}
-        self._parts: OrderedDict[int, int] = OrderedDict()
-        self._parts_tokens = 0
+        self._parts = HeldParts()
         self.kv_tokens = CACHED_TOKENS
         """Tokens that fit into the endpoint's memory."""
         self._read = DecayingSum(RATE_HALF_S)
@@ -114,23 +123,25 @@
         """Note a request that is being sent."""
         if not self._own:
             self.progress_at = now
-        self._own[number] = work
-        self._begun_at[number] = now
+        self._own[number] = _Running(work, prompt, now)
         self._has_changed = True
         self.note_read(work.unread, now)
         self._fresh_read += work.unread
         if prompt is not None:
-            self.note_parts(prompt.parts)
+            self.note_parts(prompt.parts, now)
             self._fresh_parts.extend(prompt.parts)
 
     def note_first(self, number: int, now: float) -> None:
         """Note the first event of a request: its prompt has been read."""
         self.progress_at = now
-        work = self._own.get(number)
-        if work is not None and work.unread:
-            self._own[number] = work._replace(unread=0)
-            self._has_changed = True
-            self._give_back(work.unread, now - self._begun_at[number], now)
+        running = self._own.get(number)
+        if running is None or not running.work.unread:
+            return
+        self._own[number] = running._replace(work=running.work._replace(unread=0))
+        self._has_changed = True
+        self._give_back(running.work.unread, now - running.begun_at, now)
+        if running.prompt is not None:
+            self._parts.note(running.prompt.parts, now)
 
     def note_gap(self, gap_s: float, now: float) -> None:
         """Note the pause between two events of an answer."""
@@ -143,7 +154,6 @@
     def end(self, number: int) -> None:
         """Note that a request has ended, however."""
         self._own.pop(number, None)
-        self._begun_at.pop(number, None)
         self._has_changed = True
 
     def _give_back(self, unread: int, took_s: float, now: float) -> None:
@@ -178,11 +188,11 @@
     def note_sibling(self, host: str, load: SiblingLoad, parts: Iterable[PromptPart]) -> None:
         """Take over what another host of the region says."""
         self._siblings[host] = load
-        self.note_parts(parts)
+        self.note_parts(parts, load.at)
 
     def sum_own(self) -> SiblingLoad:
         """Give what this host has at the endpoint."""
-        works = self._own.values()
+        works = [running.work for running in self._own.values()]
         return SiblingLoad(len(works), sum(w.unread for w in works), sum(w.held for w in works), 0)
 
     def read_rate(self, now: float) -> float:
@@ -224,21 +234,16 @@
 
     def count_unread(self, prompt: Prompt) -> int:
         """Give the tokens of a prompt that the endpoint is taken to have to read."""
-        cached = 0
-        for part in prompt.parts:
-            if part.id not in self._parts:
-                break
-            cached += part.tokens
-        return max(0, prompt.tokens_in - cached)
-
-    def note_parts(self, parts: Iterable[PromptPart]) -> None:
-        """Note that the endpoint reads these parts; the least recently used ones yield."""
-        for part in parts:
-            self._parts_tokens += part.tokens - self._parts.pop(part.id, 0)
-            self._parts[part.id] = part.tokens
-        held = sum(work.held for work in self._own.values())
+        return prompt.tokens_in - self._parts.count_expected(prompt)
+
+    def count_ready(self, prompt: Prompt, now: float) -> int:
+        """Give the leading tokens of a prompt that another endpoint could fetch from here."""
+        return self._parts.count_ready(prompt, now)
+
+    def note_parts(self, parts: Iterable[PromptPart], now: float) -> None:
+        """Note that the endpoint has been sent these parts; the least recently used ones yield."""
+        ready_at = now + self.backlog(now) * self.read_s_per_token
+        self._parts.note(parts, ready_at)
+        held = sum(running.work.held for running in self._own.values())
         held += sum(load.held for load in self._siblings.values())
-        capacity = self.kv_tokens - held
-        while self._parts_tokens > capacity and self._parts:
-            _, tokens = self._parts.popitem(last=False)
-            self._parts_tokens -= tokens
+        self._parts.trim(self.kv_tokens - held)
--- a/cloverway/platform/dialect.py
+++ b/cloverway/platform/dialect.py
@@ -83,6 +83,8 @@
             headers.append((names.PRIORITY, str(priority).encode()))
         if terms.last_event_id:
             headers.append((names.LAST_EVENT, terms.last_event_id.encode("latin-1")))
+        if terms.fetch_from:
+            headers.append((names.FETCH, terms.fetch_from.encode("latin-1")))
         return headers
 
     def encode_pass(self, call: Call, left_s: float) -> list[Header]:
--- a/cloverway/platform/documents.py
+++ b/cloverway/platform/documents.py
@@ -106,7 +106,7 @@
 
 def _decode_service(fields: Fields) -> Service:
     engine = fields.get("engine")
-    shape = EngineShape(int(engine["slots"]), int(engine["kvTokens"])) if engine else None
+    shape = _decode_shape(engine) if engine else None
     return Service(
         name=fields["name"],
         max_connections=int(fields.get("maxConnections") or 100),
@@ -116,6 +116,15 @@
     )
 
 
+def _decode_shape(fields: Fields) -> EngineShape:
+    return EngineShape(
+        slots=int(fields["slots"]),
+        kv_tokens=int(fields["kvTokens"]),
+        token_bytes=int(fields.get("kvTokenBytes") or 0),
+        link_mbps=float(fields.get("linkMbps") or 0),
+    )
+
+
 def _decode_limits(fields: Fields) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
--- a/cloverway/platform/names.py
+++ b/cloverway/platform/names.py
@@ -15,6 +15,8 @@
 LOAD = b"x-cloverway-server-load"
 EXPECTED_ENDPOINT = b"x-cloverway-target-instance"
 PRIORITY = b"x-cloverway-request-priority"
+FETCH = b"kv-fetch"
+"""The address of the endpoint from which parts of the prompt are to be fetched."""
 
 SYSTEM_HEADERS = frozenset(
     (
@@ -32,7 +34,7 @@
         b"x-cloverway-instance-id",
         b"x-cloverway-cold-ms",
         b"x-cloverway-weight-versions",
-        b"kv-fetch",
+        FETCH,
         b"kv-from",
     )
 )
--- a/cloverway/serving/attempt.py
+++ b/cloverway/serving/attempt.py
@@ -142,7 +142,13 @@
             return None
         dialect = self._context.dialect
         if target.peer is None:
-            terms = SendTerms(target.name, left_s, route.priority, self._terms.last_event_id)
+            terms = SendTerms(
+                target.name,
+                left_s,
+                route.priority,
+                self._terms.last_event_id,
+                target.fetch_from,
+            )
             headers = dialect.encode_send(call, terms)
         else:
             resumed = call._replace(last_event_id=self._terms.last_event_id)
--- a/cloverway/serving/ports.py
+++ b/cloverway/serving/ports.py
@@ -49,6 +49,8 @@
     """Time that the endpoint has."""
     priority: int
     last_event_id: str = ""
+    fetch_from: str = ""
+    """The address of an endpoint that has read parts of the prompt already."""
 
 
 class Lookup(NamedTuple):
--- a/cloverway/serving/targeting.py
+++ b/cloverway/serving/targeting.py
@@ -15,12 +15,12 @@
     Sender,
     choose_endpoint,
     choose_region,
-    estimate_work,
     needs_room,
     predict,
 )
 from cloverway.core.deployment import Route, Service
 from cloverway.core.endpoints import Directory, Endpoint
+from cloverway.core.fetch import Source, find_source
 from cloverway.core.members import Members, Peer
 from cloverway.core.pacing import compute_cold_spacing
 from cloverway.serving.clock import read_clock
@@ -64,6 +64,12 @@
     candidate: Candidate | None = None
     peer: Peer | None = None
 
+    @property
+    def fetch_from(self) -> str:
+        """The address of the endpoint that parts of the prompt are fetched from, or nothing."""
+        source = self.candidate.source if self.candidate is not None else None
+        return source.entry.address if source is not None else ""
+
 
 class Targeting:
     """Finds and takes places; owns the counts of what is under way."""
@@ -127,12 +133,16 @@
             len(self._members.list_region()) + 1,
             now - self._started_at < LOADS_HEARD_S,
         )
-        return [
-            predict(wanted.call, wanted.service, endpoint, sender=sender, now=now)
+        near = [
+            endpoint
             for endpoint in self._directory.list_usable(wanted.service.name, now)
             if endpoint.region == region
-            and not wanted.tried[endpoint.entry.id]
-            and self._may_load(endpoint, wanted.service, now)
+        ]
+        source = _find_source(wanted, near, now)
+        return [
+            predict(wanted.call, wanted.service, endpoint, sender=sender, now=now, source=source)
+            for endpoint in near
+            if not wanted.tried[endpoint.entry.id] and self._may_load(endpoint, wanted.service, now)
         ]
 
     def _note_pass(self, region: str, service: str) -> None:
@@ -145,9 +155,8 @@
     def _take_here(self, wanted: Wanted, here: Candidate, now: float) -> Target:
         endpoint = here.endpoint
         number = next(self._numbers)
-        work = estimate_work(wanted.call, endpoint)
-        endpoint.load.begin(number, work, wanted.call.prompt, now)
-        if work.unread >= TOLD_TOKENS:
+        endpoint.load.begin(number, here.work, wanted.call.prompt, now)
+        if here.work.unread >= TOLD_TOKENS:
             self.on_prompt()
         if endpoint.is_cold(now):
             endpoint.last_cold_send = now
@@ -189,3 +198,11 @@
         peers = self._members.list_for_passing(region, now)
         peers = [peer for peer in peers if not wanted.tried[peer.member.name]]
         return random.choice(peers) if peers else None
+
+
+def _find_source(wanted: Wanted, endpoints: list[Endpoint], now: float) -> Source | None:
+    """Find the endpoint that others may fetch parts of a prompt from."""
+    prompt, shape = wanted.call.prompt, wanted.service.engine
+    if prompt is None or shape is None or not shape.can_fetch:
+        return None
+    return find_source(prompt, endpoints, now)
--- a/cloverway/tests/test_core_choice.py
+++ b/cloverway/tests/test_core_choice.py
@@ -134,7 +134,7 @@
     """
     parts = ((1, 6_000), (2, 14_000))
     streams, calm = make_endpoint("streams"), make_endpoint("calm")
-    streams.load.note_parts([PromptPart(1, 6_000)])
+    streams.load.note_parts([PromptPart(1, 6_000)], 0.0)
     streams.load.note_sibling("other", SiblingLoad(4, 0, 4_000, 0.0), ())
     calm.load.note_sibling("other", SiblingLoad(1, 0, 1_000, 0.0), ())
     assert choose([streams, calm], make_call(tokens_in=20_000, parts=parts), 0.0) == "calm"
--- a/cloverway/tests/test_fleet_path.py
+++ b/cloverway/tests/test_fleet_path.py
@@ -53,6 +53,7 @@
                 (b"X-Cloverway-Target-Instance", b"other"),
                 (b"X-Cloverway-Kv-Backup", b"10.0.0.1:1"),
                 (b"Kv-From", b"10.0.0.1:1/3"),
+                (b"Kv-Fetch", b"10.0.0.1:1"),
                 (b"X-Cloverway-Request-Priority", b"0"),
             )
             await fleet.call("/safe/a", headers=forged)
@@ -493,3 +494,41 @@
             assert count_runs(fleet, "desk") == 0
 
     play(scenario)
+
+
+def test_an_engine_is_told_where_to_fetch_what_another_one_has_read():
+    """The engine that has read a shared part works on a long prompt; its part is asked for again.
+
+    The request goes to the idle engine, with the address of the one that has the part.
+    """
+    engine = {"slots": 8, "kvTokens": 300_000, "kvTokenBytes": 18_432, "linkMbps": 180_000}
+
+    def make_headers(own, tokens):
+        return (
+            (b"X-Cloverway-Token-Usage", b"%d,30" % (6_000 + tokens)),
+            (b"X-Cloverway-Prompt-Prefix", b"a1:6000,%x:%d" % (own, tokens)),
+        )
+
+    async def scenario():
+        async with run_fleet() as fleet:
+            model = make_service("model", engine=engine)
+            fleet.publish([make_route("cut", "streaming", "model")], [model])
+            await wait_for(lambda: fleet.hosts[0].directory.configuration.version == fleet.version)
+            engines = [fleet.endpoints[name] for name in ("model-0", "model-1")]
+            for endpoint in engines:
+                endpoint.answer = endpoint.stream(1, 2)
+            await fleet.call("/cut/", headers=make_headers(1, 1_000))
+            holder = next(endpoint for endpoint in engines if endpoint.requests)
+            other = next(endpoint for endpoint in engines if not endpoint.requests)
+            load = fleet.hosts[0].directory.endpoints[holder.name].load
+            await wait_for(lambda: not load.backlog(read_clock()))
+            holder.answer = holder.answer_never
+            waiting = await fleet.begin_call("/cut/", headers=make_headers(2, 9_000))
+            await wait_for(lambda: len(holder.requests) == 2)
+            await fleet.call("/cut/", headers=make_headers(3, 1_000))
+            fields = dict(other.requests[0].headers)
+            assert fields[b"kv-fetch"] == holder.address.encode()
+            assert b"kv-fetch" not in dict(holder.requests[1].headers)
+            waiting.connection.abort()
+
+    play(scenario)
