Learn from first events how fast each engine reads prompts

Cause: all engines were taken to read 30,000 tokens a second. On the new deployment two of three replicas read 36,600 (median of 7 to 66 prompts over 4,000 tokens each, p10 28,000 to 33,000) and the others 28,000 to 30,000, so fast ones were given a fifth less than they bear and requests were refused before them. Change: ReadPace follows the median of what prompts took, by steps of one size. Ruled out: that prompts which waited for others or were there already shift it (tests).

--- a/cloverway/core/load.py
+++ b/cloverway/core/load.py
@@ -8,13 +8,11 @@
 
 from cloverway.core.calls import Prompt, PromptPart
 from cloverway.core.decay import DecayingSum
+from cloverway.core.pace import ReadPace
 from cloverway.core.parts import HeldParts
 
 SIBLING_AGE_S = 2.0
 """How long a sibling's report counts; four lost datagrams in a row are rarer than a dead host."""
-READ_S_PER_TOKEN = 1 / 30_000
-"""Time to read a prompt token, with the attention to what stands before it: between the engines
-known. It isn't measured yet, so a slow engine is paced too fast and shows by its failures only."""
 FIRST_WORK_S = 0.05
 """Time of one request of a plain service before it was measured."""
 LEARN = 0.1
@@ -59,6 +57,8 @@
     work: Work
     prompt: Prompt | None
     begun_at: float
+    ahead: int
+    """Prompt tokens of others that the endpoint had to read before."""
 
 
 class SiblingLoad(NamedTuple):
@@ -111,7 +111,7 @@
         self._fresh_read = 0
         self._fresh_parts: deque[PromptPart] = deque(maxlen=FRESH_PARTS)
         """Parts that were sent, to be told to siblings."""
-        self.read_s_per_token = READ_S_PER_TOKEN
+        self._pace = ReadPace()
         self.work_s = FIRST_WORK_S
         self.progress_at = 0.0
         self._has_changed = False
@@ -119,11 +119,16 @@
         self._failures = DecayingSum(FAIL_FORGET_S)
         self._strain = Strain()
 
+    @property
+    def read_s_per_token(self) -> float:
+        """The time that the endpoint takes to read a prompt token."""
+        return self._pace.s_per_token
+
     def begin(self, number: int, work: Work, prompt: Prompt | None, now: float) -> None:
         """Note a request that is being sent."""
         if not self._own:
             self.progress_at = now
-        self._own[number] = _Running(work, prompt, now)
+        self._own[number] = _Running(work, prompt, now, self.sum_all(now).unread)
         self._has_changed = True
         self.note_read(work.unread, now)
         self._fresh_read += work.unread
@@ -139,7 +144,9 @@
             return
         self._own[number] = running._replace(work=running.work._replace(unread=0))
         self._has_changed = True
-        self._give_back(running.work.unread, now - running.begun_at, now)
+        took_s = now - running.begun_at
+        self._give_back(running.work.unread, took_s, now)
+        self._pace.learn(running.work.unread, running.ahead, took_s)
         if running.prompt is not None:
             self._parts.note(running.prompt.parts, now)
 
