--- a/cloverway/core/load.py
+++ b/cloverway/core/load.py
@@ -31,9 +31,9 @@
 change of the traffic."""
 FRESH_PARTS = 64
 """Parts that wait to be told to siblings; a host that has none must not keep them for ever."""
-STRAINED_GAP_S = 0.45
-"""A pause between two events from which an engine gets no more long prompts for a moment: callers
-bear 600 ms, and an engine that reads prompts in every step makes pauses of 600 to 900 ms."""
+STRAINED_PART = 0.75
+"""Part of the longest wanted pause between two events from which an engine gets no more long
+prompts for a moment: it reads prompts in every step, and the next pause may be too long."""
 STRAINED_S = 0.4
 """How long that holds: about as long as an engine takes to read what waits there at most."""
 FAIL_FORGET_S = 4.0
@@ -86,9 +86,9 @@
     def __init__(self) -> None:
         self._seen_at = float("-inf")
 
-    def note(self, gap_s: float, now: float) -> None:
-        """Note the pause between two events."""
-        if gap_s > STRAINED_GAP_S:
+    def note(self, gap_s: float, objective_s: float, now: float) -> None:
+        """Note the pause between two events, and the longest that is wanted."""
+        if gap_s > STRAINED_PART * objective_s:
             self._seen_at = now
 
     def is_on(self, now: float) -> bool:
@@ -150,9 +150,9 @@
         if running.prompt is not None:
             self._parts.note(running.prompt.parts, now)
 
-    def note_gap(self, gap_s: float, now: float) -> None:
-        """Note the pause between two events of an answer."""
-        self._strain.note(gap_s, now)
+    def note_gap(self, gap_s: float, objective_s: float, now: float) -> None:
+        """Note the pause between two events of an answer, and the longest that is wanted."""
+        self._strain.note(gap_s, objective_s, now)
 
     def is_strained(self, now: float) -> bool:
         """Tell whether running answers paused too long just now."""
--- a/cloverway/serving/attempt.py
+++ b/cloverway/serving/attempt.py
@@ -11,11 +11,12 @@
 
 from cloverway.core.calls import PassedOn
 from cloverway.core.deployment import CallKind
+from cloverway.core.prediction import Wanted
 from cloverway.serving.client import AnswerError, ConnectError, ReplyHead, Sending, make_request
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
 from cloverway.serving.ports import SendTerms
-from cloverway.serving.targeting import Target, Wanted
+from cloverway.serving.targeting import Target
 
 CONNECT_S = 0.4
 """Time to open a connection within the region: a lost opening packet is sent again only after a
--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -13,6 +13,7 @@
 
 from cloverway.core.calls import Call, Header
 from cloverway.core.deployment import Route, Service
+from cloverway.core.prediction import DEFAULT_GAP_S, Wanted
 from cloverway.errors import Kind, Ran, RequestError, take_worse
 from cloverway.serving.attempt import (
     LEAST_S,
@@ -31,7 +32,7 @@
 from cloverway.serving.context import Context
 from cloverway.serving.events import EventSplitter
 from cloverway.serving.server import Exchange
-from cloverway.serving.targeting import Target, Wanted
+from cloverway.serving.targeting import Target
 from cloverway.serving.telemetry import tell
 from cloverway.serving.waiting import Rank
 
@@ -249,7 +250,8 @@
             self._note_events(target, now)
             if waiting_since is not None and target.candidate is not None:
                 # A slow caller, or the change to another endpoint, is no pause of this engine.
-                target.candidate.endpoint.load.note_gap(now - waiting_since, now)
+                objective_s = self.route.gap_objective_s or DEFAULT_GAP_S
+                target.candidate.endpoint.load.note_gap(now - waiting_since, objective_s, now)
             if not self.exchange.started:
                 self.exchange.start(answered.head.status, list_end_to_end(answered.head))
             await self.exchange.send(b"".join(events))
--- a/cloverway/serving/targeting.py
+++ b/cloverway/serving/targeting.py
@@ -4,25 +4,16 @@
 
 import itertools
 import random
-from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
-from cloverway.core.calls import Call
-from cloverway.core.choice import (
-    Candidate,
-    RegionOffer,
-    Sender,
-    choose_endpoint,
-    choose_region,
-    needs_room,
-    predict,
-)
-from cloverway.core.deployment import Route, Service
+from cloverway.core.choice import RegionOffer, choose_endpoint, choose_region, needs_room
+from cloverway.core.deployment import Service
 from cloverway.core.endpoints import Directory, Endpoint
 from cloverway.core.fetch import Source, find_source
 from cloverway.core.members import Members, Peer
 from cloverway.core.pacing import compute_cold_spacing
+from cloverway.core.prediction import Candidate, Sender, Wanted, predict
 from cloverway.serving.clock import read_clock
 from cloverway.serving.settings import FleetSettings
 from cloverway.serving.waiting import WaitingLine
@@ -42,16 +33,6 @@
 """Hosts of one region that a request is passed on to, one after the other."""
 
 
-class Wanted(NamedTuple):
-    """A request that looks for a place."""
-
-    call: Call
-    route: Route
-    service: Service
-    tried: Counter[str]
-    """Failed sends by endpoint, host and region."""
-
-
 class Target(NamedTuple):
     """A place that was taken for a request."""
 
@@ -140,7 +121,7 @@
         ]
         source = _find_source(wanted, near, now)
         return [
-            predict(wanted.call, wanted.service, endpoint, sender=sender, now=now, source=source)
+            predict(wanted, endpoint, sender=sender, now=now, source=source)
             for endpoint in near
             if not wanted.tried[endpoint.entry.id] and self._may_load(endpoint, wanted.service, now)
         ]
