Run a repeatable request that failed at the only endpoint of its region in another one

Whether there is another endpoint was asked of the region only, and it has one. Change: offers of other regions count as a place. Test red before.

--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -319,7 +319,7 @@
         now = read_clock()
         if self.limit_at - now < self.route.objective_s * 0.3:
             return False
-        return bool(self.context.targeting.list_candidates(self.wanted, now))
+        return self.context.targeting.has_place(self.wanted, now)
 
     def _check_repeatable(self, reason: str) -> None:
         """Raise RequestError unless a request that may have run may be sent again."""
--- a/cloverway/serving/targeting.py
+++ b/cloverway/serving/targeting.py
@@ -104,6 +104,15 @@
         full = sum(candidate.full for candidate in candidates)
         return f"{full} of {len(candidates)} endpoints here are full"
 
+    def has_place(self, wanted: Wanted, now: float) -> bool:
+        """Tell whether an endpoint here or another region may run a request that has failed once.
+
+        A region with one endpoint of a service would otherwise give up where larger ones try again.
+        """
+        if self.list_candidates(wanted, now):
+            return True
+        return wanted.call.passed_on is None and bool(self._list_offers(wanted, now))
+
     def list_candidates(self, wanted: Wanted, now: float) -> list[Candidate]:
         """List the endpoints of this region that may run a request."""
         region = self._settings.region
--- a/cloverway/tests/test_fleet_path.py
+++ b/cloverway/tests/test_fleet_path.py
@@ -363,6 +363,32 @@
     play(scenario)
 
 
+def test_a_failure_of_the_only_endpoint_of_a_region_is_made_good_in_another():
+    """An endpoint answers one request in seven with a failure of its own, and may be asked again.
+
+    A region with several endpoints asks the next one; the only one of a region has no next, and its
+    callers got seven times as many failures as others.
+    """
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            await fleet.add_host("d2")
+            await fleet.add_endpoint("far-0", "desk", "d2")
+            north = fleet.hosts[0]
+            await wait_for(lambda: any("desk" in p.offers for p in north.members.peers.values()))
+            endpoint = fleet.endpoints["desk-0"]
+
+            async def fail(exchange):
+                await exchange.answer(500, endpoint.head(exchange), b"")
+
+            endpoint.answer = fail
+            reply = await fleet.call("/safe/a", north)
+            assert (reply.status, reply.body) == (200, b"ran at far-0")
+            assert len(endpoint.requests) == 1
+
+    play(scenario)
+
+
 def test_an_answer_that_breaks_off_is_an_error_to_its_reader():
     async def scenario():
         async with run_fleet(endpoints=1) as fleet:
