Let very large prompts go to an engine that is nearly free, not only to one that has nothing to read

Change: a prompt counts at most 0.2 s of its own reading against the burst of 0.4 s. Test red before.

--- a/cloverway/core/prediction.py
+++ b/cloverway/core/prediction.py
@@ -46,6 +46,9 @@
 BURST_S = 0.4
 """Time to read the prompts that may wait at an engine: pauses of running streams stay below it.
 What is more waits at the hosts, in order, and may go elsewhere."""
+LARGE_S = 0.2
+"""Seconds of its own reading that a prompt counts at most against the burst. A larger one would
+wait for an engine that has nothing to read, and each smaller one that comes meanwhile passes it."""
 SMALL_S = 0.065
 """A prompt that is read within this may wait behind twice as much: it adds next to nothing to the
 pauses of others, since engines read in chunks that take about as long."""
@@ -153,7 +156,8 @@
     read_s = load.read_s_per_token
     is_long = work.unread * read_s > SMALL_S
     burst_s = 0.0 if sender.is_young and is_long else BURST_S * (1 if is_long else 2)
-    full = full or (backlog > 0 and (backlog + work.unread) * read_s > burst_s)
+    own_s = min(work.unread * read_s, LARGE_S)
+    full = full or (backlog > 0 and backlog * read_s + own_s > burst_s)
     full = full or (load.is_strained(now) and is_long)
     cost_s = wait_s + _estimate_harm(wanted, endpoint, work, total, now)
     if source is None:
--- a/cloverway/tests/test_core_choice.py
+++ b/cloverway/tests/test_core_choice.py
@@ -121,6 +121,20 @@
     assert choose([endpoint], make_call(tokens_in=40_000), 0.0) == "a"
 
 
+def test_a_very_large_prompt_does_not_wait_until_an_engine_has_nothing_to_read():
+    """Prompts of 3,000 tokens come all the time, and among them one of 24,000.
+
+    Whenever an engine has read enough for the large one, a small one has just been sent there. One
+    in ten of those that share a document is that large; they came a second late, or not at all.
+    """
+    endpoint = make_endpoint("a")
+    large = make_call("large", tokens_in=24_000)
+    send(endpoint, make_call("small", tokens_in=3_000), 1, 0.0)
+    assert choose([endpoint], large, 0.0) == "a"
+    send(endpoint, large, 2, 0.0)
+    assert choose([endpoint], make_call("next", tokens_in=3_000), 0.3) is None
+
+
 def test_small_prompts_pass_where_large_ones_wait():
     endpoint = make_endpoint("a")
     send(endpoint, make_call("x", tokens_in=11_500), 1, 0.0)
