Count answers by the pace of tokens that is seen at each engine, and the risk that they are cut

Hypothesis: answers are cut by the time of their route at engines that read prompts all the time, and a fixed time of a token (5 ms) with a guess of how busy an engine is doesn't tell which these are. Change: the pauses of running answers and the tokens that an event holds, which is published, give the time of a token at an engine (TokenPace); an answer that would not be whole in time counts up to 3 s. Two tests red before.

--- a/cloverway/core/deployment.py
+++ b/cloverway/core/deployment.py
@@ -71,6 +71,8 @@
     """Memory of one token."""
     link_mbps: float = 0.0
     """Over which a replica fetches memory from another one; 0 where it can't."""
+    event_tokens: int = 0
+    """Tokens that one event of a stream holds; 0 where nothing says so."""
 
     @property
     def can_fetch(self) -> bool:
--- a/cloverway/core/load.py
+++ b/cloverway/core/load.py
@@ -8,7 +8,7 @@
 
 from cloverway.core.calls import Prompt, PromptPart
 from cloverway.core.decay import DecayingSum
-from cloverway.core.pace import ReadPace
+from cloverway.core.pace import START_STEP_S, ReadPace, TokenPace
 from cloverway.core.parts import HeldParts
 
 SIBLING_AGE_S = 2.0
@@ -36,6 +36,8 @@
 prompts for a moment: it reads prompts in every step, and the next pause may be too long."""
 STRAINED_S = 0.4
 """How long that holds: about as long as an engine takes to read what waits there at most."""
+MOST_BUSY = 0.95
+"""Part of its time that an engine is taken to read prompts at most: its answers go on, slowly."""
 FAIL_FORGET_S = 4.0
 """After this time a failure counts half."""
 
@@ -61,6 +63,16 @@
     """Prompt tokens of others that the endpoint had to read before."""
 
 
+class Gap(NamedTuple):
+    """A pause between two events of an answer."""
+
+    seconds: float
+    objective_s: float
+    """The longest pause that is wanted."""
+    tokens: int = 0
+    """Tokens that came after it; 0 where that isn't known."""
+
+
 class SiblingLoad(NamedTuple):
     """What another host of the region has at an endpoint."""
 
@@ -112,6 +124,7 @@
         self._fresh_parts: deque[PromptPart] = deque(maxlen=FRESH_PARTS)
         """Parts that were sent, to be told to siblings."""
         self._pace = ReadPace()
+        self._token_pace = TokenPace()
         self.work_s = FIRST_WORK_S
         self.progress_at = 0.0
         self._has_changed = False
@@ -150,9 +163,23 @@
         if running.prompt is not None:
             self._parts.note(running.prompt.parts, now)
 
-    def note_gap(self, gap_s: float, objective_s: float, now: float) -> None:
-        """Note the pause between two events of an answer, and the longest that is wanted."""
-        self._strain.note(gap_s, objective_s, now)
+    def note_gap(self, gap: Gap, now: float) -> None:
+        """Note a pause between two events of an answer."""
+        self._strain.note(gap.seconds, gap.objective_s, now)
+        if gap.tokens:
+            self._token_pace.note(gap.seconds, gap.tokens, now)
+
+    def estimate_token_s(self, now: float) -> float:
+        """Give the time that a token of an answer takes just now.
+
+        Where no answer runs that would tell, engines are taken to make a token in each step, and to
+        read prompts in the steps between.
+        """
+        seen = self._token_pace.get(now)
+        if seen is not None:
+            return seen
+        busy = min(MOST_BUSY, self.read_rate(now) * self.read_s_per_token)
+        return START_STEP_S / (1 - busy)
 
     def is_strained(self, now: float) -> bool:
         """Tell whether running answers paused too long just now."""
--- a/cloverway/core/pace.py
+++ b/cloverway/core/pace.py
@@ -1,7 +1,9 @@
-"""How long an engine takes to read prompts, learnt from the first events of its answers."""
+"""How fast an engine reads prompts and makes tokens, learnt from the events of its answers."""
 
 from __future__ import annotations
 
+from cloverway.core.decay import DecayingSum
+
 START_S_PER_TOKEN = 1 / 30_000
 """Time to read a prompt token before anything was measured: between the engines known."""
 LEAST_TOKENS = 2_000
@@ -35,3 +37,34 @@
         self._samples += 1
         is_slower = took_s / (tokens + ahead) > self.s_per_token
         self.s_per_token *= 1 + step if is_slower else 1 / (1 + step)
+
+
+TOKEN_HALF_S = 0.7
+"""Age at which the events of answers count half: long against one pause, short against the time
+that an answer takes, so that an engine which has just got many prompts is seen to be slow."""
+LEAST_SEEN_S = 0.1
+"""Seconds of pauses, older ones counting less, from which on they say something."""
+START_STEP_S = 0.006
+"""Time of one token at an engine that reads no prompts, before anything was seen."""
+
+
+class TokenPace:
+    """The pace at which one engine makes the tokens of its running answers.
+
+    All answers that run at an engine get one token in each of its steps, so any of them tells.
+    """
+
+    def __init__(self) -> None:
+        self._seconds = DecayingSum(TOKEN_HALF_S)
+        self._tokens = DecayingSum(TOKEN_HALF_S)
+
+    def note(self, gap_s: float, tokens: int, now: float) -> None:
+        """Note that some tokens of an answer took so long."""
+        self._seconds.add(gap_s, now)
+        self._tokens.add(tokens, now)
+
+    def get(self, now: float) -> float | None:
+        """Give the seconds that a token takes just now; None where too little was seen."""
+        if self._seconds.get(now) < LEAST_SEEN_S:
+            return None
+        return self._seconds.get(now) / max(self._tokens.get(now), 1e-9)
--- a/cloverway/core/prediction.py
+++ b/cloverway/core/prediction.py
@@ -39,10 +39,13 @@
 """Weight of the time to read a prompt, on top of the request's own wait: whoever comes next waits
 for it too, so a place that has read a shared part is worth a wait."""
 DECODE_WEIGHT = 0.3
-"""Weight of the time by which prompts that others send to an endpoint stretch an answer there. With
-it long answers gather where few prompts are read, and long prompts elsewhere."""
-STEP_S = 0.005
-"""Time of one token of an answer at an engine that reads no prompts: between the engines known."""
+"""Weight of the time that the tokens of an answer take at an endpoint, at the pace of those that
+run there. Long answers then gather where few prompts are read, and long prompts elsewhere."""
+RISK_S = 3.0
+"""Time that an answer counts which would not be whole when the time of its route is over: what was
+generated is lost, and the caller gets nothing."""
+RISK_FROM = 0.5
+"""Part of the time left from which on that begins to count: estimates of tokens are off by half."""
 BURST_S = 0.4
 """Time to read the prompts that may wait at an engine: pauses of running streams stay below it.
 What is more waits at the hosts, in order, and may go elsewhere."""
@@ -52,7 +55,6 @@
 SMALL_S = 0.065
 """A prompt that is read within this may wait behind twice as much: it adds next to nothing to the
 pauses of others, since engines read in chunks that take about as long."""
-MOST_BUSY = 0.95
 HOME_BONUS = 0.3
 """Part of the time to read a shared part that its own endpoint, by hash, is preferred by, while
 none is known to have it. All hosts then read it at the same one, without a word between them."""
@@ -180,14 +182,24 @@
     read_s = work.unread * load.read_s_per_token
     stall_s = STALL_PART * (wanted.route.gap_objective_s or DEFAULT_GAP_S)
     delay_s = read_s * (READ_WEIGHT + STREAM_WEIGHT * total.running)
-    if load.backlog(now) * load.read_s_per_token + read_s > stall_s:
+    first_s = load.backlog(now) * load.read_s_per_token + read_s
+    if first_s > stall_s:
         delay_s += STALL_WEIGHT_S * total.running
-    busy = min(MOST_BUSY, load.read_rate(now) * load.read_s_per_token)
     assert wanted.call.prompt is not None
     tokens_out = work.held - wanted.call.prompt.tokens_in
-    stretch_s = tokens_out * STEP_S * busy / (1 - busy)
+    answer_s = tokens_out * load.estimate_token_s(now)
     fetch_s = FETCH_PART * work.fetched * load.read_s_per_token
-    return delay_s + fetch_s + DECODE_WEIGHT * stretch_s
+    risk_s = RISK_S * _estimate_risk(wanted, first_s + answer_s, now)
+    return delay_s + fetch_s + DECODE_WEIGHT * answer_s + risk_s
+
+
+def _estimate_risk(wanted: Wanted, total_s: float, now: float) -> float:
+    """Estimate how likely an answer is cut because the time of its route is over."""
+    call, route = wanted.call, wanted.route
+    left_s = min(call.deadline, call.arrived_at + route.timeout_s) - now
+    if left_s <= 0:
+        return 1.0
+    return min(1.0, max(0.0, total_s / left_s - RISK_FROM) / (1 - RISK_FROM))
 
 
 def _estimate_crossing(call: Call, endpoint: Endpoint, domain: str) -> float:
--- a/cloverway/platform/documents.py
+++ b/cloverway/platform/documents.py
@@ -122,6 +122,8 @@
         kv_tokens=int(fields["kvTokens"]),
         token_bytes=int(fields.get("kvTokenBytes") or 0),
         link_mbps=float(fields.get("linkMbps") or 0),
+        # Not how far apart events are, but how much each of them holds.
+        event_tokens=int(fields.get("stride") or 0),
     )
 
 
--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -13,6 +13,7 @@
 
 from cloverway.core.calls import Call, Header
 from cloverway.core.deployment import Route, Service
+from cloverway.core.load import Gap
 from cloverway.core.prediction import DEFAULT_GAP_S, Wanted
 from cloverway.errors import Kind, Ran, RequestError, take_worse
 from cloverway.serving.attempt import (
@@ -250,8 +251,8 @@
             self._note_events(target, now)
             if waiting_since is not None and target.candidate is not None:
                 # A slow caller, or the change to another endpoint, is no pause of this engine.
-                objective_s = self.route.gap_objective_s or DEFAULT_GAP_S
-                target.candidate.endpoint.load.note_gap(now - waiting_since, objective_s, now)
+                gap = self._make_gap(now - waiting_since, len(events))
+                target.candidate.endpoint.load.note_gap(gap, now)
             if not self.exchange.started:
                 self.exchange.start(answered.head.status, list_end_to_end(answered.head))
             await self.exchange.send(b"".join(events))
@@ -263,6 +264,11 @@
             await self.exchange.send(rest)
         self.exchange.finish()
 
+    def _make_gap(self, seconds: float, events: int) -> Gap:
+        shape = self.service.engine
+        tokens = events * shape.event_tokens if shape is not None else 0
+        return Gap(seconds, self.route.gap_objective_s or DEFAULT_GAP_S, tokens)
+
     async def _read_event_bytes(self, sending: Sending, patience_s: float | None) -> bytes:
         async with bear_silence(patience_s):
             return await sending.read_part()
--- a/cloverway/tests/test_core_choice.py
+++ b/cloverway/tests/test_core_choice.py
@@ -28,7 +28,7 @@
     WeightedService,
 )
 from cloverway.core.endpoints import Endpoint
-from cloverway.core.load import DUTY, STRAINED_PART, STRAINED_S, SiblingLoad, Work
+from cloverway.core.load import DUTY, STRAINED_PART, STRAINED_S, Gap, SiblingLoad, Work
 from cloverway.core.pace import START_S_PER_TOKEN
 from cloverway.core.prediction import BURST_S, Sender, Wanted, estimate_work, predict
 
@@ -155,6 +155,37 @@
     assert choose([busy, calm], call, 6.5) == "calm"
 
 
+def test_answers_that_run_at_an_engine_tell_how_fast_it_makes_tokens():
+    """Two engines got the same prompts by what this host knows; one makes a token in 40 ms.
+
+    Another host filled it, or it is slow. A long answer there would end after its time.
+    """
+    slow, fast = make_endpoint("slow"), make_endpoint("fast")
+    for step in range(5):
+        slow.load.note_gap(Gap(0.36, PAUSE_S, tokens=9), 1.0 + step * 0.36)
+        fast.load.note_gap(Gap(0.09, PAUSE_S, tokens=9), 1.0 + step * 0.36)
+    call = make_call(tokens_in=700, tokens_out=600)
+    assert choose([slow, fast], call, 2.5) == "fast"
+    assert choose([slow], call, 2.5) == "slow"
+
+
+def test_an_answer_with_little_time_left_goes_where_it_can_be_whole():
+    """A stream broke off and goes on with two seconds left; it needs 200 tokens more.
+
+    The engine with the earliest first token makes one in 12 ms: 2.4 s. The other one has a prompt
+    to read first, and makes a token in 6 ms.
+    """
+    slow, fast = make_endpoint("slow"), make_endpoint("fast")
+    for step in range(5):
+        slow.load.note_gap(Gap(0.108, PAUSE_S, tokens=9), 1.0 + step * 0.1)
+        fast.load.note_gap(Gap(0.054, PAUSE_S, tokens=9), 1.0 + step * 0.1)
+    fast.load.begin(1, Work(12_000, 12_000), None, 1.5)
+    call = make_call(tokens_in=700, tokens_out=333)._replace(deadline=3.5)
+    assert choose([slow, fast], call, 1.5) == "fast"
+    short = make_call(tokens_in=700, tokens_out=100)._replace(deadline=3.5)
+    assert choose([slow, fast], short, 1.5) == "slow"
+
+
 def test_a_prompt_that_stalls_streams_goes_where_few_run():
     """A prompt of 20,000 tokens arrives; an engine with four streams has read a part of it.
 
@@ -291,7 +322,7 @@
     answers pause for over 450 ms: that is seen at once, whatever is believed.
     """
     strained, other = make_endpoint("a"), make_endpoint("b")
-    strained.load.note_gap(STRAINED_PART * PAUSE_S + 0.1, PAUSE_S, 1.0)
+    strained.load.note_gap(Gap(STRAINED_PART * PAUSE_S + 0.1, PAUSE_S), 1.0)
     other.load.begin(1, Work(8_000, 9_000), None, 1.0)
     assert choose([strained, other], make_call(tokens_in=3_000), 1.1) == "b"
     assert choose([strained], make_call(tokens_in=9_000), 1.1) is None
