Choose another region by the same costs as an endpoint here

Change: offers tell the pace of reading and of tokens and what runs at the engine with the shortest queue, and the cost of a request there has the same terms as here, the way and its bytes included. Tests red before.

--- a/cloverway/core/load.py
+++ b/cloverway/core/load.py
@@ -82,6 +82,18 @@
     at: float
 
 
+class EngineState(NamedTuple):
+    """What decides how a request fares at an engine."""
+
+    queue_s: float
+    """Time to read the prompts that wait there, at the pace that is wanted."""
+    read_s_per_token: float
+    token_s: float
+    """Time that a token of an answer takes."""
+    running: int
+    """Requests that run there."""
+
+
 class LoadNews(NamedTuple):
     """What a host tells others of its requests at an endpoint."""
 
--- a/cloverway/core/members.py
+++ b/cloverway/core/members.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from cloverway.core.decay import DecayingSum
+from cloverway.core.load import EngineState
 
 ALIVE_S = 1.5
 """A host that was not heard for this long is not named to callers nor given requests: several
@@ -62,6 +63,8 @@
     """Requests that may be sent there at once."""
     room: int
     """Prompt tokens of the largest of them."""
+    engine: EngineState = EngineState(0.0, 0.0, 0.0, 0)
+    """The best of its engines, where the service has some."""
 
 
 class Peer:
--- a/cloverway/core/prediction.py
+++ b/cloverway/core/prediction.py
@@ -6,11 +6,12 @@
 from collections import Counter
 from typing import NamedTuple
 
-from cloverway.core.calls import Call
+from cloverway.core.calls import Call, Prompt
 from cloverway.core.deployment import Route, Service
 from cloverway.core.endpoints import Endpoint
 from cloverway.core.fetch import Source, count_fetched, estimate_fetch
-from cloverway.core.load import SiblingLoad, Work
+from cloverway.core.load import EngineState, Work
+from cloverway.core.members import Offer
 
 FAILURE_S = 0.5
 """Time that each recent failure of an endpoint adds to its prediction: about what a caller loses
@@ -100,6 +101,21 @@
     """The endpoint that it would fetch parts of the prompt from."""
 
 
+class Far(NamedTuple):
+    """Another region, and the time of the way there and back."""
+
+    region: str
+    trip_s: float
+
+
+class RegionOffer(NamedTuple):
+    """Another region with what is predicted of a request there, the way counted in."""
+
+    region: str
+    wait_s: float
+    cost_s: float
+
+
 class Sender(NamedTuple):
     """The host that would send a request."""
 
@@ -117,11 +133,23 @@
     prompt = call.prompt
     if prompt is None:
         return Work()
-    likely = prompt.likely_out
-    out = likely if likely is not None else int(prompt.tokens_out * DECODE_LIKELY)
     fetched = count_fetched(prompt, endpoint, source)
     unread = endpoint.load.count_unread(prompt) - fetched
-    return Work(unread, prompt.tokens_in + out, fetched)
+    return Work(unread, prompt.tokens_in + _estimate_out(prompt), fetched)
+
+
+def estimate_far_work(call: Call) -> Work:
+    """Estimate what a request asks of an endpoint in another region.
+
+    Its own part is to be read, and half of the shared ones, of which nobody here knows whether
+    they lie there.
+    """
+    prompt = call.prompt
+    if prompt is None:
+        return Work()
+    own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens_in
+    unread = own + (prompt.tokens_in - own) // 2
+    return Work(unread, prompt.tokens_in + _estimate_out(prompt))
 
 
 def predict(
@@ -152,16 +180,15 @@
         cost_s = wait_s + _estimate_crossing(call, endpoint, sender.domain)
         return Candidate(endpoint, wait_s, cost_s, estimate_work(call, endpoint), full)
     work = estimate_work(call, endpoint, source)
-    backlog = load.backlog(now)
+    state = describe_engine(endpoint, now)
     fetch_s = estimate_fetch(work.fetched, service.engine)
-    wait_s = (backlog + work.unread) * load.read_s_per_token + fetch_s + penalty + spread
-    read_s = load.read_s_per_token
-    is_long = work.unread * read_s > SMALL_S
+    read_s = work.unread * state.read_s_per_token
+    wait_s = state.queue_s + read_s + fetch_s + penalty + spread
+    is_long = read_s > SMALL_S
     burst_s = 0.0 if sender.is_young and is_long else BURST_S * (1 if is_long else 2)
-    own_s = min(work.unread * read_s, LARGE_S)
-    full = full or (backlog > 0 and backlog * read_s + own_s > burst_s)
+    full = full or (state.queue_s > 0 and state.queue_s + min(read_s, LARGE_S) > burst_s)
     full = full or (load.is_strained(now) and is_long)
-    cost_s = wait_s + _estimate_harm(wanted, endpoint, work, total, now)
+    cost_s = wait_s + _estimate_harm(wanted, work, state, now)
     if source is None:
         cost_s -= _home_bonus(call, endpoint)
     cost_s += _estimate_crossing(call, endpoint, sender.domain)
@@ -174,25 +201,50 @@
     )
 
 
-def _estimate_harm(
-    wanted: Wanted, endpoint: Endpoint, work: Work, total: SiblingLoad, now: float
-) -> float:
-    """Estimate what a request costs later: streams that wait, and its own answer stretched."""
+def describe_engine(endpoint: Endpoint, now: float) -> EngineState:
+    """Give what is known of an engine."""
     load = endpoint.load
-    read_s = work.unread * load.read_s_per_token
+    read_s = load.read_s_per_token
+    running = load.sum_all(now).running
+    return EngineState(load.backlog(now) * read_s, read_s, load.estimate_token_s(now), running)
+
+
+def predict_region(wanted: Wanted, offer: Offer, far: Far, now: float) -> RegionOffer:
+    """Predict how a request would fare in another region, by what that region offers."""
+    call = wanted.call
+    wait_s = offer.wait_s + far.trip_s
+    crossing_s = CROSS_S_PER_BYTE * _estimate_bytes(call)
+    if wanted.service.engine is None or call.prompt is None:
+        return RegionOffer(far.region, wait_s, wait_s + crossing_s)
+    work = estimate_far_work(call)
+    wait_s += work.unread * offer.engine.read_s_per_token
+    cost_s = wait_s + _estimate_harm(wanted, work, offer.engine, now) + crossing_s
+    return RegionOffer(far.region, wait_s, cost_s)
+
+
+def _estimate_harm(wanted: Wanted, work: Work, state: EngineState, now: float) -> float:
+    """Estimate what a request costs later: streams that wait, and its own answer stretched."""
+    read_s = work.unread * state.read_s_per_token
     stall_s = STALL_PART * (wanted.route.gap_objective_s or DEFAULT_GAP_S)
-    delay_s = read_s * (READ_WEIGHT + STREAM_WEIGHT * total.running)
-    first_s = load.backlog(now) * load.read_s_per_token + read_s
+    delay_s = read_s * (READ_WEIGHT + STREAM_WEIGHT * state.running)
+    first_s = state.queue_s + read_s
     if first_s > stall_s:
-        delay_s += STALL_WEIGHT_S * total.running
+        delay_s += STALL_WEIGHT_S * state.running
     assert wanted.call.prompt is not None
     tokens_out = work.held - wanted.call.prompt.tokens_in
-    answer_s = tokens_out * load.estimate_token_s(now)
-    fetch_s = FETCH_PART * work.fetched * load.read_s_per_token
+    answer_s = tokens_out * state.token_s
+    fetch_s = FETCH_PART * work.fetched * state.read_s_per_token
     risk_s = RISK_S * _estimate_risk(wanted, first_s + answer_s, now)
     return delay_s + fetch_s + DECODE_WEIGHT * answer_s + risk_s
 
 
+def _estimate_out(prompt: Prompt) -> int:
+    """Give the tokens that an answer is taken to have."""
+    if prompt.likely_out is not None:
+        return prompt.likely_out
+    return int(prompt.tokens_out * DECODE_LIKELY)
+
+
 def _estimate_risk(wanted: Wanted, total_s: float, now: float) -> float:
     """Estimate how likely an answer is cut because the time of its route is over."""
     call, route = wanted.call, wanted.route
@@ -206,8 +258,13 @@
     """Give the time that the bytes count which go to another failure domain."""
     if endpoint.entry.domain == domain:
         return 0.0
+    return CROSS_S_PER_BYTE * _estimate_bytes(call)
+
+
+def _estimate_bytes(call: Call) -> float:
+    """Give the bytes of a request and its answer."""
     tokens = call.prompt.tokens_out * DECODE_LIKELY if call.prompt is not None else 0.0
-    return CROSS_S_PER_BYTE * (len(call.body) + ANSWER_BYTES_PER_TOKEN * tokens)
+    return len(call.body) + ANSWER_BYTES_PER_TOKEN * tokens
 
 
 def _home_bonus(call: Call, endpoint: Endpoint) -> float:
--- a/cloverway/fleet.thrift
+++ b/cloverway/fleet.thrift
@@ -29,6 +29,9 @@
   2: i32 wait_ms
   3: i32 free
   4: i32 room
+  5: i32 read_ns
+  6: i32 token_us
+  7: i32 running
 }
 
 struct Heartbeat {
--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/gossip.py
@@ -8,8 +8,9 @@
 from typing import cast
 
 from cloverway.addresses import format_address, split_address
-from cloverway.core.choice import offer_region
+from cloverway.core.choice import Room, offer_region
 from cloverway.core.endpoints import Directory
+from cloverway.core.load import EngineState
 from cloverway.core.members import Member, Members, Offer, Peer
 from cloverway.errors import PeerError
 from cloverway.serving.catalogue import Catalogue
@@ -234,9 +235,7 @@
             ]
             if not endpoints:
                 continue
-            room = offer_region(service, endpoints, now)
-            free = min(room.free, FREE_MOST)
-            offers.append(RegionOffer(service.name, int(room.wait_s * 1000), free, room.tokens))
+            offers.append(_describe_room(service.name, offer_region(service, endpoints, now)))
         return tuple(offers)
 
     # Hearing
@@ -262,12 +261,7 @@
         peer.digest = heartbeat.digest
         self.sync.note(peer, now)
         if heartbeat.offers:
-            peer.offers = {
-                offer.service_name: Offer(
-                    offer.service_name, offer.wait_ms / 1000, offer.free, offer.room
-                )
-                for offer in heartbeat.offers
-            }
+            peer.offers = {offer.service_name: _read_offer(offer) for offer in heartbeat.offers}
 
     def _note_alive(self, now: float) -> None:
         alive = {peer.member.name for peer in self.members.list_alive(now)}
@@ -286,3 +280,21 @@
 
 def _read_member(state: HostState) -> Member:
     return Member(*state[:6], state.ready, state.leaving, state.capacity)
+
+
+def _describe_room(service: str, room: Room) -> RegionOffer:
+    free = min(room.free, FREE_MOST)
+    offer = RegionOffer(service, int(room.wait_s * 1000), free, room.tokens)
+    if room.engine is None:
+        return offer
+    return offer._replace(
+        read_ns=int(room.engine.read_s_per_token * 1e9),
+        token_us=int(room.engine.token_s * 1e6),
+        running=room.engine.running,
+    )
+
+
+def _read_offer(offer: RegionOffer) -> Offer:
+    wait_s = offer.wait_ms / 1000
+    engine = EngineState(wait_s, offer.read_ns / 1e9, offer.token_us / 1e6, offer.running)
+    return Offer(offer.service_name, wait_s, offer.free, offer.room, engine)
--- a/cloverway/serving/peerwire.py
+++ b/cloverway/serving/peerwire.py
@@ -54,6 +54,12 @@
     free: int
     room: int = 0
     """Prompt tokens of the largest request that may be sent there at once."""
+    read_ns: int = 0
+    """Time to read a prompt token at the engine with the shortest queue."""
+    token_us: int = 0
+    """Time that a token of an answer takes there."""
+    running: int = 0
+    """Requests that run there."""
 
 
 class Heartbeat(NamedTuple):
--- a/cloverway/serving/targeting.py
+++ b/cloverway/serving/targeting.py
@@ -7,13 +7,22 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from cloverway.core.choice import RegionOffer, choose_endpoint, choose_region, needs_room
+from cloverway.core.choice import choose_endpoint, choose_region
 from cloverway.core.deployment import Service
 from cloverway.core.endpoints import Directory, Endpoint
 from cloverway.core.fetch import Source, find_source
 from cloverway.core.members import Members, Peer
 from cloverway.core.pacing import compute_cold_spacing
-from cloverway.core.prediction import Candidate, Sender, Wanted, predict
+from cloverway.core.prediction import (
+    Candidate,
+    Far,
+    RegionOffer,
+    Sender,
+    Wanted,
+    estimate_far_work,
+    predict,
+    predict_region,
+)
 from cloverway.serving.clock import read_clock
 from cloverway.serving.settings import FleetSettings
 from cloverway.serving.waiting import WaitingLine
@@ -169,20 +178,24 @@
 
     def _list_offers(self, wanted: Wanted, now: float) -> list[RegionOffer]:
         own = self._settings.region
-        offers: dict[str, float] = {}
+        work = estimate_far_work(wanted.call)
+        offers: dict[str, RegionOffer] = {}
         for peer in self._members.list_alive(now):
             region = peer.member.region
             offer = peer.offers.get(wanted.service.name)
             if region == own or offer is None or not peer.member.ready or offer.free <= 0:
                 continue
-            if offer.room < needs_room(wanted.call):
+            if offer.room < work.unread:
                 continue
             if wanted.route.homes and region not in wanted.route.homes:
                 continue
             if now < peer.failed_until or wanted.tried[region] >= FAR_TRIES:
                 continue
-            offers[region] = min(offers.get(region, float("inf")), offer.wait_s + FAR_S)
-        return [RegionOffer(region, wait_s) for region, wait_s in offers.items()]
+            predicted = predict_region(wanted, offer, Far(region, FAR_S), now)
+            known = offers.get(region)
+            if known is None or predicted.cost_s < known.cost_s:
+                offers[region] = predicted
+        return list(offers.values())
 
     def _choose_peer(self, wanted: Wanted, region: str, now: float) -> Peer | None:
         peers = self._members.list_for_passing(region, now)
--- a/cloverway/tests/test_core_choice.py
+++ b/cloverway/tests/test_core_choice.py
@@ -14,7 +14,6 @@
 from cloverway.core.calls import Call, Prompt, PromptPart
 from cloverway.core.choice import (
     ANY_TOKENS,
-    RegionOffer,
     choose_endpoint,
     choose_region,
     offer_region,
@@ -28,9 +27,19 @@
     WeightedService,
 )
 from cloverway.core.endpoints import Endpoint
-from cloverway.core.load import DUTY, STRAINED_PART, STRAINED_S, Gap, SiblingLoad, Work
+from cloverway.core.load import DUTY, STRAINED_PART, STRAINED_S, EngineState, Gap, SiblingLoad, Work
+from cloverway.core.members import Offer
 from cloverway.core.pace import START_S_PER_TOKEN
-from cloverway.core.prediction import BURST_S, Sender, Wanted, estimate_work, predict
+from cloverway.core.prediction import (
+    BURST_S,
+    Far,
+    RegionOffer,
+    Sender,
+    Wanted,
+    estimate_work,
+    predict,
+    predict_region,
+)
 
 HERE = Sender("d1")
 PAUSE_S = 0.6
@@ -248,9 +257,40 @@
 
 def test_a_request_leaves_its_region_only_for_a_clear_gain():
     here = predict(want(make_call()), make_endpoint("a"), sender=HERE, now=0.0)
-    assert choose_region(here, [RegionOffer("south", here.wait_s - 0.1)], 0.3) is None
-    assert choose_region(here, [RegionOffer("south", here.wait_s - 0.5)], 0.3) is not None
-    assert choose_region(None, [RegionOffer("south", 9.0)], 0.3) is not None
+    assert choose_region(here, [RegionOffer("south", 0.0, here.cost_s - 0.1)], 0.3) is None
+    assert choose_region(here, [RegionOffer("south", 0.0, here.cost_s - 0.5)], 0.3) is not None
+    assert choose_region(None, [RegionOffer("south", 9.0, 9.0)], 0.3) is not None
+
+
+def offer(queue_s=0.0, token_s=0.006, running=0):
+    engine = EngineState(queue_s, START_S_PER_TOKEN, token_s, running)
+    return Offer("model", queue_s, 10, ANY_TOKENS, engine)
+
+
+def test_long_answers_leave_a_region_whose_engines_make_tokens_slowly():
+    """A region of one engine at its peak, and one whose peak is hours away.
+
+    The engine still takes prompts, so nothing would leave by the time to the first token alone; but
+    it makes a token in 30 ms, and answers of 400 tokens are cut by the time of their route.
+    """
+    busy = make_endpoint("a")
+    for step in range(5):
+        busy.load.note_gap(Gap(0.27, PAUSE_S, tokens=9), 1.0 + step * 0.27)
+    far = Far("south", 0.2)
+    now = 2.3
+    for tokens_out, leaves in ((600, True), (20, False)):
+        wanted = want(make_call(tokens_in=700, tokens_out=tokens_out))
+        here = predict(wanted, busy, sender=HERE, now=now)
+        away = predict_region(wanted, offer(), far, now)
+        assert (choose_region(here, [away], 0.3) is not None) is leaves
+
+
+def test_a_request_stays_while_its_region_is_as_calm_as_others():
+    endpoint = make_endpoint("a")
+    wanted = want(make_call(tokens_in=9_000, tokens_out=600))
+    here = predict(wanted, endpoint, sender=HERE, now=0.0)
+    away = predict_region(wanted, offer(), Far("south", 0.2), 0.0)
+    assert choose_region(here, [away], 0.3) is None
 
 
 @pytest.mark.parametrize("hosts", [1, 3, 10])
