--- a/cloverway/core/load.py
+++ b/cloverway/core/load.py
@@ -218,9 +218,9 @@
         """Learn from the time that a plain request took."""
         self.work_s += LEARN * (seconds - self.work_s)
 
-    def note_failure(self, now: float) -> None:
-        """Note that the endpoint failed a request."""
-        self._failures.add(1.0, now)
+    def note_failure(self, now: float, weight: float = 1.0) -> None:
+        """Note that the endpoint failed a request; less weight for a failure that is usual."""
+        self._failures.add(weight, now)
 
     def note_success(self, now: float) -> None:
         """Note that the endpoint served a request."""
--- a/cloverway/serving/context.py
+++ b/cloverway/serving/context.py
@@ -5,6 +5,7 @@
 from cloverway.core.budget import RetryBudget
 from cloverway.core.deployment import Configuration
 from cloverway.core.endpoints import Directory
+from cloverway.core.failures import UsualFailures
 from cloverway.core.members import Members
 from cloverway.serving.client import Pool
 from cloverway.serving.ports import Dialect
@@ -31,6 +32,7 @@
         self.figures = figures
         self.pool = Pool(figures.note_connect)
         self.targeting = Targeting(settings, directory, members)
+        self.usual_failures = UsualFailures()
         self._budgets: dict[str, RetryBudget] = {}
 
     def get_budget(self, service: str) -> RetryBudget:
--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -310,10 +310,12 @@
             return
         load = target.candidate.endpoint.load
         now = read_clock()
+        usual = self.context.usual_failures
         if failed:
-            load.note_failure(now)
+            load.note_failure(now, usual.weigh(self.route.name))
         else:
             load.note_success(now)
+        usual.note(self.route.name, failed)
 
     def _may_repeat(self, runs: int) -> bool:
         """Tell whether the request may be run again after some runs."""
