Let requests wait for the first configuration of a host that has just started

Change: up to 0.6 s after its start a host lets requests wait for its first configuration. Test red before.

--- a/cloverway/serving/context.py
+++ b/cloverway/serving/context.py
@@ -2,17 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+
 from cloverway.core.budget import RetryBudget
 from cloverway.core.deployment import Configuration
 from cloverway.core.endpoints import Directory
 from cloverway.core.failures import UsualFailures
 from cloverway.core.members import Members
 from cloverway.serving.client import Pool
+from cloverway.serving.clock import read_clock
 from cloverway.serving.ports import Dialect
 from cloverway.serving.settings import FleetSettings
 from cloverway.serving.targeting import Targeting
 from cloverway.serving.telemetry import Figures
 
+START_WAIT_S = 0.6
+"""Age of a host up to which it lets requests wait for its first configuration: the store answers a
+host that is far within 0.35 s. A caller that is refused comes back later, and has one try less."""
+
 
 class Context:
     """The parts of a host that the course of a request works with."""
@@ -34,6 +42,8 @@
         self.targeting = Targeting(settings, directory, members)
         self.usual_failures = UsualFailures()
         self._budgets: dict[str, RetryBudget] = {}
+        self._started_at = read_clock()
+        self._configured = asyncio.Event()
 
     def get_budget(self, service: str) -> RetryBudget:
         """Give this host's share of the retry budget of a service."""
@@ -42,6 +52,18 @@
             budget = self._budgets[service] = RetryBudget(self.settings.retries)
         return budget
 
+    def note_configured(self) -> None:
+        """Note that a configuration is in force."""
+        self._configured.set()
+
+    async def wait_for_configuration(self) -> None:
+        """Wait for the first configuration, for as long as one can be expected."""
+        left_s = self._started_at + START_WAIT_S - read_clock()
+        if left_s > 0 and not self._configured.is_set():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    await self._configured.wait()
+
     def get_configuration(self) -> Configuration:
         """Give the configuration in force; a route was found in it."""
         configuration = self.directory.configuration
--- a/cloverway/serving/forwarding.py
+++ b/cloverway/serving/forwarding.py
@@ -40,6 +40,7 @@
         try:
             call = self._context.dialect.decode_call(exchange)._replace(passed_on=passed)
             call_id = call.id
+            await self._context.wait_for_configuration()
             route = self._find_route(call)
             course = Course(self._context, exchange, call, route)
             await course.run()
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -142,6 +142,8 @@
 
     def _note_changes(self, changes: list[Change]) -> None:
         own = self.members.own
+        if self.directory.configuration is not None:
+            self.context.note_configured()
         ready = self.directory.configuration is not None and not own.leaving
         if ready != own.ready:
             self.members.own = own._replace(ready=ready)
--- a/cloverway/tests/fleet/standins.py
+++ b/cloverway/tests/fleet/standins.py
@@ -53,6 +53,8 @@
         self.compacted = 0
         self.status = 200
         self.silent = False
+        self.delay_s = 0.0
+        """Time before each answer."""
         self.page = 3
         self.calls: list[str] = []
         self.server = make_server(self._handle)
@@ -95,6 +97,7 @@
         self.calls.append(exchange.target)
         if self.silent:
             await asyncio.sleep(3600)
+        await asyncio.sleep(self.delay_s)
         if self.status != 200:
             await exchange.answer(self.status, [], b"")
             return
--- a/cloverway/tests/test_fleet_hosts.py
+++ b/cloverway/tests/test_fleet_hosts.py
@@ -38,6 +38,23 @@
     play(scenario)
 
 
+def test_a_request_that_comes_before_the_first_configuration_waits_for_it_a_little():
+    """All hosts start again; one that is far from the store knows its routes 0.3 s later.
+
+    Its callers are there at once. Refused, they come back after half a second and more, and most of
+    them try only once more.
+    """
+
+    async def scenario():
+        async with run_fleet(hosts=0, endpoints=1) as fleet:
+            fleet.store.delay_s = 0.25
+            host = await fleet.add_host()
+            reply = await fleet.call("/safe/a", host)
+            assert reply.status == 200
+
+    play(scenario)
+
+
 def test_a_host_that_cannot_read_the_store_gets_its_documents_from_a_peer():
     async def scenario():
         async with run_fleet(hosts=1, endpoints=1) as fleet:
