Let hosts that serve callers tell other regions what theirs can take, and the others speak rarely

In a large region most of them offered engines as idle, since only hosts that serve callers hear what is sent to engines, and the offers went to any two of thirty hosts. Change: hosts that serve callers tell those that do, each second; the others of a region together send four heartbeats a second to each other region; rates travel with descriptions of hosts; requests are passed on to hosts that serve callers; a heartbeat describes one other host for each eight of the fleet.

--- a/cloverway/core/entry.py
+++ b/cloverway/core/entry.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
-from cloverway.core.members import Member, Members
+from cloverway.core.members import LEAST_NAMED, Member, Members, rank_by_strength
 
 REQUEST_CORE_S = 0.007
 """Time of one core for one request: 38 s of the processes' own code for 5,000 requests on a heavy
@@ -17,9 +17,6 @@
 """Part of its capacity that a named host is expected to use. What is left takes bursts, and the
 requests of a host that fails, for the seconds until more hosts are named. With 0.3 all hosts were
 named at each peak of a large deployment."""
-LEAST_NAMED = 2
-"""Hosts that are named at least, where there are as many: a caller whose host fails has another
-address at once."""
 SETTLE_S = 1.0
 """Age from which a host knows enough others to lead callers: it is told of them by the first that
 hears it, and hears all of its region with their next heartbeats."""
@@ -97,7 +94,7 @@
     third of the streams on a calm day had a pause over 600 ms at engines that read a quarter of the
     time. Callers choose among the named at random, so the weakest of them sets the bound.
     """
-    ranked = sorted(hosts, key=lambda host: (-host.capacity, host.name))
+    ranked = sorted(hosts, key=rank_by_strength)
     counts = range(min(LEAST_NAMED, len(ranked)), len(ranked) + 1)
     bears = [(count * ranked[count - 1].capacity * BUSY_PART, count) for count in counts if count]
     enough = next((count for borne, count in bears if borne >= requests_per_s), None)
--- a/cloverway/core/members.py
+++ b/cloverway/core/members.py
@@ -29,6 +29,12 @@
 RATE_HALF_S = 2.0
 """Age at which a request counts half in a host's rate: callers keep the answer to a lookup about as
 long, so a faster measure would lead them to and fro."""
+ACTIVE_RATE = 1.5
+"""Requests per second from which a host of a large region counts as one that serves callers. Hosts
+that callers are not led to get fewer: those that try which configuration is in force."""
+LEAST_NAMED = 2
+"""Hosts of a failure domain that callers are led to at least, where there are as many: a caller
+whose host fails has another address at once."""
 FORGET_S = 30.0
 """Hosts that were not heard for this long are forgotten. Shares of common budgets are taken from
 the hosts that are known, so one that is cut off must be counted for a good while."""
@@ -169,6 +175,37 @@
         """List the names of the hosts of this region that are known, this one left out."""
         return [n for n, peer in self.peers.items() if peer.member.region == self.own.region]
 
+    def list_serving(self, region: str) -> list[Peer]:
+        """List the hosts of a region that serve callers; all of them where there are few.
+
+        They are told what the others have at endpoints. In larger regions, of which only few hosts
+        serve callers, the others would get most of what is told and make no use of it.
+        """
+        peers = [peer for peer in self.peers.values() if peer.member.region == region]
+        if len(peers) < SMALL_REGION:
+            return peers
+        named = self._list_named(region)
+        return [p for p in peers if p.rate >= ACTIVE_RATE or p.member.name in named]
+
+    def is_serving(self, now: float) -> bool:
+        """Tell whether this host serves callers, or belongs to a region with few hosts."""
+        if len(self.list_region()) < SMALL_REGION or self.get_own_rate(now) >= ACTIVE_RATE:
+            return True
+        return self.own.name in self._list_named(self.own.region)
+
+    def _list_named(self, region: str) -> set[str]:
+        """Give the names of the hosts of a region that callers are led to also when few come."""
+        members = [self.own, *(peer.member for peer in self.peers.values())]
+        domains: dict[str, list[Member]] = {}
+        for member in members:
+            if member.region == region and member.ready:
+                domains.setdefault(member.domain, []).append(member)
+        return {
+            member.name
+            for domain in domains.values()
+            for member in sorted(domain, key=rank_by_strength)[:LEAST_NAMED]
+        }
+
     def list_lingering(self, now: float) -> list[Member]:
         """List the hosts that have begun to leave and still take requests, this one among them."""
         left = {peer.member: peer.leaving_since for peer in self.list_alive(now)}
@@ -185,8 +222,12 @@
         self.leaving_since = now
 
     def list_for_passing(self, region: str, now: float) -> list[Peer]:
-        """List the hosts of a region that may get requests passed on."""
-        return [
+        """List the hosts of a region that may get requests passed on.
+
+        Those that serve callers where there are some: the others don't know what is at the
+        endpoints.
+        """
+        usable = [
             peer
             for peer in self.peers.values()
             if peer.member.region == region
@@ -194,8 +235,15 @@
             and self.is_alive(peer, now)
             and now >= peer.failed_until
         ]
+        serving = {peer.member.name for peer in self.list_serving(region)}
+        return [peer for peer in usable if peer.member.name in serving] or usable
 
 
 def rank_for(duty: str, host: str) -> bytes:
     """Give the rank of a host for a duty; the lowest do it, and all hosts agree who that is."""
     return hashlib.blake2b(f"{duty} {host}".encode(), digest_size=8).digest()
+
+
+def rank_by_strength(member: Member) -> tuple[int, str]:
+    """Give the rank of a host among those that callers may be led to, the strongest first."""
+    return -member.capacity, member.name
--- a/cloverway/fleet.thrift
+++ b/cloverway/fleet.thrift
@@ -12,6 +12,7 @@
   8: bool leaving
   9: i32 age_ms
   10: i32 capacity
+  11: i32 rate_mhz
 }
 
 struct EndpointUse {
--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/gossip.py
@@ -44,8 +44,14 @@
 """Period of heartbeats to other regions, where bytes cost and only sums are told."""
 FAR_HOSTS = 2
 """Hosts of each other region that get them; those tell their siblings."""
+FAR_IDLE_PER_S = 4.0
+"""Heartbeats that the hosts of a region which serve no callers send to each other region in a
+second, all together. They only show that these are alive. Before, each of 89 hosts sent four a
+second, and took half of the bytes between regions on a calm day."""
 OTHERS = 8
-"""Hosts that a heartbeat speaks of, besides its sender."""
+"""Hosts that a heartbeat speaks of at most, besides its sender."""
+HOSTS_PER_OTHER = 8
+"""Hosts of the fleet for each of them: a few hosts hear each other often enough."""
 YOUNG_S = 2.0
 """How long a host that has just started knocks at its seeds with every tick. Some of them start at
 the same moment and miss the first; with one each second hosts that started together knew of each
@@ -78,6 +84,7 @@
         self.uses = UseExchange(members, directory, self._send)
         self._alive: set[str] = set()
         self._started_at = read_clock()
+        self._idle_far_at = 0.0
 
     async def start(self, address: str) -> None:
         """Bind the address for heartbeats; raise OSError."""
@@ -152,7 +159,8 @@
     def _send_others(self, now: float) -> None:
         near = self.members.list_region()
         if near:
-            data = self._encode(now, self._list_others(now), ())
+            # The hosts of the region are heard directly.
+            data = self._encode(now, self._list_others(now, near=False), ())
             for name in random.sample(near, min(NEAR_TOLD, len(near))):
                 self._send(name, data)
 
@@ -162,26 +170,41 @@
         if known and known + OTHERS >= len(alive):
             return
         alive.sort(key=lambda other: other.member.region != peer.member.region)
-        others = tuple(_describe(p.member, now - p.heard_at) for p in alive[:MOST_WELCOME])
+        others = tuple(_describe_peer(other, now) for other in alive[:MOST_WELCOME])
         self._send(peer.member.name, self._encode(now, others, ()))
 
     def _send_far(self, now: float) -> None:
+        """Tell other regions what this one can take, if this host knows, and that it is alive.
+
+        In a large region only hosts that serve callers hear of each other's sends: what the others
+        believe of the engines would lead requests of other regions to full ones.
+        """
         regions: dict[str, list[Peer]] = {}
         for peer in self.members.peers.values():
             if not self._is_near(peer.member):
                 regions.setdefault(peer.member.region, []).append(peer)
-        if not regions:
+        serves = self.members.is_serving(now)
+        if not regions or not (serves or now >= self._idle_far_at):
             return
-        data = self._encode(now, self._list_others(now), self._list_offers(now))
-        for peers in regions.values():
-            for peer in random.sample(peers, min(FAR_HOSTS, len(peers))):
+        idle_hosts = len(self.members.list_region()) + 1
+        self._idle_far_at = now + idle_hosts / FAR_IDLE_PER_S * random.uniform(0.8, 1.2)
+        offers = self._list_offers(now) if serves else ()
+        data = self._encode(now, self._list_others(now, near=True), offers)
+        for region, peers in regions.items():
+            for peer in self._choose_far(region, peers, FAR_HOSTS if serves else 1):
                 self._send(peer.member.name, data)
 
+    def _choose_far(self, region: str, peers: list[Peer], count: int) -> list[Peer]:
+        """Choose hosts of another region, those that serve callers first."""
+        serving = {peer.member.name for peer in self.members.list_serving(region)}
+        mixed = random.sample(peers, len(peers))
+        return sorted(mixed, key=lambda peer: peer.member.name not in serving)[:count]
+
     def _send_seeds(self, now: float) -> None:
         """Reach hosts that are not known: at the start, and after everybody was cut off."""
         unknown = [s for s in self.seeds if s not in self.members.peers and s != self._own_name]
         if unknown:
-            data = self._encode(now, self._list_others(now), ())
+            data = self._encode(now, self._list_others(now, near=True), ())
             for seed in unknown:
                 self._send(seed, data)
 
@@ -216,10 +239,12 @@
         )
         return CODEC.encode(heartbeat)
 
-    def _list_others(self, now: float) -> tuple[HostState, ...]:
-        alive = self.members.list_alive(now)
-        chosen = random.sample(alive, min(OTHERS, len(alive)))
-        return tuple(_describe(peer.member, now - peer.heard_at) for peer in chosen)
+    def _list_others(self, now: float, *, near: bool) -> tuple[HostState, ...]:
+        """Describe some hosts of this region, or of other ones."""
+        alive = [p for p in self.members.list_alive(now) if self._is_near(p.member) == near]
+        count = min(OTHERS, self.members.count_fleet() // HOSTS_PER_OTHER)
+        chosen = random.sample(alive, min(count, len(alive)))
+        return tuple(_describe_peer(peer, now) for peer in chosen)
 
     def _list_offers(self, now: float) -> tuple[RegionOffer, ...]:
         """Sum up what this region's endpoints can take, by service."""
@@ -243,7 +268,7 @@
     def _hear(self, heartbeat: Heartbeat, address: str, now: float) -> None:
         state = heartbeat.sender
         for other in heartbeat.others:
-            self.members.hear(_read_member(other), other.age_ms / 1000, False, now)
+            self._hear_of(other, now)
         known = self.members.peers.get(state.name)
         peer = self.members.hear(_read_member(state), 0.0, True, now)
         if peer is None:
@@ -263,6 +288,15 @@
         if heartbeat.offers:
             peer.offers = {offer.service_name: _read_offer(offer) for offer in heartbeat.offers}
 
+    def _hear_of(self, state: HostState, now: float) -> None:
+        """Take over what a heartbeat says of another host than its sender."""
+        known = self.members.peers.get(state.name)
+        heard_at = known.heard_at if known is not None else float("-inf")
+        age_s = state.age_ms / 1000
+        peer = self.members.hear(_read_member(state), age_s, False, now)
+        if peer is not None and now - age_s > heard_at:
+            peer.rate = state.rate_mhz / 1000
+
     def _note_alive(self, now: float) -> None:
         alive = {peer.member.name for peer in self.members.list_alive(now)}
         for name in alive - self._alive:
@@ -274,6 +308,11 @@
         self._alive = alive
 
 
+def _describe_peer(peer: Peer, now: float) -> HostState:
+    state = _describe(peer.member, now - peer.heard_at)
+    return state._replace(rate_mhz=int(peer.rate * 1000))
+
+
 def _describe(member: Member, age_s: float) -> HostState:
     return HostState(*member[:6], member.ready, member.leaving, int(age_s * 1000), member.capacity)
 
--- a/cloverway/serving/peerwire.py
+++ b/cloverway/serving/peerwire.py
@@ -21,6 +21,8 @@
     age_ms: int
     capacity: int = 1
     """Requests per second that its machine bears."""
+    rate_mhz: int = 0
+    """Requests of callers at it, in thousandths per second."""
 
 
 class EndpointUse(NamedTuple):
--- a/cloverway/serving/uses.py
+++ b/cloverway/serving/uses.py
@@ -17,12 +17,6 @@
 REFRESH_S = 1.0
 """Period in which everything is told again: half of the time for which it counts, since datagrams
 are lost."""
-SMALL_REGION = 8
-"""Hosts of a region up to which all of them are told. In larger ones, of which only few hosts serve
-callers, the others would get most of what is told and make no use of it."""
-ACTIVE_RATE = 1.5
-"""Requests per second from which a host of a large region is told. Hosts that callers are not led
-to get fewer: those that try which configuration is in force."""
 MOST_TOLD_AT_ONCE = 32
 """Hosts that are told of one long prompt at once. Where more serve callers, all hear of it with the
 next period: what the requests cost the hosts of a region stays bounded so."""
@@ -93,11 +87,7 @@
             self._send(peer.member.name, data)
 
     def _list_listeners(self) -> list[Peer]:
-        region = self._members.own.region
-        peers = [p for p in self._members.peers.values() if p.member.region == region]
-        if len(peers) < SMALL_REGION:
-            return peers
-        return [peer for peer in peers if peer.rate >= ACTIVE_RATE]
+        return self._members.list_serving(self._members.own.region)
 
 
 def _take_use(endpoint: Endpoint) -> EndpointUse:
