Let requests wait here where that is sooner than the way to another region

Change: the time until an engine is free and the work that waits in the line before it are estimated, and count against the cost of the way. Tests red before.

--- a/cloverway/core/choice.py
+++ b/cloverway/core/choice.py
@@ -7,7 +7,7 @@
 
 from cloverway.core.deployment import Service
 from cloverway.core.endpoints import Endpoint
-from cloverway.core.load import EngineState
+from cloverway.core.load import DUTY, EngineState
 from cloverway.core.prediction import (
     BURST_S,
     FAILURE_S,
@@ -66,16 +66,23 @@
     return min(free, key=lambda candidate: candidate.cost_s, default=None)
 
 
+def estimate_wait(candidates: Sequence[Candidate], ahead_s: float) -> float:
+    """Estimate what it costs to wait here for a place, behind others; infinite without endpoints.
+
+    `ahead_s` is the work of the requests that wait before.
+    """
+    if not candidates:
+        return float("inf")
+    line_s = ahead_s / (len(candidates) * DUTY)
+    return line_s + min(candidate.cost_s + candidate.free_s for candidate in candidates)
+
+
 def choose_region(
-    here: Candidate | None, offers: Sequence[RegionOffer], margin_s: float
+    stay_s: float, offers: Sequence[RegionOffer], margin_s: float
 ) -> RegionOffer | None:
-    """Give the region to pass a request on to, or None to keep it here.
+    """Give the region to pass a request on to, or None to keep it here, where it costs `stay_s`.
 
     A region far away must be better by a margin: what is known of it is older.
     """
     best = min(offers, key=lambda offer: offer.cost_s, default=None)
-    if best is None:
-        return None
-    if here is not None and best.cost_s + margin_s >= here.cost_s:
-        return None
-    return best
+    return best if best is not None and best.cost_s + margin_s < stay_s else None
--- a/cloverway/core/prediction.py
+++ b/cloverway/core/prediction.py
@@ -10,8 +10,9 @@
 from cloverway.core.deployment import Route, Service
 from cloverway.core.endpoints import Endpoint
 from cloverway.core.fetch import Source, count_fetched, estimate_fetch
-from cloverway.core.load import EngineState, Work
+from cloverway.core.load import DUTY, STRAINED_S, EngineState, Work
 from cloverway.core.members import Offer
+from cloverway.core.pace import START_S_PER_TOKEN
 
 FAILURE_S = 0.5
 """Time that each recent failure of an endpoint adds to its prediction: about what a caller loses
@@ -59,6 +60,9 @@
 HOME_BONUS = 0.3
 """Part of the time to read a shared part that its own endpoint, by hash, is preferred by, while
 none is known to have it. All hosts then read it at the same one, without a word between them."""
+PLACE_S = 0.5
+"""Time until an endpoint is free where that isn't a matter of prompts: a stream ends about as often
+at an engine with all of its places taken."""
 FETCH_PART = 0.1
 """Part of the time to read them that tokens count which an endpoint fetches from another one: the
 links of both carry them, and they fill the memory of two engines."""
@@ -97,6 +101,8 @@
     work: Work
     full: bool
     """Whether it would have to wait for another request to end."""
+    free_s: float = 0.0
+    """Until it is no longer full, as far as that can be told."""
     source: Endpoint | None = None
     """The endpoint that it would fetch parts of the prompt from."""
 
@@ -152,6 +158,13 @@
     return Work(unread, prompt.tokens_in + _estimate_out(prompt))
 
 
+def estimate_read(wanted: Wanted) -> float:
+    """Estimate the seconds that an engine takes to read a prompt, not knowing which one it is."""
+    if wanted.service.engine is None:
+        return 0.0
+    return estimate_far_work(wanted.call).unread * START_S_PER_TOKEN
+
+
 def predict(
     wanted: Wanted,
     endpoint: Endpoint,
@@ -178,7 +191,8 @@
         queue = max(0.0, (total.running + 1 - slots) / slots)
         wait_s = load.work_s * (1 + queue) + penalty + spread
         cost_s = wait_s + _estimate_crossing(call, endpoint, sender.domain)
-        return Candidate(endpoint, wait_s, cost_s, estimate_work(call, endpoint), full)
+        work = estimate_work(call, endpoint)
+        return Candidate(endpoint, wait_s, cost_s, work, full, load.work_s if full else 0.0)
     work = estimate_work(call, endpoint, source)
     state = describe_engine(endpoint, now)
     fetch_s = estimate_fetch(work.fetched, service.engine)
@@ -186,8 +200,8 @@
     wait_s = state.queue_s + read_s + fetch_s + penalty + spread
     is_long = read_s > SMALL_S
     burst_s = 0.0 if sender.is_young and is_long else BURST_S * (1 if is_long else 2)
-    full = full or (state.queue_s > 0 and state.queue_s + min(read_s, LARGE_S) > burst_s)
-    full = full or (load.is_strained(now) and is_long)
+    over_s = state.queue_s + min(read_s, LARGE_S) - burst_s if state.queue_s > 0 else 0.0
+    strained = load.is_strained(now) and is_long
     cost_s = wait_s + _estimate_harm(wanted, work, state, now)
     if source is None:
         cost_s -= _home_bonus(call, endpoint)
@@ -195,10 +209,9 @@
     load.kv_tokens = service.engine.kv_tokens
     kv_limit = service.engine.kv_tokens * KV_USED_PART
     full = full or (total.running > 0 and total.held + work.held > kv_limit)
-    fetches = source is not None and work.fetched > 0
-    return Candidate(
-        endpoint, wait_s, cost_s, work, full, source.endpoint if source and fetches else None
-    )
+    free_s = max(PLACE_S if full else 0.0, over_s / DUTY, STRAINED_S if strained else 0.0)
+    chosen = source.endpoint if source is not None and work.fetched else None
+    return Candidate(endpoint, wait_s, cost_s, work, free_s > 0, free_s, chosen)
 
 
 def describe_engine(endpoint: Endpoint, now: float) -> EngineState:
--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -14,7 +14,7 @@
 from cloverway.core.calls import Call, Header
 from cloverway.core.deployment import Route, Service
 from cloverway.core.load import Gap
-from cloverway.core.prediction import DEFAULT_GAP_S, Wanted
+from cloverway.core.prediction import DEFAULT_GAP_S, Wanted, estimate_read
 from cloverway.errors import Kind, Ran, RequestError, take_worse
 from cloverway.serving.attempt import (
     LEAST_S,
@@ -35,7 +35,7 @@
 from cloverway.serving.server import Exchange
 from cloverway.serving.targeting import Target
 from cloverway.serving.telemetry import tell
-from cloverway.serving.waiting import Rank
+from cloverway.serving.waiting import Ask, Rank
 
 FIRST_PATIENCE = 2.5
 """Silence before the answer, in objectives, after which a request that may be repeated is run
@@ -131,8 +131,8 @@
             raise self._make_refusal("the retry budget is spent")
         wanted = self.wanted
         target = await targeting.get_line(self.service.name).take(
-            Rank(self.route.priority, self.call.arrived_at),
-            lambda: targeting.take(wanted, read_clock()),
+            Ask(Rank(self.route.priority, self.call.arrived_at), estimate_read(wanted)),
+            lambda ahead_s: targeting.take(wanted, ahead_s, read_clock()),
             now + self._choose_wait(now),
             targeting.release,
         )
--- a/cloverway/serving/targeting.py
+++ b/cloverway/serving/targeting.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from cloverway.core.choice import choose_endpoint, choose_region
+from cloverway.core.choice import choose_endpoint, choose_region, estimate_wait
 from cloverway.core.deployment import Service
 from cloverway.core.endpoints import Directory, Endpoint
 from cloverway.core.fetch import Source, find_source
@@ -78,12 +78,17 @@
         """Give the line of requests that wait for a place at a service."""
         return self._lines.setdefault(service, WaitingLine())
 
-    def take(self, wanted: Wanted, now: float) -> Target | None:
-        """Take a place for a request, or give None when there is none now."""
-        here = choose_endpoint(self.list_candidates(wanted, now))
+    def take(self, wanted: Wanted, ahead_s: float, now: float) -> Target | None:
+        """Take a place for a request, or give None when there is none now.
+
+        `ahead_s` is the work of the requests that wait before it.
+        """
+        candidates = self.list_candidates(wanted, now)
+        here = choose_endpoint(candidates)
         if wanted.call.passed_on is None:
             offers = self._list_offers(wanted, now)
-            away = choose_region(here, offers, FAR_MARGIN_S)
+            stay_s = here.cost_s if here is not None else estimate_wait(candidates, ahead_s)
+            away = choose_region(stay_s, offers, FAR_MARGIN_S)
             peer = self._choose_peer(wanted, away.region, now) if away is not None else None
             if peer is not None:
                 member = peer.member
--- a/cloverway/serving/waiting.py
+++ b/cloverway/serving/waiting.py
@@ -23,10 +23,23 @@
     arrived_at: float
 
 
+class Ask(NamedTuple):
+    """What a request asks of the line."""
+
+    rank: Rank
+    work_s: float = 0.0
+    """Seconds of an endpoint's work that it will take."""
+
+
+Attempt = Callable[[float], T | None]
+"""Tries to take a place, with the work in seconds that waits before."""
+
+
 class _Waiter(NamedTuple, Generic[T]):
     rank: Rank
     number: int
-    attempt: Callable[[], T | None]
+    work_s: float
+    attempt: Attempt[T]
     taken: asyncio.Future[T]
 
 
@@ -45,24 +58,28 @@
     def __len__(self) -> int:
         return len(self._waiters)
 
+    def sum_work(self) -> float:
+        """Give the seconds of an endpoint's work that all waiting requests ask for."""
+        return sum(waiter.work_s for waiter in self._waiters)
+
     async def take(
-        self, rank: Rank, attempt: Callable[[], T | None], until: float, undo: Callable[[T], None]
+        self, ask: Ask, attempt: Attempt[T], until: float, undo: Callable[[T], None]
     ) -> T | None:
         """Give what the attempt gives when its turn has come, or None when the time is over."""
-        if not any(waiter.rank <= rank for waiter in self._waiters):
-            taken = attempt()
+        if not any(waiter.rank <= ask.rank for waiter in self._waiters):
+            taken = attempt(0.0)
             if taken is not None:
                 return taken
         left_s = until - read_clock()
         if left_s <= 0:
             return None
-        return await self._wait(rank, attempt, left_s, undo)
+        return await self._wait(ask, attempt, left_s, undo)
 
     async def _wait(
-        self, rank: Rank, attempt: Callable[[], T | None], left_s: float, undo: Callable[[T], None]
+        self, ask: Ask, attempt: Attempt[T], left_s: float, undo: Callable[[T], None]
     ) -> T | None:
         future: asyncio.Future[T] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(rank, next(self._numbers), attempt, future)
+        waiter = _Waiter(ask.rank, next(self._numbers), ask.work_s, attempt, future)
         bisect.insort(self._waiters, waiter, key=lambda item: (item.rank, item.number))
         if self._ticker is None or self._ticker.done():
             self._ticker = asyncio.create_task(self._tick())
@@ -80,8 +97,11 @@
     async def _tick(self) -> None:
         while self._waiters:
             await asyncio.sleep(TICK_S)
+            ahead_s = 0.0
             for waiter in list(self._waiters):
-                taken = waiter.attempt()
+                taken = waiter.attempt(ahead_s)
                 if taken is not None:
                     self._waiters.remove(waiter)
                     waiter.taken.set_result(taken)
+                else:
+                    ahead_s += waiter.work_s
--- a/cloverway/tests/test_core_choice.py
+++ b/cloverway/tests/test_core_choice.py
@@ -16,6 +16,7 @@
     ANY_TOKENS,
     choose_endpoint,
     choose_region,
+    estimate_wait,
     offer_region,
 )
 from cloverway.core.deployment import (
@@ -257,9 +258,27 @@
 
 def test_a_request_leaves_its_region_only_for_a_clear_gain():
     here = predict(want(make_call()), make_endpoint("a"), sender=HERE, now=0.0)
-    assert choose_region(here, [RegionOffer("south", 0.0, here.cost_s - 0.1)], 0.3) is None
-    assert choose_region(here, [RegionOffer("south", 0.0, here.cost_s - 0.5)], 0.3) is not None
-    assert choose_region(None, [RegionOffer("south", 9.0, 9.0)], 0.3) is not None
+    near, far = [RegionOffer("south", 0.0, here.cost_s - less) for less in (0.1, 0.5)]
+    assert choose_region(here.cost_s, [near], 0.3) is None
+    assert choose_region(here.cost_s, [near, far], 0.3) is far
+    assert choose_region(estimate_wait([], 0.0), [near], 0.3) is near
+
+
+def test_a_request_waits_here_where_that_is_sooner_than_the_way_to_another_region():
+    """All engines are full for 0.1 s more, and another region has room.
+
+    Passed on, it arrives there after 0.2 s, when others have taken the room, and is sent to a third
+    one. Behind a long line the way is worth it.
+    """
+    endpoints = [make_endpoint("a"), make_endpoint("b")]
+    for endpoint in endpoints:
+        endpoint.load.note_read(int(0.3 / START_S_PER_TOKEN), 0.0)
+    wanted = want(make_call(tokens_in=5_000, tokens_out=20))
+    candidates = [predict(wanted, endpoint, sender=HERE, now=0.0) for endpoint in endpoints]
+    assert choose_endpoint(candidates) is None
+    away = predict_region(wanted, offer(), Far("south", 0.2), 0.0)
+    assert choose_region(estimate_wait(candidates, 0.0), [away], 0.3) is None
+    assert choose_region(estimate_wait(candidates, 2.0), [away], 0.3) is away
 
 
 def offer(queue_s=0.0, token_s=0.006, running=0):
@@ -282,7 +301,7 @@
         wanted = want(make_call(tokens_in=700, tokens_out=tokens_out))
         here = predict(wanted, busy, sender=HERE, now=now)
         away = predict_region(wanted, offer(), far, now)
-        assert (choose_region(here, [away], 0.3) is not None) is leaves
+        assert (choose_region(here.cost_s, [away], 0.3) is not None) is leaves
 
 
 def test_a_request_stays_while_its_region_is_as_calm_as_others():
@@ -290,7 +309,7 @@
     wanted = want(make_call(tokens_in=9_000, tokens_out=600))
     here = predict(wanted, endpoint, sender=HERE, now=0.0)
     away = predict_region(wanted, offer(), Far("south", 0.2), 0.0)
-    assert choose_region(here, [away], 0.3) is None
+    assert choose_region(here.cost_s, [away], 0.3) is None
 
 
 @pytest.mark.parametrize("hosts", [1, 3, 10])
--- a/cloverway/tests/test_fleet_parts.py
+++ b/cloverway/tests/test_fleet_parts.py
@@ -20,7 +20,7 @@
 from cloverway.serving.events import EventSplitter
 from cloverway.serving.settings import FleetSettings
 from cloverway.serving.telemetry import PENDING_BYTES, LineWriter
-from cloverway.serving.waiting import Rank, WaitingLine
+from cloverway.serving.waiting import Ask, Rank, WaitingLine
 
 STREAM = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 9))
 
@@ -59,8 +59,8 @@
         async def ask(name, priority, arrived_at):
             until = read_clock() + 2
             taken = await line.take(
-                Rank(priority, arrived_at),
-                lambda: places.pop() if places else None,
+                Ask(Rank(priority, arrived_at)),
+                lambda ahead_s: places.pop() if places else None,
                 until,
                 places.append,
             )
@@ -81,14 +81,38 @@
     asyncio.run(scenario())
 
 
+def test_a_waiting_request_knows_the_work_that_waits_before_it():
+    """How long it will wait follows from it, and whether another region would have it sooner."""
+
+    async def scenario():
+        line = WaitingLine()
+        seen = {}
+
+        async def ask(name, arrived_at, work_s):
+            def attempt(ahead_s):
+                seen[name] = ahead_s
+
+            ask = Ask(Rank(0, arrived_at), work_s)
+            await line.take(ask, attempt, read_clock() + 0.1, lambda _: None)
+
+        asks = [ask("first", 1.0, 0.2), ask("second", 2.0, 0.3), ask("third", 3.0, 0.1)]
+        tasks = [asyncio.create_task(each) for each in asks]
+        await asyncio.sleep(0.06)
+        assert line.sum_work() == pytest.approx(0.6)
+        await asyncio.gather(*tasks)
+        assert seen == {"first": 0.0, "second": 0.2, "third": 0.5}
+
+    asyncio.run(scenario())
+
+
 def test_a_place_is_given_back_when_the_caller_has_left_meanwhile():
     async def scenario():
         line = WaitingLine()
         places = []
         task = asyncio.create_task(
             line.take(
-                Rank(0, 0.0),
-                lambda: places.pop() if places else None,
+                Ask(Rank(0, 0.0)),
+                lambda ahead_s: places.pop() if places else None,
                 read_clock() + 2,
                 places.append,
             )
@@ -107,7 +131,9 @@
 def test_a_request_that_waited_in_vain_is_told_so():
     async def scenario():
         line = WaitingLine()
-        taken = await line.take(Rank(0, 0.0), lambda: None, read_clock() + 0.05, lambda _: None)
+        taken = await line.take(
+            Ask(Rank(0, 0.0)), lambda ahead_s: None, read_clock() + 0.05, lambda _: None
+        )
         assert taken is None
         assert len(line) == 0
 
