Serve late what can only be late, those still in time first, and refuse at once what would wait too long

Change: a request waits for a part of the time of its route; of one priority those that can still be answered in time go first; who would wait longer than that by the line and the pace of the engines is refused at once and told when to come back by the same estimate. Tests red before.

--- a/cloverway/core/choice.py
+++ b/cloverway/core/choice.py
@@ -66,6 +66,17 @@
     return min(free, key=lambda candidate: candidate.cost_s, default=None)
 
 
+def estimate_start(candidates: Sequence[Candidate], ahead_s: float) -> float | None:
+    """Estimate the seconds until a request has a place here; None without endpoints.
+
+    `ahead_s` is the work of the requests that wait before.
+    """
+    if not candidates:
+        return None
+    line_s = ahead_s / (len(candidates) * DUTY)
+    return line_s + min(candidate.free_s for candidate in candidates)
+
+
 def estimate_wait(candidates: Sequence[Candidate], ahead_s: float) -> float:
     """Estimate what it costs to wait here for a place, behind others; infinite without endpoints.
 
--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -45,8 +45,12 @@
 """The same between two events, in wanted pauses: over the longest pause of a loaded engine."""
 LEAST_GAP_PATIENCE_S = 2.0
 """The same at least: callers give a stream up after two seconds at the earliest."""
-WAIT_PART = 0.65
-"""Part of the objective that a request waits for a place before it is refused."""
+WAIT_PART = 0.35
+"""Part of the time of its route that a request waits for a place. Late, its answer is still worth
+something to its caller, and what is left of the time suffices for the answer."""
+BLIND_WAIT_PART = 0.65
+"""Part of the objective that it waits where no endpoint here may run it: whether another region
+offers a place soon can't be told."""
 LEAST_WAIT_PART = 0.1
 """The same after a send that did not run, however late it is."""
 PASSED_WAIT_PART = 0.3
@@ -55,6 +59,8 @@
 """Parts of the objective between which a refused caller is told to come back: spread, so that those
 refused together don't return together. It isn't taken from the measured rate of work yet."""
 LEAST_RETRY_S = 0.2
+MOST_RETRY_S = 5.0
+"""The longest time after which a caller is told to come back: estimates of a line are no better."""
 PEER_FAILED_S = 1.0
 """How long a host that could not be reached is not tried again."""
 
@@ -129,29 +135,43 @@
             raise RequestError(Kind.DEADLINE, "no time is left", ran=self.ran)
         if self.arrivals and not self._may_send_again(now):
             raise self._make_refusal("the retry budget is spent")
-        wanted = self.wanted
-        target = await targeting.get_line(self.service.name).take(
-            Ask(Rank(self.route.priority, self.call.arrived_at), estimate_read(wanted)),
-            lambda ahead_s: targeting.take(wanted, ahead_s, read_clock()),
-            now + self._choose_wait(now),
-            targeting.release,
-        )
+        line = targeting.get_line(self.service.name)
+        ask = self._make_ask()
+        target = line.try_now(ask, self._take, now)
+        if target is not None:
+            return target
+        expected_s = targeting.estimate_start(self.wanted, line.sum_ahead(ask, now), now)
+        patience_s = self._choose_wait(expected_s is not None, now)
+        if expected_s is not None and expected_s > patience_s:
+            raise self._make_refusal(targeting.explain(self.wanted, now), expected_s - patience_s)
+        target = await line.wait(ask, self._take, now + patience_s, targeting.release)
         if target is None:
-            raise self._make_refusal(targeting.explain(wanted, read_clock()))
+            raise self._make_refusal(targeting.explain(self.wanted, read_clock()))
         return target
 
-    def _choose_wait(self, now: float) -> float:
+    def _take(self, ahead_s: float) -> Target | None:
+        return self.context.targeting.take(self.wanted, ahead_s, read_clock())
+
+    def _make_ask(self) -> Ask:
+        read_s = estimate_read(self.wanted)
+        late_at = self.call.arrived_at + self.route.objective_s - read_s
+        return Ask(Rank(self.route.priority, self.call.arrived_at), read_s, late_at)
+
+    def _choose_wait(self, has_endpoints: bool, now: float) -> float:
         """Give the time that the request may wait for a place."""
         objective_s = self.route.objective_s
         if self.call.passed_on is not None:
             return PASSED_WAIT_PART * objective_s
+        total_s = self.limit_at - self.call.arrived_at
+        may_wait_s = WAIT_PART * total_s if has_endpoints else BLIND_WAIT_PART * objective_s
         waited_s = now - self.call.arrived_at
-        return max(LEAST_WAIT_PART * objective_s, WAIT_PART * objective_s - waited_s)
+        return max(LEAST_WAIT_PART * objective_s, may_wait_s - waited_s)
 
-    def _make_refusal(self, why: str) -> RequestError:
+    def _make_refusal(self, why: str, over_s: float = 0.0) -> RequestError:
+        """Refuse the request; `over_s` is how much longer it would wait than it may."""
         if self.ran is Ran.NO:
             part = random.uniform(*RETRY_PARTS)
-            retry_s = max(LEAST_RETRY_S, part * self.route.objective_s)
+            retry_s = max(LEAST_RETRY_S, part * self.route.objective_s, min(over_s, MOST_RETRY_S))
             return RequestError(Kind.NO_CAPACITY, why, ran=Ran.NO, retry_after=retry_s)
         return RequestError(Kind.ENDPOINT_FAILED, why, ran=self.ran)
 
--- a/cloverway/serving/targeting.py
+++ b/cloverway/serving/targeting.py
@@ -7,7 +7,12 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from cloverway.core.choice import choose_endpoint, choose_region, estimate_wait
+from cloverway.core.choice import (
+    choose_endpoint,
+    choose_region,
+    estimate_start,
+    estimate_wait,
+)
 from cloverway.core.deployment import Service
 from cloverway.core.endpoints import Directory, Endpoint
 from cloverway.core.fetch import Source, find_source
@@ -97,6 +102,10 @@
                 return Target(member.inner, member.name, member.region, number, peer=peer)
         return self._take_here(wanted, here, now) if here is not None else None
 
+    def estimate_start(self, wanted: Wanted, ahead_s: float, now: float) -> float | None:
+        """Estimate when a request would have a place here, behind others; None where unknown."""
+        return estimate_start(self.list_candidates(wanted, now), ahead_s)
+
     def release(self, target: Target) -> None:
         """Give a place back."""
         if target.candidate is not None:
--- a/cloverway/serving/waiting.py
+++ b/cloverway/serving/waiting.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import bisect
-import itertools
 from collections.abc import Callable
 from typing import Generic, NamedTuple, TypeVar
 
@@ -29,6 +27,16 @@
     rank: Rank
     work_s: float = 0.0
     """Seconds of an endpoint's work that it will take."""
+    late_at: float = float("inf")
+    """From when on its answer can't begin within the objective any more."""
+
+    def get_order(self, now: float) -> tuple[int, bool, float]:
+        """Give the place in the line.
+
+        Of one priority, those that can still be answered in time go first. In the order of their
+        arrival alone, after one burst every request would wait until it is late.
+        """
+        return self.rank.priority, now > self.late_at, self.rank.arrived_at
 
 
 Attempt = Callable[[float], T | None]
@@ -36,9 +44,7 @@
 
 
 class _Waiter(NamedTuple, Generic[T]):
-    rank: Rank
-    number: int
-    work_s: float
+    ask: Ask
     attempt: Attempt[T]
     taken: asyncio.Future[T]
 
@@ -52,35 +58,37 @@
 
     def __init__(self) -> None:
         self._waiters: list[_Waiter[T]] = []
-        self._numbers = itertools.count()
         self._ticker: asyncio.Task[None] | None = None
 
     def __len__(self) -> int:
         return len(self._waiters)
 
+    def sum_ahead(self, ask: Ask, now: float) -> float:
+        """Give the seconds of work of the requests that go before one."""
+        order = ask.get_order(now)
+        return sum(w.ask.work_s for w in self._waiters if w.ask.get_order(now) <= order)
+
     def sum_work(self) -> float:
         """Give the seconds of an endpoint's work that all waiting requests ask for."""
-        return sum(waiter.work_s for waiter in self._waiters)
+        return sum(waiter.ask.work_s for waiter in self._waiters)
 
-    async def take(
+    def try_now(self, ask: Ask, attempt: Attempt[T], now: float) -> T | None:
+        """Give what the attempt gives, unless another request goes first."""
+        order = ask.get_order(now)
+        if any(waiter.ask.get_order(now) <= order for waiter in self._waiters):
+            return None
+        return attempt(0.0)
+
+    async def wait(
         self, ask: Ask, attempt: Attempt[T], until: float, undo: Callable[[T], None]
     ) -> T | None:
         """Give what the attempt gives when its turn has come, or None when the time is over."""
-        if not any(waiter.rank <= ask.rank for waiter in self._waiters):
-            taken = attempt(0.0)
-            if taken is not None:
-                return taken
         left_s = until - read_clock()
         if left_s <= 0:
             return None
-        return await self._wait(ask, attempt, left_s, undo)
-
-    async def _wait(
-        self, ask: Ask, attempt: Attempt[T], left_s: float, undo: Callable[[T], None]
-    ) -> T | None:
         future: asyncio.Future[T] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(ask.rank, next(self._numbers), ask.work_s, attempt, future)
-        bisect.insort(self._waiters, waiter, key=lambda item: (item.rank, item.number))
+        waiter = _Waiter(ask, attempt, future)
+        self._waiters.append(waiter)
         if self._ticker is None or self._ticker.done():
             self._ticker = asyncio.create_task(self._tick())
         try:
@@ -97,11 +105,12 @@
     async def _tick(self) -> None:
         while self._waiters:
             await asyncio.sleep(TICK_S)
+            now = read_clock()
             ahead_s = 0.0
-            for waiter in list(self._waiters):
+            for waiter in sorted(self._waiters, key=lambda waiter: waiter.ask.get_order(now)):
                 taken = waiter.attempt(ahead_s)
                 if taken is not None:
                     self._waiters.remove(waiter)
                     waiter.taken.set_result(taken)
                 else:
-                    ahead_s += waiter.work_s
+                    ahead_s += waiter.ask.work_s
--- a/cloverway/tests/test_fleet_parts.py
+++ b/cloverway/tests/test_fleet_parts.py
@@ -58,7 +58,7 @@
 
         async def ask(name, priority, arrived_at):
             until = read_clock() + 2
-            taken = await line.take(
+            taken = await line.wait(
                 Ask(Rank(priority, arrived_at)),
                 lambda ahead_s: places.pop() if places else None,
                 until,
@@ -81,6 +81,57 @@
     asyncio.run(scenario())
 
 
+def test_who_can_still_be_answered_in_time_goes_before_who_is_late():
+    """After a burst requests wait that are late already, and new ones come.
+
+    In the order of their arrival each new one would wait until it is late as well, and a burst of
+    a second made all answers late for ten.
+    """
+
+    async def scenario():
+        line = WaitingLine()
+        places = []
+        served = []
+        start = read_clock()
+
+        async def ask(name, arrived_at, late_at):
+            ask = Ask(Rank(1, arrived_at), late_at=late_at)
+            attempt = lambda ahead_s: places.pop() if places else None  # noqa: E731
+            await line.wait(ask, attempt, start + 2, places.append)
+            served.append(name)
+
+        tasks = [
+            asyncio.create_task(ask("late", 1.0, start - 1)),
+            asyncio.create_task(ask("in time", 2.0, start + 9)),
+            asyncio.create_task(ask("soon late", 1.5, start + 0.05)),
+        ]
+        await asyncio.sleep(0.1)
+        for _ in range(3):
+            places.append("place")
+            await asyncio.sleep(0.05)
+        await asyncio.gather(*tasks)
+        assert served == ["in time", "late", "soon late"]
+
+    asyncio.run(scenario())
+
+
+def test_nobody_passes_those_who_wait_before():
+    async def scenario():
+        line = WaitingLine()
+        first = Ask(Rank(1, 1.0), 0.2)
+        wait = line.wait(first, lambda ahead_s: None, read_clock() + 0.2, lambda _: None)
+        waiting = asyncio.create_task(wait)
+        await asyncio.sleep(0.01)
+        now = read_clock()
+        assert line.try_now(Ask(Rank(1, 2.0)), lambda ahead_s: "place", now) is None
+        assert line.try_now(Ask(Rank(0, 2.0)), lambda ahead_s: "place", now) == "place"
+        assert line.sum_ahead(Ask(Rank(1, 2.0)), now) == 0.2
+        assert line.sum_ahead(Ask(Rank(0, 2.0)), now) == 0.0
+        await waiting
+
+    asyncio.run(scenario())
+
+
 def test_a_waiting_request_knows_the_work_that_waits_before_it():
     """How long it will wait follows from it, and whether another region would have it sooner."""
 
@@ -93,7 +144,7 @@
                 seen[name] = ahead_s
 
             ask = Ask(Rank(0, arrived_at), work_s)
-            await line.take(ask, attempt, read_clock() + 0.1, lambda _: None)
+            await line.wait(ask, attempt, read_clock() + 0.1, lambda _: None)
 
         asks = [ask("first", 1.0, 0.2), ask("second", 2.0, 0.3), ask("third", 3.0, 0.1)]
         tasks = [asyncio.create_task(each) for each in asks]
@@ -110,7 +161,7 @@
         line = WaitingLine()
         places = []
         task = asyncio.create_task(
-            line.take(
+            line.wait(
                 Ask(Rank(0, 0.0)),
                 lambda ahead_s: places.pop() if places else None,
                 read_clock() + 2,
@@ -131,7 +182,7 @@
 def test_a_request_that_waited_in_vain_is_told_so():
     async def scenario():
         line = WaitingLine()
-        taken = await line.take(
+        taken = await line.wait(
             Ask(Rank(0, 0.0)), lambda ahead_s: None, read_clock() + 0.05, lambda _: None
         )
         assert taken is None
--- a/cloverway/tests/test_fleet_path.py
+++ b/cloverway/tests/test_fleet_path.py
@@ -527,7 +527,6 @@
 
     The request goes to the idle engine, with the address of the one that has the part.
     """
-    engine = {"slots": 8, "kvTokens": 300_000, "kvTokenBytes": 18_432, "linkMbps": 180_000}
 
     def make_headers(own, tokens):
         return (
@@ -537,7 +536,7 @@
 
     async def scenario():
         async with run_fleet() as fleet:
-            model = make_service("model", engine=engine)
+            model = make_service("model", engine=ENGINE)
             fleet.publish([make_route("cut", "streaming", "model")], [model])
             await wait_for(lambda: fleet.hosts[0].directory.configuration.version == fleet.version)
             engines = [fleet.endpoints[name] for name in ("model-0", "model-1")]
@@ -558,3 +557,58 @@
             waiting.connection.abort()
 
     play(scenario)
+
+
+ENGINE = {"slots": 8, "kvTokens": 300_000, "kvTokenBytes": 18_432, "linkMbps": 180_000}
+PROMPT = (b"X-Cloverway-Token-Usage", b"5000,30")
+
+
+async def publish_engine(fleet, timeout_ms):
+    """Publish a route of streams to one engine, with an objective of 0.5 s."""
+    route = make_route("cut", "streaming", "model", timeoutMs=timeout_ms)
+    fleet.publish([route], [make_service("model", engine=ENGINE)])
+    host = fleet.hosts[0]
+    await wait_for(lambda: host.directory.configuration.version == fleet.version)
+    endpoint = fleet.endpoints["model-0"]
+    endpoint.answer = endpoint.stream(1, 2)
+    return host.directory.endpoints["model-0"].load
+
+
+def test_a_request_that_would_wait_too_long_is_refused_at_once():
+    """The only engine has prompts to read for ten seconds, and the route allows three.
+
+    Held until its time is over, the caller would have lost it for nothing. It is told at once that
+    nothing ran, and to come back when there may be room.
+    """
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            load = await publish_engine(fleet, 3000)
+            load.note_read(int(10 / load.read_s_per_token), read_clock())
+            asked_at = read_clock()
+            reply = await fleet.call("/cut/", headers=(PROMPT,))
+            assert reply.status == 503
+            assert read_clock() - asked_at < 0.5
+            assert float(reply.headers[b"retry-after"]) >= 3.0
+            assert not fleet.endpoints["model-0"].requests
+
+    play(scenario)
+
+
+def test_a_request_that_can_only_be_late_is_served_late():
+    """The engine has prompts to read for a second. The objective is half a second, the time six.
+
+    Refused after a part of the objective, the caller came back once, met the next queue, and often
+    got nothing.
+    """
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            load = await publish_engine(fleet, 6000)
+            load.note_read(int(1.0 / load.read_s_per_token), read_clock())
+            asked_at = read_clock()
+            reply = await fleet.call("/cut/", headers=(PROMPT,), deadline_ms=6000)
+            assert reply.status == 200
+            assert read_clock() - asked_at > 0.5
+
+    play(scenario)
