Keep the sum of a host's own load up, and ask for all of it once a choice

Before a choice, the requests of this host at each endpoint were added up three times. A checksum takes the place of a digest where hosts only have to agree on a number.

--- a/cloverway/core/choice.py
+++ b/cloverway/core/choice.py
@@ -53,7 +53,7 @@
     if service.engine is None:
         queue_s = load.work_s * max(0, running + 1 - slots) / slots
         return Room(queue_s + failed_s, places, 0)
-    engine = describe_engine(endpoint, now)
+    engine = describe_engine(endpoint, running, now)
     left_s = max(0.0, BURST_S - engine.queue_s)
     left = int(left_s / engine.read_s_per_token) if engine.queue_s else ANY_TOKENS
     places = min(places, int(left_s / OFFER_S))
--- a/cloverway/core/load.py
+++ b/cloverway/core/load.py
@@ -125,6 +125,7 @@
 
     def __init__(self) -> None:
         self._own: dict[int, _Running] = {}
+        self._sum_own = SiblingLoad(0, 0, 0, 0)
         self._siblings: dict[str, SiblingLoad] = {}
         self._parts = HeldParts()
         self.kv_tokens = CACHED_TOKENS
@@ -154,7 +155,7 @@
         if not self._own:
             self.progress_at = now
         self._own[number] = _Running(work, prompt, now, self.sum_all(now).unread)
-        self._has_changed = True
+        self._change_own(1, work.unread, work.held)
         self.note_read(work.unread, now)
         self._fresh_read += work.unread
         if prompt is not None:
@@ -168,7 +169,7 @@
         if running is None or not running.work.unread:
             return
         self._own[number] = running._replace(work=running.work._replace(unread=0))
-        self._has_changed = True
+        self._change_own(0, -running.work.unread, 0)
         took_s = now - running.begun_at
         self._give_back(running.work.unread, took_s, now)
         self._pace.learn(running.work.unread, running.ahead, took_s)
@@ -199,8 +200,9 @@
 
     def end(self, number: int) -> None:
         """Note that a request has ended, however."""
-        self._own.pop(number, None)
-        self._has_changed = True
+        running = self._own.pop(number, None)
+        if running is not None:
+            self._change_own(-1, -running.work.unread, -running.work.held)
 
     def _give_back(self, unread: int, took_s: float, now: float) -> None:
         """Take back tokens that can't have been read in the time that the first event took.
@@ -238,8 +240,13 @@
 
     def sum_own(self) -> SiblingLoad:
         """Give what this host has at the endpoint."""
-        works = [running.work for running in self._own.values()]
-        return SiblingLoad(len(works), sum(w.unread for w in works), sum(w.held for w in works), 0)
+        return self._sum_own
+
+    def _change_own(self, running: int, unread: int, held: int) -> None:
+        """Keep the sum up: it is asked for at each endpoint with each choice."""
+        own = self._sum_own
+        self._sum_own = SiblingLoad(own.running + running, own.unread + unread, own.held + held, 0)
+        self._has_changed = True
 
     def read_rate(self, now: float) -> float:
         """Give the prompt tokens that all hosts of the region send there in a second."""
@@ -269,14 +276,13 @@
 
     def sum_all(self, now: float) -> SiblingLoad:
         """Give what all hosts of the region have at the endpoint."""
-        own = self.sum_own()
-        heard = [load for load in self._siblings.values() if now - load.at <= SIBLING_AGE_S]
-        return SiblingLoad(
-            own.running + sum(load.running for load in heard),
-            own.unread + sum(load.unread for load in heard),
-            own.held + sum(load.held for load in heard),
-            now,
-        )
+        running, unread, held, _ = self._sum_own
+        for load in self._siblings.values():
+            if now - load.at <= SIBLING_AGE_S:
+                running += load.running
+                unread += load.unread
+                held += load.held
+        return SiblingLoad(running, unread, held, now)
 
     def count_unread(self, prompt: Prompt) -> int:
         """Give the tokens of a prompt that the endpoint is taken to have to read."""
@@ -290,6 +296,5 @@
         """Note that the endpoint has been sent these parts; the least recently used ones yield."""
         ready_at = now + self.backlog(now) * self.read_s_per_token
         self._parts.note(parts, ready_at)
-        held = sum(running.work.held for running in self._own.values())
-        held += sum(load.held for load in self._siblings.values())
+        held = self._sum_own.held + sum(load.held for load in self._siblings.values())
         self._parts.trim(self.kv_tokens - held)
--- a/cloverway/core/prediction.py
+++ b/cloverway/core/prediction.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import hashlib
+import zlib
 from collections import Counter
 from typing import NamedTuple
 
@@ -141,7 +141,7 @@
         return Work()
     fetched = count_fetched(prompt, endpoint, source)
     unread = endpoint.load.count_unread(prompt) - fetched
-    return Work(unread, prompt.tokens_in + _estimate_out(prompt), fetched)
+    return Work(unread, prompt.tokens_in + estimate_out(prompt), fetched)
 
 
 def estimate_far_work(call: Call) -> Work:
@@ -155,7 +155,7 @@
         return Work()
     own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens_in
     unread = own + (prompt.tokens_in - own) // 2
-    return Work(unread, prompt.tokens_in + _estimate_out(prompt))
+    return Work(unread, prompt.tokens_in + estimate_out(prompt))
 
 
 def estimate_read(wanted: Wanted) -> float:
@@ -194,7 +194,7 @@
         work = estimate_work(call, endpoint)
         return Candidate(endpoint, wait_s, cost_s, work, full, load.work_s if full else 0.0)
     work = estimate_work(call, endpoint, source)
-    state = describe_engine(endpoint, now)
+    state = describe_engine(endpoint, total.running, now)
     fetch_s = estimate_fetch(work.fetched, service.engine)
     read_s = work.unread * state.read_s_per_token
     wait_s = state.queue_s + read_s + fetch_s + penalty + spread
@@ -214,11 +214,10 @@
     return Candidate(endpoint, wait_s, cost_s, work, free_s > 0, free_s, chosen)
 
 
-def describe_engine(endpoint: Endpoint, now: float) -> EngineState:
-    """Give what is known of an engine."""
+def describe_engine(endpoint: Endpoint, running: int, now: float) -> EngineState:
+    """Give what is known of an engine with some requests."""
     load = endpoint.load
     read_s = load.read_s_per_token
-    running = load.sum_all(now).running
     return EngineState(load.backlog(now) * read_s, read_s, load.estimate_token_s(now), running)
 
 
@@ -251,7 +250,7 @@
     return delay_s + fetch_s + DECODE_WEIGHT * answer_s + risk_s
 
 
-def _estimate_out(prompt: Prompt) -> int:
+def estimate_out(prompt: Prompt) -> int:
     """Give the tokens that an answer is taken to have."""
     if prompt.likely_out is not None:
         return prompt.likely_out
@@ -292,5 +291,5 @@
 
 
 def _point(*names: str) -> float:
-    digest = hashlib.blake2b(" ".join(names).encode(), digest_size=4).digest()
-    return int.from_bytes(digest) / CELLS
+    """Give a number from 0 to 1 that all hosts agree on; a checksum is even enough, and fast."""
+    return zlib.crc32(" ".join(names).encode()) / CELLS
