Bound what a long line of waiting requests costs a host

Each waiting request asked 15 endpoints every 20 ms: worked out from 30 us an endpoint, a hundred of them take more than two cores. Eight are tried each time, four at the head of the line and four by turns. Test red with all of them tried.

--- a/cloverway/serving/waiting.py
+++ b/cloverway/serving/waiting.py
@@ -12,6 +12,11 @@
 
 TICK_S = 0.02
 """How often waiting requests are tried: a fraction of the time in which a prompt is read."""
+FIRST_TRIED = 4
+"""Requests at the head of the line that are tried each time."""
+NEXT_TRIED = 4
+"""Requests behind them that are tried by turns: a small one may have a place where large ones have
+none. An attempt costs 0.5 ms before 15 endpoints, so a long line would take a weak host's core."""
 
 
 class Rank(NamedTuple):
@@ -59,6 +64,7 @@
     def __init__(self) -> None:
         self._waiters: list[_Waiter[T]] = []
         self._ticker: asyncio.Task[None] | None = None
+        self._turn = 0
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -105,12 +111,20 @@
     async def _tick(self) -> None:
         while self._waiters:
             await asyncio.sleep(TICK_S)
-            now = read_clock()
-            ahead_s = 0.0
-            for waiter in sorted(self._waiters, key=lambda waiter: waiter.ask.get_order(now)):
-                taken = waiter.attempt(ahead_s)
-                if taken is not None:
-                    self._waiters.remove(waiter)
-                    waiter.taken.set_result(taken)
-                else:
-                    ahead_s += waiter.ask.work_s
+            self._try_waiters(read_clock())
+
+    def _try_waiters(self, now: float) -> None:
+        """Try the requests at the head of the line, and some of the others."""
+        ordered = sorted(self._waiters, key=lambda waiter: waiter.ask.get_order(now))
+        behind = max(1, len(ordered) - FIRST_TRIED)
+        turns = {FIRST_TRIED + (self._turn + step) % behind for step in range(NEXT_TRIED)}
+        self._turn += NEXT_TRIED
+        ahead_s = 0.0
+        for place, waiter in enumerate(ordered):
+            is_tried = place < FIRST_TRIED or place in turns
+            taken = waiter.attempt(ahead_s) if is_tried else None
+            if taken is not None:
+                self._waiters.remove(waiter)
+                waiter.taken.set_result(taken)
+            else:
+                ahead_s += waiter.ask.work_s
--- a/cloverway/tests/test_fleet_parts.py
+++ b/cloverway/tests/test_fleet_parts.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import os
+from collections import Counter
 
 import pytest
 from hypothesis import given, settings
@@ -20,7 +21,7 @@
 from cloverway.serving.events import EventSplitter
 from cloverway.serving.settings import FleetSettings
 from cloverway.serving.telemetry import PENDING_BYTES, LineWriter
-from cloverway.serving.waiting import Ask, Rank, WaitingLine
+from cloverway.serving.waiting import FIRST_TRIED, NEXT_TRIED, Ask, Rank, WaitingLine
 
 STREAM = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 9))
 
@@ -156,6 +157,36 @@
     asyncio.run(scenario())
 
 
+def test_a_long_line_costs_a_bounded_time_and_everybody_gets_a_turn():
+    """After a restart a hundred requests wait before full engines at a host with half a core.
+
+    All tried every 20 ms, they took that core, and the answers that ran were late as well.
+    """
+
+    async def scenario():
+        line = WaitingLine()
+        tries = Counter()
+
+        def make(name):
+            return lambda ahead_s: tries.update([name])
+
+        asks = [Ask(Rank(1, float(number))) for number in range(100)]
+        until = read_clock() + 0.8
+        waits = [line.wait(ask, make(n), until, lambda _: None) for n, ask in enumerate(asks)]
+        tasks = [asyncio.create_task(wait) for wait in waits]
+        await asyncio.sleep(0)
+        now = read_clock()
+        for _ in range(30):
+            line._try_waiters(now)
+        assert sum(tries.values()) == 30 * (FIRST_TRIED + NEXT_TRIED)
+        assert len(tries) == 100
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    asyncio.run(scenario())
+
+
 def test_a_place_is_given_back_when_the_caller_has_left_meanwhile():
     async def scenario():
         line = WaitingLine()
