--- a/cloverway/serving/attempt.py
+++ b/cloverway/serving/attempt.py
@@ -15,6 +15,7 @@
 from cloverway.serving.client import AnswerError, ConnectError, ReplyHead, Sending, make_request
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
+from cloverway.serving.placement import LEAST_S
 from cloverway.serving.ports import SendTerms
 from cloverway.serving.targeting import Target
 
@@ -23,8 +24,6 @@
 second, and another endpoint answers sooner."""
 FAR_CONNECT_S = 1.0
 """The same to another region: the way there and back, and one packet lost."""
-LEAST_S = 0.05
-"""A request with less time left isn't sent: its answer could not come back in time."""
 PEER_IDLE_S = 8.0
 """How long connections between hosts are kept: under the time after which hosts close them, and
 long, since a new one to another region takes as long as the request itself."""
--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -11,13 +11,11 @@
 import random
 from collections import Counter
 
-from cloverway.core.calls import Call, Header
+from cloverway.core.calls import Call
 from cloverway.core.deployment import Route, Service
-from cloverway.core.load import Gap
-from cloverway.core.prediction import DEFAULT_GAP_S, Wanted, estimate_read
+from cloverway.core.prediction import Wanted
 from cloverway.errors import Kind, Ran, RequestError, take_worse
 from cloverway.serving.attempt import (
-    LEAST_S,
     RETRY_STATUS,
     Answered,
     Attempt,
@@ -25,42 +23,21 @@
     Broken,
     Declined,
     Outcome,
-    bear_silence,
     get_idle_s,
 )
-from cloverway.serving.client import AnswerError, ReplyHead, Sending
+from cloverway.serving.client import AnswerError
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
-from cloverway.serving.events import EventSplitter
+from cloverway.serving.placement import Placement
 from cloverway.serving.server import Exchange
+from cloverway.serving.streaming import EventRelay, list_end_to_end
 from cloverway.serving.targeting import Target
 from cloverway.serving.telemetry import tell
-from cloverway.serving.waiting import Ask, Rank
 
 FIRST_PATIENCE = 2.5
 """Silence before the answer, in objectives, after which a request that may be repeated is run
 elsewhere. A connection may have gone silent for good, and its endpoint may hang: neither says so.
 Requests wait at the hosts and not at endpoints, so a sound one answers well within it."""
-GAP_PATIENCE = 4.0
-"""The same between two events, in wanted pauses: over the longest pause of a loaded engine."""
-LEAST_GAP_PATIENCE_S = 2.0
-"""The same at least: callers give a stream up after two seconds at the earliest."""
-WAIT_PART = 0.2
-"""Part of the time of its route that a request waits for a place. Late, its answer is still worth
-something to its caller, and what is left of the time suffices for the answer."""
-BLIND_WAIT_PART = 0.65
-"""Part of the objective that it waits where no endpoint here may run it: whether another region
-offers a place soon can't be told."""
-LEAST_WAIT_PART = 0.1
-"""The same after a send that did not run, however late it is."""
-PASSED_WAIT_PART = 0.3
-"""The same at a host that it was passed on to: the one that passed it on may know another place."""
-RETRY_PARTS = (0.2, 0.6)
-"""Parts of the objective between which a refused caller is told to come back: spread, so that those
-refused together don't return together. It isn't taken from the measured rate of work yet."""
-LEAST_RETRY_S = 0.2
-MOST_RETRY_S = 5.0
-"""The longest time after which a caller is told to come back: estimates of a line are no better."""
 PEER_FAILED_S = 1.0
 """How long a host that could not be reached is not tried again."""
 
@@ -83,10 +60,8 @@
         """Sends that were written out: only those draw on the retry budget."""
         self.tried: Counter[str] = Counter()
         self.wanted = Wanted(call, route, self.service, self.tried)
-        self.events = EventSplitter(call.last_event_id)
-        self.first_at: float | None = None
-        self.longest_gap_s = 0.0
-        self.last_part_at = 0.0
+        self.placement = Placement(context, self.wanted, self.limit_at)
+        self.relay = EventRelay(exchange, self.wanted)
 
     async def run(self) -> None:
         """Run the request to the end of its answer; raise RequestError."""
@@ -105,7 +80,7 @@
 
     async def _run_attempts(self) -> None:
         while True:
-            target = await self._choose()
+            target = await self.placement.choose(self.ran, self.arrivals > 0)
             outcome = await self._send(target)
             if isinstance(outcome, Answered):
                 if await self._relay(target, outcome):
@@ -125,60 +100,6 @@
             raise RequestError(Kind.STARTING, "the service isn't in the configuration here")
         return service
 
-    # Choice
-
-    async def _choose(self) -> Target:
-        """Take the next place, waiting for it a little; raise RequestError."""
-        targeting = self.context.targeting
-        now = read_clock()
-        if self.limit_at - now < LEAST_S:
-            raise RequestError(Kind.DEADLINE, "no time is left", ran=self.ran)
-        if self.arrivals and not self._may_send_again(now):
-            raise self._make_refusal("the retry budget is spent")
-        line = targeting.get_line(self.service.name)
-        ask = self._make_ask()
-        target = line.try_now(ask, self._take, now)
-        if target is not None:
-            return target
-        expected_s = targeting.estimate_start(self.wanted, line.sum_ahead(ask, now), now)
-        patience_s = self._choose_wait(expected_s is not None, now)
-        if expected_s is not None and expected_s > patience_s:
-            raise self._make_refusal(targeting.explain(self.wanted, now), expected_s - patience_s)
-        target = await line.wait(ask, self._take, now + patience_s, targeting.release)
-        if target is None:
-            raise self._make_refusal(targeting.explain(self.wanted, read_clock()))
-        return target
-
-    def _take(self, ahead_s: float) -> Target | None:
-        return self.context.targeting.take(self.wanted, ahead_s, read_clock())
-
-    def _make_ask(self) -> Ask:
-        read_s = estimate_read(self.wanted)
-        late_at = self.call.arrived_at + self.route.objective_s - read_s
-        return Ask(Rank(self.route.priority, self.call.arrived_at), read_s, late_at)
-
-    def _choose_wait(self, has_endpoints: bool, now: float) -> float:
-        """Give the time that the request may wait for a place."""
-        objective_s = self.route.objective_s
-        if self.call.passed_on is not None:
-            return PASSED_WAIT_PART * objective_s
-        total_s = self.limit_at - self.call.arrived_at
-        may_wait_s = WAIT_PART * total_s if has_endpoints else BLIND_WAIT_PART * objective_s
-        waited_s = now - self.call.arrived_at
-        return max(LEAST_WAIT_PART * objective_s, may_wait_s - waited_s)
-
-    def _make_refusal(self, why: str, over_s: float = 0.0) -> RequestError:
-        """Refuse the request; `over_s` is how much longer it would wait than it may."""
-        if self.ran is Ran.NO:
-            part = random.uniform(*RETRY_PARTS)
-            retry_s = max(LEAST_RETRY_S, part * self.route.objective_s, min(over_s, MOST_RETRY_S))
-            return RequestError(Kind.NO_CAPACITY, why, ran=Ran.NO, retry_after=retry_s)
-        return RequestError(Kind.ENDPOINT_FAILED, why, ran=self.ran)
-
-    def _may_send_again(self, now: float) -> bool:
-        hosts = self.context.members.count_fleet()
-        return self.context.get_budget(self.service.name).take(hosts, now)
-
     # Sending
 
     async def _send(self, target: Target) -> Outcome:
@@ -206,7 +127,7 @@
         patience_s = None
         if self._may_repeat(self.runs + 1):
             patience_s = FIRST_PATIENCE * self.route.objective_s
-        return AttemptTerms(self.limit_at, self.events.last_id, patience_s)
+        return AttemptTerms(self.limit_at, self.relay.last_id, patience_s)
 
     def _note_written(self) -> None:
         """Note that the request may run from now on.
@@ -235,7 +156,7 @@
         if failed and self._may_repeat(self.runs) and self._has_alternative(target):
             return False
         headers = list_end_to_end(answered.head)
-        self.first_at = read_clock()
+        self.relay.timing.note(read_clock())
         await self.exchange.answer(answered.head.status, headers, body)
         self._tell_end(None, answered.head.status)
         return True
@@ -244,9 +165,11 @@
         sending = answered.sending
         self.ran = Ran.YES
         try:
-            await self._copy_events(target, answered)
+            # The send counts as a run already: what is left tells whether there is another attempt.
+            may_go_on = self._may_repeat(self.runs)
+            await self.relay.copy(target, answered, may_go_on)
         except (AnswerError, ValueError) as error:
-            self.events.drop_rest()
+            self.relay.drop_rest()
             self._note_failure(target, Broken(str(error)))
             self._check_repeatable(str(error))
             return False
@@ -257,52 +180,6 @@
         self._tell_end(None, answered.head.status)
         return True
 
-    async def _copy_events(self, target: Target, answered: Answered) -> None:
-        sending = answered.sending
-        gap_s = max(LEAST_GAP_PATIENCE_S, GAP_PATIENCE * self.route.gap_objective_s)
-        # The send counts as a run already: what is left tells whether there is another attempt.
-        may_go_on = self._may_repeat(self.runs)
-        waiting_since: float | None = None
-        while part := await self._read_event_bytes(sending, gap_s if may_go_on else None):
-            events = self.events.split(part)
-            if not events:
-                continue
-            now = read_clock()
-            self._note_events(target, now)
-            if waiting_since is not None and target.candidate is not None:
-                # A slow caller, or the change to another endpoint, is no pause of this engine.
-                gap = self._make_gap(now - waiting_since, len(events))
-                target.candidate.endpoint.load.note_gap(gap, now)
-            if not self.exchange.started:
-                self.exchange.start(answered.head.status, list_end_to_end(answered.head))
-            await self.exchange.send(b"".join(events))
-            waiting_since = read_clock()
-        rest = self.events.take_rest()
-        if not self.exchange.started:
-            self.exchange.start(answered.head.status, list_end_to_end(answered.head))
-        if rest:
-            await self.exchange.send(rest)
-        self.exchange.finish()
-
-    def _make_gap(self, seconds: float, events: int) -> Gap:
-        shape = self.service.engine
-        tokens = events * shape.event_tokens if shape is not None else 0
-        return Gap(seconds, self.route.gap_objective_s or DEFAULT_GAP_S, tokens)
-
-    async def _read_event_bytes(self, sending: Sending, patience_s: float | None) -> bytes:
-        async with bear_silence(patience_s):
-            return await sending.read_part()
-
-    def _note_events(self, target: Target, now: float) -> None:
-        if self.first_at is None:
-            self.first_at = now
-        else:
-            self.longest_gap_s = max(self.longest_gap_s, now - self.last_part_at)
-        self.last_part_at = now
-        if target.candidate is not None:
-            load = target.candidate.endpoint.load
-            load.note_first(target.number, now)
-
     # Failures
 
     def _note_failure(self, target: Target, outcome: Declined | Broken) -> None:
@@ -390,7 +267,8 @@
 
     def _tell_end(self, error: RequestError | None, status: int) -> None:
         now = read_clock()
-        first_s = None if self.first_at is None else self.first_at - self.call.arrived_at
+        timing = self.relay.timing
+        first_s = None if timing.first_at is None else timing.first_at - self.call.arrived_at
         total_s = now - self.call.arrived_at
         tell(
             "answered" if error is None else "cut",
@@ -400,30 +278,10 @@
             why=error.detail if error else None,
             sends=self.sends,
             first_s=None if first_s is None else round(first_s, 3),
-            gap_s=round(self.longest_gap_s, 3),
+            gap_s=round(timing.longest_gap_s, 3),
             total_s=round(total_s, 3),
         )
         kind = error.kind if error is not None else None
         self.context.figures.note_request(
-            self.route.name, kind, first_s, total_s, self.longest_gap_s
+            self.route.name, kind, first_s, total_s, timing.longest_gap_s
         )
-
-
-HOP_BY_HOP = frozenset(
-    (
-        *(b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade"),
-        *(b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"content-length"),
-    )
-)
-"""Headers that concern one connection only; the length is set anew where the body is known."""
-
-
-def list_end_to_end(head: ReplyHead) -> list[Header]:
-    """Give the headers of an answer that are the caller's."""
-    named = {
-        token.strip().lower()
-        for name, value in head.headers
-        if name == b"connection"
-        for token in value.split(b",")
-    }
-    return [item for item in head.headers if item[0] not in HOP_BY_HOP and item[0] not in named]
--- /dev/null
+++ b/cloverway/serving/streaming.py
@@ -0,0 +1,123 @@
+"""Relays the events of a stream to its caller as they come, and learns from them."""
+
+from __future__ import annotations
+
+from cloverway.core.calls import Header
+from cloverway.core.load import Gap
+from cloverway.core.prediction import DEFAULT_GAP_S, Wanted
+from cloverway.serving.attempt import Answered, bear_silence
+from cloverway.serving.client import ReplyHead, Sending
+from cloverway.serving.clock import read_clock
+from cloverway.serving.events import EventSplitter
+from cloverway.serving.server import Exchange
+from cloverway.serving.targeting import Target
+
+GAP_PATIENCE = 4.0
+"""Silence between two events, in wanted pauses, after which a stream goes on elsewhere where it
+may: over the longest pause of a loaded engine."""
+LEAST_GAP_PATIENCE_S = 2.0
+"""The same at least: callers give a stream up after two seconds at the earliest."""
+
+
+class Timing:
+    """When the parts of an answer came, as its caller sees them."""
+
+    def __init__(self) -> None:
+        self.first_at: float | None = None
+        self.longest_gap_s = 0.0
+        self._last_at = 0.0
+
+    def note(self, now: float) -> None:
+        """Note a part of the answer."""
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.longest_gap_s = max(self.longest_gap_s, now - self._last_at)
+        self._last_at = now
+
+
+class EventRelay:
+    """Copies the events of one stream to its caller, from one endpoint after the other."""
+
+    def __init__(self, exchange: Exchange, wanted: Wanted) -> None:
+        self._exchange = exchange
+        self._wanted = wanted
+        self._events = EventSplitter(wanted.call.last_event_id)
+        self.timing = Timing()
+
+    @property
+    def last_id(self) -> str:
+        """The id of the last whole event that the caller got."""
+        return self._events.last_id
+
+    def drop_rest(self) -> None:
+        """Forget the part of an event that will never be whole."""
+        self._events.drop_rest()
+
+    async def copy(self, target: Target, answered: Answered, may_go_on: bool) -> None:
+        """Copy the events of an endpoint to their end; raise AnswerError or ValueError.
+
+        `may_go_on` tells whether the stream may go on elsewhere when the endpoint falls silent.
+        """
+        gap_s = max(LEAST_GAP_PATIENCE_S, GAP_PATIENCE * self._wanted.route.gap_objective_s)
+        patience_s = gap_s if may_go_on else None
+        waiting_since: float | None = None
+        while part := await self._read(answered.sending, patience_s):
+            events = self._events.split(part)
+            if not events:
+                continue
+            now = read_clock()
+            self._note_events(target, len(events), waiting_since, now)
+            self._start(answered.head)
+            await self._exchange.send(b"".join(events))
+            waiting_since = read_clock()
+        self._start(answered.head)
+        rest = self._events.take_rest()
+        if rest:
+            await self._exchange.send(rest)
+        self._exchange.finish()
+
+    async def _read(self, sending: Sending, patience_s: float | None) -> bytes:
+        async with bear_silence(patience_s):
+            return await sending.read_part()
+
+    def _start(self, head: ReplyHead) -> None:
+        if not self._exchange.started:
+            self._exchange.start(head.status, list_end_to_end(head))
+
+    def _note_events(
+        self, target: Target, events: int, waiting_since: float | None, now: float
+    ) -> None:
+        self.timing.note(now)
+        if target.candidate is None:
+            return
+        load = target.candidate.endpoint.load
+        load.note_first(target.number, now)
+        if waiting_since is not None:
+            # A slow caller, or the change to another endpoint, is no pause of this engine.
+            load.note_gap(self._make_gap(now - waiting_since, events), now)
+
+    def _make_gap(self, seconds: float, events: int) -> Gap:
+        shape = self._wanted.service.engine
+        tokens = events * shape.event_tokens if shape is not None else 0
+        return Gap(seconds, self._wanted.route.gap_objective_s or DEFAULT_GAP_S, tokens)
+
+
+HOP_BY_HOP = frozenset(
+    (
+        *(b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade"),
+        *(b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"content-length"),
+    )
+)
+"""Headers that concern one connection only; the length is set anew where the body is known."""
+
+
+def list_end_to_end(head: ReplyHead) -> list[Header]:
+    """Give the headers of an answer that are the caller's."""
+    named = {
+        token.strip().lower()
+        for name, value in head.headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    return [item for item in head.headers if item[0] not in HOP_BY_HOP and item[0] not in named]
