--- /dev/null
+++ b/cloverway/tests/test_ablated.py
@@ -0,0 +1,31 @@
+"""Each mechanism of the ablation tool names a constant that is there, and changes what it says."""
+
+from __future__ import annotations
+
+import importlib
+import subprocess
+import sys
+
+import pytest
+
+from cloverway.tests.ablated import MECHANISMS
+
+
+@pytest.mark.parametrize("name", MECHANISMS)
+def test_a_mechanism_names_constants_of_the_product(name):
+    for switch in MECHANISMS[name]:
+        module = importlib.import_module(f"cloverway.{switch.module}")
+        assert isinstance(getattr(module, switch.name), (int, float))
+
+
+def test_a_constant_is_also_switched_off_where_it_was_imported():
+    """Set only where it is defined, the module that decides would go on with the old value."""
+    code = """
+from cloverway.tests.ablated import switch_off
+from cloverway.core import choice, fetch, pace, prediction
+switch_off("burst")
+assert prediction.BURST_S == choice.BURST_S == 1e9
+switch_off("fetch")
+assert fetch.LEAST_TOKENS == 1e9 and pace.LEAST_TOKENS < 1e9
+"""
+    subprocess.run([sys.executable, "-c", code], check=True)
