--- a/cloverway/platform/__main__.py
+++ b/cloverway/platform/__main__.py
@@ -4,12 +4,8 @@
 
 import os
 import sys
-from pathlib import Path
 
-from cloverway.errors import UserError
-from cloverway.platform.dialect import PlatformDialect
-from cloverway.platform.store import PlatformStore
-from cloverway.serving.host import run_host
+from cloverway.serving.early import listen_early
 
 SETTINGS_VARIABLE = "CLOVERWAY_BOOT"
 """Holds the path of the settings, which the platform fills in from deploy/settings.toml."""
@@ -17,9 +13,23 @@
 
 def main() -> None:
     """Run until the process is told to stop."""
-    path = Path(os.environ.get(SETTINGS_VARIABLE, "/etc/cloverway/settings.json"))
+    path = os.environ.get(SETTINGS_VARIABLE, "/etc/cloverway/settings.json")
+    early = listen_early(path)
+    # Loaded only now: this takes most of the time until callers can be served.
+    from pathlib import Path
+
+    from cloverway.errors import UserError
+    from cloverway.platform.dialect import PlatformDialect
+    from cloverway.platform.store import PlatformStore
+    from cloverway.serving.host import run_host
+
     try:
-        run_host(path, lambda settings: PlatformStore(settings.store.address), PlatformDialect())
+        run_host(
+            Path(path),
+            lambda settings: PlatformStore(settings.store.address),
+            PlatformDialect(),
+            early,
+        )
     except UserError as error:
         sys.exit(f"cloverway: {error}")
 
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -8,6 +8,7 @@
 import math
 import secrets
 import signal
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -95,14 +96,17 @@
         self.metrics = Server(self._handle_metrics, terms)
         self._tasks: list[asyncio.Task[None]] = []
 
-    async def start(self) -> None:
-        """Bind all addresses and start all tasks; raise OSError when one can't be bound."""
+    async def start(self, early: socket.socket | None = None) -> None:
+        """Bind all addresses and start all tasks; raise OSError when one can't be bound.
+
+        `early` listens for callers already.
+        """
         listen = self.settings.listen
         await self.gossip.start(listen.control)
         await self.inner.start(self.members.own.inner)
         await self.readiness.start(listen.readiness)
         await self.lookup.start(listen.lookup)
-        await self.callers.start(listen.callers)
+        await self.callers.start(listen.callers, early)
         ip, _ = split_address(listen.callers)
         await self.metrics.start(f"{ip}:{listen.metrics_port}")
         runs = (
@@ -253,14 +257,16 @@
     )
 
 
-async def _run(path: Path, settings: FleetSettings, host: Host) -> None:
+async def _run(
+    path: Path, settings: FleetSettings, host: Host, early: socket.socket | None
+) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     reload = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
-    await host.start()
+    await host.start(early)
     tell("started", version=__version__, callers=settings.listen.callers)
     watcher = asyncio.create_task(_watch_settings(path, settings, host, reload))
     await stop.wait()
@@ -294,8 +300,13 @@
         tell("settings_reloaded", seeds=settings.peers.seeds)
 
 
-def run_host(path: Path, make_store: MakeStore, dialect: Dialect) -> None:
-    """Run one host until it is told to stop; raise ConfigurationError."""
+def run_host(
+    path: Path, make_store: MakeStore, dialect: Dialect, early: socket.socket | None = None
+) -> None:
+    """Run one host until it is told to stop; raise ConfigurationError.
+
+    `early` is a socket that listens at the callers' address already.
+    """
     settings = FleetSettings.from_toml(path)
     incarnation = secrets.token_hex(4)
     writer = configure_lines(settings.host, incarnation, settings.log_level)
@@ -304,6 +315,7 @@
     gc.freeze()
 
     async def run() -> None:
-        await _run(path, settings, Host(settings, make_store(settings), dialect, writer))
+        host = Host(settings, make_store(settings), dialect, writer)
+        await _run(path, settings, host, early)
 
     asyncio.run(run())
--- a/cloverway/serving/server.py
+++ b/cloverway/serving/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import socket
 from collections.abc import Awaitable, Callable, Iterable
 from http import HTTPStatus
 from typing import NamedTuple
@@ -125,9 +126,12 @@
         self.in_progress = 0
         """Requests that were read and not answered yet."""
 
-    async def start(self, address: str) -> None:
-        """Accept from now on; raise OSError when the address can't be bound."""
-        self._server = await listen(address, self._accept)
+    async def start(self, address: str, early: socket.socket | None = None) -> None:
+        """Accept from now on; raise OSError when the address can't be bound.
+
+        `early` listens there already.
+        """
+        self._server = await listen(address, self._accept, early)
 
     def stop_accepting(self) -> None:
         """Accept no new connections."""
--- a/cloverway/serving/transport.py
+++ b/cloverway/serving/transport.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from cloverway.addresses import split_address
+from cloverway.addresses import format_address, split_address
+from cloverway.serving.early import BACKLOG
 
 READ_AHEAD_BYTES = 128 * 1024
 """Bytes that are received before they are asked for; then the sender is made to wait."""
@@ -20,7 +21,6 @@
 """Time without traffic after which the other end is asked whether it is there."""
 KEEPALIVE_EVERY_S = 1
 KEEPALIVE_TRIES = 3
-BACKLOG = 512
 
 
 class Connection(asyncio.Protocol):
@@ -152,9 +152,16 @@
     return connection
 
 
-async def listen(address: str, on_made: Callable[[Connection], Any]) -> asyncio.Server:
-    """Accept connections at an address; raise OSError when it can't be bound."""
+async def listen(
+    address: str, on_made: Callable[[Connection], Any], early: socket.socket | None = None
+) -> asyncio.Server:
+    """Accept connections at an address; raise OSError when it can't be bound.
+
+    `early` is a socket that listens there already.
+    """
     loop = asyncio.get_running_loop()
+    if early is not None and format_address(early.getsockname()) == address:
+        return await loop.create_server(lambda: Connection(on_made), sock=early, backlog=BACKLOG)
     host, port = split_address(address)
     return await loop.create_server(
         lambda: Connection(on_made), host, port, backlog=BACKLOG, reuse_address=True
--- /dev/null
+++ b/cloverway/tests/test_early.py
@@ -0,0 +1,71 @@
+"""Callers that come while a host is still loading; real sockets on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from cloverway.serving.early import listen_early
+from cloverway.serving.server import Server, ServerTerms
+from cloverway.tests.fleet.standins import CallerLimits, take_ports
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+def write_settings(path, callers):
+    path.write_text(f'[listen]\ncallers = "{callers}"\n')
+    return str(path)
+
+
+def test_a_caller_that_comes_before_the_host_is_loaded_is_served_when_it_is(tmp_path):
+    """All hosts start again, and their callers are there at once.
+
+    A host is loaded for 0.4 s; turned away by its machine meanwhile, a caller went to the next one,
+    which was not there either, and had no try left. It waits in the queue of the socket instead.
+    """
+    address = f"127.0.0.1:{take_ports(1)[0]}"
+    early = listen_early(write_settings(tmp_path / "settings", address))
+
+    async def scenario():
+        caller = socket.create_connection(early.getsockname(), 1.0)
+        caller.sendall(REQUEST)
+        await asyncio.sleep(0.05)
+
+        async def answer(exchange):
+            await exchange.answer(200, [], b"served")
+
+        server = Server(answer, ServerTerms(CallerLimits, lambda: False, lambda *_: b""))
+        await server.start(address, early)
+        reader, _ = await asyncio.open_connection(sock=caller)
+        async with asyncio.timeout(2.0):
+            assert await reader.readline() == b"HTTP/1.1 200 OK\r\n"
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "[listen]", "listen = 1", '[listen]\ncallers = "nowhere"', '[listen]\ncallers = "a:b"'],
+)
+def test_settings_that_are_wrong_are_left_to_the_host_to_tell(tmp_path, text):
+    path = tmp_path / "settings"
+    path.write_text(text)
+    assert listen_early(str(path)) is None
+    assert listen_early(str(tmp_path / "absent")) is None
+
+
+def test_a_host_that_was_given_another_address_listens_there_as_well(tmp_path):
+    """The settings change between the two looks at them: the host has the last word."""
+    first, second = (f"127.0.0.1:{port}" for port in take_ports(2))
+    early = listen_early(write_settings(tmp_path / "settings", first))
+
+    async def scenario():
+        server = Server(None, ServerTerms(CallerLimits, lambda: False, lambda *_: b""))
+        await server.start(second, early)
+        (bound,) = server._server.sockets
+        assert bound.getsockname()[1] == int(second.rpartition(":")[2])
+
+    asyncio.run(scenario())
+    early.close()
