--- a/cloverway/core/choice.py
+++ b/cloverway/core/choice.py
@@ -36,12 +36,20 @@
     """The engine with the shortest queue, for a service that has engines."""
 
 
-def offer_region(service: Service, endpoints: Sequence[Endpoint], now: float) -> Room:
-    """Sum up what the endpoints of this region can take now."""
+def offer_region(
+    service: Service, endpoints: Sequence[Endpoint], line_s: float, now: float
+) -> Room:
+    """Sum up what the endpoints of this region can take now.
+
+    `line_s` is the work of the requests that wait here. They go first, so nothing is free while
+    there are any: engines have room for moments also when more comes than they bear, and what was
+    passed on for such a moment waited here in vain.
+    """
     rooms = [_offer_endpoint(service, endpoint, now) for endpoint in endpoints]
     best = min(rooms, key=lambda room: room.wait_s)
-    free = sum(room.free for room in rooms)
-    return Room(best.wait_s, free, max(room.tokens for room in rooms), best.engine)
+    free = sum(room.free for room in rooms) if not line_s else 0
+    wait_s = best.wait_s + line_s / (len(rooms) * DUTY)
+    return Room(wait_s, free, max(room.tokens for room in rooms), best.engine)
 
 
 def _offer_endpoint(service: Service, endpoint: Endpoint, now: float) -> Room:
--- a/cloverway/core/members.py
+++ b/cloverway/core/members.py
@@ -92,6 +92,7 @@
         self.rate = 0.0
         """Requests of callers per second, when it was heard itself."""
         self.offers: dict[str, Offer] = {}
+        self.offers_at = float("-inf")
         self.failed_until = float("-inf")
         self.leaving_since: float | None = None
 
--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -191,9 +191,11 @@
             outcome=type(outcome).__name__.lower(),
             why=outcome.reason,
         )
-        self.tried[target.name] += 1
         if target.peer is not None:
             self.tried[target.region] += 1
+        if target.peer is None or outcome.blames_host:
+            # A host that had no place may have one when its region offers again.
+            self.tried[target.name] += 1
         if not outcome.blames_host:
             return
         if target.peer is not None:
--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/gossip.py
@@ -5,16 +5,16 @@
 import asyncio
 import logging
 import random
+from collections.abc import Callable
 from typing import cast
 
 from cloverway.addresses import format_address, split_address
-from cloverway.core.choice import Room, offer_region
 from cloverway.core.endpoints import Directory
-from cloverway.core.load import EngineState
-from cloverway.core.members import Member, Members, Offer, Peer
+from cloverway.core.members import Member, Members, Peer
 from cloverway.errors import PeerError
 from cloverway.serving.catalogue import Catalogue
 from cloverway.serving.clock import read_clock
+from cloverway.serving.offers import list_offers, read_offer
 from cloverway.serving.peerwire import (
     CODEC,
     EndpointUses,
@@ -58,7 +58,6 @@
 other only after 0.5 to 1.5 s, and each took the engines for its own until then."""
 MOST_WELCOME = 40
 """Hosts that a newcomer is told of at once: 6 KB."""
-FREE_MOST = 1000
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -82,6 +81,8 @@
         self.seeds = seeds
         self._transport: asyncio.DatagramTransport
         self.uses = UseExchange(members, directory, self._send)
+        self.sum_waiting: Callable[[str], float] = lambda service: 0.0
+        """Gives the work of the requests that wait here for a service."""
         self._alive: set[str] = set()
         self._started_at = read_clock()
         self._idle_far_at = 0.0
@@ -165,13 +166,19 @@
                 self._send(name, data)
 
     def _welcome(self, peer: Peer, known: int, now: float) -> None:
-        """Tell a host that knows few others or none of them, those of its region first."""
+        """Tell a host that knows few others or none of them, those of its region first.
+
+        One in another region is told at once what this one can take. After a restart nobody there
+        has an offer yet, and requests that are bound here were refused until the next heartbeat.
+        """
         alive = self.members.list_alive(now)
-        if known and known + OTHERS >= len(alive):
+        is_far = not self._is_near(peer.member)
+        offers = self._list_offers(now) if is_far else ()
+        if known and known + OTHERS >= len(alive) and not offers:
             return
         alive.sort(key=lambda other: other.member.region != peer.member.region)
         others = tuple(_describe_peer(other, now) for other in alive[:MOST_WELCOME])
-        self._send(peer.member.name, self._encode(now, others, ()))
+        self._send(peer.member.name, self._encode(now, others, offers))
 
     def _send_far(self, now: float) -> None:
         """Tell other regions what this one can take, if this host knows, and that it is alive.
@@ -188,7 +195,7 @@
             return
         idle_hosts = len(self.members.list_region()) + 1
         self._idle_far_at = now + idle_hosts / FAR_IDLE_PER_S * random.uniform(0.8, 1.2)
-        offers = self._list_offers(now) if serves else ()
+        offers = self._list_offers(now)
         data = self._encode(now, self._list_others(now, near=True), offers)
         for region, peers in regions.items():
             for peer in self._choose_far(region, peers, FAR_HOSTS if serves else 1):
@@ -239,6 +246,11 @@
         )
         return CODEC.encode(heartbeat)
 
+    def _list_offers(self, now: float) -> tuple[RegionOffer, ...]:
+        if not self.members.is_serving(now):
+            return ()
+        return list_offers(self.directory, self.sum_waiting, now)
+
     def _list_others(self, now: float, *, near: bool) -> tuple[HostState, ...]:
         """Describe some hosts of this region, or of other ones."""
         alive = [p for p in self.members.list_alive(now) if self._is_near(p.member) == near]
@@ -246,23 +258,6 @@
         chosen = random.sample(alive, min(count, len(alive)))
         return tuple(_describe_peer(peer, now) for peer in chosen)
 
-    def _list_offers(self, now: float) -> tuple[RegionOffer, ...]:
-        """Sum up what this region's endpoints can take, by service."""
-        configuration = self.directory.configuration
-        if configuration is None:
-            return ()
-        offers = []
-        for service in configuration.services.values():
-            endpoints = [
-                endpoint
-                for endpoint in self.directory.list_usable(service.name, now)
-                if self.directory.topology.region == endpoint.region and not endpoint.is_cold(now)
-            ]
-            if not endpoints:
-                continue
-            offers.append(_describe_room(service.name, offer_region(service, endpoints, now)))
-        return tuple(offers)
-
     # Hearing
 
     def _hear(self, heartbeat: Heartbeat, address: str, now: float) -> None:
@@ -286,7 +281,8 @@
         peer.digest = heartbeat.digest
         self.sync.note(peer, now)
         if heartbeat.offers:
-            peer.offers = {offer.service_name: _read_offer(offer) for offer in heartbeat.offers}
+            peer.offers_at = now
+            peer.offers = {offer.service_name: read_offer(offer) for offer in heartbeat.offers}
 
     def _hear_of(self, state: HostState, now: float) -> None:
         """Take over what a heartbeat says of another host than its sender."""
@@ -319,21 +315,3 @@
 
 def _read_member(state: HostState) -> Member:
     return Member(*state[:6], state.ready, state.leaving, state.capacity)
-
-
-def _describe_room(service: str, room: Room) -> RegionOffer:
-    free = min(room.free, FREE_MOST)
-    offer = RegionOffer(service, int(room.wait_s * 1000), free, room.tokens)
-    if room.engine is None:
-        return offer
-    return offer._replace(
-        read_ns=int(room.engine.read_s_per_token * 1e9),
-        token_us=int(room.engine.token_s * 1e6),
-        running=room.engine.running,
-    )
-
-
-def _read_offer(offer: RegionOffer) -> Offer:
-    wait_s = offer.wait_ms / 1000
-    engine = EngineState(wait_s, offer.read_ns / 1e9, offer.token_us / 1e6, offer.running)
-    return Offer(offer.service_name, wait_s, offer.free, offer.room, engine)
--- a/cloverway/serving/placement.py
+++ b/cloverway/serving/placement.py
@@ -16,9 +16,6 @@
 WAIT_PART = 0.2
 """Part of the time of its route that a request waits for a place. Late, its answer is still worth
 something to its caller, and what is left of the time suffices for the answer."""
-BLIND_WAIT_PART = 0.65
-"""Part of the objective that it waits where no endpoint here may run it: whether another region
-offers a place soon can't be told."""
 LEAST_WAIT_PART = 0.1
 """The same after a send that did not run, however late it is."""
 PASSED_WAIT_PART = 0.3
@@ -57,7 +54,7 @@
         if target is not None:
             return target
         expected_s = targeting.estimate_start(self._wanted, line.sum_ahead(ask, now), now)
-        patience_s = self._choose_patience(expected_s is not None, now)
+        patience_s = self._choose_patience(now)
         if expected_s is not None and expected_s > patience_s:
             why = targeting.explain(self._wanted, now)
             raise self._refuse(why, ran, expected_s - patience_s)
@@ -75,13 +72,12 @@
         late_at = call.arrived_at + route.objective_s - read_s
         return Ask(Rank(route.priority, call.arrived_at), read_s, late_at)
 
-    def _choose_patience(self, has_endpoints: bool, now: float) -> float:
+    def _choose_patience(self, now: float) -> float:
         """Give the time that the request may wait for a place."""
         call, objective_s = self._wanted.call, self._wanted.route.objective_s
         if call.passed_on is not None:
             return PASSED_WAIT_PART * objective_s
-        total_s = self._limit_at - call.arrived_at
-        may_wait_s = WAIT_PART * total_s if has_endpoints else BLIND_WAIT_PART * objective_s
+        may_wait_s = WAIT_PART * (self._limit_at - call.arrived_at)
         waited_s = now - call.arrived_at
         return max(LEAST_WAIT_PART * objective_s, may_wait_s - waited_s)
 
--- a/cloverway/serving/targeting.py
+++ b/cloverway/serving/targeting.py
@@ -16,7 +16,7 @@
 from cloverway.core.deployment import Service
 from cloverway.core.endpoints import Directory, Endpoint
 from cloverway.core.fetch import Source, find_source
-from cloverway.core.members import Members, Peer
+from cloverway.core.members import Members, Offer, Peer
 from cloverway.core.pacing import compute_cold_spacing
 from cloverway.core.prediction import (
     Candidate,
@@ -43,8 +43,8 @@
 TOLD_TOKENS = 1_000
 """Prompt tokens from which other hosts are told of a send at once: 26 ms of an engine. Smaller ones
 are told with the next heartbeat."""
-FAR_TRIES = 2
-"""Hosts of one region that a request is passed on to, one after the other."""
+FAR_TRIES = 3
+"""Times that a request is passed on to a region that declines it: the bytes of each are dear."""
 
 
 class Target(NamedTuple):
@@ -85,6 +85,10 @@
         """Give the line of requests that wait for a place at a service."""
         return self._lines.setdefault(service, WaitingLine())
 
+    def sum_waiting(self, service: str) -> float:
+        """Give the seconds of work of the requests that wait here for a service."""
+        return self.get_line(service).sum_work()
+
     def take(self, wanted: Wanted, ahead_s: float, now: float) -> Target | None:
         """Take a place for a request, or give None when there is none now.
 
@@ -205,25 +209,30 @@
         return spacing is not None and now - endpoint.last_cold_send >= spacing
 
     def _list_offers(self, wanted: Wanted, now: float) -> list[RegionOffer]:
-        own = self._settings.region
+        """Predict how a request would fare in the other regions that may run it and have room."""
+        predicted = []
         work = estimate_far_work(wanted.call)
-        offers: dict[str, RegionOffer] = {}
+        for region, offer in self._find_latest_offers(wanted.service.name, now).items():
+            is_home = not wanted.route.homes or region in wanted.route.homes
+            has_room = offer.free > 0 and offer.room >= work.unread
+            if is_home and has_room and wanted.tried[region] < FAR_TRIES:
+                predicted.append(predict_region(wanted, offer, Far(region, FAR_S), now))
+        return predicted
+
+    def _find_latest_offers(self, service: str, now: float) -> dict[str, Offer]:
+        """Find what each other region has offered last.
+
+        Of offers by several hosts the best one would be the most wrong one.
+        """
+        latest: dict[str, Peer] = {}
         for peer in self._members.list_alive(now):
             region = peer.member.region
-            offer = peer.offers.get(wanted.service.name)
-            if region == own or offer is None or not peer.member.ready or offer.free <= 0:
-                continue
-            if offer.room < work.unread:
-                continue
-            if wanted.route.homes and region not in wanted.route.homes:
-                continue
-            if now < peer.failed_until or wanted.tried[region] >= FAR_TRIES:
+            usable = service in peer.offers and peer.member.ready and now >= peer.failed_until
+            if region == self._settings.region or not usable:
                 continue
-            predicted = predict_region(wanted, offer, Far(region, FAR_S), now)
-            known = offers.get(region)
-            if known is None or predicted.cost_s < known.cost_s:
-                offers[region] = predicted
-        return list(offers.values())
+            if region not in latest or peer.offers_at > latest[region].offers_at:
+                latest[region] = peer
+        return {region: peer.offers[service] for region, peer in latest.items()}
 
     def _choose_peer(self, wanted: Wanted, region: str, now: float) -> Peer | None:
         peers = self._members.list_for_passing(region, now)
--- a/cloverway/tests/test_core_choice.py
+++ b/cloverway/tests/test_core_choice.py
@@ -247,15 +247,27 @@
 
 def test_a_region_offers_what_its_engines_can_take_at_their_pace():
     endpoint = make_endpoint("a")
-    idle = offer_region(MODEL, [endpoint], 0.0)
+    idle = offer_region(MODEL, [endpoint], 0.0, 0.0)
     endpoint.load.note_read(BURST_TOKENS, 0.0)
-    busy = offer_region(MODEL, [endpoint], 0.0)
+    busy = offer_region(MODEL, [endpoint], 0.0, 0.0)
     assert idle.free > 0
     assert idle.tokens == ANY_TOKENS
     assert (busy.free, busy.tokens) == (0, 0)
     assert busy.wait_s > 0.3
 
 
+def test_a_region_with_requests_that_wait_offers_nothing():
+    """More comes than the engines bear, and each of them has room for a moment now and then.
+
+    Two of five requests that were passed on for such a moment waited in the line there and were
+    declined, after half a second and twelve kilobytes between regions.
+    """
+    endpoint = make_endpoint("a")
+    room = offer_region(MODEL, [endpoint], 0.3, 0.0)
+    assert room.free == 0
+    assert room.wait_s >= 0.3
+
+
 def test_a_request_leaves_its_region_only_for_a_clear_gain():
     here = predict(want(make_call()), make_endpoint("a"), sender=HERE, now=0.0)
     near, far = [RegionOffer("south", 0.0, here.cost_s - less) for less in (0.1, 0.5)]
--- a/cloverway/tests/test_fleet_hosts.py
+++ b/cloverway/tests/test_fleet_hosts.py
@@ -300,6 +300,29 @@
     play(scenario)
 
 
+def test_a_host_that_starts_is_told_at_once_what_other_regions_can_take():
+    """A request is bound to another region, and the host that its caller reaches has just started.
+
+    Hosts spoke of what their region can take once a second; whoever came before was refused.
+    """
+
+    async def scenario():
+        async with run_fleet(hosts=0, endpoints=0) as fleet:
+            await fleet.add_endpoint("far-0", "desk", "d2")
+            bound = make_route("bound", "non_idempotent", "desk", homeRegions=["south"])
+            fleet.publish([bound], [make_service("desk")])
+            south = await fleet.add_host("d2")
+            await wait_for(lambda: south.members.own.ready)
+            norths = [await fleet.add_host("d1", seeds=(south.members.own.name,)) for _ in range(3)]
+            peers = [host.members.peers for host in norths]
+            await wait_for(
+                lambda: all(any(peer.offers for peer in known.values()) for known in peers),
+                0.5,
+            )
+
+    play(scenario)
+
+
 def test_all_prefixes_of_the_store_are_read_at_the_same_time():
     """A host far from the store starts again; each call takes a trip of 160 ms.
 
