--- a/cloverway/core/deployment.py
+++ b/cloverway/core/deployment.py
@@ -141,7 +141,7 @@
     """One endpoint as it published itself."""
 
     id: str
-    """New at each start of the endpoint."""
+    """New at each start of the endpoint, unless it tells when it was born."""
     service: str
     address: str
     domain: str
@@ -151,6 +151,13 @@
     """How much longer it is cold, in seconds from when it was published."""
     leaves_s: float | None = None
     """How much longer it lives, where it is taken away at short notice."""
+    born_ms: int | None = None
+    """Unix time of its start; None where endpoints don't tell, and each start has a new id."""
+
+    @property
+    def life(self) -> str:
+        """Name one life of the endpoint: what is known of one says nothing of the next."""
+        return self.id if self.born_ms is None else f"{self.id}@{self.born_ms}"
 
 
 class Document(NamedTuple):
@@ -184,6 +191,20 @@
     entry: EndpointEntry | None
 
 
+class EndpointUnreadable(NamedTuple):
+    """An endpoint's entry that can't be read: it names no endpoint to use."""
+
+    id: str
+    why: str
+
+
+class DocumentUnreadable(NamedTuple):
+    """Another document that can't be read; what was known of it holds on."""
+
+    key: str
+    why: str
+
+
 class EvacuationPublished(NamedTuple):
     """A failure domain is to get nothing, or may be used again."""
 
@@ -191,7 +212,13 @@
     active: bool
 
 
-Publication = ConfigurationPublished | EndpointPublished | EvacuationPublished
+Publication = (
+    ConfigurationPublished
+    | EndpointPublished
+    | EndpointUnreadable
+    | DocumentUnreadable
+    | EvacuationPublished
+)
 
 
 class Topology(NamedTuple):
--- a/cloverway/core/endpoints.py
+++ b/cloverway/core/endpoints.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import logging
+from collections import OrderedDict
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from cloverway.core.deployment import (
     Configuration,
     ConfigurationPublished,
+    DocumentUnreadable,
     EndpointEntry,
     EndpointPublished,
+    EndpointUnreadable,
     EvacuationPublished,
     Publication,
     RouteTable,
@@ -27,10 +30,16 @@
 RETURN_COLD_S = 2.0
 """How long the endpoints of a domain that was evacuated are taken for cold after it is taken back,
 unless their entries say so themselves: a heartbeat of theirs is on its way for less than this."""
+MISDIRECTED_S = 3.0
+"""How long an endpoint gets nothing after another one has answered at its address: by then its own
+entry has lapsed, or says where it is now. Each request that is led there would lose a try."""
+MOST_PAST_LIVES = 2_000
+"""Endpoints that are gone whose last entry is remembered, so that an older one of theirs that comes
+late isn't taken for a new endpoint's."""
 
 
 class Endpoint:
-    """One endpoint: its entry, and what this host has learnt of it."""
+    """One life of an endpoint: its entry, and what this host has learnt of it."""
 
     def __init__(self, entry: EndpointEntry, region: str) -> None:
         self.entry = entry
@@ -40,6 +49,10 @@
         self.cold_until = 0.0
         self.leaves_at: float | None = None
         self.last_cold_send = float("-inf")
+        self.is_unreadable = False
+        """Whether its entry can't be read any more."""
+        self.misdirected_at = float("-inf")
+        """When another endpoint answered at its address."""
 
     def is_cold(self, now: float) -> bool:
         """Tell whether the endpoint must be loaded slowly."""
@@ -47,7 +60,9 @@
 
     def is_leaving(self, now: float) -> bool:
         """Tell whether the endpoint must get nothing new."""
-        if self.entry.draining or self.leaves_at is not None:
+        if self.entry.draining or self.leaves_at is not None or self.is_unreadable:
+            return True
+        if now - self.misdirected_at < MISDIRECTED_S:
             return True
         return self.missing_since is not None and now - self.missing_since >= MISSING_GRACE_S
 
@@ -69,6 +84,8 @@
         self.routes = RouteTable(())
         self.evacuated: set[str] = set()
         self.endpoints: dict[str, Endpoint] = {}
+        self._past_lives: OrderedDict[str, EndpointEntry] = OrderedDict()
+        """The last entries of endpoints that are gone."""
         self._by_service: dict[str, list[Endpoint]] = {}
 
     def apply(self, publications: Iterable[Publication], now: float) -> list[Change]:
@@ -93,7 +110,7 @@
             if endpoint.missing_since is not None and endpoint.is_leaving(now)
         ]
         for name in gone:
-            del self.endpoints[name]
+            self._note_past_life(self.endpoints.pop(name).entry)
         if gone:
             self._index()
         return [Change("endpoint_gone", name) for name in gone]
@@ -104,6 +121,10 @@
                 return self._apply_configuration(configuration)
             case EvacuationPublished(domain, active):
                 return self._apply_evacuation(domain, active, now)
+            case DocumentUnreadable(key, why):
+                return [Change("document_unreadable", key, why)]
+            case EndpointUnreadable(name, why):
+                return self._apply_unreadable(name, why)
             case EndpointPublished(name, None):
                 return self._apply_removal(name, now)
             case EndpointPublished(_, entry):
@@ -123,6 +144,8 @@
     def _apply_evacuation(self, domain: str, active: bool, now: float) -> list[Change]:
         if active == (domain in self.evacuated):
             return []
+        if domain not in self.topology.regions:
+            return [Change("evacuation_unknown", domain)]
         if active:
             self.evacuated.add(domain)
             return [Change("evacuated", domain)]
@@ -139,28 +162,70 @@
         endpoint.missing_since = now
         return [Change("endpoint_missing", name)]
 
+    def _apply_unreadable(self, name: str, why: str) -> list[Change]:
+        """Give an endpoint nothing new while its entry can't be read.
+
+        It may be another writer's doing, so what is known of the endpoint is kept: with the next
+        good entry it is back at once.
+        """
+        endpoint = self.endpoints.get(name)
+        if endpoint is not None:
+            endpoint.is_unreadable = True
+        return [Change("endpoint_unreadable", name, why)]
+
     def _apply_entry(self, entry: EndpointEntry, now: float) -> list[Change]:
         endpoint = self.endpoints.get(entry.id)
+        known = endpoint.entry if endpoint is not None else self._past_lives.get(entry.id)
+        if known is not None and known.born_ms is not None:
+            if entry.born_ms is None:
+                return self._apply_unreadable(entry.id, "the start is missing")
+            if entry.born_ms < known.born_ms:
+                # Written before the endpoint started again, and come late.
+                return []
         if endpoint is None:
-            region = self.topology.region_of(entry.domain)
-            endpoint = self.endpoints[entry.id] = Endpoint(entry, region)
+            endpoint = self._add(entry)
             change = Change("endpoint_new", entry.id, entry.address)
+        elif entry.born_ms != endpoint.entry.born_ms:
+            # It holds and knows nothing of before: not what it was sent, not that it drained.
+            # Taken for the same, others would fetch prompts from its empty memory.
+            endpoint = self._add(entry)
+            change = Change("endpoint_reborn", entry.id, entry.life)
         elif entry.draining and not endpoint.entry.draining:
             change = Change("endpoint_draining", entry.id)
-        elif endpoint.missing_since is not None:
+        elif endpoint.missing_since is not None or endpoint.is_unreadable:
             change = Change("endpoint_back", entry.id)
         else:
             change = None
-        # Draining is for good: an older entry that arrives late must not revive an endpoint.
+        self._update(endpoint, entry, now)
+        return [change] if change is not None else []
+
+    def _add(self, entry: EndpointEntry) -> Endpoint:
+        region = self.topology.region_of(entry.domain)
+        past = self._past_lives.pop(entry.id, None)
+        if past is not None and past.born_ms == entry.born_ms:
+            entry = entry._replace(draining=entry.draining or past.draining)
+        endpoint = self.endpoints[entry.id] = Endpoint(entry, region)
+        return endpoint
+
+    def _update(self, endpoint: Endpoint, entry: EndpointEntry, now: float) -> None:
+        """Take over a new entry of the same life."""
+        if entry.address != endpoint.entry.address:
+            endpoint.misdirected_at = float("-inf")
+        # Draining is for good in one life: an older entry that arrives late must not revive it.
         draining = entry.draining or endpoint.entry.draining
         endpoint.entry = entry._replace(draining=draining)
         endpoint.missing_since = None
+        endpoint.is_unreadable = False
         endpoint.cold_until = (
             now + entry.cold_s if entry.cold_s > 0 else min(endpoint.cold_until, now)
         )
         if entry.leaves_s is not None:
             endpoint.leaves_at = now + entry.leaves_s
-        return [change] if change is not None else []
+
+    def _note_past_life(self, entry: EndpointEntry) -> None:
+        self._past_lives[entry.id] = entry
+        if len(self._past_lives) > MOST_PAST_LIVES:
+            self._past_lives.popitem(last=False)
 
     def _index(self) -> None:
         self._by_service = {}
--- a/cloverway/errors.py
+++ b/cloverway/errors.py
@@ -135,6 +135,10 @@
     """The platform could not be read."""
 
 
+class DocumentError(CloverwayError):
+    """A published document can't be read."""
+
+
 class PeerError(CloverwayError):
     """A peer could not be reached, or said something that can't be trusted."""
 
--- a/cloverway/fleet.thrift
+++ b/cloverway/fleet.thrift
@@ -23,6 +23,7 @@
   5: list<i64> parts
   6: list<i32> tokens
   7: i32 read
+  8: i64 born_ms
 }
 
 struct RegionOffer {
--- a/cloverway/platform/dialect.py
+++ b/cloverway/platform/dialect.py
@@ -30,7 +30,7 @@
     """Encodes and decodes the platform's HTTP."""
 
     def decode_documents(self, documents: Iterable[Document]) -> list[Publication]:
-        """Decode published documents; what can't be read is logged and left out."""
+        """Decode published documents; what can't be read is told as that."""
         return decode_documents(documents)
 
     def decode_call(self, exchange: Exchange) -> Call:
@@ -101,9 +101,10 @@
 
     def decode_reply(self, head: ReplyHead) -> ReplyFacts:
         """Decode the head of an endpoint's answer."""
-        not_run = head.get(names.NOT_RUN) is not None or head.status == MISDIRECTED
+        elsewhere = head.status == MISDIRECTED
+        not_run = head.get(names.NOT_RUN) is not None or elsewhere
         sealed = head.get(names.SIGNATURE) is not None
-        return ReplyFacts(not_run, sealed)
+        return ReplyFacts(not_run, sealed, elsewhere)
 
     def encode_refusal(self, error: RequestError, call_id: str) -> tuple[int, list[Header], bytes]:
         """Give status, headers and body of the answer to a request that failed here."""
--- a/cloverway/platform/store.py
+++ b/cloverway/platform/store.py
@@ -5,28 +5,62 @@
 import asyncio
 import base64
 import binascii
-import json
-from typing import Any
+import logging
+from typing import Any, NotRequired
 from urllib.parse import urlencode
 
 import h11
+from pydantic import ConfigDict, TypeAdapter, ValidationError, with_config
+from typing_extensions import TypedDict
 
 from cloverway.core.deployment import Document, Snapshot
 from cloverway.errors import PlatformError
 from cloverway.platform.documents import PREFIXES
-from cloverway.serving.client import AnswerError, ConnectError, Pool, fetch
+from cloverway.serving.client import AnswerError, AnswerTooLongError, ConnectError, Pool, fetch
 from cloverway.serving.ports import HistoryGoneError, StoreBusyError
 
 ANSWER_S = 0.9
 """Time for an answer beyond the time that a watch waits. The store answers in milliseconds; when it
 is slow, sixty times as long."""
-ANSWER_LIMIT = 64 * 1024 * 1024
+ANSWER_LIMIT = 8 * 1024 * 1024
+"""The longest answer that is read: a page holds about one MB, or one value of that size. A host has
+some hundred MB, and takes several times the length of an answer to decode it."""
 MOST_PAGES = 10_000
 EVERYTHING = ""
 """The prefix of all keys: one watch tells of operators' and endpoints' writes alike, and each watch
 that waits is paid for."""
 
-Fields = dict[str, Any]
+UNREADABLE = b""
+"""Stands for a value that isn't in its form: no document is empty."""
+
+
+@with_config(ConfigDict(strict=True))
+class Item(TypedDict):
+    """One key of the store, as far as it is needed."""
+
+    key: str
+    revision: int
+    value: NotRequired[object]
+    tombstone: NotRequired[bool]
+
+
+@with_config(ConfigDict(strict=True))
+class Answer(TypedDict):
+    """What the store answers to a read."""
+
+    at: int
+    """Its revision."""
+    items: NotRequired[list[Any]]
+    """Of a range."""
+    events: NotRequired[list[Any]]
+    """Of a watch."""
+    hasMore: NotRequired[bool]
+
+
+ITEM = TypeAdapter(Item)
+ANSWER = TypeAdapter(Answer)
+
+log = logging.getLogger(__name__)
 
 
 class PlatformStore:
@@ -52,9 +86,12 @@
         """Give what changed after a revision; raise PlatformError."""
         wait_ms = int(wait_s * 1000)
         query = {"prefix": EVERYTHING, "after": str(after), "waitMs": str(wait_ms)}
-        answer = await self._call("/kv-watch", query, wait_s)
-        documents = tuple(_decode_item(item) for item in answer["events"])
-        return Snapshot(max(after, int(answer["at"])), documents, False)
+        try:
+            answer = await self._call("/kv-watch", query, wait_s)
+        except AnswerTooLongError as error:
+            # Somebody writes faster than is read. Pages of all keys are bounded, and show the same.
+            raise HistoryGoneError("/kv-watch: too many changes") from error
+        return Snapshot(max(after, answer["at"]), _decode_items(answer["events"]), False)
 
     async def _read_prefix(self, prefix: str) -> Snapshot:
         documents: list[Document] = []
@@ -62,15 +99,15 @@
         after = ""
         for _ in range(MOST_PAGES):
             answer = await self._call("/kv-range", {"prefix": prefix, "after": after}, 0.0)
-            revisions.append(int(answer["at"]))
-            items = answer["items"]
-            documents += [_decode_item(item) for item in items]
-            if not answer.get("hasMore") or not items:
+            revisions.append(answer["at"])
+            page = _decode_items(answer["items"])
+            documents += page
+            if not answer.get("hasMore") or not page:
                 break
-            after = items[-1]["key"]
+            after = page[-1].key
         return Snapshot(min(revisions), tuple(documents), True)
 
-    async def _call(self, path: str, query: dict[str, str], wait_s: float) -> Fields:
+    async def _call(self, path: str, query: dict[str, str], wait_s: float) -> Answer:
         fields = {name: value for name, value in query.items() if value or name == "prefix"}
         target = f"{path}?{urlencode(fields, safe='/')}"
         headers = [(b"Host", self._address.encode())]
@@ -84,6 +121,8 @@
                 timeout_s=wait_s + ANSWER_S,
                 limit=ANSWER_LIMIT,
             )
+        except AnswerTooLongError:
+            raise
         except (ConnectError, AnswerError) as error:
             raise PlatformError(f"{path}: {error}") from error
         if head.status == 410:
@@ -93,18 +132,33 @@
         if head.status != 200:
             raise PlatformError(f"{path}: status {head.status}")
         try:
-            answer: Fields = json.loads(body)
-            answer["at"]
-        except (ValueError, KeyError, TypeError) as error:
+            return ANSWER.validate_json(body)
+        except ValidationError as error:
             raise PlatformError(f"{path}: an answer that can't be read") from error
-        return answer
 
 
-def _decode_item(item: Fields) -> Document:
+def _decode_items(items: list[Any]) -> tuple[Document, ...]:
+    """Decode the items of an answer; one that can't be read leaves the others in force."""
+    decoded = (_decode_item(item) for item in items)
+    return tuple(document for document in decoded if document is not None)
+
+
+def _decode_item(fields: object) -> Document | None:
+    try:
+        item = ITEM.validate_python(fields)
+    except ValidationError as error:
+        log.error("an item of the store has no key or revision", extra={"why": str(error)[:200]})
+        return None
+    if item.get("tombstone"):
+        return Document(item["key"], item["revision"], None)
+    return Document(item["key"], item["revision"], _decode_value(item.get("value")))
+
+
+def _decode_value(value: object) -> bytes:
+    """Give the bytes of a value; those of one that isn't in its form can't be read later either."""
+    if not isinstance(value, str):
+        return UNREADABLE
     try:
-        if item.get("tombstone"):
-            return Document(item["key"], int(item["revision"]), None)
-        value = base64.b64decode(item["value"], validate=True)
-        return Document(item["key"], int(item["revision"]), value)
-    except (KeyError, ValueError, TypeError, binascii.Error) as error:
-        raise PlatformError(f"an item that can't be read: {error!r}") from error
+        return base64.b64decode(value, validate=True)
+    except (ValueError, binascii.Error):
+        return UNREADABLE
--- a/cloverway/serving/attempt.py
+++ b/cloverway/serving/attempt.py
@@ -107,7 +107,7 @@
         timeout_s = CONNECT_S if target.peer is None else FAR_CONNECT_S
         pool = self._context.pool
         try:
-            connection = await pool.open(target.address, timeout_s)
+            connection = await pool.open(target.place, timeout_s)
         except ConnectError as error:
             return Declined(f"no connection: {error}", arrived=False)
         request = self._make_request()
@@ -127,7 +127,7 @@
             return Broken(str(error))
         finally:
             if not kept:
-                pool.release(target.address, sending, get_idle_s(target))
+                pool.release(target.place, sending, get_idle_s(target))
 
     def _make_request(self) -> h11.Request | None:
         """Give the request as it is sent; None when the time is over.
@@ -141,9 +141,9 @@
         if left_s < LEAST_S:
             return None
         dialect = self._context.dialect
-        if target.peer is None:
+        if target.candidate is not None:
             terms = SendTerms(
-                target.name,
+                target.candidate.endpoint.entry.id,
                 left_s,
                 route.priority,
                 self._terms.last_event_id,
@@ -177,6 +177,8 @@
             self._context.targeting.withdraw_offer(target.region, service.name)
             arrived = head.get(ARRIVALS_HEADER) != b"0"
             return Declined(why, blames_host=False, arrived=arrived)
+        if facts.elsewhere and target.candidate is not None:
+            target.candidate.endpoint.misdirected_at = read_clock()
         if facts.not_run:
             await sending.read_body(HOLD_BYTES)
             why = f"the endpoint did not run it: {head.status}"
--- a/cloverway/serving/client.py
+++ b/cloverway/serving/client.py
@@ -33,6 +33,10 @@
     """The answer broke off or is no HTTP; the request may have run."""
 
 
+class AnswerTooLongError(AnswerError):
+    """The answer is longer than what may be held in memory."""
+
+
 class ReplyHead(NamedTuple):
     """The head of an answer."""
 
@@ -100,7 +104,7 @@
             parts.append(part)
             size += len(part)
             if size > limit:
-                raise AnswerError("the answer is too long")
+                raise AnswerTooLongError("the answer is too long")
         return b"".join(parts)
 
     @property
@@ -143,28 +147,37 @@
         return event
 
 
+class Place(NamedTuple):
+    """Whom a connection leads to."""
+
+    address: str
+    life: str = ""
+    """The life of the endpoint; empty for hosts. The next one at the address may be another
+    endpoint, or know nothing of the one before: a connection of that time is never used for it."""
+
+
 class _Kept(NamedTuple):
     connection: Connection
     until: float
 
 
 class Pool:
-    """Connections that are kept between requests, by address."""
+    """Connections that are kept between requests, by the place that they lead to."""
 
     def __init__(self, on_connect: Callable[[str], None] = lambda address: None) -> None:
-        self._kept: defaultdict[str, list[_Kept]] = defaultdict(list)
+        self._kept: defaultdict[Place, list[_Kept]] = defaultdict(list)
         self._on_connect = on_connect
 
-    async def open(self, address: str, timeout_s: float) -> Connection:
+    async def open(self, place: Place, timeout_s: float) -> Connection:
         """Give a connection that is free, or a new one; raise ConnectError."""
         now = read_clock()
-        kept = self._kept[address]
+        kept = self._kept[place]
         while kept:
             connection, until = kept.pop()
             if now < until and not connection.has_input and not connection.lost.done():
                 return connection
             connection.abort()
-        return await self.open_new(address, timeout_s)
+        return await self.open_new(place.address, timeout_s)
 
     async def open_new(self, address: str, timeout_s: float) -> Connection:
         """Give a new connection; raise ConnectError."""
@@ -174,7 +187,7 @@
         except OSError as error:
             raise ConnectError(str(error) or type(error).__name__) from error
 
-    def release(self, address: str, sending: Sending, idle_s: float | None = None) -> None:
+    def release(self, place: Place, sending: Sending, idle_s: float | None = None) -> None:
         """Keep the connection of a request that has ended, or close it.
 
         It is kept for as long as the other end says, or else for `idle_s`.
@@ -183,16 +196,16 @@
             sending.connection.abort()
             return
         until = read_clock() + _get_idle_s(sending.head, idle_s or IDLE_S) - IDLE_MARGIN_S
-        self._kept[address].append(_Kept(sending.connection, until))
+        self._kept[place].append(_Kept(sending.connection, until))
 
-    def forget(self, address: str) -> None:
-        """Close the kept connections of an address."""
-        for connection, _ in self._kept.pop(address, ()):
+    def forget(self, place: Place) -> None:
+        """Close the kept connections to a place."""
+        for connection, _ in self._kept.pop(place, ()):
             connection.abort()
 
     def expire(self, now: float) -> None:
         """Close the connections that are kept no longer."""
-        for address, kept in list(self._kept.items()):
+        for place, kept in list(self._kept.items()):
             live = []
             for item in kept:
                 if now < item.until and not item.connection.lost.done():
@@ -200,9 +213,9 @@
                 else:
                     item.connection.abort()
             if live:
-                self._kept[address] = live
+                self._kept[place] = live
             else:
-                del self._kept[address]
+                del self._kept[place]
 
 
 def make_request(method: str, target: str, headers: Sequence[Header], body: bytes) -> h11.Request:
@@ -217,10 +230,11 @@
     pool: Pool, address: str, request: h11.Request, body: bytes, *, timeout_s: float, limit: int
 ) -> tuple[ReplyHead, bytes]:
     """Send a small request and read its whole answer; raise ConnectError or AnswerError."""
+    place = Place(address)
     sending: Sending | None = None
     try:
         async with asyncio.timeout(timeout_s):
-            connection = await pool.open(address, timeout_s)
+            connection = await pool.open(place, timeout_s)
             sending = Sending(connection, request, body)
             sending.write()
             head = await sending.read_head(lambda head: True)
@@ -229,7 +243,7 @@
         raise AnswerError(f"no answer within {timeout_s:g} s") from error
     finally:
         if sending is not None:
-            pool.release(address, sending)
+            pool.release(place, sending)
     return head, data
 
 
--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -175,7 +175,7 @@
             return False
         finally:
             self.context.targeting.release(target)
-            self.context.pool.release(target.address, sending, get_idle_s(target))
+            self.context.pool.release(target.place, sending, get_idle_s(target))
         self._note_result(target, False)
         self._tell_end(None, answered.head.status)
         return True
@@ -202,7 +202,7 @@
             target.peer.failed_until = now + PEER_FAILED_S
         if target.candidate is not None:
             target.candidate.endpoint.load.note_failure(now)
-            self.context.pool.forget(target.address)
+            self.context.pool.forget(target.place)
 
     def _note_result(self, target: Target, failed: bool) -> None:
         if target.candidate is None:
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -85,6 +85,7 @@
             seeds=settings.peers.seeds,
         )
         self.catalogue.on_news = self.gossip.announce_news
+        self.gossip.sum_waiting = self.context.targeting.sum_waiting
         self.context.targeting.on_prompt = self.gossip.uses.tell_at_once
         self.started_at = read_clock()
         self.leaving_at: float | None = None
--- a/cloverway/serving/peerwire.py
+++ b/cloverway/serving/peerwire.py
@@ -39,6 +39,8 @@
     """The size of each of the parts."""
     read: int = 0
     """Prompt tokens that the sender sent there since it told of them last."""
+    born_ms: int = 0
+    """The start of the life of the endpoint that this is about; 0 where endpoints don't tell."""
 
 
 class EndpointUses(NamedTuple):
--- a/cloverway/serving/ports.py
+++ b/cloverway/serving/ports.py
@@ -39,6 +39,8 @@
     """Whether the endpoint says that it did not run the request, and never will."""
     sealed: bool
     """Whether the endpoint's signature is there: without it the bytes are not the endpoint's."""
+    elsewhere: bool = False
+    """Whether it came from another endpoint than the one that was meant."""
 
 
 class SendTerms(NamedTuple):
@@ -65,7 +67,7 @@
     """Names and formats between callers, hosts and endpoints."""
 
     def decode_documents(self, documents: Iterable[Document]) -> list[Publication]:
-        """Decode published documents; what can't be read is logged and left out."""
+        """Decode published documents; what can't be read is told as that."""
         ...
 
     def decode_call(self, exchange: Exchange) -> Call:
--- a/cloverway/serving/targeting.py
+++ b/cloverway/serving/targeting.py
@@ -28,6 +28,7 @@
     predict,
     predict_region,
 )
+from cloverway.serving.client import Place
 from cloverway.serving.clock import read_clock
 from cloverway.serving.settings import FleetSettings
 from cloverway.serving.waiting import WaitingLine
@@ -52,7 +53,7 @@
 
     address: str
     name: str
-    """The id of the endpoint, or the name of the host it is passed on to."""
+    """The life of the endpoint, or the name of the host it is passed on to."""
     region: str
     number: int
     """Names the request in the load of the endpoint."""
@@ -67,6 +68,11 @@
         source = self.candidate.source if self.candidate is not None else None
         return source.entry.address if source is not None else ""
 
+    @property
+    def place(self) -> Place:
+        """Whom a connection for the request leads to."""
+        return Place(self.address, self.name if self.candidate is not None else "")
+
 
 class Targeting:
     """Finds and takes places; owns the counts of what is under way."""
@@ -160,7 +166,8 @@
         return [
             predict(wanted, endpoint, sender=sender, now=now, source=source)
             for endpoint in near
-            if not wanted.tried[endpoint.entry.id] and self._may_load(endpoint, wanted.service, now)
+            if not wanted.tried[endpoint.entry.life]
+            and self._may_load(endpoint, wanted.service, now)
         ]
 
     def _pass_to(self, peer: Peer, service: Service) -> Target:
@@ -192,7 +199,7 @@
         if endpoint.is_cold(now):
             endpoint.last_cold_send = now
         entry = endpoint.entry
-        return Target(entry.address, entry.id, self._settings.region, number, candidate=here)
+        return Target(entry.address, entry.life, self._settings.region, number, candidate=here)
 
     def _may_load(self, endpoint: Endpoint, service: Service, now: float) -> bool:
         """Tell whether an endpoint may get a request just now, as far as it is cold."""
--- a/cloverway/serving/uses.py
+++ b/cloverway/serving/uses.py
@@ -61,7 +61,8 @@
             return
         for use in message.uses:
             endpoint = self._directory.endpoints.get(use.endpoint)
-            if endpoint is not None:
+            if endpoint is not None and (endpoint.entry.born_ms or 0) == use.born_ms:
+                # What was sent to another life of it is neither at work nor in memory there.
                 parts = [PromptPart(*pair) for pair in zip(use.parts, use.tokens, strict=False)]
                 load = SiblingLoad(use.running, use.unread, use.held, now)
                 endpoint.load.note_sibling(message.host, load, parts)
@@ -100,4 +101,5 @@
         tuple(part.id for part in news.parts),
         tuple(part.tokens for part in news.parts),
         news.read,
+        endpoint.entry.born_ms or 0,
     )
--- /dev/null
+++ b/cloverway/tests/test_fleet_lives.py
@@ -0,0 +1,168 @@
+"""Entries that turn bad and endpoints that start again, under requests; real hosts and sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from cloverway.serving.clock import read_clock
+from cloverway.tests.fleet.deployment import run_fleet, wait_for
+from cloverway.tests.fleet.standins import make_route, make_service
+
+ENGINE = {"slots": 8, "kvTokens": 300_000, "kvTokenBytes": 18_432, "linkMbps": 180_000}
+
+
+def play(scenario):
+    asyncio.run(scenario())
+
+
+def list_usable(fleet):
+    endpoints = fleet.hosts[0].directory.list_usable("desk", read_clock())
+    return {endpoint.entry.id for endpoint in endpoints}
+
+
+def get_entry(fleet, name):
+    return fleet.hosts[0].directory.endpoints[name].entry
+
+
+@asynccontextmanager
+async def keep_calling(fleet, path):
+    """Send requests one after the other while the body runs; give their answers."""
+    replies = []
+
+    async def call():
+        while True:
+            replies.append(await fleet.call(path))
+            await asyncio.sleep(0.005)
+
+    callers = [asyncio.create_task(call()) for _ in range(4)]
+    try:
+        yield replies
+    finally:
+        for caller in callers:
+            caller.cancel()
+        await asyncio.gather(*callers, return_exceptions=True)
+
+
+def test_an_entry_turns_bad_and_good_and_bad_while_requests_come():
+    """Another writer overwrites the entry of one of two endpoints, which writes it again.
+
+    While it can't be read nothing is sent there; the other endpoint serves everything, and the
+    entry is in force again as soon as it can be read.
+    """
+
+    async def scenario():
+        async with run_fleet() as fleet:
+            first = fleet.endpoints["desk-0"]
+            junk = (b"{" * 90_000, b'{"service": {}}', b"\xff", b"1e999")
+            async with keep_calling(fleet, "/once/") as replies:
+                for value in junk:
+                    fleet.store.put_bytes("servers/desk-0", value)
+                    await wait_for(lambda: list_usable(fleet) == {"desk-1"}, 2.5)
+                    await asyncio.sleep(0.05)
+                    before = len(first.requests)
+                    await asyncio.sleep(0.2)
+                    assert len(first.requests) == before
+                    fleet.store.put("servers/desk-0", first.describe(sequence=7))
+                    await wait_for(lambda: list_usable(fleet) == {"desk-0", "desk-1"}, 2.5)
+            assert {reply.status for reply in replies} == {200}
+            assert fleet.hosts[0].directory.endpoints.keys() >= {"model-0", "model-1"}
+
+    play(scenario)
+
+
+def test_junk_beside_good_entries_delays_none_of_them():
+    async def scenario():
+        async with run_fleet(hosts=0) as fleet:
+            fleet.store.page = 500
+            for number in range(1_000):
+                fleet.store.put_bytes(f"servers/a-{number}", b"\xff" * 300)
+            host = await fleet.add_host()
+            await wait_for(lambda: len(host.directory.endpoints) == 4, 2.0)
+            assert (await fleet.call("/safe/")).status == 200
+
+    play(scenario)
+
+
+def test_an_endpoint_is_born_again_under_requests():
+    """It drains, ends and starts again under its id, at the same address, while requests come.
+
+    The new life is in use with its first entry, over new connections, and no request is lost.
+    """
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            first = fleet.endpoints["desk-0"]
+            fleet.store.put("servers/desk-0", first.describe(born=1_000))
+            await wait_for(lambda: get_entry(fleet, "desk-0").born_ms == 1_000)
+            await fleet.call("/once/")
+            old = [exchange.connection for exchange in first.requests]
+            fleet.store.put("servers/desk-0", first.describe(born=1_000, state="draining"))
+            await wait_for(lambda: get_entry(fleet, "desk-0").draining)
+            fleet.store.put("servers/desk-0", first.describe(born=2_000))
+            began = read_clock()
+            await wait_for(lambda: get_entry(fleet, "desk-0").born_ms == 2_000)
+            count = len(first.requests)
+            assert (await fleet.call("/once/")).status == 200
+            assert read_clock() - began < 1.5
+            assert first.requests[count].connection not in old
+            # What the life before says last comes late.
+            fleet.store.put("servers/desk-0", first.describe(born=1_000, state="draining"))
+            await asyncio.sleep(1.2)
+            assert (await fleet.call("/once/")).status == 200
+
+    play(scenario)
+
+
+def test_nothing_is_fetched_from_an_engine_that_has_started_again():
+    """An engine read a shared part, crashed, and started again under its id with an empty memory.
+
+    Sent there for the part, another engine found nothing and read all of it after the detour.
+    """
+
+    def make_headers(own, tokens):
+        return (
+            (b"X-Cloverway-Token-Usage", b"%d,30" % (6_000 + tokens)),
+            (b"X-Cloverway-Prompt-Prefix", b"a1:6000,%x:%d" % (own, tokens)),
+        )
+
+    async def scenario():
+        async with run_fleet() as fleet:
+            route = make_route("cut", "streaming", "model")
+            fleet.publish([route], [make_service("model", engine=ENGINE)])
+            host = fleet.hosts[0]
+            await wait_for(lambda: host.directory.configuration.version == fleet.version)
+            engines = [fleet.endpoints[name] for name in ("model-0", "model-1")]
+            for engine in engines:
+                engine.answer = engine.stream(1, 2)
+                fleet.store.put(f"servers/{engine.name}", engine.describe(born=1_000))
+            known = host.directory.endpoints
+            await wait_for(lambda: all(get_entry(fleet, e.name).born_ms for e in engines))
+            await fleet.call("/cut/", headers=make_headers(1, 1_000))
+            holder = next(engine for engine in engines if engine.requests)
+            await wait_for(lambda: not known[holder.name].load.backlog(read_clock()))
+            fleet.store.put(f"servers/{holder.name}", holder.describe(born=2_000))
+            await wait_for(lambda: get_entry(fleet, holder.name).born_ms == 2_000)
+            await fleet.call("/cut/", headers=make_headers(3, 1_000))
+            sent = [exchange for engine in engines for exchange in engine.requests]
+            assert len(sent) == 2
+            assert all(b"kv-fetch" not in dict(exchange.headers) for exchange in sent)
+
+    play(scenario)
+
+
+def test_an_address_that_was_taken_over_costs_one_request_a_try_and_not_each():
+    """An endpoint is gone and another one answers at its address; its entry is still there.
+
+    Each request that was led there got 421 and had to be sent again.
+    """
+
+    async def scenario():
+        async with run_fleet() as fleet:
+            first = fleet.endpoints["desk-0"]
+            first.answer = lambda exchange: exchange.answer(421, [], b"")
+            replies = [await fleet.call("/once/") for _ in range(12)]
+            assert {reply.body for reply in replies} == {b"ran at desk-1"}
+            assert len(first.requests) <= 1
+
+    play(scenario)
