--- /dev/null
+++ b/cloverway/tests/test_days.py
@@ -0,0 +1,36 @@
+"""The days of our own in deploy/days: each can be read and names its reason."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import pytest
+
+DAYS = Path(__file__).parents[2] / "deploy" / "days"
+STAND_INS = ("@c0", "@s0", "@z0")
+FIELDS = {
+    *("at", "kind", "for_s", "share", "count", "x", "gap_s", "how", "on"),
+    *("zone", "to_zone", "region", "service", "class"),
+}
+
+
+@pytest.mark.parametrize("path", sorted(DAYS.glob("*.toml")), ids=lambda path: path.stem)
+def test_a_day_can_be_read_and_names_its_reason(path):
+    text = path.read_text(encoding="utf-8")
+    day = tomllib.loads(text)
+    assert text.startswith("# ")
+    assert len(text.split("\n", 1)[0]) > 40
+    assert day["name"] == path.stem
+    entries = [*day["plan"], *day["faults"]]
+    assert entries
+    for entry in entries:
+        assert entry.keys() <= FIELDS
+        assert entry["at"] >= 0
+        # A site's own names would leave the day out on every other site.
+        named = [entry[key] for key in ("zone", "service", "class") if key in entry]
+        assert set(named) <= set(STAND_INS)
+
+
+def test_there_are_days():
+    assert len(list(DAYS.glob("*.toml"))) >= 5
