--- a/cloverway/core/members.py
+++ b/cloverway/core/members.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from functools import lru_cache
 from typing import NamedTuple
 
 from cloverway.core.decay import DecayingSum
@@ -40,6 +41,14 @@
 the hosts that are known, so one that is cut off must be counted for a good while."""
 
 
+IDLE_MISSES = 2.5
+"""Heartbeats of a host that speaks rarely, two of which may be lost before it counts as gone. A
+host that serves nobody and is taken for alive a little longer, or for gone too soon, costs no
+request; callers must not be led to it for eight seconds after its end."""
+MOST_RANKS = 4_096
+"""Ranks that are kept: asked for ten times a second for each host of the own failure domain."""
+
+
 class Member(NamedTuple):
     """A host as it describes itself."""
 
@@ -91,6 +100,8 @@
         """How long ago it read the store, when it was heard."""
         self.rate = 0.0
         """Requests of callers per second, when it was heard itself."""
+        self.period_s = 0.0
+        """Time between its heartbeats to its region, as it says."""
         self.offers: dict[str, Offer] = {}
         self.offers_at = float("-inf")
         self.failed_until = float("-inf")
@@ -162,7 +173,8 @@
         if peer.member.region != self.own.region:
             far = len(self.peers) - self._region_size
             return age_s <= min(MOST_FAR_ALIVE_S, FAR_ALIVE_S * max(1.0, far / FAR_HOSTS))
-        return age_s <= min(MOST_ALIVE_S, ALIVE_S * max(1.0, self._region_size / SMALL_REGION))
+        bound_s = min(MOST_ALIVE_S, ALIVE_S * max(1.0, self._region_size / SMALL_REGION))
+        return age_s <= max(bound_s, IDLE_MISSES * peer.period_s)
 
     def list_alive(self, now: float) -> list[Peer]:
         """List the hosts that were heard lately."""
@@ -240,6 +252,7 @@
         return [peer for peer in usable if peer.member.name in serving] or usable
 
 
+@lru_cache(maxsize=MOST_RANKS)
 def rank_for(duty: str, host: str) -> bytes:
     """Give the rank of a host for a duty; the lowest do it, and all hosts agree who that is."""
     return hashlib.blake2b(f"{duty} {host}".encode(), digest_size=8).digest()
--- a/cloverway/fleet.thrift
+++ b/cloverway/fleet.thrift
@@ -13,6 +13,7 @@
   9: i32 age_ms
   10: i32 capacity
   11: i32 rate_mhz
+  12: i32 period_ms
 }
 
 struct EndpointUse {
--- a/cloverway/serving/catalogue.py
+++ b/cloverway/serving/catalogue.py
@@ -111,8 +111,10 @@
         own = self._members.own
         names = [
             peer.member.name
-            for peer in self._members.list_alive(now)
-            if peer.member.domain == own.domain and not peer.member.leaving
+            for peer in self._members.peers.values()
+            if peer.member.domain == own.domain
+            and not peer.member.leaving
+            and self._members.is_alive(peer, now)
         ]
         ranked = sorted([own.name, *names], key=lambda name: rank_for(own.domain, name))
         return own.name in ranked[:READERS]
--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/gossip.py
@@ -37,6 +37,14 @@
 then sends 20 heartbeats a second at most, whatever the size of its region."""
 MOST_NEAR_S = 1.0
 """The longest such period: a host is taken for gone after less than four of them."""
+IDLE_HEARD_PER_S = 20
+"""Heartbeats a second that a host hears from hosts of its region that neither serve callers nor
+read the store: their period grows with the region. In a region of 65 hosts, 55 of these took most
+of each other's processor time only to say that they were alive."""
+MOST_IDLE_S = 3.2
+"""The longest such period."""
+SETTLING_S = 5.0
+"""Age up to which a host keeps the shorter period, so that all of its region hear of it."""
 NEAR_TOLD = 3
 """Hosts of the region that are told each second of others. All hosts of a region send heartbeats to
 each other, so this only mends what a host has missed."""
@@ -86,6 +94,7 @@
         self._alive: set[str] = set()
         self._started_at = read_clock()
         self._idle_far_at = 0.0
+        self._period_s = NEAR_S
 
     async def start(self, address: str) -> None:
         """Bind the address for heartbeats; raise OSError."""
@@ -118,17 +127,23 @@
         while True:
             now = read_clock()
             if now >= near_at:
-                near_at = now + self._choose_period()
+                self._period_s = self._choose_period(now)
+                near_at = now + self._period_s - TICK_S / 2
                 self._send_near(now)
+                self._note_alive(now)
             if now >= far_at:
                 far_at = now + FAR_S
                 self._send_others(now)
                 self._send_far(now)
                 self._send_seeds(now)
                 self.members.forget(now)
+                self._note_alive(now)
+                if self._choose_period(now) < self._period_s:
+                    # It has begun to serve callers: the others must hear that before their
+                    # requests go by what they know.
+                    near_at = now
             elif now - self._started_at < YOUNG_S:
                 self._send_seeds(now)
-            self._note_alive(now)
             await asyncio.sleep(TICK_S)
 
     def announce(self) -> None:
@@ -146,9 +161,17 @@
 
     # Sending
 
-    def _choose_period(self) -> float:
+    def _choose_period(self, now: float) -> float:
+        """Give the time between two heartbeats to the hosts of the region."""
         hosts = len(self.members.list_region())
-        return min(MOST_NEAR_S, NEAR_S * max(1.0, hosts / NEAR_HOSTS)) - TICK_S / 2
+        period_s = min(MOST_NEAR_S, NEAR_S * max(1.0, hosts / NEAR_HOSTS))
+        if now - self._started_at < SETTLING_S or self._is_needed(now):
+            return period_s
+        return max(period_s, min(MOST_IDLE_S, hosts / IDLE_HEARD_PER_S))
+
+    def _is_needed(self, now: float) -> bool:
+        """Tell whether other hosts depend on hearing this one soon."""
+        return self.members.is_serving(now) or self.catalogue.is_reader(now)
 
     def _send_near(self, now: float) -> None:
         near = self.members.list_region()
@@ -160,8 +183,7 @@
     def _send_others(self, now: float) -> None:
         near = self.members.list_region()
         if near:
-            # The hosts of the region are heard directly.
-            data = self._encode(now, self._list_others(now, near=False), ())
+            data = self._encode(now, self._list_others(now, None), ())
             for name in random.sample(near, min(NEAR_TOLD, len(near))):
                 self._send(name, data)
 
@@ -196,7 +218,7 @@
         idle_hosts = len(self.members.list_region()) + 1
         self._idle_far_at = now + idle_hosts / FAR_IDLE_PER_S * random.uniform(0.8, 1.2)
         offers = self._list_offers(now)
-        data = self._encode(now, self._list_others(now, near=True), offers)
+        data = self._encode(now, self._list_others(now, True), offers)
         for region, peers in regions.items():
             for peer in self._choose_far(region, peers, FAR_HOSTS if serves else 1):
                 self._send(peer.member.name, data)
@@ -211,7 +233,7 @@
         """Reach hosts that are not known: at the start, and after everybody was cut off."""
         unknown = [s for s in self.seeds if s not in self.members.peers and s != self._own_name]
         if unknown:
-            data = self._encode(now, self._list_others(now, near=True), ())
+            data = self._encode(now, self._list_others(now, True), ())
             for seed in unknown:
                 self._send(seed, data)
 
@@ -234,7 +256,7 @@
         age_ms = min(now - self.catalogue.read_at, 1e6) * 1000
         configuration = self.directory.configuration
         heartbeat = Heartbeat(
-            _describe(self.members.own, 0.0),
+            _describe(self.members.own, 0.0, self._period_s),
             configuration.version if configuration is not None else 0,
             self.catalogue.table.revision,
             int(age_ms),
@@ -251,9 +273,13 @@
             return ()
         return list_offers(self.directory, self.sum_waiting, now)
 
-    def _list_others(self, now: float, *, near: bool) -> tuple[HostState, ...]:
-        """Describe some hosts of this region, or of other ones."""
-        alive = [p for p in self.members.list_alive(now) if self._is_near(p.member) == near]
+    def _list_others(self, now: float, near: bool | None) -> tuple[HostState, ...]:
+        """Describe some hosts of this region, or of other ones; of all for None."""
+        alive = [
+            peer
+            for peer in self.members.list_alive(now)
+            if near is None or self._is_near(peer.member) == near
+        ]
         count = min(OTHERS, self.members.count_fleet() // HOSTS_PER_OTHER)
         chosen = random.sample(alive, min(count, len(alive)))
         return tuple(_describe_peer(peer, now) for peer in chosen)
@@ -278,6 +304,7 @@
         peer.revision = heartbeat.revision
         peer.read_age_s = heartbeat.read_age_ms / 1000
         peer.rate = heartbeat.rate_mhz / 1000
+        peer.period_s = state.period_ms / 1000
         peer.digest = heartbeat.digest
         self.sync.note(peer, now)
         if heartbeat.offers:
@@ -292,6 +319,7 @@
         peer = self.members.hear(_read_member(state), age_s, False, now)
         if peer is not None and now - age_s > heard_at:
             peer.rate = state.rate_mhz / 1000
+            peer.period_s = state.period_ms / 1000
 
     def _note_alive(self, now: float) -> None:
         alive = {peer.member.name for peer in self.members.list_alive(now)}
@@ -305,12 +333,19 @@
 
 
 def _describe_peer(peer: Peer, now: float) -> HostState:
-    state = _describe(peer.member, now - peer.heard_at)
+    state = _describe(peer.member, now - peer.heard_at, peer.period_s)
     return state._replace(rate_mhz=int(peer.rate * 1000))
 
 
-def _describe(member: Member, age_s: float) -> HostState:
-    return HostState(*member[:6], member.ready, member.leaving, int(age_s * 1000), member.capacity)
+def _describe(member: Member, age_s: float, period_s: float) -> HostState:
+    return HostState(
+        *member[:6],
+        ready=member.ready,
+        leaving=member.leaving,
+        age_ms=int(age_s * 1000),
+        capacity=member.capacity,
+        period_ms=int(period_s * 1000),
+    )
 
 
 def _read_member(state: HostState) -> Member:
--- a/cloverway/serving/peerwire.py
+++ b/cloverway/serving/peerwire.py
@@ -23,6 +23,8 @@
     """Requests per second that its machine bears."""
     rate_mhz: int = 0
     """Requests of callers at it, in thousandths per second."""
+    period_ms: int = 0
+    """Time between its heartbeats to its region; 0 where it doesn't say."""
 
 
 class EndpointUse(NamedTuple):
--- a/cloverway/serving/sync.py
+++ b/cloverway/serving/sync.py
@@ -69,8 +69,10 @@
         """Choose a host that knows more: of this domain, or any when the documents here are old."""
         known = [
             peer
-            for peer in self._members.list_alive(now)
-            if self._is_news(peer) and now >= peer.failed_until
+            for peer in self._members.peers.values()
+            if self._is_news(peer)
+            and now >= peer.failed_until
+            and self._members.is_alive(peer, now)
         ]
         own = self._members.own
         near = [peer for peer in known if peer.member.domain == own.domain]
--- a/cloverway/serving/uses.py
+++ b/cloverway/serving/uses.py
@@ -42,7 +42,9 @@
             is_refresh = now >= refresh_at
             if is_refresh:
                 refresh_at = now + REFRESH_S
-            self._tell(self._list_listeners(), is_refresh)
+            if self._list_news(is_refresh):
+                # Most hosts of a large region serve nobody: they need not know who listens.
+                self._tell(self._list_listeners(), is_refresh)
             await asyncio.sleep(TELL_S)
 
     def tell_at_once(self) -> None:
@@ -75,18 +77,17 @@
             self._tell(listeners, False)
 
     def _tell(self, listeners: list[Peer], is_refresh: bool) -> None:
-        if not listeners:
-            return
-        endpoints = self._directory.endpoints.values()
-        uses = tuple(
-            _take_use(endpoint) for endpoint in endpoints if endpoint.load.has_news(is_refresh)
-        )
-        if not uses:
+        uses = tuple(_take_use(endpoint) for endpoint in self._list_news(is_refresh))
+        if not uses or not listeners:
             return
         data = CODEC.encode(EndpointUses(self._members.own.name, uses))
         for peer in listeners:
             self._send(peer.member.name, data)
 
+    def _list_news(self, is_refresh: bool) -> list[Endpoint]:
+        endpoints = self._directory.endpoints.values()
+        return [endpoint for endpoint in endpoints if endpoint.load.has_news(is_refresh)]
+
     def _list_listeners(self) -> list[Peer]:
         return self._members.list_serving(self._members.own.region)
 
--- a/cloverway/tests/test_fleet_gossip.py
+++ b/cloverway/tests/test_fleet_gossip.py
@@ -10,7 +10,14 @@
 from cloverway.core.deployment import Configuration, EndpointEntry, EngineShape, Service, Topology
 from cloverway.core.endpoints import Directory, Endpoint
 from cloverway.core.members import ACTIVE_RATE, LEAST_NAMED, Member, Members
-from cloverway.serving.gossip import FAR_HOSTS, FAR_IDLE_PER_S, Gossip
+from cloverway.serving.gossip import (
+    FAR_HOSTS,
+    FAR_IDLE_PER_S,
+    MOST_IDLE_S,
+    MOST_NEAR_S,
+    SETTLING_S,
+    Gossip,
+)
 from cloverway.serving.peerwire import CODEC
 from cloverway.serving.telemetry import Figures
 
@@ -113,3 +120,42 @@
 
 def _find(message, name):
     return any(other.name == name for other in message.others)
+
+
+def make_large(number, is_reader=False):
+    """Make a host of a region of 65, of an age at which it has settled."""
+    host = Host(number, 65)
+    host.gossip._started_at = 0.0
+    host.gossip.catalogue.is_reader = lambda now: is_reader
+    return host
+
+
+def test_hosts_of_a_large_region_that_serve_nobody_speak_rarely():
+    """65 hosts of a region, most of which serve nobody, told all others of themselves each second.
+
+    Hearing that took most of what such a host used. They are needed by nobody, so they are heard
+    less often and missed later; one that begins to serve speaks as often as before at once.
+    """
+    idle = make_large(40)
+    assert idle.gossip._choose_period(SETTLING_S - 0.1) == MOST_NEAR_S
+    assert idle.gossip._choose_period(SETTLING_S) == MOST_IDLE_S
+    for _ in range(20):
+        idle.members.note_arrival(SETTLING_S)
+    assert idle.gossip._choose_period(SETTLING_S) == MOST_NEAR_S
+
+
+def test_hosts_that_others_depend_on_speak_as_often_as_before():
+    assert make_large(0).gossip._choose_period(SETTLING_S) == MOST_NEAR_S
+    assert make_large(40, is_reader=True).gossip._choose_period(SETTLING_S) == MOST_NEAR_S
+
+
+def test_a_host_that_speaks_rarely_is_missed_by_its_own_period():
+    """Missed by the common bound, it would be taken for gone and back with each heartbeat."""
+    members = make_large(0).members
+    members.forget(0.0)
+    peer = members.peers["north-40"]
+    peer.period_s = MOST_IDLE_S
+    assert members.is_alive(peer, 6.0)
+    assert not members.is_alive(peer, 8.1)
+    peer.period_s = 0.0
+    assert not members.is_alive(peer, 6.0)
