--- a/cloverway/tests/fleet/standins.py
+++ b/cloverway/tests/fleet/standins.py
@@ -11,6 +11,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+from cloverway.core.calls import Header
 from cloverway.core.deployment import CallerLimits
 from cloverway.serving.server import Exchange, Server, ServerTerms
 
@@ -211,6 +212,14 @@
             raise
 
 
+def share_part(own: int, tokens: int) -> tuple[Header, ...]:
+    """Give the headers of a request whose prompt has one part in common with others."""
+    return (
+        (b"X-Cloverway-Token-Usage", b"%d,30" % (6_000 + tokens)),
+        (b"X-Cloverway-Prompt-Prefix", b"a1:6000,%x:%d" % (own, tokens)),
+    )
+
+
 def make_route(name: str, kind: str, service: str, **fields: Any) -> Any:
     return {
         "name": name,
--- a/cloverway/tests/test_fleet_lives.py
+++ b/cloverway/tests/test_fleet_lives.py
@@ -7,7 +7,7 @@
 
 from cloverway.serving.clock import read_clock
 from cloverway.tests.fleet.deployment import run_fleet, wait_for
-from cloverway.tests.fleet.standins import make_route, make_service
+from cloverway.tests.fleet.standins import make_route, make_service, share_part
 
 ENGINE = {"slots": 8, "kvTokens": 300_000, "kvTokenBytes": 18_432, "linkMbps": 180_000}
 
@@ -120,12 +120,6 @@
     Sent there for the part, another engine found nothing and read all of it after the detour.
     """
 
-    def make_headers(own, tokens):
-        return (
-            (b"X-Cloverway-Token-Usage", b"%d,30" % (6_000 + tokens)),
-            (b"X-Cloverway-Prompt-Prefix", b"a1:6000,%x:%d" % (own, tokens)),
-        )
-
     async def scenario():
         async with run_fleet() as fleet:
             route = make_route("cut", "streaming", "model")
@@ -138,12 +132,12 @@
                 fleet.store.put(f"servers/{engine.name}", engine.describe(born=1_000))
             known = host.directory.endpoints
             await wait_for(lambda: all(get_entry(fleet, e.name).born_ms for e in engines))
-            await fleet.call("/cut/", headers=make_headers(1, 1_000))
+            await fleet.call("/cut/", headers=share_part(1, 1_000))
             holder = next(engine for engine in engines if engine.requests)
             await wait_for(lambda: not known[holder.name].load.backlog(read_clock()))
             fleet.store.put(f"servers/{holder.name}", holder.describe(born=2_000))
             await wait_for(lambda: get_entry(fleet, holder.name).born_ms == 2_000)
-            await fleet.call("/cut/", headers=make_headers(3, 1_000))
+            await fleet.call("/cut/", headers=share_part(3, 1_000))
             sent = [exchange for engine in engines for exchange in engine.requests]
             assert len(sent) == 2
             assert all(b"kv-fetch" not in dict(exchange.headers) for exchange in sent)
--- a/cloverway/tests/test_fleet_path.py
+++ b/cloverway/tests/test_fleet_path.py
@@ -9,7 +9,7 @@
 from cloverway.serving.client import AnswerError, fetch, make_request
 from cloverway.serving.clock import read_clock
 from cloverway.tests.fleet.deployment import run_fleet, wait_for
-from cloverway.tests.fleet.standins import make_route, make_service
+from cloverway.tests.fleet.standins import make_route, make_service, share_part
 
 
 def play(scenario):
@@ -547,12 +547,6 @@
     The request goes to the idle engine, with the address of the one that has the part.
     """
 
-    def make_headers(own, tokens):
-        return (
-            (b"X-Cloverway-Token-Usage", b"%d,30" % (6_000 + tokens)),
-            (b"X-Cloverway-Prompt-Prefix", b"a1:6000,%x:%d" % (own, tokens)),
-        )
-
     async def scenario():
         async with run_fleet() as fleet:
             model = make_service("model", engine=ENGINE)
@@ -561,15 +555,15 @@
             engines = [fleet.endpoints[name] for name in ("model-0", "model-1")]
             for endpoint in engines:
                 endpoint.answer = endpoint.stream(1, 2)
-            await fleet.call("/cut/", headers=make_headers(1, 1_000))
+            await fleet.call("/cut/", headers=share_part(1, 1_000))
             holder = next(endpoint for endpoint in engines if endpoint.requests)
             other = next(endpoint for endpoint in engines if not endpoint.requests)
             load = fleet.hosts[0].directory.endpoints[holder.name].load
             await wait_for(lambda: not load.backlog(read_clock()))
             holder.answer = holder.answer_never
-            waiting = await fleet.begin_call("/cut/", headers=make_headers(2, 9_000))
+            waiting = await fleet.begin_call("/cut/", headers=share_part(2, 9_000))
             await wait_for(lambda: len(holder.requests) == 2)
-            await fleet.call("/cut/", headers=make_headers(3, 1_000))
+            await fleet.call("/cut/", headers=share_part(3, 1_000))
             fields = dict(other.requests[0].headers)
             assert fields[b"kv-fetch"] == holder.address.encode()
             assert b"kv-fetch" not in dict(holder.requests[1].headers)
