--- a/cloverway/tests/ablated.py
+++ b/cloverway/tests/ablated.py
@@ -64,7 +64,7 @@
 
     A constant is also set in the modules that have imported it by its name.
     """
-    importlib.import_module("cloverway.platform.__main__")
+    importlib.import_module("cloverway.serving.host")
     for switch in MECHANISMS[name]:
         path = f"cloverway.{switch.module}"
         before = getattr(sys.modules[path], switch.name)
--- a/cloverway/tests/test_ablated.py
+++ b/cloverway/tests/test_ablated.py
@@ -31,3 +31,13 @@
 assert fetch.LEAST_TOKENS == 1e9 and pace.LEAST_TOKENS < 1e9
 """
     subprocess.run([sys.executable, "-c", code], check=True)
+
+
+def test_mechanisms_are_switched_off_in_a_process_that_has_loaded_nothing():
+    """A host loads its parts only when it listens already; the tool stopped with a KeyError."""
+    code = """
+from cloverway.tests.ablated import MECHANISMS, switch_off
+for name in MECHANISMS:
+    switch_off(name)
+"""
+    subprocess.run([sys.executable, "-c", code], check=True)
