--- a/cloverway/platform/store.py
+++ b/cloverway/platform/store.py
@@ -13,7 +13,7 @@
 
 from cloverway.core.deployment import Document, Snapshot
 from cloverway.errors import PlatformError
-from cloverway.platform.documents import PREFIXES
+from cloverway.platform.documents import PREFIXES, is_unreadable
 from cloverway.serving.client import AnswerError, AnswerTooLongError, ConnectError, Pool, fetch
 from cloverway.serving.ports import HistoryGoneError, StoreBusyError
 
@@ -24,6 +24,9 @@
 """The longest answer that is read: a page holds about one MB, or one value of that size. A host has
 some hundred MB, and takes several times the length of an answer to decode it."""
 MOST_PAGES = 10_000
+MOST_DOCUMENTS = 40_000
+"""Documents of one read beyond which unreadable ones are left out and then taken for absent: all
+the keys of a store that somebody has filled would not fit into a host's memory."""
 EVERYTHING = ""
 """The prefix of all keys: one watch tells of operators' and endpoints' writes alike, and each watch
 that waits is paid for."""
@@ -94,7 +97,7 @@
             answer = await self._call("/kv-range", {"prefix": prefix, "after": after}, 0.0)
             revisions.append(answer.at)
             page = _decode_items(answer.items)
-            documents += page
+            documents += _keep_some(page, len(documents))
             if not answer.has_more or not page:
                 break
             after = page[-1].key
@@ -130,6 +133,17 @@
             raise PlatformError(f"{path}: an answer that can't be read") from error
 
 
+def _keep_some(page: tuple[Document, ...], read: int) -> list[Document]:
+    """Give the documents of a page that are kept: unreadable ones without their bytes, or not."""
+    kept = []
+    for document in page:
+        if not is_unreadable(document):
+            kept.append(document)
+        elif read + len(kept) < MOST_DOCUMENTS:
+            kept.append(document._replace(value=UNREADABLE))
+    return kept
+
+
 def _decode_items(items: list[object]) -> tuple[Document, ...]:
     """Decode the items of an answer; one that can't be read leaves the others in force."""
     decoded = (_decode_item(item) for item in items)
--- a/cloverway/tests/test_platform_entries.py
+++ b/cloverway/tests/test_platform_entries.py
@@ -24,9 +24,9 @@
 )
 from cloverway.core.documents import MOST_HELD, MOST_UNREADABLE, DocumentTable
 from cloverway.core.endpoints import Directory
-from cloverway.platform import entries
+from cloverway.platform import entries, store
 from cloverway.platform.documents import decode_documents
-from cloverway.platform.store import _decode_items
+from cloverway.platform.store import _decode_items, _keep_some
 
 CASES = int(os.environ.get("ENTRY_CASES", "300"))
 TOPOLOGY = Topology("d1", "north", {"d1": "north", "d2": "south"})
@@ -271,3 +271,16 @@
     directory.apply(table.apply(Snapshot(4, tuple(many), False)), 1.0)
     assert len(table._held) == MOST_HELD
     assert "e1" in {endpoint.entry.id for endpoint in directory.list_usable("desk", 1.0)}
+
+
+def test_a_read_of_a_store_that_was_filled_keeps_the_good_entries(monkeypatch):
+    """A writer leaves a million keys; all of them in memory, the host was killed by its machine."""
+    monkeypatch.setattr(store, "MOST_DOCUMENTS", 500)
+    kept = []
+    for number in range(100):
+        junk = (Document(f"servers/j{number}-{n}", 2, b"x" * 1_000) for n in range(99))
+        good = Document(f"servers/z{number}", 2, encode())
+        kept += _keep_some((*junk, good), len(kept))
+    assert sum(document.value == encode() for document in kept) == 100
+    assert len(kept) <= 500 + 100
+    assert sum(len(document.value) for document in kept) < 100 * len(encode()) + 1
