--- a/cloverway/tests/fleet/soak.py
+++ b/cloverway/tests/fleet/soak.py
@@ -87,6 +87,7 @@
         super().__init__(name, service, domain)
         self.runs: list[str] = []
         self.break_part = 0.0
+        self.born_ms = 1_700_000_000_000
         self.random = Random(name)
         self.answer = self.answer_by_route
 
@@ -226,11 +227,20 @@
     async def _add_endpoint(self, service: str, domain: str) -> CountingEndpoint:
         endpoint = CountingEndpoint(f"{service}-{len(self.endpoints)}", service, domain)
         await endpoint.start()
-        link = self.links[endpoint.name] = Link(endpoint.address).start()
+        self.links[endpoint.name] = Link(endpoint.address).start()
         self.endpoints.append(endpoint)
-        self.store.put(f"servers/{endpoint.name}", endpoint.describe(address=link.address))
+        self._describe(endpoint)
         return endpoint
 
+    def _describe(self, endpoint: CountingEndpoint, **fields: Any) -> None:
+        """Write the entry of an endpoint."""
+        address = self.links[endpoint.name].address
+        entry = endpoint.describe(address=address, born=endpoint.born_ms, **fields)
+        self.store.put(f"servers/{endpoint.name}", entry)
+
+    def _list_live(self) -> list[CountingEndpoint]:
+        return [e for e in self.endpoints if f"servers/{e.name}" in self.store.items]
+
     # Callers
 
     async def _call(self, number: int, until: float) -> None:
@@ -282,7 +292,7 @@
             error = repr(failure)
         finally:
             if sending is not None:
-                pool.release(host, sending)
+                pool.release(Place(host), sending)
         return Seen(call, route, host, began_at, time.monotonic(), status, whole, body, error)
 
     # Faults
@@ -292,6 +302,7 @@
             *(self._kill, self._pause, self._replace, self._reload, self._lose_store),
             *(self._silence_store, self._store_fails, self._compact, self._configure),
             *(self._break_link, self._break_endpoint, self._drain_endpoint),
+            *(self._spoil_entry, self._restart_endpoint),
         )
         while time.monotonic() < until:
             await asyncio.sleep(self.random.uniform(0.1, 0.8))
@@ -402,14 +413,32 @@
 
     async def _drain_endpoint(self) -> None:
         """Let an endpoint leave, and another one come in its place."""
-        live = [e for e in self.endpoints if f"servers/{e.name}" in self.store.items]
-        leaving = self.random.choice(live)
+        leaving = self.random.choice(self._list_live())
         await self._add_endpoint(leaving.service, leaving.domain)
-        entry = leaving.describe(address=self.links[leaving.name].address, state="draining")
-        self.store.put(f"servers/{leaving.name}", entry)
+        self._describe(leaving, state="draining")
         await self._hold(1.0, 3.0)
         self.store.delete(f"servers/{leaving.name}")
 
+    async def _spoil_entry(self) -> None:
+        """Let another writer overwrite an entry, and junk lie beside it."""
+        spoilt = self.random.choice(self._list_live())
+        junk = self.random.choice([b"", b"{" * 50_000, b'{"service": []}', b"\xff", b"1e999"])
+        self.store.put_bytes(f"servers/{spoilt.name}", junk)
+        self.store.put_bytes(f"servers/junk-{self.random.randrange(50)}", junk)
+        await self._hold()
+        self._describe(spoilt)
+
+    async def _restart_endpoint(self) -> None:
+        """Let an endpoint drain, end and start again under its id and at its address."""
+        endpoint = self.random.choice(self._list_live())
+        self._describe(endpoint, state="draining")
+        await self._hold()
+        link = self.links[endpoint.name]
+        link.cut()
+        link.restore()
+        endpoint.born_ms += 1_000
+        self._describe(endpoint, coldRemainingMs=500)
+
     # Checks
 
     async def _wait_ready(self, host: Host) -> None:
@@ -468,7 +497,14 @@
             for fault in self.faults
             if fault.began_at < seen.ended_at and fault.ended_at > seen.began_at - 3.0
         }
-        return near <= {"replace", "reload", "configure", "drain_endpoint", "compact"}
+        return near <= {
+            "replace",
+            "reload",
+            "configure",
+            "drain_endpoint",
+            "compact",
+            "spoil_entry",
+        }
 
 
 def main(seconds: float, seeds: list[int]) -> int:
