--- a/cloverway/core/pauses.py
+++ b/cloverway/core/pauses.py
@@ -14,8 +14,8 @@
 seen. While an engine reads, each of its steps makes one token of each answer and takes some 90 to
 140 ms; an event holds several tokens, so a run of such steps may or may not exceed the pause."""
 LEAST_PART = 0.3
-"""The least that it is cut to: with 0.18 s of 0.6 two prompts of middle size still wait at once, and
-engines read three quarters of the time (test_core_pauses.py)."""
+"""The least that it is cut to: with 0.18 s of 0.6 two prompts of middle size still wait at once,
+and engines read three quarters of the time (test_core_pauses.py)."""
 MOST_PART = 0.67
 """The most that it grows to: beyond two thirds, one event in a hundred takes the whole pause where
 hosts hear of each other's sends late."""
