--- a/cloverway/tests/fleet/standins.py
+++ b/cloverway/tests/fleet/standins.py
@@ -148,6 +148,7 @@
         self.requests: list[Exchange] = []
         self.answer: Callable[[Exchange], Awaitable[None]] = self.answer_plainly
         self.cancelled = 0
+        self.is_gone = False
         self.server = make_server(self._handle)
 
     @property
@@ -203,6 +204,13 @@
 
         return answer
 
+    def crash(self) -> None:
+        """End like a process that crashes: all connections break, and nobody listens any more."""
+        self.is_gone = True
+        self.server.stop_accepting()
+        for exchange in self.requests:
+            exchange.connection.abort()
+
     async def _handle(self, exchange: Exchange) -> None:
         self.requests.append(exchange)
         try:
