Refuse a request under which three endpoints have ended, at all hosts

Cause: each try of a caller was judged by itself. A request that broke at an endpoint was run elsewhere, as any broken request is, and the caller's next try had another id; the failure was counted against the endpoint, so the next run went to a sound one. No host knew that it was the same request.

Now each host knows requests by a digest of what repeats have in common, and counts the endpoints that ended while they ran it. From the third on it is refused with 'quarantined', not run. Hosts tell each other at once, and again for some seconds; a host that starts or was cut off is told when it is heard. Against requests that only ran beside it: nothing counts for one that was served in the last minute or is served afterwards, nor for an endpoint that answers later what it was asked after its end.

An endpoint that is silent until the time of the route is over, or until the caller leaves, counts too, and is blamed.

--- /dev/null
+++ b/cloverway/core/quarantine.py
@@ -0,0 +1,164 @@
+"""Requests that end the endpoints which run them, and for how long they are kept from the others.
+
+An endpoint that ends takes along all that it was answering, and a request that ended it does so
+at the next one: run again elsewhere, as any broken request is, one request emptied whole regions.
+A single end tells nothing, for every request that ran there is lost with it. A request that was
+running at the end of several endpoints, and was never served meanwhile, is taken for the cause.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import NamedTuple, TypeVar
+
+Key = TypeVar("Key")
+
+MOST_SUSPECTS = 4_096
+"""Requests that are remembered: those of 60 engines that end with all their places taken."""
+MOST_SERVED = 4_096
+"""Requests whose last answer is remembered: two minutes of a host's busiest traffic."""
+MOST_ENDED = 4_096
+"""Endpoints that have ended, or were taken for ended and answered since, that are remembered."""
+SERVED_S = 60.0
+"""How long a request that was served isn't suspected. Endpoints that lose power together take along
+several runs of a request that many callers send; without this it would be refused to all of them.
+One that turns deadly, as with a new version of the endpoints, is found out that much later."""
+LONGEST_HOLD_S = 86_400.0
+"""The longest time that a request is refused."""
+MOST_ENDS = 16
+"""Ends that are counted against a request at most: by then it is refused for the longest time."""
+
+
+class QuarantineTerms(NamedTuple):
+    """When a request is refused because endpoints ended while they ran it."""
+
+    ends: int = 3
+    """Endpoints that must have ended: fewer happen to requests that only ran beside such a one."""
+    hold_s: float = 1800.0
+    """How long it is refused then. Each further end, after that time, doubles it."""
+
+
+class Crash(NamedTuple):
+    """The end of an endpoint, and the requests that were running there."""
+
+    life: str
+    """The life of the endpoint that ended."""
+    digests: tuple[int, ...]
+    """What repeats of each request have in common."""
+    at: float
+
+
+class Hold(NamedTuple):
+    """Why a request is refused, and for how much longer."""
+
+    ends: int
+    left_s: float
+
+
+class CrashNews(NamedTuple):
+    """What one host tells another of ends."""
+
+    crashes: tuple[Crash, ...]
+    served: tuple[int, ...]
+    """Requests that were suspected, and were served since."""
+
+
+class Quarantine:
+    """What a host knows of requests that ended endpoints, by itself and from the other hosts.
+
+    Hosts may hear of an end in any order, late or twice, and come to the same: it counts once for
+    each endpoint, and not at all for a request that was served after it.
+    """
+
+    def __init__(self, terms: QuarantineTerms) -> None:
+        self._terms = terms
+        self._suspects: OrderedDict[int, dict[str, float]] = OrderedDict()
+        """When each endpoint ended that was running a request; the last suspect last."""
+        self._served: OrderedDict[int, float] = OrderedDict()
+        self._cleared: OrderedDict[int, float] = OrderedDict()
+        """Suspects that were served, and when."""
+        self._ended: OrderedDict[str, float] = OrderedDict()
+        self._sound: OrderedDict[str, float] = OrderedDict()
+        """Endpoints that were taken for ended, and answered what they were asked at some time."""
+
+    def note_crash(self, crash: Crash) -> Crash | None:
+        """Note what ran at an endpoint that ended; give what of it wasn't known, or None."""
+        if crash.at <= self._sound.get(crash.life, float("-inf")):
+            return None
+        fresh = tuple(digest for digest in crash.digests if self._suspect(digest, crash))
+        if not fresh:
+            return None
+        _keep_last(self._ended, crash.life, crash.at, MOST_ENDED)
+        while len(self._suspects) > MOST_SUSPECTS:
+            self._suspects.popitem(last=False)
+        return crash._replace(digests=fresh)
+
+    def note_answer(self, life: str, asked_at: float) -> None:
+        """Note that an endpoint has answered what it was asked at some time: it hadn't ended.
+
+        A connection that was reset looks like an end to the requests that it carried.
+        """
+        ended_at = self._ended.get(life)
+        if ended_at is None or asked_at <= ended_at:
+            return
+        del self._ended[life]
+        _keep_last(self._sound, life, asked_at, MOST_ENDED)
+        for lives in self._suspects.values():
+            lives.pop(life, None)
+
+    def note_served(self, digest: int, now: float) -> bool:
+        """Note that a request had a whole answer; tell whether it was suspected.
+
+        A request that ends endpoints never has one: all that was counted against it is void.
+        """
+        _keep_last(self._served, digest, now, MOST_SERVED)
+        if self._suspects.pop(digest, None) is None:
+            return False
+        _keep_last(self._cleared, digest, now, MOST_SERVED)
+        return True
+
+    def count_ends(self, digest: int) -> int:
+        """Count the endpoints that ended while they ran a request."""
+        return len(self._suspects.get(digest, ()))
+
+    def get_hold(self, digest: int, now: float) -> Hold | None:
+        """Tell why a request must not be sent now, or None when it may."""
+        lives = self._suspects.get(digest)
+        if lives is None or len(lives) < self._terms.ends:
+            return None
+        hold_s = self._terms.hold_s * 2.0 ** (len(lives) - self._terms.ends)
+        left_s = max(lives.values()) + min(hold_s, LONGEST_HOLD_S) - now
+        return Hold(len(lives), left_s) if left_s > 0 else None
+
+    def count_held(self, now: float) -> int:
+        """Count the requests that are refused now."""
+        return sum(self.get_hold(digest, now) is not None for digest in self._suspects)
+
+    def list_news(self, since: float, most: int) -> CrashNews:
+        """List what was learnt since some time, the last first, up to a number of requests."""
+        found: dict[str, Crash] = {}
+        for digest in list(reversed(self._suspects))[:most]:
+            for life, at in self._suspects[digest].items():
+                if at >= since:
+                    known = found.get(life, Crash(life, (), at))
+                    found[life] = Crash(life, (*known.digests, digest), max(at, known.at))
+        served = [digest for digest, at in self._cleared.items() if at >= since]
+        return CrashNews(tuple(found.values()), tuple(served[-most:]))
+
+    def _suspect(self, digest: int, crash: Crash) -> bool:
+        """Count an end against a request; tell whether that was news."""
+        if crash.at < self._served.get(digest, float("-inf")) + SERVED_S:
+            return False
+        lives = self._suspects.setdefault(digest, {})
+        if crash.life in lives or len(lives) >= MOST_ENDS:
+            return False
+        lives[crash.life] = crash.at
+        self._suspects.move_to_end(digest)
+        return True
+
+
+def _keep_last(times: OrderedDict[Key, float], key: Key, at: float, most: int) -> None:
+    times[key] = at
+    times.move_to_end(key)
+    if len(times) > most:
+        times.popitem(last=False)
--- a/cloverway/errors.py
+++ b/cloverway/errors.py
@@ -47,6 +47,7 @@
     OVERLOADED = "overloaded"
     TEAM_LIMIT = "team_limit"
     NO_CAPACITY = "no_capacity"
+    QUARANTINED = "quarantined"
     STARTING = "starting"
     LEAVING = "leaving"
     DEADLINE = "deadline"
@@ -90,6 +91,7 @@
     Kind.OVERLOADED: Answer(429, "There is more work than capacity", Ran.NO, True),
     Kind.TEAM_LIMIT: Answer(429, "The team is over its fair share", Ran.NO, True),
     Kind.NO_CAPACITY: Answer(503, "No endpoint is ready for this", Ran.NO, True),
+    Kind.QUARANTINED: Answer(503, "Endpoints ended while they ran this request", Ran.NO, True),
     Kind.STARTING: Answer(503, "This host has no configuration yet", Ran.NO, True),
     Kind.LEAVING: Answer(503, "This host is leaving", Ran.NO, True),
     Kind.DEADLINE: Answer(504, "The deadline can't be met", Ran.NO, True),
--- a/cloverway/fleet.thrift
+++ b/cloverway/fleet.thrift
@@ -68,8 +68,21 @@
   4: i64 digest
 }
 
+struct EndpointCrash {
+  1: string life
+  2: list<i64> digests
+  3: i32 age_ms
+}
+
+struct CrashReport {
+  1: string host
+  2: list<EndpointCrash> crashes
+  3: list<i64> served
+}
+
 struct Message {
   1: Heartbeat Heartbeat
   2: StoredSnapshot StoredSnapshot
   3: EndpointUses EndpointUses
+  4: CrashReport CrashReport
 }
--- a/cloverway/serving/attempt.py
+++ b/cloverway/serving/attempt.py
@@ -12,6 +12,7 @@
 from cloverway.core.calls import PassedOn
 from cloverway.core.deployment import CallKind
 from cloverway.core.prediction import Wanted
+from cloverway.errors import Kind
 from cloverway.serving.client import AnswerError, ConnectError, ReplyHead, Sending, make_request
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
@@ -38,10 +39,18 @@
 """Says by which configuration, for which service and from where a request is passed on."""
 RAN_HEADER = b"cloverway-ran"
 """What a host that could not serve a request knows of its run."""
+KIND_HEADER = b"cloverway-kind"
+"""Why a host could not serve a request, one of the closed list of kinds."""
+ENDED_HEADER = b"cloverway-ended"
+"""The lives of endpoints that ended while they ran it, with commas between them."""
 ARRIVALS_HEADER = b"cloverway-arrivals"
 """How many sends a host wrote out to endpoints before it gave up: only those draw on the budget."""
 
 
+class SilenceError(AnswerError):
+    """Nothing was heard for longer than is borne; the other end may be there."""
+
+
 class Declined(NamedTuple):
     """A send that did not run and never will."""
 
@@ -50,6 +59,8 @@
     """Whether the place itself failed; otherwise it had no room, or isn't meant any more."""
     arrived: bool = True
     """Whether it reached an endpoint: only then it draws on the retry budget."""
+    is_quarantined: bool = False
+    """Whether the other host refuses this request, whatever room there is."""
 
 
 class Broken(NamedTuple):
@@ -58,6 +69,10 @@
     reason: str
     blames_host: bool = True
     arrived: bool = True
+    is_end: bool = False
+    """Whether the connection broke, as it does when the endpoint ends."""
+    ended: tuple[str, ...] = ()
+    """The lives of endpoints that ended at the other host while they ran the request."""
 
 
 class Answered(NamedTuple):
@@ -124,7 +139,7 @@
             kept = isinstance(outcome, Answered) and outcome.body is None
             return outcome
         except AnswerError as error:
-            return Broken(str(error))
+            return Broken(str(error), is_end=not isinstance(error, SilenceError))
         finally:
             if not kept:
                 pool.release(target.place, sending, get_idle_s(target))
@@ -164,19 +179,14 @@
     async def _read_answer(self, sending: Sending, sent_at: float) -> Outcome:
         dialect = self._context.dialect
         target = self._target
-        call, route, service, _ = self._wanted
+        call, route = self._wanted.call, self._wanted.route
         async with bear_silence(self._terms.patience_s):
             head = await sending.read_head(lambda head: dialect.is_answer_to(head, call))
         facts = dialect.decode_reply(head)
         said = head.get(RAN_HEADER) if target.peer is not None else None
         if said is not None:
             await sending.read_body(HOLD_BYTES)
-            why = f"host {target.name} could not serve it: {head.status}"
-            if said != b"no":
-                return Broken(why, blames_host=False)
-            self._context.targeting.withdraw_offer(target.region, service.name)
-            arrived = head.get(ARRIVALS_HEADER) != b"0"
-            return Declined(why, blames_host=False, arrived=arrived)
+            return self._read_refusal(head, said)
         if facts.elsewhere and target.candidate is not None:
             target.candidate.endpoint.misdirected_at = read_clock()
         if facts.not_run:
@@ -192,17 +202,31 @@
             target.candidate.endpoint.load.learn_work(read_clock() - sent_at)
         return Answered(sending, head, body)
 
+    def _read_refusal(self, head: ReplyHead, said: bytes) -> Outcome:
+        """Read why another host could not serve the request; `said` is what it knows of its run."""
+        target = self._target
+        why = f"host {target.name} could not serve it: {head.status}"
+        if said != b"no":
+            ended = (head.get(ENDED_HEADER) or b"").decode("latin-1")
+            return Broken(why, blames_host=False, ended=tuple(filter(None, ended.split(","))))
+        arrived = head.get(ARRIVALS_HEADER) != b"0"
+        if head.get(KIND_HEADER) == Kind.QUARANTINED.encode():
+            # That says nothing of the room in its region, which stays offered to other requests.
+            return Declined(why, blames_host=False, arrived=arrived, is_quarantined=True)
+        self._context.targeting.withdraw_offer(target.region, self._wanted.service.name)
+        return Declined(why, blames_host=False, arrived=arrived)
+
 
 @asynccontextmanager
 async def bear_silence(seconds: float | None) -> AsyncIterator[None]:
-    """Raise AnswerError when what is awaited inside takes longer; None for no limit."""
+    """Raise SilenceError when what is awaited inside takes longer; None for no limit."""
     try:
         async with asyncio.timeout(seconds):
             yield
     except TimeoutError:
         if seconds is None:
             raise
-        raise AnswerError(f"nothing was heard for {seconds:g} s") from None
+        raise SilenceError(f"nothing was heard for {seconds:g} s") from None
 
 
 def get_idle_s(target: Target) -> float | None:
--- a/cloverway/serving/context.py
+++ b/cloverway/serving/context.py
@@ -10,8 +10,10 @@
 from cloverway.core.endpoints import Directory
 from cloverway.core.failures import UsualFailures
 from cloverway.core.members import Members
+from cloverway.core.quarantine import Quarantine
 from cloverway.serving.client import Pool
 from cloverway.serving.clock import read_clock
+from cloverway.serving.crashes import CrashExchange
 from cloverway.serving.ports import Dialect
 from cloverway.serving.settings import FleetSettings
 from cloverway.serving.targeting import Targeting
@@ -41,6 +43,8 @@
         self.pool = Pool(figures.note_connect)
         self.targeting = Targeting(settings, directory, members)
         self.usual_failures = UsualFailures()
+        self.quarantine = Quarantine(settings.quarantine)
+        self.crashes = CrashExchange(members, self.quarantine, figures)
         self._budgets: dict[str, RetryBudget] = {}
         self._started_at = read_clock()
         self._configured = asyncio.Event()
--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -10,10 +10,12 @@
 import asyncio
 import random
 from collections import Counter
+from functools import cached_property
 
 from cloverway.core.calls import Call
 from cloverway.core.deployment import Route, Service
-from cloverway.core.prediction import Wanted
+from cloverway.core.prediction import STALLED_AFTER_S, Wanted
+from cloverway.core.quarantine import Crash
 from cloverway.errors import Kind, Ran, RequestError, take_worse
 from cloverway.serving.attempt import (
     RETRY_STATUS,
@@ -23,6 +25,7 @@
     Broken,
     Declined,
     Outcome,
+    SilenceError,
     get_idle_s,
 )
 from cloverway.serving.client import AnswerError
@@ -60,6 +63,10 @@
         """Sends that were written out: only those draw on the retry budget."""
         self.sent_at = call.arrived_at
         """When the last send began."""
+        self.ended: list[str] = []
+        """The lives of endpoints that ended, by all signs, while they ran it."""
+        self.awaited: Target | None = None
+        """Where the answer to it is awaited from."""
         self.tried: Counter[str] = Counter()
         self.wanted = Wanted(call, route, self.service, self.tried)
         self.placement = Placement(context, self.wanted, self.limit_at)
@@ -74,15 +81,18 @@
             async with asyncio.timeout(max(0.0, left_s)):
                 await self._run_attempts()
         except TimeoutError:
+            self._note_silence()
             error = RequestError(Kind.TIMED_OUT, "the time of the route is over", ran=self.ran)
             self._fail(error)
         except asyncio.CancelledError:
+            self._note_silence()
             self._tell_end(RequestError(Kind.CALLER_LEFT, "the caller left", ran=self.ran), 0)
             raise
 
     async def _run_attempts(self) -> None:
         while True:
-            target = await self.placement.choose(self.ran, self.arrivals > 0)
+            self._check_quarantine()
+            target = await self._take_place()
             outcome = await self._send(target)
             if isinstance(outcome, Answered):
                 if await self._relay(target, outcome):
@@ -91,6 +101,18 @@
             self._note_failure(target, outcome)
             if isinstance(outcome, Broken):
                 self._check_repeatable(outcome.reason)
+            elif outcome.is_quarantined:
+                raise RequestError(Kind.QUARANTINED, outcome.reason, ran=self.ran)
+
+    async def _take_place(self) -> Target:
+        target = await self.placement.choose(self.ran, self.arrivals > 0)
+        try:
+            # It may have waited, and the news may have come meanwhile.
+            self._check_quarantine()
+        except RequestError:
+            self.context.targeting.release(target)
+            raise
+        return target
 
     def _get_service(self) -> Service:
         passed = self.call.passed_on
@@ -106,6 +128,7 @@
 
     async def _send(self, target: Target) -> Outcome:
         now = self.sent_at = read_clock()
+        self.awaited = target
         self.sends += 1
         self._tell_choice(target, now)
         attempt = Attempt(self.context, self.wanted, target, self._make_terms(), self._note_written)
@@ -150,6 +173,7 @@
     async def _relay_whole(self, target: Target, answered: Answered, body: bytes) -> bool:
         failed = answered.head.status >= RETRY_STATUS
         self._note_result(target, failed)
+        self._note_whole(target)
         self.ran = Ran.YES
         if self.exchange.started:
             # A stream that began can't get another head: it ends visibly cut.
@@ -172,13 +196,15 @@
             await self.relay.copy(target, answered, may_go_on)
         except (AnswerError, ValueError) as error:
             self.relay.drop_rest()
-            self._note_failure(target, Broken(str(error)))
+            is_end = isinstance(error, AnswerError) and not isinstance(error, SilenceError)
+            self._note_failure(target, Broken(str(error), is_end=is_end))
             self._check_repeatable(str(error))
             return False
         finally:
             self.context.targeting.release(target)
             self.context.pool.release(target.place, sending, get_idle_s(target))
         self._note_result(target, False)
+        self._note_whole(target)
         self._tell_end(None, answered.head.status)
         return True
 
@@ -186,7 +212,10 @@
 
     def _note_failure(self, target: Target, outcome: Declined | Broken) -> None:
         now = read_clock()
+        self.awaited = None
         self._tell_failure(target, outcome, now)
+        if isinstance(outcome, Broken):
+            self._note_ends(target, outcome, now)
         if target.peer is not None:
             self.tried[target.region] += 1
         if target.peer is None or outcome.blames_host:
@@ -196,6 +225,9 @@
             return
         if target.peer is not None:
             target.peer.failed_until = now + PEER_FAILED_S
+        self._blame_endpoint(target, now)
+
+    def _blame_endpoint(self, target: Target, now: float) -> None:
         if target.candidate is not None:
             target.candidate.endpoint.load.note_failure(now)
             self.context.pool.forget(target.place)
@@ -212,6 +244,60 @@
             load.note_success(now)
         usual.note(self.route.name, failed)
 
+    # Requests that end endpoints
+
+    @cached_property
+    def _digest(self) -> int:
+        return self.call.compute_digest()
+
+    def _check_quarantine(self) -> None:
+        """Raise RequestError when the request has ended too many endpoints to be run again."""
+        hold = self.context.quarantine.get_hold(self._digest, read_clock())
+        if hold is not None:
+            why = f"{hold.ends} endpoints ended while they ran it"
+            left_s = hold.left_s if self.ran is Ran.NO else None
+            raise RequestError(Kind.QUARANTINED, why, ran=self.ran, retry_after=left_s)
+
+    def _note_ends(self, target: Target, outcome: Broken, now: float) -> None:
+        if outcome.is_end or self._is_stalled(target, now):
+            self._note_end(target, now)
+        for life in outcome.ended:
+            # Not told on: the host that saw it does so, but its answer is here before its word.
+            self.context.quarantine.note_crash(Crash(life, (self._digest,), now))
+
+    def _note_end(self, target: Target, now: float) -> None:
+        if target.candidate is not None:
+            life = target.candidate.endpoint.entry.life
+            self.ended.append(life)
+            self.context.crashes.note_end(life, self._digest, now)
+
+    def _note_whole(self, target: Target) -> None:
+        """Note that the request had a whole answer, so that it ends nothing."""
+        self.awaited = None
+        self.context.crashes.note_served(self._digest, read_clock())
+        if target.candidate is not None:
+            life = target.candidate.endpoint.entry.life
+            self.context.quarantine.note_answer(life, self.sent_at)
+
+    def _note_silence(self) -> None:
+        """Take an endpoint for ended that was silent when the request was given up.
+
+        One that loses power with the request says nothing, and the connection neither.
+        """
+        now = read_clock()
+        heard_at = max(self.sent_at, self.relay.timing.last_at)
+        target = self.awaited
+        if target is None or now - heard_at < STALLED_AFTER_S or not self._is_stalled(target, now):
+            return
+        self._note_end(target, now)
+        self._blame_endpoint(target, now)
+
+    def _is_stalled(self, target: Target, now: float) -> bool:
+        """Tell whether an endpoint has served nobody here for longer than a sound one would."""
+        if target.candidate is None:
+            return False
+        return now - target.candidate.endpoint.load.progress_at > STALLED_AFTER_S
+
     def _may_repeat(self, runs: int) -> bool:
         """Tell whether the request may be run again after some runs."""
         attempts = self.route.attempts if self.call.passed_on is None else 1
--- a/cloverway/serving/forwarding.py
+++ b/cloverway/serving/forwarding.py
@@ -5,7 +5,14 @@
 from cloverway.core.calls import Call, PassedOn
 from cloverway.core.deployment import Route
 from cloverway.errors import Kind, RequestError
-from cloverway.serving.attempt import ARRIVALS_HEADER, PASS_HEADER, RAN_HEADER, decode_pass
+from cloverway.serving.attempt import (
+    ARRIVALS_HEADER,
+    ENDED_HEADER,
+    KIND_HEADER,
+    PASS_HEADER,
+    RAN_HEADER,
+    decode_pass,
+)
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
 from cloverway.serving.course import Course
@@ -44,8 +51,7 @@
             course = Course(self._context, exchange, call, route)
             await course.run()
         except RequestError as error:
-            arrivals = course.arrivals if course is not None else 0
-            await self._refuse(exchange, call, error, arrivals)
+            await self._refuse(exchange, call, error, course)
 
     def _find_route(self, call: Call) -> Route:
         configuration = self._context.directory.configuration
@@ -59,15 +65,21 @@
         return route
 
     async def _refuse(
-        self, exchange: Exchange, call: Call | None, error: RequestError, arrivals: int = 0
+        self,
+        exchange: Exchange,
+        call: Call | None,
+        error: RequestError,
+        course: Course | None = None,
     ) -> None:
         call_id = call.id if call is not None else ""
         status, headers, body = self._context.dialect.encode_refusal(error, call_id)
-        headers = [
-            *headers,
+        headers += [
             (RAN_HEADER, str(error.ran).encode()),
-            (ARRIVALS_HEADER, str(arrivals).encode()),
+            (KIND_HEADER, str(error.kind).encode()),
+            (ARRIVALS_HEADER, str(course.arrivals if course is not None else 0).encode()),
         ]
+        if course is not None and course.ended:
+            headers.append((ENDED_HEADER, ",".join(course.ended).encode("latin-1")))
         tell(
             "refused",
             request_id=call_id,
--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/gossip.py
@@ -14,9 +14,11 @@
 from cloverway.errors import PeerError
 from cloverway.serving.catalogue import Catalogue
 from cloverway.serving.clock import read_clock
+from cloverway.serving.crashes import CrashExchange
 from cloverway.serving.offers import list_offers, read_offer
 from cloverway.serving.peerwire import (
     CODEC,
+    CrashReport,
     EndpointUses,
     Heartbeat,
     HostState,
@@ -79,6 +81,7 @@
         sync: DocumentSync,
         figures: Figures,
         *,
+        crashes: CrashExchange,
         seeds: tuple[str, ...],
     ) -> None:
         self.members = members
@@ -89,6 +92,8 @@
         self.seeds = seeds
         self._transport: asyncio.DatagramTransport
         self.uses = UseExchange(members, directory, self._send)
+        self.crashes = crashes
+        crashes.send = self._send
         self.sum_waiting: Callable[[str], float] = lambda service: 0.0
         """Gives the work of the requests that wait here for a service."""
         self._alive: set[str] = set()
@@ -106,7 +111,7 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Hear a heartbeat, or what another host has at endpoints."""
+        """Hear a heartbeat, or what another host tells of endpoints."""
         try:
             message = CODEC.decode(data)
         except PeerError as error:
@@ -116,6 +121,8 @@
             self._hear(message, format_address(addr), read_clock())
         elif isinstance(message, EndpointUses):
             self.uses.hear(message, read_clock())
+        elif isinstance(message, CrashReport):
+            self.crashes.hear(message, read_clock())
 
     def error_received(self, exc: Exception) -> None:
         """Note that a datagram met no listener; the host is missed by its silence."""
@@ -326,6 +333,7 @@
         for name in alive - self._alive:
             self.figures.note_event("host_heard")
             tell("host_heard", peer=name, region=self.members.peers[name].member.region)
+            self.crashes.welcome(name)
         for name in self._alive - alive:
             self.figures.note_event("host_silent")
             tell("host_silent", peer=name)
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -82,6 +82,7 @@
             self.catalogue,
             self.sync,
             self.figures,
+            crashes=self.context.crashes,
             seeds=settings.peers.seeds,
         )
         self.catalogue.on_news = self.gossip.announce_news
@@ -113,6 +114,7 @@
         runs = (
             self.gossip.run,
             self.gossip.uses.run,
+            self.gossip.crashes.run,
             self.sync.run,
             self.catalogue.run,
             self.catalogue.forget,
@@ -216,7 +218,8 @@
         if exchange.target != METRICS_PATH:
             await exchange.answer(404, [], b"")
             return
-        await exchange.answer(200, [TEXT], self.figures.render(self.writer.dropped))
+        held = self.context.quarantine.count_held(read_clock())
+        await exchange.answer(200, [TEXT], self.figures.render(self.writer.dropped, held))
 
     def _format_refusal(self, exchange: Exchange | None, error: RequestError) -> bytes:
         """Give the whole answer to a request that could not be read."""
--- a/cloverway/serving/peerwire.py
+++ b/cloverway/serving/peerwire.py
@@ -107,4 +107,21 @@
     """Of all documents that the sender knows."""
 
 
-CODEC = StructCodec("fleet.thrift", (Heartbeat, StoredSnapshot, EndpointUses))
+class EndpointCrash(NamedTuple):
+    """The end of an endpoint, and the digests of the requests that ran there."""
+
+    life: str
+    digests: tuple[int, ...]
+    age_ms: int
+
+
+class CrashReport(NamedTuple):
+    """What a host knows of endpoints that ended."""
+
+    host: str
+    crashes: tuple[EndpointCrash, ...] = ()
+    served: tuple[int, ...] = ()
+    """Digests of requests that were served after they had run at one that ended."""
+
+
+CODEC = StructCodec("fleet.thrift", (Heartbeat, StoredSnapshot, EndpointUses, CrashReport))
--- a/cloverway/serving/settings.py
+++ b/cloverway/serving/settings.py
@@ -14,6 +14,7 @@
 from cloverway.core.deployment import Topology
 from cloverway.core.entry import Machine
 from cloverway.core.pacing import ColdTerms
+from cloverway.core.quarantine import QuarantineTerms
 
 Seconds = Annotated[float, Meta(ge=0, le=86_400)]
 Port = Annotated[int, Meta(ge=1, le=65_535)]
@@ -64,6 +65,7 @@
     retries: BudgetTerms = BudgetTerms()
     cold: ColdTerms = ColdTerms()
     machine: Machine = Machine()
+    quarantine: QuarantineTerms = QuarantineTerms()
     grace_s: Seconds = 8.0
     """Time from the signal to stop until the process is killed."""
     lookup_ttl_s: Seconds = 2.0
--- a/cloverway/serving/streaming.py
+++ b/cloverway/serving/streaming.py
@@ -25,15 +25,15 @@
     def __init__(self) -> None:
         self.first_at: float | None = None
         self.longest_gap_s = 0.0
-        self._last_at = 0.0
+        self.last_at = 0.0
 
     def note(self, now: float) -> None:
         """Note a part of the answer."""
         if self.first_at is None:
             self.first_at = now
         else:
-            self.longest_gap_s = max(self.longest_gap_s, now - self._last_at)
-        self._last_at = now
+            self.longest_gap_s = max(self.longest_gap_s, now - self.last_at)
+        self.last_at = now
 
 
 class EventRelay:
--- a/cloverway/serving/telemetry.py
+++ b/cloverway/serving/telemetry.py
@@ -81,6 +81,11 @@
         self._dropped = aioprometheus.Gauge(
             "cloverway_log_lines_dropped", "Log lines dropped", registry=self._registry
         )
+        self._held = aioprometheus.Gauge(
+            "cloverway_requests_held",
+            "Requests that are refused since endpoints ended while they ran them",
+            registry=self._registry,
+        )
         self._first = self._measure("first_seconds", "Time to the first event or the answer")
         self._total = self._measure("request_seconds", "Time to the end of the answer")
         self._gap = self._measure("gap_seconds", "Longest pause between two events of a stream")
@@ -112,9 +117,10 @@
         """Count a change of belief."""
         self._events.inc({"what": what})
 
-    def render(self, dropped: int) -> bytes:
-        """Give all figures as text."""
+    def render(self, dropped: int, held: int) -> bytes:
+        """Give all figures as text, with the lines dropped and the requests refused just now."""
         self._dropped.set({}, dropped)
+        self._held.set({}, held)
         text, _ = aioprometheus.render(self._registry, ["text/plain"])
         return bytes(text)
 
--- a/cloverway/tests/test_fleet_crashes.py
+++ b/cloverway/tests/test_fleet_crashes.py
@@ -6,8 +6,10 @@
 import itertools
 from contextlib import asynccontextmanager
 
+from cloverway.core.quarantine import Crash
 from cloverway.serving.clock import read_clock
 from cloverway.tests.fleet.deployment import run_fleet, wait_for
+from cloverway.tests.fleet.standins import make_route, make_service
 
 ALLOWED_ENDS = 3
 """Endpoints that one request may end before it is known for what it is."""
@@ -23,6 +25,7 @@
     def __init__(self, fleet) -> None:
         self.fleet = fleet
         self.ended = []
+        """The names of the engines that ended."""
         self._numbers = itertools.count()
         self._replacing = set()
 
@@ -49,21 +52,21 @@
         self._replacing.add(task)
 
     def count_usable(self, host):
-        return len(host.directory.list_usable("model", read_clock()))
+        usable = host.directory.list_usable("model", read_clock())
+        return sum(endpoint.entry.id not in self.ended for endpoint in usable)
 
 
 @asynccontextmanager
-async def run_deadly_fleet(domains=("d1", "d1")):
-    """Run a fleet of one host in each of some domains, with two engines in each domain."""
+async def run_deadly_fleet(domains=("d1", "d1"), engines=("d1", "d1")):
+    """Run a fleet with a host and with an engine in each of some domains."""
     async with run_fleet(hosts=0, endpoints=0) as fleet:
         for domain in domains:
             await fleet.add_host(domain)
         deadly = DeadlyFleet(fleet)
-        for domain in sorted(set(domains)):
+        for domain in engines:
             await deadly.add(domain)
-            await deadly.add(domain)
-        engines = 2 * len(set(domains))
-        await wait_for(lambda: all(deadly.count_usable(h) == engines for h in fleet.hosts))
+        count = len(engines)
+        await wait_for(lambda: all(deadly.count_usable(h) == count for h in fleet.hosts))
         others = len(domains) - 1
         await wait_for(lambda: all(len(h.members.peers) == others for h in fleet.hosts))
         yield deadly
@@ -94,3 +97,170 @@
             assert (await fleet.call("/stream/a", body=HARMLESS)).status == 200
 
     asyncio.run(scenario())
+
+
+async def hold(deadly, host):
+    """Send the deadly request to one host until that has seen enough of it."""
+    for _ in range(2):
+        await wait_for(lambda: deadly.count_usable(host) >= 2)
+        assert (await deadly.fleet.call("/stream/a", host, body=DEADLY)).status == 502
+    assert len(deadly.ended) == ALLOWED_ENDS
+    assert host.context.quarantine.count_held(read_clock()) == 1
+
+
+def test_hosts_of_all_regions_refuse_it_and_those_that_start_later():
+    """Three engines have ended under a request at one host; its caller goes on at others.
+
+    A host that has not heard of it would lose its engines to the request in turn, and so would one
+    that starts afterwards and has no memory of its own.
+    """
+
+    async def scenario():
+        async with run_deadly_fleet(("d1", "d2"), ("d1", "d1", "d2", "d2")) as deadly:
+            fleet = deadly.fleet
+            await hold(deadly, fleet.hosts[0])
+            await asyncio.sleep(0.5)
+            newcomer = await fleet.add_host("d2")
+            await wait_for(lambda: deadly.count_usable(newcomer) >= 2)
+            await wait_for(lambda: len(newcomer.members.peers) == 2)
+            await asyncio.sleep(0.5)
+            for host in fleet.hosts:
+                assert (await fleet.call("/stream/a", host, body=DEADLY)).status == 503
+                assert (await fleet.call("/stream/a", host, body=HARMLESS)).status == 200
+            assert len(deadly.ended) == ALLOWED_ENDS
+
+    asyncio.run(scenario())
+
+
+def test_a_host_that_was_away_hears_what_it_has_missed():
+    """A host hears nothing of the others while three engines end, as behind a cut link.
+
+    What is told just after each end doesn't reach it. When the others hear it again they tell it
+    all that it may have missed.
+    """
+
+    async def scenario():
+        async with run_deadly_fleet() as deadly:
+            near, away = deadly.fleet.hosts
+            hear = away.gossip.crashes.hear
+            away.gossip.crashes.hear = lambda report, now: None
+            await hold(deadly, near)
+            await asyncio.sleep(0.5)
+            away.gossip.crashes.hear = hear
+            del near.members.peers[away.members.own.name]
+            await wait_for(lambda: away.context.quarantine.count_held(read_clock()) == 1, 2.0)
+            assert (await deadly.fleet.call("/stream/a", away, body=DEADLY)).status == 503
+
+    asyncio.run(scenario())
+
+
+def test_another_region_refuses_it_and_stays_open_to_other_requests():
+    """A host without engines passes requests on to another region, whose hosts know this one.
+
+    Taken for a lack of room, the refusal kept all other requests away from that region until it
+    offered its engines again.
+    """
+
+    async def scenario():
+        async with run_deadly_fleet(("d1", "d2"), ("d1", "d1")) as deadly:
+            near, far = deadly.fleet.hosts
+            near.gossip.crashes.send = lambda address, data: None
+            await hold(deadly, near)
+            (peer,) = far.members.peers.values()
+            await wait_for(lambda: "model" in peer.offers)
+            withdrawn = []
+            far.context.targeting.withdraw_offer = lambda *names: withdrawn.append(names)
+            reply = await deadly.fleet.call("/stream/a", far, body=DEADLY)
+            assert reply.status == 503
+            assert b"quarantined" in reply.body
+            assert not withdrawn
+            assert len(deadly.ended) == ALLOWED_ENDS
+
+    asyncio.run(scenario())
+
+
+def test_a_request_that_was_waiting_when_the_news_came_is_not_sent():
+    """It waits for a place while another host's word comes that three engines ended under it."""
+
+    async def scenario():
+        async with run_deadly_fleet(("d1",)) as deadly:
+            (host,) = deadly.fleet.hosts
+            choose, go_on = host.context.targeting.take, asyncio.Event()
+            waits = []
+
+            def wait(wanted, ahead_s, now):
+                waits.append(wanted.call.compute_digest())
+                return choose(wanted, ahead_s, now) if go_on.is_set() else None
+
+            host.context.targeting.take = wait
+            host.context.targeting.estimate_start = lambda wanted, ahead_s, now: None
+            sending = await deadly.fleet.begin_call("/stream/a", body=DEADLY)
+            await wait_for(lambda: waits)
+            for number in range(ALLOWED_ENDS):
+                crash = Crash(f"gone-{number}", (waits[0],), read_clock())
+                host.context.quarantine.note_crash(crash)
+            go_on.set()
+            head = await sending.read_head(lambda head: True)
+            assert head.status == 503
+            assert not deadly.ended
+            engines = host.directory.endpoints.values()
+            assert not any(engine.load.sum_own().running for engine in engines)
+
+    asyncio.run(scenario())
+
+
+def test_connections_that_are_reset_at_engines_that_live_on_shut_nothing_out():
+    """One request is unlucky: its connection is reset at each of four engines, which go on serving.
+
+    To its host each reset looks like the end of the engine. Their next answers tell otherwise.
+    """
+
+    async def scenario():
+        async with run_fleet(endpoints=4) as fleet:
+            unlucky = []
+
+            for endpoint in fleet.endpoints.values():
+
+                async def answer(exchange, endpoint=endpoint):
+                    if exchange.body == DEADLY and len(unlucky) < ALLOWED_ENDS + 1:
+                        unlucky.append(endpoint.name)
+                        exchange.connection.abort()
+                    else:
+                        await asyncio.sleep(0.05)
+                        await endpoint.answer_plainly(exchange)
+
+                endpoint.answer = answer
+            for _ in range(3):
+                await fleet.call("/safe/a", body=DEADLY)
+                calls = [fleet.call("/safe/a", body=HARMLESS) for _ in range(30)]
+                assert {reply.status for reply in await asyncio.gather(*calls)} == {200}
+            assert len(set(unlucky)) >= ALLOWED_ENDS
+            assert (await fleet.call("/safe/a", body=DEADLY)).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_an_engine_that_falls_silent_under_a_request_counts_as_ended():
+    """The request takes the power of each engine that runs it: no connection breaks, all is silent.
+
+    Its callers give up, or the time of the route is over; nothing else would ever be noted.
+    """
+
+    async def scenario():
+        async with run_fleet(endpoints=4) as fleet:
+            route = make_route(
+                *("stream", "streaming", "model"),
+                **{"attempts": 2, "resumable": True, "targetLatencyMs": 640, "timeoutMs": 3300},
+            )
+            fleet.publish([route], [make_service("model")])
+            host = fleet.hosts[0]
+            await wait_for(lambda: host.directory.configuration.version == fleet.version)
+            for endpoint in fleet.endpoints.values():
+                endpoint.answer = endpoint.answer_never
+            first = await fleet.call("/stream/a", body=DEADLY, deadline_ms=9000)
+            second = await fleet.call("/stream/a", body=DEADLY, deadline_ms=9000)
+            assert (first.status, second.status) == (504, 502)
+            third = await fleet.call("/stream/a", body=DEADLY, deadline_ms=9000)
+            assert third.status == 503
+
+    asyncio.run(scenario())
--- a/cloverway/tests/test_fleet_gossip.py
+++ b/cloverway/tests/test_fleet_gossip.py
@@ -10,6 +10,8 @@
 from cloverway.core.deployment import Configuration, EndpointEntry, EngineShape, Service, Topology
 from cloverway.core.endpoints import Directory, Endpoint
 from cloverway.core.members import ACTIVE_RATE, LEAST_NAMED, Member, Members
+from cloverway.core.quarantine import Quarantine, QuarantineTerms
+from cloverway.serving.crashes import CrashExchange
 from cloverway.serving.gossip import (
     FAR_HOSTS,
     FAR_IDLE_PER_S,
@@ -48,7 +50,11 @@
         directory._index()
         catalogue = SimpleNamespace(read_at=0.0, table=SimpleNamespace(revision=1, digest=1))
         sync = SimpleNamespace(note=lambda peer, now: None)
-        self.gossip = Gossip(self.members, directory, catalogue, sync, Figures(), seeds=())
+        figures = Figures()
+        crashes = CrashExchange(self.members, Quarantine(QuarantineTerms()), figures)
+        self.gossip = Gossip(
+            self.members, directory, catalogue, sync, figures, crashes=crashes, seeds=()
+        )
         self.sent = []
         self.gossip._send = lambda name, data: self.sent.append((name, CODEC.decode(data)))
 
