--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -274,7 +274,7 @@
     def _note_whole(self, target: Target) -> None:
         """Note that the request had a whole answer, so that it ends nothing."""
         self.awaited = None
-        self.context.crashes.note_served(self._digest, read_clock())
+        self.context.crashes.note_served(self._digest)
         if target.candidate is not None:
             life = target.candidate.endpoint.entry.life
             self.context.quarantine.note_answer(life, self.sent_at)
--- a/cloverway/serving/crashes.py
+++ b/cloverway/serving/crashes.py
@@ -69,9 +69,9 @@
             self._tell_held(fresh, now)
             self._tell_soon()
 
-    def note_served(self, digest: int, now: float) -> None:
-        """Note that a request was served whole."""
-        if self._quarantine.note_served(digest, now):
+    def note_served(self, digest: int) -> None:
+        """Note that a request had a whole answer."""
+        if self._quarantine.note_served(digest, read_clock()):
             self._served.append(digest)
             self._tell_soon()
 
--- a/cloverway/tests/test_fleet_crashes.py
+++ b/cloverway/tests/test_fleet_crashes.py
@@ -179,6 +179,53 @@
     asyncio.run(scenario())
 
 
+def test_it_is_refused_at_once_and_not_after_a_wait_for_a_place():
+    """All engines are gone, and other requests wait for new ones.
+
+    Waiting with them, the request would be told after a fifth of its route's time that there is no
+    capacity, and to come back soon.
+    """
+
+    async def scenario():
+        async with run_deadly_fleet(("d1",)) as deadly:
+            (host,) = deadly.fleet.hosts
+            await hold(deadly, host)
+            host.context.targeting.take = lambda wanted, ahead_s, now: None
+            host.context.targeting.estimate_start = lambda wanted, ahead_s, now: None
+            began = read_clock()
+            reply = await deadly.fleet.call("/stream/a", body=DEADLY)
+            assert read_clock() - began < 0.3
+            assert b"quarantined" in reply.body
+            assert float(reply.headers[b"retry-after"]) > 1_000
+
+    asyncio.run(scenario())
+
+
+def test_what_many_callers_ask_is_served_after_engines_have_ended_together():
+    """Three of four engines lose power at once, each while it runs one and the same request.
+
+    Different callers sent it, and it was served a moment before. It isn't the cause, and refused it
+    would be to all of them.
+    """
+
+    async def scenario():
+        async with run_fleet(endpoints=4) as fleet:
+            assert (await fleet.call("/cut/a", body=HARMLESS)).status == 200
+            engines = [fleet.endpoints[f"model-{number}"] for number in range(4)]
+            for engine in engines[:3]:
+                engine.requests.clear()
+                engine.answer = engine.answer_never
+            calls = [asyncio.create_task(fleet.call("/cut/a", body=HARMLESS)) for _ in range(12)]
+            await wait_for(lambda: all(engine.requests for engine in engines[:3]))
+            for engine in engines[:3]:
+                engine.crash()
+            replies = await asyncio.gather(*calls)
+            assert 502 in {reply.status for reply in replies}
+            assert (await fleet.call("/cut/a", body=HARMLESS)).status == 200
+
+    asyncio.run(scenario())
+
+
 def test_a_request_that_was_waiting_when_the_news_came_is_not_sent():
     """It waits for a place while another host's word comes that three engines ended under it."""
 
