--- a/cloverway/tests/test_crashes.py
+++ b/cloverway/tests/test_crashes.py
@@ -105,6 +105,24 @@
     asyncio.run(scenario())
 
 
+def test_hosts_tell_again_by_themselves(clock, monkeypatch):
+    monkeypatch.setattr(crashes, "RETELL_S", 0.01)
+    net = Net("a1", "a2")
+    net.lost = lambda sender, receiver: True
+
+    async def scenario():
+        net.hosts["a1"].exchange.note_end("e", DEADLY, clock[0])
+        await settle()
+        net.lost = lambda sender, receiver: False
+        telling = asyncio.create_task(net.hosts["a1"].exchange.run())
+        async with asyncio.timeout(5.0):
+            while not net.hosts["a2"].knows():
+                await asyncio.sleep(0.01)
+        telling.cancel()
+
+    asyncio.run(scenario())
+
+
 def test_a_host_that_was_not_there_is_told_all_of_it(clock):
     """A host was cut off while an engine ended, and is heard again a minute later."""
     net = Net("a1", "a2")
--- a/cloverway/tests/test_fleet_crashes.py
+++ b/cloverway/tests/test_fleet_crashes.py
@@ -52,8 +52,10 @@
         self._replacing.add(task)
 
     def count_usable(self, host):
+        """Count the engines of a host's region that it knows and that are there."""
         usable = host.directory.list_usable("model", read_clock())
-        return sum(endpoint.entry.id not in self.ended for endpoint in usable)
+        near = [endpoint for endpoint in usable if endpoint.region == host.settings.region]
+        return sum(endpoint.entry.id not in self.ended for endpoint in near)
 
 
 @asynccontextmanager
@@ -66,7 +68,7 @@
         for domain in engines:
             await deadly.add(domain)
         count = len(engines)
-        await wait_for(lambda: all(deadly.count_usable(h) == count for h in fleet.hosts))
+        await wait_for(lambda: all(len(h.directory.endpoints) == count for h in fleet.hosts))
         others = len(domains) - 1
         await wait_for(lambda: all(len(h.members.peers) == others for h in fleet.hosts))
         yield deadly
@@ -142,6 +144,7 @@
     async def scenario():
         async with run_deadly_fleet() as deadly:
             near, away = deadly.fleet.hosts
+            near.gossip.crashes._retell = lambda now: None
             hear = away.gossip.crashes.hear
             away.gossip.crashes.hear = lambda report, now: None
             await hold(deadly, near)
