Let requests that end endpoints come in the soak, and split its file

A caller repeats one request that ends each endpoint which runs it, over four seconds and any hosts, while the other faults go on. Checked: at most three ends later than two seconds after the third, and no other request refused as 'quarantined'. The promises and the parts have modules of their own now.

--- a/cloverway/tests/fleet/soak.py
+++ b/cloverway/tests/fleet/soak.py
@@ -18,7 +18,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from pathlib import Path
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any
 
 from cloverway.serving.client import (
     AnswerError,
@@ -30,133 +30,32 @@
     make_request,
 )
 from cloverway.tests.fleet.deployment import read_reply
+from cloverway.tests.fleet.promises import check_ends, find_violations
+from cloverway.tests.fleet.soak_parts import (
+    DEADLY,
+    DOMAINS,
+    GRACE_S,
+    HOSTS,
+    ROUTES,
+    CountingEndpoint,
+    Fault,
+    Host,
+    Seen,
+)
 from cloverway.tests.fleet.standins import (
-    Endpoint,
     Store,
     make_configuration,
     make_route,
     make_service,
 )
 from cloverway.tests.standins.links import TO_CALLER, TO_TARGET, Link
-from cloverway.tests.standins.processes import Ports, Process
+from cloverway.tests.standins.processes import Ports
 
-DOMAINS = {"d1": "north", "d2": "south"}
-HOSTS = {"d1": 3, "d2": 2}
 CALLERS = 10
-EVENTS = 5
-GRACE_S = 6.0
-NOT_RUN = (408, 421, 429, 503)
-ROUTES = {
-    "safe": ("idempotent", "desk", {"attempts": 2}),
-    "once": ("non_idempotent", "desk", {}),
-    "stream": ("streaming", "model", {"attempts": 2, "resumable": True}),
-    "cut": ("streaming", "model", {}),
-    "bound": ("non_idempotent", "desk", {"homeRegions": ["north"]}),
-}
-REPEATABLE = ("safe", "stream")
-ID = re.compile(rb"for ([a-z0-9-]+)")
-NUMBER = re.compile(rb"id: (\d+)")
-
-
-class Seen(NamedTuple):
-    """What a caller saw of one request; status 0 when there was no answer."""
-
-    id: str
-    route: str
-    host: str
-    began_at: float
-    ended_at: float
-    status: int
-    whole: bool
-    body: bytes
-    error: str = ""
-
-
-class Fault(NamedTuple):
-    """When a fault was there, and what it was."""
-
-    name: str
-    began_at: float
-    ended_at: float
-
-
-class CountingEndpoint(Endpoint):
-    """An endpoint that notes what it ran, and answers so that each answer names its request."""
-
-    def __init__(self, name: str, service: str, domain: str) -> None:
-        super().__init__(name, service, domain)
-        self.runs: list[str] = []
-        self.break_part = 0.0
-        self.born_ms = 1_700_000_000_000
-        self.random = Random(name)
-        self.answer = self.answer_by_route
-
-    async def answer_by_route(self, exchange: Any) -> None:
-        fields = dict(exchange.headers)
-        call = fields[b"x-cloverway-request-id"].decode()
-        if fields.get(b"x-cloverway-target-instance") != self.name.encode():
-            await exchange.answer(421, [], b"")
-            return
-        self.runs.append(call)
-        breaks = self.random.random() < self.break_part
-        if self.service == "desk":
-            await asyncio.sleep(0.02)
-            if breaks:
-                exchange.connection.abort()
-                return
-            await exchange.answer(200, self.head(exchange), f"ran for {call}".encode())
-            return
-        first = int(fields.get(b"last-event-id", b"0")) + 1
-        exchange.start(200, [*self.head(exchange), (b"Content-Type", b"text/event-stream")])
-        for number in range(first, EVENTS + 1):
-            await exchange.send(b"id: %d\ndata: for %s\n\n" % (number, call.encode()))
-            await asyncio.sleep(0.05)
-            if breaks:
-                exchange.connection.abort()
-                return
-        exchange.finish()
-
-
-class Host:
-    """One host's process with its own way to the store."""
-
-    def __init__(self, name: str, domain: str, ports: list[int], store: Store, folder: Path):
-        self.name = name
-        self.domain = domain
-        self.store = Link(store.address).start()
-        self.callers = f"127.0.0.1:{ports[0]}"
-        self.lookup = f"127.0.0.1:{ports[2]}"
-        self.control = f"127.0.0.1:{ports[3]}"
-        self.ports = ports
-        self.path = folder / f"{name}.toml"
-        variables = {"CLOVERWAY_BOOT": str(self.path)}
-        self.process = Process(name, "cloverway.platform", [], folder, variables)
-        self.is_busy = False
-        """Whether a fault of its process is going on."""
-
-    def write_settings(self, seeds: list[str]) -> None:
-        regions = "\n".join(f'"{name}" = "{region}"' for name, region in DOMAINS.items())
-        self.path.write_text(f"""
-host = "{self.name}"
-domain = "{self.domain}"
-region = "{DOMAINS[self.domain]}"
-grace_s = {GRACE_S}
-[regions]
-{regions}
-[listen]
-callers = "{self.callers}"
-readiness = "127.0.0.1:{self.ports[1]}"
-lookup = "{self.lookup}"
-control = "{self.control}"
-inner_ports = [{self.ports[4]}, {self.ports[4]}]
-metrics_port = {self.ports[5]}
-[peers]
-seeds = {seeds}
-[store]
-address = "{self.store.address}"
-[retries]
-slack = 200
-""")
+DEADLY_S = 4.0
+"""How long the caller of a deadly request repeats it."""
+DOWN_S = 1.0
+"""Time until an endpoint that a request has ended is back."""
 
 
 class Soak:
@@ -172,7 +71,10 @@
         self.seen: list[Seen] = []
         self.faults: list[Fault] = []
         self.violations: list[str] = []
+        self.ends: defaultdict[bytes, list[float]] = defaultdict(list)
+        """When deadly requests ended an endpoint, by their bodies."""
         self.version = 0
+        self._restarts: set[asyncio.Task[None]] = set()
         self._pool = Pool()
         self._ports = Ports()
         self._numbers = iter(range(1, 1 << 60))
@@ -185,7 +87,9 @@
             series = [self._make_faults(until) for _ in range(3)]
             await asyncio.gather(*callers, *series)
             await self._check_recovered()
-        return [*self.violations, *self._find_violations()]
+        ends = [what for body, at in self.ends.items() for what in check_ends(body.decode(), at)]
+        seen = find_violations(self.seen, self.endpoints, self.faults)
+        return [*self.violations, *ends, *seen]
 
     @contextlib.asynccontextmanager
     async def _running(self) -> AsyncIterator[None]:
@@ -226,6 +130,7 @@
 
     async def _add_endpoint(self, service: str, domain: str) -> CountingEndpoint:
         endpoint = CountingEndpoint(f"{service}-{len(self.endpoints)}", service, domain)
+        endpoint.on_crash = self._crash
         await endpoint.start()
         self.links[endpoint.name] = Link(endpoint.address).start()
         self.endpoints.append(endpoint)
@@ -271,20 +176,20 @@
                     return random.choice(named).decode()
         return random.choice(self.hosts).callers
 
-    async def _send(self, host: str, route: str, pool: Pool) -> Seen:
+    async def _send(self, host: str, route: str, pool: Pool, content: bytes = b"x") -> Seen:
         call = f"c-{next(self._numbers)}"
         fields = [
             (b"Host", b"shop.example"),
             (b"X-Cloverway-Request-Id", call.encode()),
             (b"X-Cloverway-Deadline-Ms", b"3000"),
         ]
-        request = make_request("POST", f"/{route}/a", fields, b"x")
+        request = make_request("POST", f"/{route}/a", fields, content)
         began_at = time.monotonic()
         sending: Sending | None = None
         status, whole, body, error = 0, False, b"", ""
         try:
             async with asyncio.timeout(4.0):
-                sending = Sending(await pool.open(Place(host), 1.0), request, b"x")
+                sending = Sending(await pool.open(Place(host), 1.0), request, content)
                 sending.write()
                 reply = await read_reply(sending)
             status, whole, body = reply.status, reply.whole, reply.body
@@ -293,7 +198,9 @@
         finally:
             if sending is not None:
                 pool.release(Place(host), sending)
-        return Seen(call, route, host, began_at, time.monotonic(), status, whole, body, error)
+        is_deadly = content.startswith(DEADLY)
+        ended_at = time.monotonic()
+        return Seen(call, route, host, began_at, ended_at, status, whole, body, error, is_deadly)
 
     # Faults
 
@@ -302,7 +209,7 @@
             *(self._kill, self._pause, self._replace, self._reload, self._lose_store),
             *(self._silence_store, self._store_fails, self._compact, self._configure),
             *(self._break_link, self._break_endpoint, self._drain_endpoint),
-            *(self._spoil_entry, self._restart_endpoint),
+            *(self._spoil_entry, self._restart_endpoint, self._repeat_deadly),
         )
         while time.monotonic() < until:
             await asyncio.sleep(self.random.uniform(0.1, 0.8))
@@ -439,6 +346,32 @@
         endpoint.born_ms += 1_000
         self._describe(endpoint, coldRemainingMs=500)
 
+    async def _repeat_deadly(self) -> None:
+        """Send one request that ends each endpoint which runs it, again and again."""
+        body = DEADLY + b" %d" % next(self._numbers)
+        route = self.random.choice(["safe", "once", "stream", "cut"])
+        until = time.monotonic() + DEADLY_S
+        while time.monotonic() < until:
+            host = self.random.choice(self.hosts)
+            self.seen.append(await self._send(host.callers, route, Pool(), body))
+            await asyncio.sleep(self.random.uniform(0.02, 0.4))
+
+    def _crash(self, endpoint: CountingEndpoint, body: bytes) -> None:
+        """End an endpoint under a request; it comes back, born again, when its entry has lapsed."""
+        self.ends[body].append(time.monotonic())
+        link = self.links[endpoint.name]
+        link.cut()
+        restart = asyncio.create_task(self._bring_back(endpoint))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _bring_back(self, endpoint: CountingEndpoint) -> None:
+        await asyncio.sleep(DOWN_S)
+        self.links[endpoint.name].restore()
+        endpoint.born_ms += 1_000
+        if f"servers/{endpoint.name}" in self.store.items:
+            self._describe(endpoint)
+
     # Checks
 
     async def _wait_ready(self, host: Host) -> None:
@@ -463,49 +396,6 @@
         unserved = await self._wait_served(8.0)
         self.violations += [f"{name}: does not serve the newest route" for name in unserved]
 
-    def _find_violations(self) -> Iterator[str]:
-        runs: dict[str, list[CountingEndpoint]] = defaultdict(list)
-        for endpoint in self.endpoints:
-            for call in endpoint.runs:
-                runs[call].append(endpoint)
-        for seen in self.seen:
-            for what in self._check(seen, runs[seen.id]):
-                yield f"{what}: {seen} ran at {[endpoint.name for endpoint in runs[seen.id]]}"
-
-    def _check(self, seen: Seen, ran: list[CountingEndpoint]) -> Iterator[str]:
-        if seen.route not in REPEATABLE and len(ran) > 1:
-            yield "ran twice"
-        if seen.status in NOT_RUN and seen.route not in REPEATABLE and ran:
-            yield "told that it did not run"
-        if seen.status == 404:
-            yield "refused though its route is there"
-        if seen.route == "bound" and any(DOMAINS[e.domain] != "north" for e in ran):
-            yield "ran outside its home"
-        if seen.status == 200 and seen.whole:
-            if set(ID.findall(seen.body)) != {seen.id.encode()}:
-                yield "another's answer"
-            numbers = [int(number) for number in NUMBER.findall(seen.body)]
-            if seen.route in ("stream", "cut") and numbers != list(range(1, EVENTS + 1)):
-                yield "a piece is missing or doubled in a whole stream"
-        if ran and not seen.status and self._only_planned(seen):
-            yield "cut off by planned work alone"
-
-    def _only_planned(self, seen: Seen) -> bool:
-        """Tell whether nothing but planned work went on near a request."""
-        near = {
-            fault.name
-            for fault in self.faults
-            if fault.began_at < seen.ended_at and fault.ended_at > seen.began_at - 3.0
-        }
-        return near <= {
-            "replace",
-            "reload",
-            "configure",
-            "drain_endpoint",
-            "compact",
-            "spoil_entry",
-        }
-
 
 def main(seconds: float, seeds: list[int]) -> int:
     """Run each seed; give 1 when a promise was broken."""
--- /dev/null
+++ b/cloverway/tests/fleet/soak_parts.py
@@ -0,0 +1,138 @@
+"""The parts of the soak: endpoints that note what they ran, and hosts that are processes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any, NamedTuple
+
+from cloverway.tests.fleet.standins import Endpoint, Store
+from cloverway.tests.standins.links import Link
+from cloverway.tests.standins.processes import Process
+
+DOMAINS = {"d1": "north", "d2": "south"}
+HOSTS = {"d1": 3, "d2": 2}
+EVENTS = 5
+GRACE_S = 6.0
+ROUTES = {
+    "safe": ("idempotent", "desk", {"attempts": 2}),
+    "once": ("non_idempotent", "desk", {}),
+    "stream": ("streaming", "model", {"attempts": 2, "resumable": True}),
+    "cut": ("streaming", "model", {}),
+    "bound": ("non_idempotent", "desk", {"homeRegions": ["north"]}),
+}
+
+
+DEADLY = b"deadly"
+"""How the bodies of requests begin that end the endpoint which runs them."""
+
+
+class Seen(NamedTuple):
+    """What a caller saw of one request; status 0 when there was no answer."""
+
+    id: str
+    route: str
+    host: str
+    began_at: float
+    ended_at: float
+    status: int
+    whole: bool
+    body: bytes
+    error: str = ""
+    is_deadly: bool = False
+    """Whether it ends the endpoints that run it."""
+
+
+class Fault(NamedTuple):
+    """When a fault was there, and what it was."""
+
+    name: str
+    began_at: float
+    ended_at: float
+
+
+class CountingEndpoint(Endpoint):
+    """An endpoint that notes what it ran, and answers so that each answer names its request."""
+
+    def __init__(self, name: str, service: str, domain: str) -> None:
+        super().__init__(name, service, domain)
+        self.runs: list[str] = []
+        self.break_part = 0.0
+        self.born_ms = 1_700_000_000_000
+        self.random = Random(name)
+        self.answer = self.answer_by_route
+        self.on_crash: Callable[[CountingEndpoint, bytes], None] = lambda endpoint, body: None
+        """Called when a request has ended it."""
+
+    async def answer_by_route(self, exchange: Any) -> None:
+        fields = dict(exchange.headers)
+        call = fields[b"x-cloverway-request-id"].decode()
+        if fields.get(b"x-cloverway-target-instance") != self.name.encode():
+            await exchange.answer(421, [], b"")
+            return
+        self.runs.append(call)
+        if exchange.body.startswith(DEADLY):
+            await asyncio.sleep(0.02)
+            self.on_crash(self, exchange.body)
+            return
+        breaks = self.random.random() < self.break_part
+        if self.service == "desk":
+            await asyncio.sleep(0.02)
+            if breaks:
+                exchange.connection.abort()
+                return
+            await exchange.answer(200, self.head(exchange), f"ran for {call}".encode())
+            return
+        first = int(fields.get(b"last-event-id", b"0")) + 1
+        exchange.start(200, [*self.head(exchange), (b"Content-Type", b"text/event-stream")])
+        for number in range(first, EVENTS + 1):
+            await exchange.send(b"id: %d\ndata: for %s\n\n" % (number, call.encode()))
+            await asyncio.sleep(0.05)
+            if breaks:
+                exchange.connection.abort()
+                return
+        exchange.finish()
+
+
+class Host:
+    """One host's process with its own way to the store."""
+
+    def __init__(self, name: str, domain: str, ports: list[int], store: Store, folder: Path):
+        self.name = name
+        self.domain = domain
+        self.store = Link(store.address).start()
+        self.callers = f"127.0.0.1:{ports[0]}"
+        self.lookup = f"127.0.0.1:{ports[2]}"
+        self.control = f"127.0.0.1:{ports[3]}"
+        self.ports = ports
+        self.path = folder / f"{name}.toml"
+        variables = {"CLOVERWAY_BOOT": str(self.path)}
+        self.process = Process(name, "cloverway.platform", [], folder, variables)
+        self.is_busy = False
+        """Whether a fault of its process is going on."""
+
+    def write_settings(self, seeds: list[str]) -> None:
+        regions = "\n".join(f'"{name}" = "{region}"' for name, region in DOMAINS.items())
+        self.path.write_text(f"""
+host = "{self.name}"
+domain = "{self.domain}"
+region = "{DOMAINS[self.domain]}"
+grace_s = {GRACE_S}
+[regions]
+{regions}
+[listen]
+callers = "{self.callers}"
+readiness = "127.0.0.1:{self.ports[1]}"
+lookup = "{self.lookup}"
+control = "{self.control}"
+inner_ports = [{self.ports[4]}, {self.ports[4]}]
+metrics_port = {self.ports[5]}
+[peers]
+seeds = {seeds}
+[store]
+address = "{self.store.address}"
+[retries]
+slack = 200
+""")
--- a/cloverway/tests/test_fleet_soak.py
+++ b/cloverway/tests/test_fleet_soak.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from pathlib import Path
 
 import pytest
 
-from cloverway.tests.fleet.soak import Fault, Seen, Soak
+from cloverway.tests.fleet.promises import check_answer, check_ends
+from cloverway.tests.fleet.soak import Soak
+from cloverway.tests.fleet.soak_parts import Fault, Seen
 
 SECONDS = 6.0
 SEEDS = (1,)
@@ -33,19 +34,25 @@
         ("safe", 404, b"", 0, "refused though its route is there"),
         ("bound", 200, b"ran for c-1", 1, "ran outside its home"),
         ("safe", 200, b"ran for c-2", 1, "another's answer"),
+        ("safe", 503, b'{"kind": "quarantined"}', 0, "refused as if it had ended endpoints"),
         ("cut", 200, b"id: 1\ndata: for c-1\n\n", 1, "a piece is missing"),
         ("once", 0, b"", 1, "cut off by planned work alone"),
     ],
 )
 def test_the_soak_sees_each_broken_promise(route, status, body, runs, what):
-    soak = Soak(1, Path())
-    soak.faults.append(Fault("replace", 9.0, 10.0))
+    faults = [Fault("replace", 9.0, 10.0)]
     seen = Seen("c-1", route, "h", 10.0, 10.5, status, bool(status), body)
-    found = list(soak._check(seen, [Ran()] * runs))
+    found = list(check_answer(seen, [Ran()] * runs, faults))
     assert any(what in violation for violation in found), found
 
 
-def test_a_cut_beside_an_unplanned_fault_is_no_broken_promise(tmp_path):
-    soak = Soak(1, tmp_path)
-    soak.faults += [Fault("replace", 9.0, 10.0), Fault("kill", 8.0, 9.0)]
-    assert list(soak._check(Seen("c-1", "once", "h", 10.0, 10.5, 0, False, b""), [Ran()])) == []
+def test_a_cut_beside_an_unplanned_fault_is_no_broken_promise():
+    faults = [Fault("replace", 9.0, 10.0), Fault("kill", 8.0, 9.0)]
+    seen = Seen("c-1", "once", "h", 10.0, 10.5, 0, False, b"")
+    assert list(check_answer(seen, [Ran()], faults)) == []
+
+
+def test_the_soak_sees_a_request_that_goes_on_to_end_endpoints():
+    assert list(check_ends("r", [1.0, 1.2, 1.5, 1.6, 1.7, 1.8, 3.4, 3.6, 3.7, 3.8])) == []
+    assert list(check_ends("r", [1.0])) == []
+    assert list(check_ends("r", [1.0, 1.2, 1.5, 3.6, 3.7, 3.8, 3.9])) != []
