Refuse requests that end endpoints at the daemon of the own interface too

Each host now counts the endpoints that ended under a request (a broken connection, told from an answer 500 by EndpointLostError) and refuses it from the third on. Test red before: 14 endpoints ended under 12 tries; now 3. Hosts don't tell each other here yet, so the bound is three for each host: open.

test_claims: the new outcome spends a key as FAILED does, and is expected so.

--- a/cloverway/claims.py
+++ b/cloverway/claims.py
@@ -212,6 +212,7 @@
     Outcome.NOT_SENT: Settlement.NOT_RUN,
     Outcome.REFUSED: Settlement.NOT_RUN,
     Outcome.FAILED: Settlement.UNKNOWN,
+    Outcome.LOST: Settlement.UNKNOWN,
     Outcome.CALLER_LEFT: Settlement.UNKNOWN,
 }
 
--- a/cloverway/copiers.py
+++ b/cloverway/copiers.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from cloverway.connections import TimedSocket
-from cloverway.errors import Kind, RequestError
+from cloverway.errors import EndpointLostError, Kind, RequestError
 from cloverway.framing import EventStream
 from cloverway.meters import Meter, StreamStats
 from cloverway.relay import CALLER_STALL_S, READ_BYTES, Bounds, Link, Relay
@@ -96,7 +96,9 @@
             raise RequestError(Kind.TIMED_OUT, "the stream was silent for too long") from error
         except OSError as error:
             self._end()
-            raise RequestError(Kind.TRUNCATED, "the connection failed in the stream") from error
+            raise EndpointLostError(
+                Kind.TRUNCATED, "the connection failed in the stream"
+            ) from error
         except RequestError:
             self._end()
             raise
@@ -110,7 +112,7 @@
         while not piece and not self.events.whole:
             data = self.endpoint.recv(READ_BYTES)
             if not data:
-                raise RequestError(Kind.TRUNCATED, "the connection ended within the stream")
+                raise EndpointLostError(Kind.TRUNCATED, "the connection ended within the stream")
             piece = self.events.feed(data)
             self.meter.note(self.events.tokens, time.monotonic())
         return piece
--- a/cloverway/core/calls.py
+++ b/cloverway/core/calls.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Iterable
 from typing import NamedTuple
 
 Header = tuple[bytes, bytes]
 
 
+def compute_digest(names: Iterable[str], body: bytes) -> int:
+    """Give a number, 63 bits wide, for a request: some names without line breaks, and its body."""
+    digest = hashlib.blake2b("\n".join(names).encode() + b"\n\n", digest_size=8)
+    digest.update(body)
+    return int.from_bytes(digest.digest(), "big") >> 1
+
+
 class PromptPart(NamedTuple):
     """One part of a prompt; parts with the same id are shared between prompts."""
 
@@ -50,15 +58,12 @@
         return self.target.partition("?")[0]
 
     def compute_digest(self) -> int:
-        """Give a number, 63 bits wide, that all repeats of the request have in common.
+        """Give a number that all repeats of the request have in common.
 
         Each try of a caller has an id of its own, so the id can't tell that a request comes again.
         Taking it over costs some 20 us for 18 KB, so it is asked for only where it is needed.
         """
-        head = f"{self.method} {self.host} {self.target}\n".encode()
-        digest = hashlib.blake2b(head, digest_size=8)
-        digest.update(self.body)
-        return int.from_bytes(digest.digest(), "big") >> 1
+        return compute_digest((self.method, self.host, self.target), self.body)
 
 
 class PassedOn(NamedTuple):
--- a/cloverway/core/quarantine.py
+++ b/cloverway/core/quarantine.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterator
 from typing import NamedTuple, TypeVar
 
 Key = TypeVar("Key")
@@ -37,6 +38,13 @@
     hold_s: float = 1800.0
     """How long it is refused then. Each further end, after that time, doubles it."""
 
+    def find_faults(self) -> Iterator[tuple[str, str]]:
+        """Give the names of the values that can't be used, and why."""
+        if self.ends < 1:
+            yield "ends", f"{self.ends} must be at least 1: 0 would refuse every request"
+        if not 0 <= self.hold_s <= LONGEST_HOLD_S:
+            yield "hold_s", f"{self.hold_s:g} must be from 0 to {LONGEST_HOLD_S:g}"
+
 
 class Crash(NamedTuple):
     """The end of an endpoint, and the requests that were running there."""
--- a/cloverway/decisions.py
+++ b/cloverway/decisions.py
@@ -15,6 +15,7 @@
 from cloverway.catalogue import Catalogue
 from cloverway.config.schema import Objective, Urgency
 from cloverway.config.settings import Settings
+from cloverway.ends import Ends
 from cloverway.errors import Kind, Ran
 from cloverway.explanation import Explanation, explain, explain_unready
 from cloverway.messages import Away, Outcome, Refused, Request, Verdict
@@ -84,6 +85,7 @@
         self._knowledge = Knowledge()
         self._tickets = Tickets(self._knowledge, settings.limits.admitted)
         self._budget = Budget()
+        self._ends = Ends(settings.quarantine)
         self._lines: dict[str, Line] = {}
         self._catalogue: Catalogue | None = None
         self._policy: Policy = make_policy(
@@ -120,8 +122,9 @@
             return [Decided(place, Refused(Kind.MALFORMED, "a request with this id is open"))]
         outlook = self._look(view, now, random)
         fault = outlook.find_refusal(request)
-        if fault is not None:
-            return [Decided(place, Refused(fault))]
+        refused = Refused(fault) if fault is not None else self._ends.find_refusal(request, now)
+        if refused is not None:
+            return [Decided(place, refused)]
         entry = outlook.make_entry(place, request)
         self._open.add(request.id)
         self._line(entry.target).note_offered(entry.urgency, entry.cost_s, now)
@@ -143,6 +146,7 @@
     ) -> list[Decided]:
         """Note the end of an attempt; `retry` is the place that asks for another route."""
         ended = self._tickets.close(ticket, outcome, now)
+        self._ends.note(ended, outcome, now)
         outlook = self._look(view, now, random)
         line = self._line(ended.entry.target)
         if outcome is Outcome.DONE:
@@ -353,6 +357,10 @@
         safe = may_repeat(outcome, profile is not None and profile.idempotent)
         passed_back = outcome is Outcome.REFUSED and len(places) > 1
         late = entry.give_up_at <= outlook.now
+        held = self._ends.find_refusal(entry.request, outlook.now)
+        if held is not None:
+            self._open.remove(entry.request.id)
+            return [Decided(place, refuse(entry, held.kind, held.retry_after, held.detail))]
         if not safe or late or not (passed_back or self._budget.take(outlook.now)):
             self._open.remove(entry.request.id)
             back = jitter(CAPACITY_RETRY_S, outlook.random)
--- a/cloverway/endpoints.py
+++ b/cloverway/endpoints.py
@@ -24,7 +24,7 @@
     TimedSocket,
 )
 from cloverway.copiers import Copier, EndpointStream, RelayCopier
-from cloverway.errors import CloverwayError, Kind, Ran, RequestError
+from cloverway.errors import CloverwayError, EndpointLostError, Kind, Ran, RequestError
 from cloverway.exchange import Reply
 from cloverway.framing import BodyParser, ChunkedBody, EventStream, LengthBody, make_malformed
 from cloverway.messages import Request
@@ -239,7 +239,7 @@
         while not body.ended:
             data = connection.timed.recv(READ_BYTES)
             if not data:
-                raise RequestError(Kind.TRUNCATED, "the connection ended within the answer")
+                raise EndpointLostError(Kind.TRUNCATED, "the connection ended within the answer")
             piece = body.feed(data)
             pieces.append(piece)
             size += len(piece)
@@ -290,7 +290,7 @@
         return RequestError(Kind.TIMED_OUT, "no whole answer before the deadline")
     if isinstance(error, TimeoutError):
         return RequestError(Kind.TIMED_OUT, "the endpoint was silent for too long")
-    return RequestError(Kind.ENDPOINT_FAILED, "the connection to the endpoint failed")
+    return EndpointLostError(Kind.ENDPOINT_FAILED, "the connection to the endpoint failed")
 
 
 def _raise_refusal(head: Head) -> None:
--- a/cloverway/errors.py
+++ b/cloverway/errors.py
@@ -190,6 +190,10 @@
         return problem
 
 
+class EndpointLostError(RequestError):
+    """The connection to an endpoint broke while it ran a request, as when the endpoint ends."""
+
+
 class CallError(RequestError):
     """A call by `cloverway.client` failed; carries what a report or a repeat needs."""
 
--- a/cloverway/gateway.py
+++ b/cloverway/gateway.py
@@ -14,7 +14,7 @@
 from cloverway.claims import Granted, Replayed
 from cloverway.config.published import Published
 from cloverway.config.schema import Profile
-from cloverway.errors import Kind, Ran, RequestError, take_worse
+from cloverway.errors import EndpointLostError, Kind, Ran, RequestError, take_worse
 from cloverway.exchange import Reply
 from cloverway.messages import Admitted, Away, Local, Outcome, Refused, Request, Verdict
 from cloverway.streams import RecordedStream, WatchedStream
@@ -270,9 +270,7 @@
         self.ran = take_worse(self.ran, error.ran)
         not_run = error.ran is Ran.NO and error.kind in SAFE_KINDS
         failed = profile.idempotent and error.kind in FAILED_KINDS
-        outcome = Outcome.REFUSED if error.ran is Ran.NO else Outcome.FAILED
-        if error.kind is Kind.CALLER_LEFT:
-            outcome = Outcome.CALLER_LEFT
+        outcome = _choose_outcome(error)
         now = self.gateway.clock()
         retry = (not_run or failed) and now < self.request.deadline
         verdict = self.gateway.ports.router.finished(admitted.ticket, outcome, now, retry)
@@ -301,10 +299,7 @@
     def _finish_whole(
         self, admitted: Admitted, error: RequestError | None, reply: Reply | None
     ) -> None:
-        outcome = Outcome.DONE
-        if error is not None:
-            left = error.kind is Kind.CALLER_LEFT
-            outcome = Outcome.CALLER_LEFT if left else Outcome.FAILED
+        outcome = Outcome.DONE if error is None else _choose_outcome(error, started=True)
         self.gateway.ports.router.finished(admitted.ticket, outcome, self.gateway.clock(), False)
         self.end(error, reply)
 
@@ -319,3 +314,12 @@
             ("Cloverway-Attempts", str(self.record.attempts)),
         )
         return reply._replace(headers=reply.headers + extra)
+
+
+def _choose_outcome(error: RequestError, started: bool = False) -> Outcome:
+    """Give how an attempt ended that failed, before or after its answer had started."""
+    if error.kind is Kind.CALLER_LEFT:
+        return Outcome.CALLER_LEFT
+    if error.ran is Ran.NO and not started:
+        return Outcome.REFUSED
+    return Outcome.LOST if isinstance(error, EndpointLostError) else Outcome.FAILED
--- a/cloverway/messages.py
+++ b/cloverway/messages.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from cloverway.core.calls import compute_digest
 from cloverway.errors import Kind, Ran, RequestError
 
 
@@ -29,6 +30,11 @@
     revision: int = 0
     """Configuration revision by which the first host admitted it."""
 
+    def compute_digest(self) -> int:
+        """Give a number that all repeats of the request have in common, whatever their ids."""
+        who = (self.team, self.profile, self.method, self.path)
+        return compute_digest(who, self.body)
+
 
 class Local(NamedTuple):
     """Run at an endpoint of this failure domain."""
@@ -58,6 +64,8 @@
     """The endpoint or the other host said that it did not start."""
     FAILED = "failed"
     """It failed after the first byte may have left."""
+    LOST = "lost"
+    """The same, and the connection to the endpoint broke, as it does when the endpoint ends."""
     CALLER_LEFT = "caller_left"
 
 
--- a/cloverway/relay.py
+++ b/cloverway/relay.py
@@ -18,7 +18,7 @@
 from functools import partial
 from typing import NamedTuple
 
-from cloverway.errors import Kind, RequestError
+from cloverway.errors import EndpointLostError, Kind, RequestError
 from cloverway.framing import EventStream
 from cloverway.meters import Meter
 
@@ -92,9 +92,11 @@
         except BlockingIOError:
             return
         except OSError as error:
-            raise RequestError(Kind.TRUNCATED, "the connection failed in the stream") from error
+            raise EndpointLostError(
+                Kind.TRUNCATED, "the connection failed in the stream"
+            ) from error
         if not data:
-            raise RequestError(Kind.TRUNCATED, "the connection ended within the stream")
+            raise EndpointLostError(Kind.TRUNCATED, "the connection ended within the stream")
         self._heard_at = now
         events = self._events
         piece = events.feed(data)
--- a/cloverway/retries.py
+++ b/cloverway/retries.py
@@ -18,6 +18,7 @@
     Outcome.NOT_SENT: Ran.NO,
     Outcome.REFUSED: Ran.NO,
     Outcome.FAILED: Ran.UNKNOWN,
+    Outcome.LOST: Ran.UNKNOWN,
     Outcome.CALLER_LEFT: Ran.UNKNOWN,
 }
 """What is known of an attempt after each outcome."""
@@ -31,7 +32,7 @@
     """
     if outcome in (Outcome.NOT_SENT, Outcome.REFUSED):
         return True
-    return outcome is Outcome.FAILED and idempotent
+    return outcome in (Outcome.FAILED, Outcome.LOST) and idempotent
 
 
 class Budget:
--- a/cloverway/serving/settings.py
+++ b/cloverway/serving/settings.py
@@ -84,6 +84,9 @@
             for name, value in settings.machine._asdict().items():
                 if not value > 0:
                     findings.add(f"machine.{name}", f"{value:g} must be over 0")
+        if settings is not None:
+            for name, why in settings.quarantine.find_faults():
+                findings.add(f"quarantine.{name}", why)
         findings.raise_if_any()
         assert settings is not None
         return settings
--- a/cloverway/tests/test_claims.py
+++ b/cloverway/tests/test_claims.py
@@ -205,6 +205,7 @@
     expected = {
         Outcome.DONE: Kind.ANSWER_GONE,
         Outcome.FAILED: Kind.KEY_SPENT,
+        Outcome.LOST: Kind.KEY_SPENT,
         Outcome.CALLER_LEFT: Kind.KEY_SPENT,
     }
     if outcome not in expected:
--- a/cloverway/tests/test_copiers.py
+++ b/cloverway/tests/test_copiers.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cloverway.copiers import EndpointStream, RelayCopier, WorkerCopier
-from cloverway.errors import Kind, RequestError
+from cloverway.errors import EndpointLostError, Kind
 from cloverway.framing import ChunkedBody
 from cloverway.relay import Relay
 from cloverway.tests.copying import END, EVENTS, HEAD, WHOLE, Bench, chunk, play
@@ -84,7 +84,7 @@
             caller, ended = bench.hand_over(bench.open(endpoint.url))
             copied = b"".join(iter(lambda: caller.recv(4096), b""))  # noqa: B023
             error = ended.exception(PATIENCE_S)
-            assert isinstance(error, RequestError), place
+            assert isinstance(error, EndpointLostError), place
             assert error.kind is Kind.TRUNCATED
             assert b"[DONE]" not in copied
             body = ChunkedBody()
--- /dev/null
+++ b/cloverway/tests/test_decisions_ends.py
@@ -0,0 +1,120 @@
+"""Requests that end each endpoint which runs them, at one host of the own interface."""
+
+from __future__ import annotations
+
+from random import Random
+
+from cloverway.decisions import Core
+from cloverway.errors import Kind, Ran
+from cloverway.messages import Admitted, Local, Outcome, Refused
+from cloverway.tests.builders import (
+    change_endpoint,
+    make_published,
+    make_request,
+    make_settings,
+    make_view,
+)
+
+VIEW = make_view(make_published(slots=8), free=8)
+ALLOWED_ENDS = 3
+DEADLY = b"crash"
+
+
+class Player:
+    """Requests at one core, in virtual time; endpoints that end come back born again."""
+
+    def __init__(self) -> None:
+        self.core = Core.from_config(make_settings())
+        self.view = VIEW
+        self.random = Random(1)
+        self.now = 0.0
+        self.places = 0
+        self.ended = []
+
+    def arrive(self, body, profile="stock"):
+        """Send a request as another try; give the verdict."""
+        self.now += 1.0
+        self.places += 1
+        request = make_request(self.places, self.now, 20.0, profile=profile, body=body)
+        return self._take(self.core.arrive(self.places, request, self.view, self.now, self.random))
+
+    def finish(self, verdict, outcome, retry=False):
+        """End an attempt; give the verdict on the next one, where it is asked for."""
+        self.places += 1
+        decided = self.core.finish(
+            *(verdict.ticket, outcome, self.view, self.now + 0.1, self.random),
+            retry=self.places if retry else None,
+        )
+        return self._take(decided) if retry else None
+
+    def crash(self, verdict):
+        """End the endpoint that runs an attempt; give the verdict on the next one."""
+        assert isinstance(verdict.route, Local)
+        self.ended.append(verdict.route.endpoint)
+        verdict = self.finish(verdict, Outcome.LOST, retry=True)
+        name = self.ended[-1]
+        born = f"life-{len(self.ended)}"
+        self.view = change_endpoint(self.view, name, incarnation=born)
+        return verdict
+
+    def _take(self, decided):
+        return next(verdict for place, verdict in decided if place == self.places)
+
+
+def repeat(player, tries, body=DEADLY, profile="stock"):
+    """Send a request again and again, and let each endpoint that runs it end."""
+    verdict = None
+    for _ in range(tries):
+        verdict = player.arrive(body, profile)
+        while isinstance(verdict, Admitted):
+            verdict = player.crash(verdict)
+    return verdict
+
+
+def test_a_request_that_ends_each_endpoint_that_runs_it_is_not_sent_for_ever():
+    """A caller sends one request again and again; each endpoint that begins to run it ends.
+
+    The failure was the endpoint's, so the next run went to a sound one, and the next try had
+    another id: nothing told that it was the same request.
+    """
+    player = Player()
+    verdict = repeat(player, 12)
+    assert len(player.ended) == ALLOWED_ENDS
+    assert isinstance(verdict, Refused)
+    assert (verdict.kind, verdict.ran) == (Kind.QUARANTINED, Ran.NO)
+    assert verdict.retry_after > 1_000
+    assert isinstance(player.arrive(b"fine"), Admitted)
+
+
+def test_what_is_told_never_denies_the_run_that_has_just_ended_an_endpoint():
+    player = Player()
+    repeat(player, 1)
+    while len(player.ended) < ALLOWED_ENDS:
+        verdict = player.crash(player.arrive(DEADLY))
+    assert verdict.ran is Ran.UNKNOWN
+
+
+def test_failures_of_endpoints_that_live_on_shut_nothing_out():
+    """An application answers each try of one request with a failure of its own."""
+    player = Player()
+    for _ in range(8):
+        verdict = player.arrive(DEADLY)
+        assert isinstance(verdict, Admitted)
+        player.finish(verdict, Outcome.FAILED)
+
+
+def test_a_request_that_is_served_ends_nothing():
+    player = Player()
+    for _ in range(3):
+        player.finish(player.arrive(DEADLY), Outcome.LOST)
+        player.now += 30.0
+        player.finish(player.arrive(DEADLY), Outcome.DONE)
+        player.now += 30.0
+    assert isinstance(player.arrive(DEADLY), Admitted)
+
+
+def test_other_requests_of_the_team_and_other_teams_are_not_meant():
+    player = Player()
+    repeat(player, 4)
+    assert isinstance(player.arrive(DEADLY + b" not"), Admitted)
+    assert isinstance(player.arrive(DEADLY, profile="urgent"), Admitted)
--- a/cloverway/tests/test_endpoints.py
+++ b/cloverway/tests/test_endpoints.py
@@ -10,7 +10,7 @@
 from cloverway.config.settings import Limits
 from cloverway.connections import IDLE_PER_ADDRESS, Connection, ConnectionPool
 from cloverway.endpoints import EndpointClient
-from cloverway.errors import Kind, Ran, RequestError
+from cloverway.errors import EndpointLostError, Kind, Ran, RequestError
 from cloverway.exchange import Reply
 from cloverway.messages import Request
 from cloverway.tests.raw_endpoint import (
@@ -74,6 +74,7 @@
 
     failure = fail(client, cut)
     assert (failure.kind, failure.ran) == (Kind.TRUNCATED, Ran.UNKNOWN)
+    assert isinstance(failure, EndpointLostError)
 
 
 def test_refused_connection_was_not_run(client: EndpointClient) -> None:
@@ -127,6 +128,7 @@
     failure = fail(client, lambda c: c.answer(b"{}", answer), idempotent=False)
     assert (failure.kind, failure.ran) == (kind, ran)
     assert failure.retry_after == (2.0 if ran is Ran.NO else None)
+    assert not isinstance(failure, EndpointLostError), "it answered, so it hasn't ended"
 
 
 def test_endpoint_errors_of_the_caller_pass_through(client: EndpointClient) -> None:
--- a/cloverway/tests/test_fleet_parts.py
+++ b/cloverway/tests/test_fleet_parts.py
@@ -298,6 +298,15 @@
     assert "machine.link_mbps" in str(caught.value)
 
 
+def test_a_quarantine_of_every_request_is_refused(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS + "[quarantine]\nends = 0\nhold_s = -1\n")
+    with pytest.raises(ConfigurationError) as caught:
+        FleetSettings.from_toml(path)
+    assert "quarantine.ends" in str(caught.value)
+    assert "quarantine.hold_s" in str(caught.value)
+
+
 def make_record(text="x"):
     return logging.LogRecord("n", logging.INFO, "p", 1, text, None, None)
 
--- a/cloverway/tests/test_gateway.py
+++ b/cloverway/tests/test_gateway.py
@@ -8,7 +8,7 @@
 
 from cloverway.claims import Granted, Replayed
 from cloverway.config.published import Published
-from cloverway.errors import Kind, Ran, RequestError
+from cloverway.errors import EndpointLostError, Kind, Ran, RequestError
 from cloverway.exchange import Reply
 from cloverway.gateway import Ports, Record, RequestGateway
 from cloverway.messages import Admitted, Away, Local, Outcome, Refused, Request, Verdict
@@ -206,6 +206,23 @@
     assert claims.settled == [(Outcome.FAILED, None)]
 
 
+def test_a_lost_connection_to_an_endpoint_is_told_from_its_failure() -> None:
+    """The router counts endpoints that end under a request; an answer 500 is none of these."""
+    lost = EndpointLostError(Kind.ENDPOINT_FAILED)
+    bench, router, _, claims = make_bench(lost, DONE)
+    with pytest.raises(RequestError):
+        bench.gateway.run(make_request("allocate", key="k"))
+    assert router.ended == [(1, Outcome.LOST, False)]
+    assert claims.settled == [(Outcome.FAILED, None)]
+    stream = FakeStream(b"a", error=EndpointLostError(Kind.TRUNCATED))
+    bench, router, _, _ = make_bench(Reply(200, "text/event-stream", stream=stream))
+    reply = bench.gateway.run(make_request())
+    assert reply.stream is not None
+    with pytest.raises(RequestError):
+        list(reply.stream)
+    assert router.ended == [(1, Outcome.LOST, False)]
+
+
 def test_a_refused_start_goes_to_another_endpoint_for_any_profile() -> None:
     bench, _, endpoints, claims = make_bench(
         RequestError(Kind.ENDPOINT_REFUSED, ran=Ran.NO),
--- a/cloverway/tests/test_settings.py
+++ b/cloverway/tests/test_settings.py
@@ -22,3 +22,10 @@
     path.write_text(text.replace("\nthreads = 192", "\nthreads = 128"))
     with pytest.raises(ConfigurationError, match=r"limits.threads: must be over .* 128"):
         Settings.from_toml(path)
+
+
+def test_a_quarantine_of_every_request_is_refused(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(EXAMPLE.read_text().replace("\nends = 3", "\nends = 0"))
+    with pytest.raises(ConfigurationError, match=r"quarantine.ends: 0 must be at least 1"):
+        Settings.from_toml(path)
