--- a/cloverway/tests/variants.py
+++ b/cloverway/tests/variants.py
@@ -2,9 +2,9 @@
 
     python -m cloverway.tests.variants SITE FOLDER NAME-OR-SEED...
 
-What is decided must not hang on the figures of the deployments that are known. Each seed draws other
-engines, loads, trips and wanted pauses; the same seed gives the same deployment. The files that are
-made, and the one that they are made from, stay out of the repository.
+What is decided must not hang on the figures of the deployments that are known. Each seed draws
+other engines, loads, trips and wanted pauses; the same seed gives the same deployment. The files
+that are made, and the one that they are made from, stay out of the repository.
 """
 
 from __future__ import annotations
