Let hosts of the own interface tell each other of requests that end endpoints

Each host counted by itself, so a caller that was refused at one host had three endpoints more ended at the next: with eight hosts 24.

Heartbeats and the summaries between failure domains now carry the endpoints that ended, with the digests of what they ran and the age. Recent ones go with each round, all that are remembered with every seventh (odd: half of the siblings are told each time, and always the same half would be told). Who was served is told for six seconds only: told for ever, it would keep a request that turns deadly later from being found out (first form of this change, seen by a test written for it).

Ruled out: a shared copy in each thread, kept in step by messages; one lock for the time of a few look-ups is simpler and was not seen to matter.

--- a/cloverway/control.py
+++ b/cloverway/control.py
@@ -21,6 +21,7 @@
 from cloverway.config.settings import Settings
 from cloverway.configuration import ConfigurationStore, choose_readers
 from cloverway.datagrams import Datagrams
+from cloverway.ends import Ends
 from cloverway.errors import CloverwayError, PeerError
 from cloverway.gossip import Gossip, Own, Received
 from cloverway.heartbeats import parse_incarnation
@@ -62,6 +63,7 @@
         seal: Seal,
         fetch_changes: FetchChanges,
         load: Callable[[], float],
+        ends: Ends,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._settings = settings
@@ -77,6 +79,7 @@
             timing=settings.timing,
             seal=seal,
             random=self._random,
+            ends=ends,
         )
         self._updates = Updates(settings, store, platform, fetch_changes, clock)
         self._leaving = False
@@ -109,6 +112,7 @@
         load: Callable[[], float] = lambda: 0.0,
         secret: bytes | None = None,
         platform: Platform | None = None,
+        ends: Ends | None = None,
     ) -> ControlLoop:
         """Make a loop with the platform that the settings name; raise OSError without a secret."""
         adapter = FilePlatform if settings.platform.kind == "file" else HttpPlatform
@@ -122,6 +126,7 @@
             seal=Seal.from_secret(secret),
             fetch_changes=fetch_changes,
             load=load,
+            ends=ends or Ends(settings.quarantine),
         )
 
     def start(self) -> None:
@@ -219,6 +224,8 @@
         self._read_endpoints(now)
         if self._updates.decide_start(now):
             self._note_urgent()
+        if self.gossip.ends.take_fresh():
+            self._urgent = True
         if self._urgent and now - self._told_at >= URGENT_S:
             self._urgent = False
             self._told_at = now
--- a/cloverway/daemon.py
+++ b/cloverway/daemon.py
@@ -25,6 +25,7 @@
 from cloverway.control import ControlLoop
 from cloverway.dispatcher import Dispatcher
 from cloverway.endpoints import EndpointClient
+from cloverway.ends import Ends
 from cloverway.errors import RequestError, UserError
 from cloverway.gateway import Ports, RequestGateway
 from cloverway.handlers import PeerRequests, make_fetch
@@ -145,7 +146,9 @@
         self.metrics = Metrics(time.monotonic, GAP_BOUNDS_S)
         reporter = Reporter(self.metrics, holder)
         self.peer_client = PeerClient(Identity(settings.host, self.incarnation), secret, bounds)
-        self.dispatcher = Dispatcher.from_config(settings, holder)
+        # What the dispatcher sees of endpoints that end, the control loop tells to other hosts.
+        ends = Ends(settings.quarantine)
+        self.dispatcher = Dispatcher.from_config(settings, holder, ends=ends)
         self.keys = KeyTask.from_settings(settings, self.incarnation, self._may_hold)
         self.claims = Claims(self.keys, self.peer_client, self._find_address, self._may_hold)
         self.endpoints = EndpointClient.from_settings(settings.limits, reporter.note_stream)
@@ -162,6 +165,7 @@
             secret=secret,
             fetch_changes=make_fetch(self.peer_client.changes),
             load=self.dispatcher.load,
+            ends=ends,
         )
         handler = PeerRequests(self.keys, self.gateway, self.control.changes_after)
         self.peer_server = PeerServer(
--- a/cloverway/decisions.py
+++ b/cloverway/decisions.py
@@ -80,12 +80,12 @@
 class Core:
     """Own the queues, tickets and budgets of one host, and decide about each request."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, ends: Ends) -> None:
         self._settings = settings
         self._knowledge = Knowledge()
         self._tickets = Tickets(self._knowledge, settings.limits.admitted)
         self._budget = Budget()
-        self._ends = Ends(settings.quarantine)
+        self._ends = ends
         self._lines: dict[str, Line] = {}
         self._catalogue: Catalogue | None = None
         self._policy: Policy = make_policy(
@@ -99,9 +99,9 @@
         self._pumped_at = float("-inf")
 
     @classmethod
-    def from_config(cls, settings: Settings) -> Core:
-        """Make the core of one daemon."""
-        return cls(settings)
+    def from_config(cls, settings: Settings, ends: Ends | None = None) -> Core:
+        """Make the core of one daemon; `ends` is shared with whoever hears other hosts."""
+        return cls(settings, ends or Ends(settings.quarantine))
 
     def figures(self) -> Figures:
         """Count what is in progress and what waits."""
--- a/cloverway/dispatcher.py
+++ b/cloverway/dispatcher.py
@@ -15,6 +15,7 @@
 
 from cloverway.config.settings import Settings
 from cloverway.decisions import Core, Decided, Figures
+from cloverway.ends import Ends
 from cloverway.errors import Kind
 from cloverway.explanation import Explanation
 from cloverway.messages import (
@@ -70,9 +71,10 @@
         holder: ViewHolder,
         clock: Callable[[], float] = time.monotonic,
         random: Random | None = None,
+        ends: Ends | None = None,
     ) -> Dispatcher:
         """Make a dispatcher from a daemon's settings; `start` runs it."""
-        return cls(Core.from_config(settings), holder, clock, random or Random())
+        return cls(Core.from_config(settings, ends), holder, clock, random or Random())
 
     def start(self) -> None:
         """Start the thread."""
--- a/cloverway/ends.py
+++ b/cloverway/ends.py
@@ -1,31 +1,51 @@
-"""Requests that end the endpoints which run them, as the dispatcher of one host sees them."""
+"""Requests that end the endpoints which run them, as all hosts of the own interface see them."""
 
 from __future__ import annotations
 
-from cloverway.core.quarantine import Crash, Quarantine, QuarantineTerms
+import logging
+import threading
+from collections.abc import Iterable
+
+from cloverway.core.quarantine import Crash, CrashNews, Hold, Quarantine, QuarantineTerms
 from cloverway.errors import Kind
 from cloverway.messages import Local, Outcome, Refused, Request
 from cloverway.tickets import Ticket
 
+log = logging.getLogger(__name__)
+
+RETOLD_S = 6.0
+"""How long an end is told again after it happened: a dozen heartbeats, of which all get lost only
+where the link is cut."""
+MOST_TOLD = 64
+"""Requests that are told of at a time: those of one endpoint that ended with all of its slots
+taken."""
+
 
 class Ends:
     """Counts the endpoints that ended under requests, and refuses those that go on ending them.
 
-    Each host counts by itself: one request ends three endpoints for each host that it is sent to,
-    and not one with each try.
+    The dispatcher asks and notes, and the control loop hears from other hosts and tells them, each
+    on a thread of its own. A lock is held for the time of a few look-ups.
     """
 
     def __init__(self, terms: QuarantineTerms) -> None:
         self._quarantine = Quarantine(terms)
+        self._lock = threading.Lock()
+        self._is_fresh = False
 
     def find_refusal(self, request: Request, now: float) -> Refused | None:
         """Give the refusal of a request that has ended too many endpoints, or None."""
-        hold = self._quarantine.get_hold(request.compute_digest(), now)
+        hold = self.find_hold(request.compute_digest(), now)
         if hold is None:
             return None
         why = f"{hold.ends} endpoints ended while they ran it"
         return Refused(Kind.QUARANTINED, why, hold.left_s)
 
+    def find_hold(self, digest: int, now: float) -> Hold | None:
+        """Tell why a request must not be sent now, or None when it may."""
+        with self._lock:
+            return self._quarantine.get_hold(digest, now)
+
     def note(self, ended: Ticket, outcome: Outcome, now: float) -> None:
         """Learn from the end of an attempt at an endpoint of this failure domain."""
         if not isinstance(ended.candidate.route, Local):
@@ -33,7 +53,66 @@
         life = f"{ended.candidate.name}@{ended.incarnation}"
         digest = ended.entry.request.compute_digest()
         if outcome is Outcome.LOST:
-            self._quarantine.note_crash(Crash(life, (digest,), now))
+            self.note_end(Crash(life, (digest,), now))
         elif outcome is Outcome.DONE:
-            self._quarantine.note_served(digest, now)
-            self._quarantine.note_answer(life, ended.admitted_at)
+            self.note_served(digest, now)
+            with self._lock:
+                self._quarantine.note_answer(life, ended.admitted_at)
+
+    def note_end(self, crash: Crash) -> None:
+        """Note that an endpoint ended while it ran some requests."""
+        with self._lock:
+            fresh = self._quarantine.note_crash(crash)
+            self._is_fresh = self._is_fresh or fresh is not None
+        self._tell([fresh], is_heard=False, now=crash.at)
+
+    def note_served(self, digest: int, now: float) -> None:
+        """Note that a request had a whole answer."""
+        with self._lock:
+            if self._quarantine.note_served(digest, now):
+                self._is_fresh = True
+
+    def hear(self, news: CrashNews, now: float) -> None:
+        """Take over what another host tells. It goes on with the next heartbeats."""
+        with self._lock:
+            for digest in news.served:
+                self._quarantine.note_served(digest, now)
+            fresh = [self._quarantine.note_crash(crash) for crash in news.crashes]
+        self._tell(fresh, is_heard=True, now=now)
+
+    def take_fresh(self) -> bool:
+        """Tell, once, whether this host has seen something that others are to know at once."""
+        with self._lock:
+            is_fresh, self._is_fresh = self._is_fresh, False
+        return is_fresh
+
+    def list_news(self, now: float, full: bool = False) -> CrashNews:
+        """List what was learnt lately, for other hosts; in full with all ends that are remembered.
+
+        Who was served is told only while it is news: each word of it keeps a request from being
+        suspected for a while, and one that turns deadly later would never be found out.
+        """
+        with self._lock:
+            recent = self._quarantine.list_news(now - RETOLD_S, MOST_TOLD)
+            if not full:
+                return recent
+            crashes = self._quarantine.list_news(float("-inf"), MOST_TOLD).crashes
+        return CrashNews(crashes, recent.served)
+
+    def _tell(self, fresh: Iterable[Crash | None], is_heard: bool, now: float) -> None:
+        """Log the endpoints that ended, and the requests that are refused from now on."""
+        for crash in filter(None, fresh):
+            log.info(
+                "an endpoint has ended",
+                extra={"life": crash.life, "requests": len(crash.digests), "heard": is_heard},
+            )
+            for digest in crash.digests:
+                hold = self.find_hold(digest, now)
+                if hold is not None:
+                    shown = {
+                        "request_digest": f"{digest:016x}",
+                        "life": crash.life,
+                        "ends": hold.ends,
+                        "hold_s": round(hold.left_s, 1),
+                    }
+                    log.warning("a request is refused from now on", extra=shown)
--- a/cloverway/gossip.py
+++ b/cloverway/gossip.py
@@ -13,8 +13,11 @@
 from cloverway.config.published import Published
 from cloverway.config.settings import Timing
 from cloverway.configuration import READERS, choose_readers
+from cloverway.core.quarantine import Crash, CrashNews
+from cloverway.ends import Ends
 from cloverway.heartbeats import (
     DomainSummary,
+    EndRow,
     Heartbeat,
     decode,
     encode,
@@ -42,6 +45,10 @@
 """How soon one host is answered again."""
 WANTED = 64
 """Details that are asked for at one time."""
+FULL_EVERY = 7
+"""Rounds in which a host tells once of all ends that it remembers, not only of the last ones. Hosts
+that start or were cut off learn of them then, without anybody keeping track of who knows what. An
+odd number: half of the siblings are told in each round, and always the same half would be told."""
 FAR_HOSTS = 4096
 """Incarnations of other failure domains' hosts whose sequence is remembered."""
 
@@ -79,7 +86,7 @@
 
 
 BLANK = Heartbeat("", 0, 0)
-LISTS = ("heard", "doubted", "loads", "details", "wanted", "summaries")
+LISTS = ("heard", "doubted", "loads", "details", "wanted", "summaries", "ends", "served")
 """The parts of a heartbeat that can be cut."""
 
 
@@ -95,10 +102,12 @@
         timing: Timing,
         seal: Seal,
         random: Random,
+        ends: Ends,
     ) -> None:
         self.host = host
         self.domain = domain
         self.incarnation = incarnation
+        self.ends = ends
         self.own = Own()
         self.members = Membership(host, incarnation, timing.suspect_s)
         self.readings = Readings(timing.suspect_s + SILENT_INTERVALS * READERS * timing.report_s)
@@ -232,6 +241,7 @@
         news = self.readings.take_details(beat.details, at) or news
         self.readings.take_loads(beat.loads, at)
         self._note_asked(beat)
+        self.ends.hear(_read_ends(beat, at), now)
         for summary in beat.summaries:
             self.summaries.take(summary, at, direct=False)
         return Received(
@@ -253,6 +263,7 @@
         self._far[sender] = beat.sequence
         if len(self._far) > FAR_HOSTS:
             del self._far[next(iter(self._far))]
+        self.ends.hear(_read_ends(beat, at), now)
         for summary in beat.summaries:
             self.summaries.take(summary, at, direct=True)
         return Received(host=beat.host, revision=beat.revision, proven=True)
@@ -291,7 +302,8 @@
 
     def _tell(self, names: Iterable[str], now: float) -> Iterator[Outgoing]:
         wanted = self.readings.lacking(WANTED)
-        questions = BLANK._replace(doubted=self.members.doubts(now), wanted=wanted)
+        news = self._list_ends(self._turn, now)
+        questions = news._replace(doubted=self.members.doubts(now), wanted=wanted)
         for name in names:
             message = self._collect(questions, name, now)
             yield from self._address_parts(name, message, self.members.tag_for(name))
@@ -329,8 +341,15 @@
         hosts = self.summaries.hosts_to_tell(domain)
         if hosts:
             name, tag = self._random.choice(hosts)
-            message = self._head()._replace(summaries=(self._summarise(now),))
-            yield self._address(name, message, tag)
+            message = self._list_ends(self._speaker_turn, now)
+            message = message._replace(summaries=(self._summarise(now),))
+            yield from self._address_parts(name, message, tag)
+
+    def _list_ends(self, turn: int, now: float) -> Heartbeat:
+        """Give a message with the endpoints that ended lately, or by turns with all of them."""
+        news = self.ends.list_news(now, full=turn % FULL_EVERY == 0)
+        rows = tuple(EndRow(end.life, end.digests, now - end.at) for end in news.crashes)
+        return BLANK._replace(ends=rows, served=news.served)
 
     def _summarise(self, now: float) -> DomainSummary:
         own = HostState(
@@ -374,6 +393,12 @@
             yield from self._address_parts(name, half, tag)
 
 
+def _read_ends(beat: Heartbeat, at: float) -> CrashNews:
+    """Give what a heartbeat that was sent at or after `at` tells of ends."""
+    crashes = (Crash(row.life, row.digests, at - row.age_s) for row in beat.ends)
+    return CrashNews(tuple(crashes), beat.served)
+
+
 def _halve(message: Heartbeat) -> tuple[Heartbeat, ...]:
     """Cut a message's longest part in two; give nothing when there is no more to cut."""
     field = max(LISTS, key=lambda name: len(getattr(message, name)))
--- a/cloverway/heartbeat.thrift
+++ b/cloverway/heartbeat.thrift
@@ -33,6 +33,13 @@
   10: list<byte> waiting
 }
 
+// An endpoint that ended, and the digests of the requests that it was running.
+struct End {
+  1: string life
+  2: list<i64> digests
+  3: i32 age
+}
+
 struct Heartbeat {
   1: string host
   2: i64 incarnation
@@ -48,4 +55,6 @@
   12: list<i32> wanted
   13: list<Summary> summaries
   14: i64 retired
+  15: list<End> ends
+  16: list<i64> served
 }
--- a/cloverway/heartbeats.py
+++ b/cloverway/heartbeats.py
@@ -92,6 +92,15 @@
     targets: tuple[TargetLevel, ...] = ()
 
 
+class EndRow(NamedTuple):
+    """An endpoint that ended."""
+
+    life: str
+    digests: tuple[int, ...]
+    """What repeats of the requests that it was running have in common."""
+    age_s: float
+
+
 class Heartbeat(NamedTuple):
     """One datagram."""
 
@@ -113,6 +122,9 @@
     summaries: tuple[DomainSummary, ...] = ()
     retired: int = 0
     """An incarnation of the receiver's name that the sender knows to be replaced, or 0."""
+    ends: tuple[EndRow, ...] = ()
+    served: tuple[int, ...] = ()
+    """Requests that ran at endpoints that ended, and were served since."""
 
 
 def identify(name: str) -> int:
@@ -161,6 +173,8 @@
         wanted=list(beat.wanted) or None,
         summaries=[_encode_summary(summary) for summary in beat.summaries] or None,
         retired=beat.retired or None,
+        ends=[_encode_end(row) for row in beat.ends] or None,
+        served=list(beat.served) or None,
     )
     return serialize(message, _PROTOCOL)
 
@@ -196,6 +210,8 @@
         wanted=tuple(message.wanted or ()),
         summaries=tuple(_decode_summary(summary) for summary in message.summaries or ()),
         retired=message.retired or 0,
+        ends=tuple(_decode_end(row) for row in message.ends or ()),
+        served=tuple(message.served or ()),
     )
 
 
@@ -280,6 +296,17 @@
     )
 
 
+def _encode_end(row: EndRow) -> Any:
+    age = _cut(row.age_s / AGE_STEP_S, MAX_I32)
+    return wire.End(life=row.life, digests=list(row.digests), age=age)
+
+
+def _decode_end(row: Any) -> EndRow:
+    if not row.life:
+        raise PeerError("an end lacks the endpoint")
+    return EndRow(row.life, tuple(row.digests or ()), max(0, row.age or 0) * AGE_STEP_S)
+
+
 def _cut(value: float, maximum: int) -> int:
     return round(max(0, min(value, maximum)))
 
--- /dev/null
+++ b/cloverway/tests/test_ends.py
@@ -0,0 +1,206 @@
+"""Hosts of the own interface that tell each other which requests end endpoints, in virtual time."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from cloverway.core.quarantine import SERVED_S, Crash, CrashNews
+from cloverway.ends import RETOLD_S, Ends
+from cloverway.errors import Kind
+from cloverway.gossip import FULL_EVERY
+from cloverway.seal import MAX_DATAGRAM_BYTES
+from cloverway.tests.builders import make_request, make_settings
+from cloverway.tests.virtual import Shape, World
+
+ALLOWED_ENDS = 3
+DEADLY = 77
+
+
+class Caller:
+    """Sends one request to one host after the other; each endpoint that runs it ends."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.lives = itertools.count(1)
+        self.ended = 0
+
+    def ask(self, name: str, digest: int = DEADLY) -> bool:
+        """Send the request to a host; tell whether an endpoint ran it."""
+        ends = self.world.hosts[name].gossip.ends
+        if ends.find_hold(digest, self.world.now) is not None:
+            return False
+        ends.note_end(Crash(f"life-{next(self.lives)}", (digest,), self.world.now))
+        self.ended += 1
+        return True
+
+    def ask_all(self, names, pause_s: float) -> None:
+        """Ask each host once, with pauses."""
+        for name in names:
+            self.ask(name)
+            self.world.run(pause_s)
+
+
+def make_world(**more) -> World:
+    world = World(Shape(**more))
+    world.run_until(world.sees_all)
+    world.run(5.0)
+    return world
+
+
+def test_a_request_that_ends_endpoints_ends_no_more_of_them_at_other_hosts():
+    """A caller is refused at one host and asks the next one; three endpoints end for each host.
+
+    Each host counted the ends that it had seen itself: none of them at a host that was asked for
+    the first time.
+    """
+    world = make_world(hosts=8)
+    caller = Caller(world)
+    caller.ask_all([*world.hosts] * 3, pause_s=0.3)
+    assert caller.ended == ALLOWED_ENDS
+
+
+def test_hosts_of_other_failure_domains_hear_of_it_within_some_seconds():
+    """The caller goes on to another region, whose hosts count from zero.
+
+    Domains tell each other once a second, by one host each.
+    """
+    world = make_world(domains=4, hosts=3, regions=2)
+    caller = Caller(world)
+    first = min(world.published.domains)
+    caller.ask_all([name for name in world.hosts if name.startswith(first)], pause_s=0.3)
+    assert caller.ended == ALLOWED_ENDS
+    world.run(4.0)
+    caller.ask_all([name for name in world.hosts if not name.startswith(first)], pause_s=0.0)
+    assert caller.ended == ALLOWED_ENDS
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_it_is_told_again_where_datagrams_are_lost(seed):
+    """Every fifth datagram is lost: a host that missed the word lets the request run."""
+    world = World(Shape(hosts=6), seed=seed, loss=0.2)
+    world.run_until(world.sees_all)
+    caller = Caller(world)
+    caller.ask_all([*world.hosts][:ALLOWED_ENDS], pause_s=0.5)
+    world.run(4.0)
+    ended = caller.ended
+    caller.ask_all(world.hosts, pause_s=0.0)
+    assert caller.ended == ended <= ALLOWED_ENDS + 1
+
+
+def test_a_host_that_starts_or_was_cut_off_is_told_what_it_missed():
+    """Long after the ends a host starts again, with nothing known, and another comes back.
+
+    What is told only for some seconds after an end would never reach them.
+    """
+    world = make_world(hosts=4)
+    restarts, cut, *rest = world.hosts
+    links = {(cut, other) for other in world.hosts} | {(other, cut) for other in world.hosts}
+    world.cuts |= links
+    caller = Caller(world)
+    caller.ask_all([*rest, *rest], pause_s=0.5)
+    world.run(RETOLD_S + 10.0)
+    world.cuts -= links
+    world.kill(restarts)
+    world.start(restarts)
+    world.run(FULL_EVERY * world.timing.heartbeat_s + 5.0)
+    caller.ask_all([restarts, cut], pause_s=0.0)
+    assert caller.ended == ALLOWED_ENDS
+
+
+def test_a_request_that_was_served_is_cleared_everywhere():
+    """Endpoints lose power under a sound request; it is served, and refused at other hosts."""
+    world = make_world(hosts=3)
+    caller = Caller(world)
+    first, second, third = world.hosts
+    caller.ask_all([first, second], pause_s=1.0)
+    world.hosts[first].gossip.ends.note_served(DEADLY, world.now)
+    world.run(2.0)
+    caller.ask(second)
+    world.run(2.0)
+    assert world.hosts[third].gossip.ends.find_hold(DEADLY, world.now) is None
+
+
+def test_nothing_is_added_to_heartbeats_while_no_endpoint_ends():
+    """Ends are rare; what tells of them must cost nothing on all other days."""
+    world = make_world(hosts=4)
+    quiet = [host.gossip.ends.list_news(world.now, full=True) for host in world.hosts.values()]
+    assert quiet == [CrashNews((), ())] * 4
+
+
+def test_many_ends_at_once_fit_into_datagrams():
+    """Engines end with all of their requests; each datagram stays within its bound."""
+    world = make_world(hosts=3)
+    longest = []
+    world.tap = lambda name, to, datagram: longest.append(len(datagram))
+    first, *others = world.hosts
+    ends = world.hosts[first].gossip.ends
+    for engine in range(64):
+        life = f"region-00-domain-000-engine-{engine:03}@start-{engine}"
+        ends.note_end(Crash(life, (engine, DEADLY * 100), world.now))
+    world.run(3.0)
+    assert max(longest) <= MAX_DATAGRAM_BYTES
+    for name in others:
+        news = world.hosts[name].gossip.ends.list_news(world.now, full=True)
+        assert sum(len(crash.digests) for crash in news.crashes) > 32
+
+
+def test_a_host_that_is_told_refuses_with_the_time_that_is_left():
+    ends = Ends(make_settings().quarantine)
+    request = make_request(1, 0.0, 20.0)
+    for number in range(ALLOWED_ENDS):
+        ends.hear(CrashNews((Crash(f"e{number}", (request.compute_digest(),), 5.0),), ()), 6.0)
+    refused = ends.find_refusal(request, 10.0)
+    assert refused is not None
+    assert refused.kind is Kind.QUARANTINED
+    assert 1_790 < refused.retry_after <= 1_795
+
+
+def test_what_is_heard_and_who_is_refused_can_be_read_in_the_log(caplog):
+    """An operator sees refusals at a host that has seen no endpoint end."""
+    ends = Ends(make_settings().quarantine)
+    with caplog.at_level("INFO", logger="cloverway.ends"):
+        for number in range(ALLOWED_ENDS):
+            ends.hear(CrashNews((Crash(f"e{number}", (DEADLY,), 5.0),), ()), 6.0)
+    told = [record for record in caplog.records if record.msg == "an endpoint has ended"]
+    held = [record for record in caplog.records if record.levelname == "WARNING"]
+    assert [record.life for record in told] == ["e0", "e1", "e2"]
+    assert [(record.request_digest, record.ends) for record in held] == [(f"{DEADLY:016x}", 3)]
+
+
+def test_an_end_counts_from_when_it_happened_wherever_it_is_heard_of():
+    """Told on from host to host, an end would seem to have happened just now, and so for ever.
+
+    The request would be refused to all callers for as long as hosts tell each other of it.
+    """
+    world = make_world(domains=2, hosts=3)
+    caller = Caller(world)
+    begun_at = world.now
+    caller.ask_all([*world.hosts], pause_s=0.5)
+    world.run(60.0)
+    restarts = [*world.hosts][1]
+    world.kill(restarts)
+    world.start(restarts)
+    world.run(FULL_EVERY * world.timing.heartbeat_s + 5.0)
+    hold_s = make_settings().quarantine.hold_s
+    for host in world.hosts.values():
+        hold = host.gossip.ends.find_hold(DEADLY, world.now)
+        assert hold is not None
+        assert world.now + hold.left_s <= begun_at + hold_s * 2 ** (hold.ends - ALLOWED_ENDS) + 5.0
+
+
+def test_a_request_that_was_cleared_once_and_turns_deadly_is_found_out_at_all_hosts():
+    """New versions of engines end under a request that was served an hour ago.
+
+    A host that goes on telling that it was served would keep it from being suspected for ever.
+    """
+    world = make_world(hosts=3)
+    caller = Caller(world)
+    first, *_ = world.hosts
+    caller.ask(first)
+    world.run(1.0)
+    world.hosts[first].gossip.ends.note_served(DEADLY, world.now)
+    world.run(SERVED_S + 10.0)
+    caller.ask_all([*world.hosts] * 3, pause_s=0.5)
+    assert caller.ended == 1 + ALLOWED_ENDS
--- a/cloverway/tests/test_heartbeats.py
+++ b/cloverway/tests/test_heartbeats.py
@@ -11,6 +11,7 @@
 from cloverway.heartbeats import (
     Detail,
     DomainSummary,
+    EndRow,
     Heartbeat,
     HostLevel,
     LoadRow,
@@ -47,6 +48,9 @@
     st.lists(st.builds(HostLevel, I32, I64, st.integers(-1, 127)), max_size=3).map(tuple),
     st.lists(st.builds(TargetLevel, I32, STEPS, STEPS, STEPS), max_size=3).map(tuple),
 )
+END_AGES = st.integers(0, 2**31 - 1).map(lambda steps: steps * heartbeats.AGE_STEP_S)
+DIGESTS = st.lists(st.integers(0, 2**63 - 1), max_size=3).map(tuple)
+ENDS = st.builds(EndRow, NAMES, DIGESTS, END_AGES)
 BEATS = st.builds(
     Heartbeat,
     host=NAMES,
@@ -63,6 +67,8 @@
     wanted=st.lists(I32, max_size=3).map(tuple),
     summaries=st.lists(SUMMARIES, max_size=2).map(tuple),
     retired=st.integers(-(2**63), 2**63 - 1),
+    ends=st.lists(ENDS, max_size=2).map(tuple),
+    served=DIGESTS,
 )
 SEAL = Seal.from_secret(b"k" * 32)
 
--- a/cloverway/tests/virtual.py
+++ b/cloverway/tests/virtual.py
@@ -9,6 +9,8 @@
 
 from cloverway.config.published import Published
 from cloverway.config.settings import Timing
+from cloverway.core.quarantine import QuarantineTerms
+from cloverway.ends import Ends
 from cloverway.gossip import Gossip, Own
 from cloverway.heartbeats import parse_incarnation
 from cloverway.readings import Report
@@ -112,6 +114,7 @@
             timing=self.timing,
             seal=SEAL,
             random=self.random,
+            ends=Ends(QuarantineTerms()),
         )
         gossip.own = Own(revision=1)
         gossip.adopt(self.published)
@@ -190,7 +193,7 @@
         if host.paused_at is not None:
             return
         self._read(host)
-        if host.urgent:
+        if host.gossip.ends.take_fresh() or host.urgent:
             host.urgent = False
             self._send(name, host, host.gossip.spread(self.now))
 
