Let what another region has offered grow old: its engines read on meanwhile

While a region was evacuated (perth, eight seconds), 423 of its requests were refused in ten seconds with 'no endpoint that may run it is left', beside four engines of other regions that read 0.1 to 0.6 of the time. An offer is heard some three times a second and is as old as that when it decides: an engine that was full at that moment stayed full until the next word, and what waits at an engine is read within that time.

An offer now regains room with its age: half of what is wanted of an engine, since its own region sends it prompts meanwhile; what waits beyond a burst is read first.

--- a/cloverway/core/choice.py
+++ b/cloverway/core/choice.py
@@ -8,6 +8,8 @@
 from cloverway.core.deployment import Service
 from cloverway.core.endpoints import Endpoint
 from cloverway.core.load import DUTY, EngineState
+from cloverway.core.members import Offer
+from cloverway.core.pauses import START_PART
 from cloverway.core.prediction import (
     DEFAULT_GAP_S,
     FAILURE_S,
@@ -19,6 +21,12 @@
 OFFER_S = 0.05
 """Time to read one request that another region is told there is room for: between a small and a
 large one. With 0.13 s, small requests found no region that had room, and a tenth was refused."""
+REGAINED_PART = DUTY / 2
+"""Part of the time since an offer in which its engines are taken to have read what waited there:
+half of what is wanted of them, since their own region sends them prompts meanwhile. Taken as it was
+told, a region that was full at that moment stayed full until it was heard again, and what waits at
+an engine is read within that time: requests of an evacuated region were refused beside engines that
+read 0.4 of the time."""
 ANY_TOKENS = 1_000_000
 """Prompt tokens that an idle engine takes: it reads a prompt of any size at once."""
 
@@ -68,6 +76,24 @@
     return Room(engine.queue_s + failed_s, places, left if places else 0, engine)
 
 
+def update_offer(offer: Offer, age_s: float) -> Offer:
+    """Give what a region has offered as it will stand some time later.
+
+    What waits there beyond what may wait at engines is read first.
+    """
+    read_s_per_token = offer.engine.read_s_per_token
+    burst_s = START_PART * DEFAULT_GAP_S
+    over_s = max(0.0, offer.wait_s - burst_s)
+    regained_s = min(REGAINED_PART * age_s - over_s, burst_s)
+    if not read_s_per_token or regained_s <= 0:
+        return offer
+    return offer._replace(
+        wait_s=max(0.0, offer.wait_s - REGAINED_PART * age_s),
+        free=offer.free + int(regained_s / OFFER_S),
+        room=offer.room + int(regained_s / read_s_per_token),
+    )
+
+
 def choose_endpoint(candidates: Iterable[Candidate]) -> Candidate | None:
     """Give the candidate with the earliest answer that is not full, or None."""
     free = [candidate for candidate in candidates if not candidate.full]
--- a/cloverway/serving/targeting.py
+++ b/cloverway/serving/targeting.py
@@ -12,6 +12,7 @@
     choose_region,
     estimate_start,
     estimate_wait,
+    update_offer,
 )
 from cloverway.core.deployment import Service
 from cloverway.core.endpoints import Directory, Endpoint
@@ -239,7 +240,10 @@
                 continue
             if region not in latest or peer.offers_at > latest[region].offers_at:
                 latest[region] = peer
-        return {region: peer.offers[service] for region, peer in latest.items()}
+        return {
+            region: update_offer(peer.offers[service], now - peer.offers_at)
+            for region, peer in latest.items()
+        }
 
     def _choose_peer(self, wanted: Wanted, region: str, now: float) -> Peer | None:
         peers = self._members.list_for_passing(region, now)
