Keep what a region has offered since a request left that it declined

A request that is passed on waits in the other region's line before it is declined, and that region's hosts have said meanwhile what is free, knowing of the line. All of it was forgotten with the older word, so that one decline closed a region until the next heartbeat.

--- a/cloverway/serving/attempt.py
+++ b/cloverway/serving/attempt.py
@@ -189,7 +189,7 @@
         said = head.get(RAN_HEADER) if target.peer is not None else None
         if said is not None:
             await sending.read_body(HOLD_BYTES)
-            return self._read_refusal(head, said)
+            return self._read_refusal(head, said, sent_at)
         if facts.elsewhere and target.candidate is not None:
             target.candidate.endpoint.misdirected_at = read_clock()
         if facts.not_run:
@@ -205,7 +205,7 @@
             target.candidate.endpoint.load.learn_work(read_clock() - sent_at)
         return Answered(sending, head, body)
 
-    def _read_refusal(self, head: ReplyHead, said: bytes) -> Outcome:
+    def _read_refusal(self, head: ReplyHead, said: bytes, sent_at: float) -> Outcome:
         """Read why another host could not serve the request; `said` is what it knows of its run."""
         target = self._target
         why = f"host {target.name} could not serve it: {head.status}"
@@ -216,7 +216,8 @@
         if head.get(KIND_HEADER) == Kind.QUARANTINED.encode():
             # That says nothing of the room in its region, which stays offered to other requests.
             return Declined(why, blames_host=False, arrived=arrived, is_quarantined=True)
-        self._context.targeting.withdraw_offer(target.region, self._wanted.service.name)
+        service = self._wanted.service.name
+        self._context.targeting.withdraw_offer(target.region, service, sent_at)
         return Declined(why, blames_host=False, arrived=arrived)
 
 
--- a/cloverway/serving/targeting.py
+++ b/cloverway/serving/targeting.py
@@ -123,10 +123,14 @@
         if target.lent_by:
             self._change_free(target.region, target.lent_by, 1)
 
-    def withdraw_offer(self, region: str, service: str) -> None:
-        """Forget what a region offered that has just declined, until it offers again."""
+    def withdraw_offer(self, region: str, service: str, sent_at: float) -> None:
+        """Forget what a region had offered before a request was sent there that it declined.
+
+        It declines what waited in its line in vain. What its hosts have said since then, they have
+        said knowing of that line.
+        """
         for peer in self._members.peers.values():
-            if peer.member.region == region:
+            if peer.member.region == region and peer.offers_at <= sent_at:
                 peer.offers.pop(service, None)
 
     def explain(self, wanted: Wanted, now: float) -> str:
--- a/cloverway/tests/test_fleet_path.py
+++ b/cloverway/tests/test_fleet_path.py
@@ -408,6 +408,29 @@
     play(scenario)
 
 
+def test_what_a_region_has_offered_since_a_request_left_outlives_its_refusal():
+    """A region has room again; whoever had a request declined there believes it has none.
+
+    The request waited in the line there before it was declined, and the region's hosts have said
+    meanwhile what is free. That was forgotten with what they had said before.
+    """
+
+    async def scenario():
+        async with run_fleet(endpoints=0) as fleet:
+            await fleet.add_host("d2")
+            await fleet.add_endpoint("far-0", "desk", "d2")
+            north = fleet.hosts[0]
+            await wait_for(lambda: any("desk" in p.offers for p in north.members.peers.values()))
+            (peer,) = (p for p in north.members.peers.values() if "desk" in p.offers)
+            targeting = north.context.targeting
+            targeting.withdraw_offer("south", "desk", peer.offers_at - 0.2)
+            assert "desk" in peer.offers
+            targeting.withdraw_offer("south", "desk", peer.offers_at)
+            assert "desk" not in peer.offers
+
+    play(scenario)
+
+
 def test_an_answer_that_breaks_off_is_an_error_to_its_reader():
     async def scenario():
         async with run_fleet(endpoints=1) as fleet:
