--- a/cloverway/tests/fleet/deployment.py
+++ b/cloverway/tests/fleet/deployment.py
@@ -27,6 +27,11 @@
 REGIONS = {"d1": "north", "d2": "south"}
 
 
+def play(scenario) -> None:
+    """Play a scenario of hosts, endpoints and callers in one event loop."""
+    asyncio.run(scenario())
+
+
 class Reply(NamedTuple):
     status: int
     headers: dict[bytes, bytes]
@@ -137,6 +142,11 @@
     return Reply(head.status, dict(head.headers), body, True)
 
 
+def count_runs(fleet: Fleet, prefix: str) -> int:
+    """Count the requests that reached endpoints whose names begin so."""
+    return sum(len(e.requests) for name, e in fleet.endpoints.items() if name.startswith(prefix))
+
+
 async def wait_for(condition, timeout_s: float = 5.0) -> None:
     """Wait until a condition holds."""
     async with asyncio.timeout(timeout_s):
--- a/cloverway/tests/test_fleet_crashes.py
+++ b/cloverway/tests/test_fleet_crashes.py
@@ -8,7 +8,7 @@
 
 from cloverway.core.quarantine import Crash
 from cloverway.serving.clock import read_clock
-from cloverway.tests.fleet.deployment import run_fleet, wait_for
+from cloverway.tests.fleet.deployment import play, run_fleet, wait_for
 from cloverway.tests.fleet.standins import make_route, make_service
 
 ALLOWED_ENDS = 3
@@ -98,7 +98,7 @@
             assert float(replies[-1].headers[b"retry-after"]) > 0
             assert (await fleet.call("/stream/a", body=HARMLESS)).status == 200
 
-    asyncio.run(scenario())
+    play(scenario)
 
 
 async def hold(deadly, host):
@@ -131,7 +131,7 @@
                 assert (await fleet.call("/stream/a", host, body=HARMLESS)).status == 200
             assert len(deadly.ended) == ALLOWED_ENDS
 
-    asyncio.run(scenario())
+    play(scenario)
 
 
 def test_a_host_that_was_away_hears_what_it_has_missed():
@@ -154,7 +154,7 @@
             await wait_for(lambda: away.context.quarantine.count_held(read_clock()) == 1, 2.0)
             assert (await deadly.fleet.call("/stream/a", away, body=DEADLY)).status == 503
 
-    asyncio.run(scenario())
+    play(scenario)
 
 
 def test_another_region_refuses_it_and_stays_open_to_other_requests():
@@ -179,7 +179,7 @@
             assert not withdrawn
             assert len(deadly.ended) == ALLOWED_ENDS
 
-    asyncio.run(scenario())
+    play(scenario)
 
 
 def test_it_is_refused_at_once_and_not_after_a_wait_for_a_place():
@@ -201,7 +201,7 @@
             assert b"quarantined" in reply.body
             assert float(reply.headers[b"retry-after"]) > 1_000
 
-    asyncio.run(scenario())
+    play(scenario)
 
 
 def test_what_many_callers_ask_is_served_after_engines_have_ended_together():
@@ -226,7 +226,7 @@
             assert 502 in {reply.status for reply in replies}
             assert (await fleet.call("/cut/a", body=HARMLESS)).status == 200
 
-    asyncio.run(scenario())
+    play(scenario)
 
 
 def test_a_request_that_was_waiting_when_the_news_came_is_not_sent():
@@ -256,7 +256,7 @@
             engines = host.directory.endpoints.values()
             assert not any(engine.load.sum_own().running for engine in engines)
 
-    asyncio.run(scenario())
+    play(scenario)
 
 
 def test_connections_that_are_reset_at_engines_that_live_on_shut_nothing_out():
@@ -287,7 +287,7 @@
             assert len(set(unlucky)) >= ALLOWED_ENDS
             assert (await fleet.call("/safe/a", body=DEADLY)).status == 200
 
-    asyncio.run(scenario())
+    play(scenario)
 
 
 def test_an_engine_that_falls_silent_under_a_request_counts_as_ended():
@@ -313,4 +313,4 @@
             third = await fleet.call("/stream/a", body=DEADLY, deadline_ms=9000)
             assert third.status == 503
 
-    asyncio.run(scenario())
+    play(scenario)
--- a/cloverway/tests/test_fleet_hosts.py
+++ b/cloverway/tests/test_fleet_hosts.py
@@ -12,14 +12,10 @@
 from cloverway.serving.catalogue import FOLLOW_S
 from cloverway.serving.client import Sending, fetch, make_request
 from cloverway.serving.clock import read_clock
-from cloverway.tests.fleet.deployment import read_reply, run_fleet, wait_for
+from cloverway.tests.fleet.deployment import play, read_reply, run_fleet, wait_for
 from cloverway.tests.fleet.standins import make_route, make_service, take_ports
 
 
-def play(scenario):
-    asyncio.run(scenario())
-
-
 def test_a_host_that_knows_no_configuration_refuses_and_is_not_ready():
     """A host starts while the store is away and no other host is there.
 
--- a/cloverway/tests/test_fleet_lives.py
+++ b/cloverway/tests/test_fleet_lives.py
@@ -8,16 +8,12 @@
 
 from cloverway.core.endpoints import REFUSED_S
 from cloverway.serving.clock import read_clock
-from cloverway.tests.fleet.deployment import run_fleet, wait_for
+from cloverway.tests.fleet.deployment import play, run_fleet, wait_for
 from cloverway.tests.fleet.standins import make_route, make_service, share_part
 
 ENGINE = {"slots": 8, "kvTokens": 300_000, "kvTokenBytes": 18_432, "linkMbps": 180_000}
 
 
-def play(scenario):
-    asyncio.run(scenario())
-
-
 def list_usable(fleet):
     endpoints = fleet.hosts[0].directory.list_usable("desk", read_clock())
     return {endpoint.entry.id for endpoint in endpoints}
--- /dev/null
+++ b/cloverway/tests/test_fleet_silence.py
@@ -0,0 +1,190 @@
+"""Requests whose endpoints are silent or full, and how long they are waited for."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from cloverway.serving.clock import read_clock
+from cloverway.tests.fleet.deployment import play, run_fleet, wait_for
+from cloverway.tests.fleet.standins import make_route, make_service, share_part
+
+
+def test_an_idempotent_request_is_run_elsewhere_when_an_endpoint_hangs():
+    """An endpoint takes a request and says nothing more, or its connection went silent for good.
+
+    Nothing tells the two from an endpoint that works. After a few objectives the request is run
+    elsewhere, well within the caller's time.
+    """
+
+    async def scenario():
+        async with run_fleet() as fleet:
+            first = fleet.endpoints["desk-0"]
+            first.answer = first.answer_never
+            replies = [await fleet.call("/safe/a") for _ in range(3)]
+            assert {reply.status for reply in replies} == {200}
+            assert first.cancelled == len(first.requests) > 0
+
+    play(scenario)
+
+
+def test_a_request_that_may_run_once_is_waited_for_however_long_its_endpoint_is_silent():
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            endpoint = fleet.endpoints["desk-0"]
+
+            async def answer_late(exchange):
+                await asyncio.sleep(1.8)
+                await endpoint.answer_plainly(exchange)
+
+            endpoint.answer = answer_late
+            reply = await fleet.call("/once/a")
+            assert reply.status == 200
+            assert len(endpoint.requests) == 1
+
+    play(scenario)
+
+
+def test_a_stream_that_falls_silent_goes_on_elsewhere():
+    """The connection to an endpoint goes silent after two events, without a close or a reset."""
+
+    async def scenario():
+        async with run_fleet() as fleet:
+            for endpoint in (fleet.endpoints["model-0"], fleet.endpoints["model-1"]):
+
+                async def answer(exchange, endpoint=endpoint):
+                    last = dict(exchange.headers).get(b"last-event-id")
+                    if last is not None:
+                        await endpoint.stream(int(last) + 1, 4)(exchange)
+                        return
+                    exchange.start(200, endpoint.head(exchange))
+                    for number in (1, 2):
+                        await exchange.send(b"id: %d\ndata: token %d\n\n" % (number, number))
+                    await asyncio.sleep(3600)
+
+                endpoint.answer = answer
+            reply = await fleet.call("/stream/a", deadline_ms=8000)
+            assert reply.whole
+            assert reply.body.count(b"data:") == 4
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(("pause_s", "strained"), [(0.6, True), (0.0, False)])
+def test_the_pauses_of_an_engine_are_its_own(pause_s, strained):
+    """A stream breaks off, and goes on at another endpoint after 0.7 s.
+
+    Its caller sees a pause, but no engine reads prompts in every step: taken for strained, the
+    second one would get no long prompts. An engine that pauses between its events is strained.
+    """
+
+    async def scenario():
+        async with run_fleet() as fleet:
+            first, second = fleet.endpoints["model-0"], fleet.endpoints["model-1"]
+            host = fleet.hosts[0]
+
+            async def go_on_late(exchange):
+                await asyncio.sleep(0.7)
+                await second.stream(3, 5, gap_s=pause_s)(exchange)
+
+            first.answer = first.stream(1, 2, breaks=True)
+            second.answer = go_on_late
+            host.directory.endpoints["model-1"].load.note_failure(read_clock())
+            reply = await fleet.call("/stream/")
+            assert reply.whole
+            assert reply.body.count(b"id: ") == 5
+            loads = [endpoint.load for endpoint in host.directory.endpoints.values()]
+            last_event_at = read_clock() - pause_s
+            assert any(load.is_strained(last_event_at) for load in loads) == strained
+
+    play(scenario)
+
+
+ENGINE = {"slots": 8, "kvTokens": 300_000, "kvTokenBytes": 18_432, "linkMbps": 180_000}
+
+
+PROMPT = (b"X-Cloverway-Token-Usage", b"5000,30")
+
+
+async def publish_engine(fleet, timeout_ms):
+    """Publish a route of streams to one engine, with an objective of 0.5 s, at an old host."""
+    route = make_route("cut", "streaming", "model", timeoutMs=timeout_ms)
+    fleet.publish([route], [make_service("model", engine=ENGINE)])
+    host = fleet.hosts[0]
+    await wait_for(lambda: host.directory.configuration.version == fleet.version)
+    endpoint = fleet.endpoints["model-0"]
+    endpoint.answer = endpoint.stream(1, 2)
+    host.context.targeting._started_at -= 10.0
+    return host.directory.endpoints["model-0"].load
+
+
+def test_an_engine_is_told_where_to_fetch_what_another_one_has_read():
+    """The engine that has read a shared part works on a long prompt; its part is asked for again.
+
+    The request goes to the idle engine, with the address of the one that has the part.
+    """
+
+    async def scenario():
+        async with run_fleet() as fleet:
+            model = make_service("model", engine=ENGINE)
+            fleet.publish([make_route("cut", "streaming", "model")], [model])
+            await wait_for(lambda: fleet.hosts[0].directory.configuration.version == fleet.version)
+            engines = [fleet.endpoints[name] for name in ("model-0", "model-1")]
+            for endpoint in engines:
+                endpoint.answer = endpoint.stream(1, 2)
+            await fleet.call("/cut/", headers=share_part(1, 1_000))
+            holder = next(endpoint for endpoint in engines if endpoint.requests)
+            other = next(endpoint for endpoint in engines if not endpoint.requests)
+            load = fleet.hosts[0].directory.endpoints[holder.name].load
+            await wait_for(lambda: not load.backlog(read_clock()))
+            holder.answer = holder.answer_never
+            waiting = await fleet.begin_call("/cut/", headers=share_part(2, 9_000))
+            await wait_for(lambda: len(holder.requests) == 2)
+            await fleet.call("/cut/", headers=share_part(3, 1_000))
+            fields = dict(other.requests[0].headers)
+            assert fields[b"kv-fetch"] == holder.address.encode()
+            assert b"kv-fetch" not in dict(holder.requests[1].headers)
+            waiting.connection.abort()
+
+    play(scenario)
+
+
+def test_a_request_that_would_wait_too_long_is_refused_at_once():
+    """The only engine has prompts to read for ten seconds, and the route allows three.
+
+    Held until its time is over, the caller would have lost it for nothing. It is told at once that
+    nothing ran, and to come back when there may be room.
+    """
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            load = await publish_engine(fleet, 3000)
+            load.note_read(int(10 / load.read_s_per_token), read_clock())
+            asked_at = read_clock()
+            reply = await fleet.call("/cut/", headers=(PROMPT,))
+            assert reply.status == 503
+            assert read_clock() - asked_at < 0.5
+            assert float(reply.headers[b"retry-after"]) >= 3.0
+            assert not fleet.endpoints["model-0"].requests
+
+    play(scenario)
+
+
+def test_a_request_that_can_only_be_late_is_served_late():
+    """The engine has prompts to read for 0.8 s. The objective is half a second, the time six.
+
+    Refused after a part of the objective, the caller came back once, met the next queue, and often
+    got nothing.
+    """
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            load = await publish_engine(fleet, 6000)
+            load.note_read(int(0.8 / load.read_s_per_token), read_clock())
+            asked_at = read_clock()
+            reply = await fleet.call("/cut/", headers=(PROMPT,), deadline_ms=6000)
+            assert reply.status == 200
+            assert read_clock() - asked_at > 0.5
+
+    play(scenario)
