--- a/cloverway/gossip.py
+++ b/cloverway/gossip.py
@@ -8,12 +8,13 @@
 import logging
 from collections.abc import Iterable, Iterator
 from random import Random
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from cloverway.config.published import Published
 from cloverway.config.settings import Timing
 from cloverway.configuration import READERS, choose_readers
 from cloverway.core.quarantine import Crash, CrashNews
+from cloverway.cutting import BLANK, halve
 from cloverway.ends import Ends
 from cloverway.heartbeats import (
     DomainSummary,
@@ -85,11 +86,6 @@
     revision: int = 0
 
 
-BLANK = Heartbeat("", 0, 0)
-LISTS = ("heard", "doubted", "loads", "details", "wanted", "summaries", "ends", "served")
-"""The parts of a heartbeat that can be cut."""
-
-
 class Gossip:
     """One host's part of the exchange."""
 
@@ -386,7 +382,7 @@
         if len(body) + OVERHEAD_BYTES <= MAX_DATAGRAM_BYTES:
             yield Outgoing(self._published.hosts[name].peers, self._seal.close(body, tag))
             return
-        halves = _halve(message)
+        halves = halve(message)
         if not halves:
             log.warning("a heartbeat is too long for a datagram", extra={"bytes": len(body)})
         for half in halves:
@@ -397,25 +393,3 @@
     """Give what a heartbeat that was sent at or after `at` tells of ends."""
     crashes = (Crash(row.life, row.digests, at - row.age_s) for row in beat.ends)
     return CrashNews(tuple(crashes), beat.served)
-
-
-def _halve(message: Heartbeat) -> tuple[Heartbeat, ...]:
-    """Cut a message's longest part in two; give nothing when there is no more to cut."""
-    field = max(LISTS, key=lambda name: len(getattr(message, name)))
-    items = getattr(message, field)
-    middle = len(items) // 2
-    if middle == 0:
-        return _separate(message)
-    return (_replace(message, field, items[:middle]), _replace(BLANK, field, items[middle:]))
-
-
-def _separate(message: Heartbeat) -> tuple[Heartbeat, ...]:
-    """Give one message for each part that has an item, when there is more than one such part."""
-    filled = [name for name in LISTS if getattr(message, name)]
-    alone = tuple(_replace(BLANK, name, getattr(message, name)) for name in filled)
-    return alone if len(alone) > 1 else ()
-
-
-def _replace(message: Heartbeat, field: str, items: tuple[Any, ...]) -> Heartbeat:
-    changed: dict[str, Any] = {field: items}
-    return message._replace(**changed)
--- a/cloverway/tests/variants.py
+++ b/cloverway/tests/variants.py
@@ -41,6 +41,7 @@
 
 
 KNOWN = {
+    "load-070": Variant(load=0.7),
     "load-100": Variant(),
     "load-130": Variant(load=1.3),
     "load-160": Variant(load=1.6),
