Tell hosts of the own interface for long only of ends that something is refused for

A host that starts needs only those that requests are held for: below that the hosts that know them refuse at the third. The grouping of ends by endpoint is shared by the two lists in core/quarantine.py; what the platform's hosts tell is unchanged.

--- a/cloverway/core/quarantine.py
+++ b/cloverway/core/quarantine.py
@@ -8,8 +8,9 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple, TypeVar
 
 Key = TypeVar("Key")
@@ -151,14 +152,25 @@
 
     def list_news(self, since: float, most: int) -> CrashNews:
         """List what was learnt since some time, the last first, up to a number of requests."""
+        digests = list(reversed(self._suspects))[:most]
+        crashes = self._list_ends(digests, since)
+        served = [digest for digest, at in self._cleared.items() if at >= since]
+        return CrashNews(crashes, tuple(served[-most:]))
+
+    def list_held(self, now: float, most: int) -> tuple[Crash, ...]:
+        """List the ends for which requests are refused now, up to a number of requests."""
+        held = (digest for digest in reversed(self._suspects) if self.get_hold(digest, now))
+        return self._list_ends(itertools.islice(held, most), float("-inf"))
+
+    def _list_ends(self, digests: Iterable[int], since: float) -> tuple[Crash, ...]:
+        """List the endpoints that ended under some requests since some time."""
         found: dict[str, Crash] = {}
-        for digest in list(reversed(self._suspects))[:most]:
+        for digest in digests:
             for life, at in self._suspects[digest].items():
                 if at >= since:
                     known = found.get(life, Crash(life, (), at))
                     found[life] = Crash(life, (*known.digests, digest), max(at, known.at))
-        served = [digest for digest, at in self._cleared.items() if at >= since]
-        return CrashNews(tuple(found.values()), tuple(served[-most:]))
+        return tuple(found.values())
 
     def _suspect(self, digest: int, crash: Crash) -> bool:
         """Count an end against a request; tell whether that was news."""
--- a/cloverway/ends.py
+++ b/cloverway/ends.py
@@ -97,17 +97,16 @@
         return is_fresh
 
     def list_news(self, now: float, full: bool = False) -> CrashNews:
-        """List what was learnt lately, for other hosts; in full with all ends that are remembered.
+        """List what was learnt lately, for other hosts; in full with what requests are held for.
 
-        Who was served is told only while it is news: each word of it keeps a request from being
-        suspected for a while, and one that turns deadly later would never be found out.
+        An end for which nothing is refused, and who was served, is told only while it is news. Told
+        for ever, the first would fill heartbeats with the failures of months, and the second keep a
+        request that turns deadly later from being found out.
         """
         with self._lock:
             recent = self._quarantine.list_news(now - RETOLD_S, MOST_TOLD)
-            if not full:
-                return recent
-            crashes = self._quarantine.list_news(float("-inf"), MOST_TOLD).crashes
-        return CrashNews(crashes, recent.served)
+            held = self._quarantine.list_held(now, MOST_TOLD) if full else ()
+        return recent._replace(crashes=recent.crashes + held)
 
     def _tell(self, fresh: Iterable[Crash | None], is_heard: bool, now: float) -> None:
         """Log the endpoints that ended, and the requests that are refused from now on."""
--- a/cloverway/gossip.py
+++ b/cloverway/gossip.py
@@ -47,9 +47,10 @@
 WANTED = 64
 """Details that are asked for at one time."""
 FULL_EVERY = 7
-"""Rounds in which a host tells once of all ends that it remembers, not only of the last ones. Hosts
-that start or were cut off learn of them then, without anybody keeping track of who knows what. An
-odd number: half of the siblings are told in each round, and always the same half would be told."""
+"""Rounds in which a host tells once of all ends that requests are refused for, and not only of the
+last ones. Hosts that start or were cut off learn of them then, without anybody keeping track of who
+knows what. An odd number: half of the siblings are told in each round, and always the same half
+would be told."""
 FAR_HOSTS = 4096
 """Incarnations of other failure domains' hosts whose sequence is remembered."""
 
@@ -342,7 +343,7 @@
             yield from self._address_parts(name, message, tag)
 
     def _list_ends(self, turn: int, now: float) -> Heartbeat:
-        """Give a message with the endpoints that ended lately, or by turns with all of them."""
+        """Give a message with the endpoints that ended lately; by turns with more of them."""
         news = self.ends.list_news(now, full=turn % FULL_EVERY == 0)
         rows = tuple(EndRow(end.life, end.digests, now - end.at) for end in news.crashes)
         return BLANK._replace(ends=rows, served=news.served)
--- a/cloverway/tests/test_ends.py
+++ b/cloverway/tests/test_ends.py
@@ -129,6 +129,20 @@
     assert quiet == [CrashNews((), ())] * 4
 
 
+def test_ends_that_nothing_is_refused_for_are_not_told_for_ever():
+    """Endpoints fail now and then over months, each under other requests."""
+    world = make_world(hosts=3)
+    first, *_ = world.hosts
+    for number in range(20):
+        world.hosts[first].gossip.ends.note_end(Crash(f"e{number}", (number,), world.now))
+    world.run(1.0)
+    news = [host.gossip.ends.list_news(world.now, full=True) for host in world.hosts.values()]
+    assert all(len(each.crashes) >= 20 for each in news)
+    world.run(RETOLD_S + 1.0)
+    news = [host.gossip.ends.list_news(world.now, full=True) for host in world.hosts.values()]
+    assert news == [CrashNews((), ())] * 3
+
+
 def test_many_ends_at_once_fit_into_datagrams():
     """Engines end with all of their requests; each datagram stays within its bound."""
     world = make_world(hosts=3)
