--- a/cloverway/configuration.py
+++ b/cloverway/config/configuration.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from cloverway.config.published import Published
-from cloverway.revisions import (
+from cloverway.config.revisions import (
     Accepted,
     Gap,
     OfferResult,
--- a/cloverway/revisions.py
+++ b/cloverway/config/revisions.py
@@ -12,10 +12,10 @@
 from typing import Any, NamedTuple
 
 from cloverway.config.checks import Claims, Place, find_faults
+from cloverway.config.documents import Documents, Entry
 from cloverway.config.findings import Findings
 from cloverway.config.published import Published, is_revision, parse_document, warn_unknown
 from cloverway.config.schema import SINGLES, TABLES, Objective
-from cloverway.documents import Documents, Entry
 from cloverway.sources.port import Changes
 
 MOST_DOCUMENTS = 100_000
--- a/cloverway/updates.py
+++ b/cloverway/config/updates.py
@@ -11,17 +11,17 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from cloverway.config.published import Published
-from cloverway.config.settings import Settings
-from cloverway.configuration import (
+from cloverway.config.configuration import (
     Accepted,
     ConfigurationStore,
     Source,
     StartGate,
     log_result,
 )
+from cloverway.config.published import Published
+from cloverway.config.settings import Settings
 from cloverway.errors import CloverwayError
-from cloverway.reports import Workers
+from cloverway.membership.reports import Workers
 from cloverway.sources.port import Changes, Platform
 
 log = logging.getLogger(__name__)
--- a/cloverway/daemon.py
+++ b/cloverway/daemon.py
@@ -14,29 +14,30 @@
 
 import typer
 
-from cloverway import __version__, residency
-from cloverway.admin import AdminServer, Operations
-from cloverway.callers import CallerServer
-from cloverway.channel import Identity
-from cloverway.claims import Claims, KeyTask
+from cloverway import __version__
+from cloverway.config.configuration import ConfigurationStore
 from cloverway.config.secrets import read_secret
 from cloverway.config.settings import Settings
-from cloverway.configuration import ConfigurationStore
-from cloverway.control import ControlLoop
-from cloverway.dispatcher import Dispatcher
-from cloverway.endpoints import EndpointClient
-from cloverway.ends import Ends
+from cloverway.dispatch import residency
+from cloverway.dispatch.dispatcher import Dispatcher
+from cloverway.dispatch.ends import Ends
+from cloverway.entry.callers import CallerServer
 from cloverway.errors import RequestError, UserError
 from cloverway.gateway import Ports, RequestGateway
-from cloverway.handlers import PeerRequests, make_fetch
 from cloverway.logs import configure_logs
-from cloverway.meters import GAP_BOUNDS_S
-from cloverway.metrics import Metrics
-from cloverway.peer_client import PeerClient
-from cloverway.peer_server import PeerServer
-from cloverway.peering import PeerBounds
-from cloverway.reporting import Reporter
-from cloverway.view import View, ViewHolder
+from cloverway.membership.control import ControlLoop
+from cloverway.membership.view import View, ViewHolder
+from cloverway.once.claims import Claims, KeyTask
+from cloverway.operations.admin import AdminServer, Operations
+from cloverway.operations.metrics import Metrics
+from cloverway.operations.reporting import Reporter
+from cloverway.peers.channel import Identity
+from cloverway.peers.handlers import PeerRequests, make_fetch
+from cloverway.peers.peer_client import PeerClient
+from cloverway.peers.peer_server import PeerServer
+from cloverway.peers.peering import PeerBounds
+from cloverway.upstream.endpoints import EndpointClient
+from cloverway.upstream.meters import GAP_BOUNDS_S
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/cloverway/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""What is decided about a request: queues, limits, routes, retries."""
--- a/cloverway/admission.py
+++ b/cloverway/dispatch/admission.py
@@ -13,9 +13,9 @@
 from typing import NamedTuple
 
 from cloverway.config.schema import Urgency
+from cloverway.dispatch.prompts import Prefix
 from cloverway.errors import Kind, Ran
 from cloverway.messages import Refused, Request
-from cloverway.prompts import Prefix
 
 KEPT_SHARE: dict[Urgency, float] = {Urgency.BATCH: 0.03, Urgency.NORMAL: 0.07}
 """Part of the capacity that a lower class gets while more urgent work waits: none starves."""
--- a/cloverway/affinity.py
+++ b/cloverway/dispatch/affinity.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
-from cloverway.prompts import Prefix
+from cloverway.dispatch.prompts import Prefix
 
 MOST_ENTRIES = 20_000
 """Bound on remembered blocks, about 4 MB."""
--- a/cloverway/decisions.py
+++ b/cloverway/dispatch/decisions.py
@@ -11,20 +11,20 @@
 from random import Random
 from typing import NamedTuple
 
-from cloverway.admission import Line, Waiting, refuse
-from cloverway.catalogue import Catalogue
 from cloverway.config.schema import Objective, Urgency
 from cloverway.config.settings import Settings
-from cloverway.ends import Ends
+from cloverway.dispatch.admission import Line, Waiting, refuse
+from cloverway.dispatch.catalogue import Catalogue
+from cloverway.dispatch.ends import Ends
+from cloverway.dispatch.explanation import Explanation, explain, explain_unready
+from cloverway.dispatch.outlook import Outlook
+from cloverway.dispatch.policies import Policy, Reach, make_policy
+from cloverway.dispatch.retries import AFTER, Budget, may_repeat
+from cloverway.dispatch.routing import Candidate, Knowledge, Router
+from cloverway.dispatch.tickets import Ticket, Tickets, name_places
 from cloverway.errors import Kind, Ran
-from cloverway.explanation import Explanation, explain, explain_unready
+from cloverway.membership.view import EndpointState, View
 from cloverway.messages import Away, Outcome, Refused, Request, Verdict
-from cloverway.outlook import Outlook
-from cloverway.policies import Policy, Reach, make_policy
-from cloverway.retries import AFTER, Budget, may_repeat
-from cloverway.routing import Candidate, Knowledge, Router
-from cloverway.tickets import Ticket, Tickets, name_places
-from cloverway.view import EndpointState, View
 
 STARTING_RETRY_S = 1.0
 """When to come back to a host that has no configuration yet."""
--- a/cloverway/dispatcher.py
+++ b/cloverway/dispatch/dispatcher.py
@@ -14,10 +14,11 @@
 from typing import Any, NamedTuple
 
 from cloverway.config.settings import Settings
-from cloverway.decisions import Core, Decided, Figures
-from cloverway.ends import Ends
+from cloverway.dispatch.decisions import Core, Decided, Figures
+from cloverway.dispatch.ends import Ends
+from cloverway.dispatch.explanation import Explanation
 from cloverway.errors import Kind
-from cloverway.explanation import Explanation
+from cloverway.membership.view import ViewHolder
 from cloverway.messages import (
     Arrival,
     Cancelled,
@@ -29,7 +30,6 @@
     Verdict,
 )
 from cloverway.task import Task
-from cloverway.view import ViewHolder
 
 log = logging.getLogger(__name__)
 
--- a/cloverway/ends.py
+++ b/cloverway/dispatch/ends.py
@@ -7,10 +7,10 @@
 from collections.abc import Iterable
 
 from cloverway.core.quarantine import Crash, CrashNews, Hold, Quarantine, QuarantineTerms
+from cloverway.dispatch.tickets import Ticket
 from cloverway.errors import Kind
+from cloverway.membership.view import EndpointState, View
 from cloverway.messages import Local, Outcome, Refused, Request
-from cloverway.tickets import Ticket
-from cloverway.view import EndpointState, View
 
 log = logging.getLogger(__name__)
 
--- a/cloverway/explanation.py
+++ b/cloverway/dispatch/explanation.py
@@ -5,13 +5,13 @@
 from collections.abc import Callable, Mapping
 from typing import TypedDict
 
-from cloverway.admission import Line, Waiting
-from cloverway.catalogue import Offer
+from cloverway.dispatch.admission import Line, Waiting
+from cloverway.dispatch.catalogue import Offer
+from cloverway.dispatch.outlook import NOWHERE, Outlook
+from cloverway.dispatch.policies import Choice, Policy, Reach
+from cloverway.dispatch.routing import Candidate, Router, name_domain
 from cloverway.errors import Kind
 from cloverway.messages import Away, Request
-from cloverway.outlook import NOWHERE, Outlook
-from cloverway.policies import Choice, Policy, Reach
-from cloverway.routing import Candidate, Router, name_domain
 
 PROBE_S = 60.0
 """Time that an explained request is taken to have."""
--- a/cloverway/limits.py
+++ b/cloverway/dispatch/limits.py
@@ -8,7 +8,7 @@
 
 from collections import deque
 
-from cloverway.view import EndpointState
+from cloverway.membership.view import EndpointState
 
 HISTORY_S = 10.0
 """How far back own in-flight counts are kept; reports older than that are useless anyhow."""
--- a/cloverway/outlook.py
+++ b/cloverway/dispatch/outlook.py
@@ -4,15 +4,15 @@
 
 from random import Random
 
-from cloverway.admission import Line, Waiting
 from cloverway.config.published import Published
+from cloverway.dispatch.admission import Line, Waiting
+from cloverway.dispatch.policies import Choice, Home, Reach
+from cloverway.dispatch.prompts import Prefix
+from cloverway.dispatch.residency import allowed_regions
+from cloverway.dispatch.routing import Candidate, Router
 from cloverway.errors import Kind
+from cloverway.membership.view import EndpointState
 from cloverway.messages import Request
-from cloverway.policies import Choice, Home, Reach
-from cloverway.prompts import Prefix
-from cloverway.residency import allowed_regions
-from cloverway.routing import Candidate, Router
-from cloverway.view import EndpointState
 
 PASSED_ON_WAIT_S = 0.25
 """The longest predicted wait of a passed-on request; its first host may know a better place."""
--- a/cloverway/policies.py
+++ b/cloverway/dispatch/policies.py
@@ -8,9 +8,9 @@
 from random import Random
 from typing import NamedTuple, Protocol
 
-from cloverway.admission import Waiting
 from cloverway.config.schema import Objective, Urgency
-from cloverway.routing import Candidate
+from cloverway.dispatch.admission import Waiting
+from cloverway.dispatch.routing import Candidate
 
 SENT_AWAY_PART = 0.25
 """Part of its service time that a request would wait at home at equal weights, to stay there."""
--- a/cloverway/routing.py
+++ b/cloverway/dispatch/routing.py
@@ -11,15 +11,15 @@
 from random import Random
 from typing import NamedTuple
 
-from cloverway.admission import Waiting
-from cloverway.affinity import SURELY_S, PrefixTable, rank_places
-from cloverway.catalogue import Catalogue, Offer
 from cloverway.config.settings import Timing
-from cloverway.estimates import Estimates, Mean
-from cloverway.limits import HEADROOM, Flight, Limit, estimate_others, share_slots
+from cloverway.dispatch.admission import Waiting
+from cloverway.dispatch.affinity import SURELY_S, PrefixTable, rank_places
+from cloverway.dispatch.catalogue import Catalogue, Offer
+from cloverway.dispatch.estimates import Estimates, Mean
+from cloverway.dispatch.limits import HEADROOM, Flight, Limit, estimate_others, share_slots
+from cloverway.dispatch.outliers import Outliers
+from cloverway.membership.view import EndpointState, HostState, Summary, View
 from cloverway.messages import Away, Local, Route
-from cloverway.outliers import Outliers
-from cloverway.view import EndpointState, HostState, Summary, View
 
 SLOW_START_S = 10.0
 SLOW_START_PART = 0.25
--- a/cloverway/tickets.py
+++ b/cloverway/dispatch/tickets.py
@@ -6,13 +6,13 @@
 from collections import Counter
 from typing import NamedTuple
 
-from cloverway.admission import Waiting
-from cloverway.affinity import MAYBE_S
 from cloverway.config.schema import Urgency
-from cloverway.limits import HEADROOM
+from cloverway.dispatch.admission import Waiting
+from cloverway.dispatch.affinity import MAYBE_S
+from cloverway.dispatch.limits import HEADROOM
+from cloverway.dispatch.routing import Candidate, Knowledge, name_domain, name_host
+from cloverway.membership.view import View
 from cloverway.messages import Admitted, Away, Local, Outcome
-from cloverway.routing import Candidate, Knowledge, name_domain, name_host
-from cloverway.view import View
 
 BEARABLE_S = 0.2
 """Start late by this, or by the mean time that a slot is held, before a queue is suspected: prompts
--- /dev/null
+++ b/cloverway/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Callers come in: listeners, authentication, the directory of hosts."""
--- a/cloverway/application.py
+++ b/cloverway/entry/application.py
@@ -10,16 +10,16 @@
 
 import cherrypy
 
-from cloverway import bodies
-from cloverway.caller_connection import (
+from cloverway.entry import bodies
+from cloverway.entry.caller_connection import (
     OLD_PROTOCOL,
     PROBLEM_TYPE,
     Connection,
     make_request_id,
 )
+from cloverway.entry.listener import CONNECTION_KEY, REQUEST_KEY
 from cloverway.errors import Kind, Ran, RequestError
 from cloverway.exchange import Reply, Stream
-from cloverway.listener import CONNECTION_KEY, REQUEST_KEY
 
 log = logging.getLogger(__name__)
 
--- a/cloverway/callers.py
+++ b/cloverway/entry/callers.py
@@ -12,24 +12,24 @@
 from itertools import count
 from typing import Any, NamedTuple
 
-from cloverway import bodies
-from cloverway.application import (
+from cloverway.config.settings import Settings
+from cloverway.entry import bodies
+from cloverway.entry.application import (
     KEY_HEADER,
     Call,
     Responder,
     make_json_reply,
     require_method,
 )
-from cloverway.authentication import Authenticator, Caller, authenticate, choose_deadline_s
-from cloverway.caller_connection import Early
-from cloverway.config.settings import Settings
-from cloverway.departures import Departures
-from cloverway.directory import Freshness, HostList, list_hosts
+from cloverway.entry.authentication import Authenticator, Caller, authenticate, choose_deadline_s
+from cloverway.entry.caller_connection import Early
+from cloverway.entry.departures import Departures
+from cloverway.entry.directory import Freshness, HostList, list_hosts
+from cloverway.entry.listener import Bounds, Listener
 from cloverway.errors import Kind, Ran, RequestError
 from cloverway.exchange import Gateway, Reply
-from cloverway.listener import Bounds, Listener
+from cloverway.membership.view import ViewHolder
 from cloverway.messages import Request
-from cloverway.view import ViewHolder
 
 log = logging.getLogger(__name__)
 
--- a/cloverway/directory.py
+++ b/cloverway/entry/directory.py
@@ -6,7 +6,7 @@
 from itertools import chain
 from typing import NamedTuple, TypedDict
 
-from cloverway.view import HostState, View
+from cloverway.membership.view import HostState, View
 
 LIFETIME_S = 5.0
 """How long a caller may use a list: a leaving host is then out of use within seconds."""
--- a/cloverway/listener.py
+++ b/cloverway/entry/listener.py
@@ -17,7 +17,8 @@
 from cheroot import wsgi
 
 from cloverway.addresses import format_address, split_address
-from cloverway.caller_connection import (
+from cloverway.config.settings import Limits
+from cloverway.entry.caller_connection import (
     HEAD_END,
     Collected,
     Connection,
@@ -27,7 +28,6 @@
     format_problem,
     make_request_id,
 )
-from cloverway.config.settings import Limits
 from cloverway.errors import ANSWERS, Kind, Ran, RequestError
 
 log = logging.getLogger(__name__)
--- a/cloverway/gateway.py
+++ b/cloverway/gateway.py
@@ -10,15 +10,15 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-from cloverway import residency
-from cloverway.claims import Granted, Replayed
 from cloverway.config.published import Published
 from cloverway.config.schema import Profile
+from cloverway.dispatch import residency
 from cloverway.errors import EndpointLostError, Kind, Ran, RequestError, take_worse
 from cloverway.exchange import Reply
+from cloverway.membership.view import ViewHolder
 from cloverway.messages import Admitted, Away, Local, Outcome, Refused, Request, Verdict
-from cloverway.streams import RecordedStream, WatchedStream
-from cloverway.view import ViewHolder
+from cloverway.once.claims import Granted, Replayed
+from cloverway.upstream.streams import RecordedStream, WatchedStream
 
 log = logging.getLogger(__name__)
 
--- a/cloverway/load.py
+++ b/cloverway/load.py
@@ -19,7 +19,7 @@
 
 from cloverway.addresses import split_address
 from cloverway.errors import RequestError
-from cloverway.framing import BodyParser, ChunkedBody, EventStream, LengthBody
+from cloverway.upstream.framing import BodyParser, ChunkedBody, EventStream, LengthBody
 
 MICROSECONDS = 1_000_000
 LONGEST_US = 600 * MICROSECONDS
--- a/cloverway/control.py
+++ b/cloverway/membership/control.py
@@ -17,21 +17,21 @@
 from pathlib import Path
 from typing import Any
 
+from cloverway.config.configuration import ConfigurationStore, choose_readers
 from cloverway.config.published import Published
 from cloverway.config.settings import Settings
-from cloverway.configuration import ConfigurationStore, choose_readers
-from cloverway.datagrams import Datagrams
-from cloverway.ends import Ends
+from cloverway.config.updates import FetchChanges, Offer, Updates
+from cloverway.dispatch.ends import Ends
 from cloverway.errors import CloverwayError, PeerError
-from cloverway.gossip import Gossip, Own, Received
-from cloverway.heartbeats import parse_incarnation
-from cloverway.reports import EndpointReader, Rounds, Workers
-from cloverway.seal import Seal
+from cloverway.membership.datagrams import Datagrams
+from cloverway.membership.gossip import Gossip, Own, Received
+from cloverway.membership.heartbeats import parse_incarnation
+from cloverway.membership.reports import EndpointReader, Rounds, Workers
+from cloverway.membership.seal import Seal
+from cloverway.membership.view import EndpointState, View, ViewHolder
 from cloverway.sources.file import FilePlatform
 from cloverway.sources.http import HttpPlatform
 from cloverway.sources.port import Changes, HostList, Listed, Platform
-from cloverway.updates import FetchChanges, Offer, Updates
-from cloverway.view import EndpointState, View, ViewHolder
 
 log = logging.getLogger(__name__)
 
--- a/cloverway/cutting.py
+++ b/cloverway/membership/cutting.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from cloverway.heartbeats import Heartbeat
+from cloverway.membership.heartbeats import Heartbeat
 
 BLANK = Heartbeat("", 0, 0)
 """A heartbeat that tells nothing; each part of one that was cut is filled up from it."""
--- a/cloverway/gossip.py
+++ b/cloverway/membership/gossip.py
@@ -10,13 +10,13 @@
 from random import Random
 from typing import NamedTuple
 
+from cloverway.config.configuration import READERS, choose_readers
 from cloverway.config.published import Published
 from cloverway.config.settings import Timing
-from cloverway.configuration import READERS, choose_readers
 from cloverway.core.quarantine import Crash, CrashNews
-from cloverway.cutting import BLANK, halve
-from cloverway.ends import Ends
-from cloverway.heartbeats import (
+from cloverway.dispatch.ends import Ends
+from cloverway.membership.cutting import BLANK, halve
+from cloverway.membership.heartbeats import (
     DomainSummary,
     EndRow,
     Heartbeat,
@@ -25,11 +25,11 @@
     format_incarnation,
     tag_of,
 )
-from cloverway.membership import Membership, Merged
-from cloverway.readings import Readings
-from cloverway.seal import MAX_DATAGRAM_BYTES, OVERHEAD_BYTES, Seal
-from cloverway.summaries import SPEAKERS, Summaries, summarise
-from cloverway.view import EndpointState, HostState, Summary
+from cloverway.membership.membership import Membership, Merged
+from cloverway.membership.readings import Readings
+from cloverway.membership.seal import MAX_DATAGRAM_BYTES, OVERHEAD_BYTES, Seal
+from cloverway.membership.summaries import SPEAKERS, Summaries, summarise
+from cloverway.membership.view import EndpointState, HostState, Summary
 
 log = logging.getLogger(__name__)
 
--- a/cloverway/membership.py
+++ b/cloverway/membership/membership.py
@@ -10,8 +10,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from cloverway.heartbeats import Heartbeat, format_incarnation, tag_of
-from cloverway.view import HostState
+from cloverway.membership.heartbeats import Heartbeat, format_incarnation, tag_of
+from cloverway.membership.view import HostState
 
 RETIRED_INCARNATIONS = 16
 """Replaced incarnations that are remembered for one name."""
--- a/cloverway/readings.py
+++ b/cloverway/membership/readings.py
@@ -12,8 +12,8 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
-from cloverway.heartbeats import Detail, LoadRow, identify, tag_detail
-from cloverway.view import EndpointState
+from cloverway.membership.heartbeats import Detail, LoadRow, identify, tag_detail
+from cloverway.membership.view import EndpointState
 
 RETIRED_INCARNATIONS = 8
 RETIRED_S = 30.0
--- a/cloverway/reports.py
+++ b/cloverway/membership/reports.py
@@ -20,7 +20,7 @@
 from cloverway.addresses import split_url
 from cloverway.config.schema import Endpoint, EndpointKind
 from cloverway.errors import PeerError
-from cloverway.readings import Report
+from cloverway.membership.readings import Report
 
 log = logging.getLogger(__name__)
 
--- a/cloverway/summaries.py
+++ b/cloverway/membership/summaries.py
@@ -8,7 +8,7 @@
 from typing import Any, NamedTuple
 
 from cloverway.config.published import Published
-from cloverway.heartbeats import (
+from cloverway.membership.heartbeats import (
     LEAVING_LEVEL,
     DomainSummary,
     HostLevel,
@@ -18,7 +18,7 @@
     parse_incarnation,
     tag_of,
 )
-from cloverway.view import EndpointState, HostState, Summary
+from cloverway.membership.view import EndpointState, HostState, Summary
 
 SPEAKERS = 2
 """Hosts of a domain that tell other domains; one may be dead without a gap."""
--- a/cloverway/claims.py
+++ b/cloverway/once/claims.py
@@ -14,8 +14,9 @@
 from cloverway.config.settings import Settings
 from cloverway.errors import Kind, PeerError, Ran, RequestError
 from cloverway.exchange import Reply
-from cloverway.keynames import KeyName
-from cloverway.keys import (
+from cloverway.messages import Outcome, Refused, Request
+from cloverway.once.keynames import KeyName
+from cloverway.once.keys import (
     NONCE_BYTES,
     Bounds,
     ClaimCall,
@@ -27,8 +28,7 @@
     Settlement,
     compute_digest,
 )
-from cloverway.messages import Outcome, Refused, Request
-from cloverway.settlements import Issuers, Settler
+from cloverway.once.settlements import Issuers, Settler
 from cloverway.task import Task
 
 log = logging.getLogger(__name__)
--- a/cloverway/keys.py
+++ b/cloverway/once/keys.py
@@ -16,8 +16,8 @@
 from typing import NamedTuple
 
 from cloverway.errors import Kind, Ran
-from cloverway.keynames import MAC_BYTES, KeyName
 from cloverway.messages import Refused
+from cloverway.once.keynames import MAC_BYTES, KeyName
 
 log = logging.getLogger(__name__)
 
--- a/cloverway/settlements.py
+++ b/cloverway/once/settlements.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple, Protocol
 
 from cloverway.errors import PeerError
-from cloverway.keys import ClaimCall, ClaimResult, SettleCall
+from cloverway.once.keys import ClaimCall, ClaimResult, SettleCall
 from cloverway.task import Task
 
 log = logging.getLogger(__name__)
--- a/cloverway/admin.py
+++ b/cloverway/operations/admin.py
@@ -11,15 +11,15 @@
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any, NamedTuple
 
-from cloverway import bodies
-from cloverway.application import Call, Responder, make_json_reply, require_method
 from cloverway.config.settings import Settings
-from cloverway.directory import HostList
+from cloverway.entry import bodies
+from cloverway.entry.application import Call, Responder, make_json_reply, require_method
+from cloverway.entry.directory import HostList
+from cloverway.entry.listener import Bounds, Listener
 from cloverway.errors import Kind, RequestError
 from cloverway.exchange import Reply
-from cloverway.listener import Bounds, Listener
-from cloverway.metrics import Gauge
-from cloverway.view import View, ViewHolder
+from cloverway.membership.view import View, ViewHolder
+from cloverway.operations.metrics import Gauge
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 BODY_BYTES = 64 * 1024
--- a/cloverway/metrics.py
+++ b/cloverway/operations/metrics.py
@@ -14,9 +14,9 @@
 import aioprometheus
 from aioprometheus.histogram import Histogram as Buckets
 
+from cloverway.dispatch.tenants import TenantLabels
 from cloverway.errors import Kind, Ran
 from cloverway.task import Task
-from cloverway.tenants import TenantLabels
 
 TIME_BOUNDS_S = (
     *(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75),
--- a/cloverway/reporting.py
+++ b/cloverway/operations/reporting.py
@@ -9,11 +9,11 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from cloverway.callers import Refusal
+from cloverway.entry.callers import Refusal
 from cloverway.errors import Kind, Ran
+from cloverway.membership.view import ViewHolder
 from cloverway.messages import Request
-from cloverway.metrics import Metrics, RequestEnded, StreamEnded
-from cloverway.view import ViewHolder
+from cloverway.operations.metrics import Metrics, RequestEnded, StreamEnded
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/cloverway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that hosts pass on to each other."""
--- a/cloverway/channel.py
+++ b/cloverway/peers/channel.py
@@ -19,9 +19,9 @@
 from enum import IntEnum
 from typing import NamedTuple, TypeVar
 
-from cloverway import wire
 from cloverway.addresses import split_address
 from cloverway.errors import PeerError
+from cloverway.peers import wire
 
 HEADER = struct.Struct(">IB")
 COUNTER = struct.Struct(">QB")
--- a/cloverway/handlers.py
+++ b/cloverway/peers/handlers.py
@@ -5,12 +5,12 @@
 import json
 from collections.abc import Callable
 
-from cloverway import peering, wire
-from cloverway.claims import KeyTask
 from cloverway.errors import PeerError
 from cloverway.exchange import Gateway, Reply
-from cloverway.keys import ClaimCall, ClaimResult, SettleCall
 from cloverway.messages import Request
+from cloverway.once.claims import KeyTask
+from cloverway.once.keys import ClaimCall, ClaimResult, SettleCall
+from cloverway.peers import peering, wire
 from cloverway.sources.port import Changes, Document
 
 ChangesAfter = Callable[[int], Changes]
--- a/cloverway/passed_on.py
+++ b/cloverway/peers/passed_on.py
@@ -6,12 +6,12 @@
 import time
 from collections.abc import Iterable
 
-from cloverway import wire
-from cloverway.channel import Channel, FrameKind
 from cloverway.errors import Kind, PeerError, Ran, RequestError
 from cloverway.exchange import Reply
 from cloverway.messages import Refused, Request
-from cloverway.peering import PeerBounds, PeerHandler
+from cloverway.peers import wire
+from cloverway.peers.channel import Channel, FrameKind
+from cloverway.peers.peering import PeerBounds, PeerHandler
 
 log = logging.getLogger(__name__)
 
--- a/cloverway/peer_client.py
+++ b/cloverway/peers/peer_client.py
@@ -8,14 +8,14 @@
 import time
 from typing import NamedTuple
 
-from cloverway import wire
-from cloverway.channel import Channel, FrameKind, Identity
 from cloverway.errors import Kind, PeerError, Ran, RequestError
 from cloverway.exchange import Reply
-from cloverway.keys import ClaimCall, ClaimResult, Grant, Recorded, SettleCall
 from cloverway.messages import Refused, Request
-from cloverway.peer_stream import PeerStream
-from cloverway.peering import Changes, PeerBounds
+from cloverway.once.keys import ClaimCall, ClaimResult, Grant, Recorded, SettleCall
+from cloverway.peers import wire
+from cloverway.peers.channel import Channel, FrameKind, Identity
+from cloverway.peers.peer_stream import PeerStream
+from cloverway.peers.peering import Changes, PeerBounds
 
 log = logging.getLogger(__name__)
 
--- a/cloverway/peer_server.py
+++ b/cloverway/peers/peer_server.py
@@ -9,13 +9,13 @@
 import time
 from collections.abc import Iterator, Sequence
 
-from cloverway import wire
 from cloverway.addresses import format_address, split_address
-from cloverway.channel import Channel, Identity
 from cloverway.errors import PeerError, RequestError, UserError
-from cloverway.keys import ClaimCall, SettleCall
-from cloverway.passed_on import PassedOnRun, as_refused
-from cloverway.peering import PeerBounds, PeerHandler
+from cloverway.once.keys import ClaimCall, SettleCall
+from cloverway.peers import wire
+from cloverway.peers.channel import Channel, Identity
+from cloverway.peers.passed_on import PassedOnRun, as_refused
+from cloverway.peers.peering import PeerBounds, PeerHandler
 
 log = logging.getLogger(__name__)
 
--- a/cloverway/peer_stream.py
+++ b/cloverway/peers/peer_stream.py
@@ -8,11 +8,11 @@
 import time
 from collections.abc import Callable, Iterator
 
-from cloverway import wire
-from cloverway.channel import Channel, Frame, FrameKind
 from cloverway.errors import Kind, PeerError, Ran, RequestError
 from cloverway.messages import Refused
-from cloverway.peering import PeerBounds
+from cloverway.peers import wire
+from cloverway.peers.channel import Channel, Frame, FrameKind
+from cloverway.peers.peering import PeerBounds
 
 LEFT_EVENTS = select.POLLIN | select.POLLHUP | select.POLLERR
 
--- a/cloverway/peering.py
+++ b/cloverway/peers/peering.py
@@ -6,9 +6,9 @@
 
 from cloverway.config.settings import Limits
 from cloverway.exchange import Reply
-from cloverway.keys import ClaimCall, ClaimResult, SettleCall
 from cloverway.messages import Request
-from cloverway.wire import Change
+from cloverway.once.keys import ClaimCall, ClaimResult, SettleCall
+from cloverway.peers.wire import Change
 
 
 class Changes(NamedTuple):
--- a/cloverway/wire.py
+++ b/cloverway/peers/wire.py
@@ -4,8 +4,8 @@
 
 from typing import NamedTuple, cast, get_args
 
-from cloverway.keys import ClaimCall, Grant, Recorded, SettleCall
 from cloverway.messages import Refused
+from cloverway.once.keys import ClaimCall, Grant, Recorded, SettleCall
 from cloverway.structs import StructCodec
 
 VERSION = 1
--- a/cloverway/sources/file.py
+++ b/cloverway/sources/file.py
@@ -8,10 +8,10 @@
 from typing import NamedTuple
 
 from cloverway.config.directory import Collected, collect, list_documents, list_files, read_files
+from cloverway.config.documents import Entry
 from cloverway.config.findings import Findings
 from cloverway.config.published import is_revision
 from cloverway.config.settings import PlatformSettings
-from cloverway.documents import Entry
 from cloverway.errors import PlatformError
 from cloverway.sources.port import Changes, Document, HostList
 
--- a/cloverway/tests/bench_configuration.py
+++ b/cloverway/tests/bench_configuration.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from cloverway.configuration import ConfigurationStore, Source
+from cloverway.config.configuration import ConfigurationStore, Source
 from cloverway.sources.port import Changes, Document
 
 TEAMS = (100, 1_000, 9_000)
--- a/cloverway/tests/bench_keys.py
+++ b/cloverway/tests/bench_keys.py
@@ -18,11 +18,11 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from cloverway.channel import Identity
-from cloverway.claims import Claims, KeyTask
 from cloverway.errors import Kind
-from cloverway.keynames import KeyName
-from cloverway.keys import (
+from cloverway.messages import Refused
+from cloverway.once.claims import Claims, KeyTask
+from cloverway.once.keynames import KeyName
+from cloverway.once.keys import (
     NONCE_BYTES,
     Bounds,
     ClaimCall,
@@ -32,9 +32,9 @@
     SettleCall,
     Settlement,
 )
-from cloverway.messages import Refused
-from cloverway.peer_client import PeerClient
-from cloverway.peering import PeerBounds
+from cloverway.peers.channel import Identity
+from cloverway.peers.peer_client import PeerClient
+from cloverway.peers.peering import PeerBounds
 from cloverway.tests.peers import SECRET, Handler, make_request, start_server
 
 CLAIMS = 2_000
--- a/cloverway/tests/bench_membership.py
+++ b/cloverway/tests/bench_membership.py
@@ -14,8 +14,8 @@
 from typing import NamedTuple
 
 from cloverway.config.settings import Timing
-from cloverway.heartbeats import Heartbeat, LoadRow, decode, encode, identify
-from cloverway.membership import Membership
+from cloverway.membership.heartbeats import Heartbeat, LoadRow, decode, encode, identify
+from cloverway.membership.membership import Membership
 from cloverway.tests.test_control import Cluster
 from cloverway.tests.virtual import SEAL, Shape, World
 
--- a/cloverway/tests/bench_model.py
+++ b/cloverway/tests/bench_model.py
@@ -15,9 +15,9 @@
 
 from cloverway.config.published import Published
 from cloverway.config.settings import Limits, Listen, PlatformSettings, Security, Settings
-from cloverway.decisions import Core
+from cloverway.dispatch.decisions import Core
+from cloverway.membership.view import EndpointState, HostState, Summary, View
 from cloverway.messages import Admitted, Away, Outcome, Request
-from cloverway.view import EndpointState, HostState, Summary, View
 
 TICK_S = 0.02
 REPORT_S = 0.5
--- a/cloverway/tests/bench_policy.py
+++ b/cloverway/tests/bench_policy.py
@@ -12,10 +12,10 @@
 from concurrent.futures import ProcessPoolExecutor, ThreadPoolExecutor
 from statistics import mean
 
-from cloverway.dispatcher import Dispatcher
+from cloverway.dispatch.dispatcher import Dispatcher
+from cloverway.membership.view import ViewHolder
 from cloverway.messages import Admitted
 from cloverway.tests.bench_model import Plan, World, make_settings
-from cloverway.view import ViewHolder
 
 
 def quantile(values, part):
--- a/cloverway/tests/bench_relay.py
+++ b/cloverway/tests/bench_relay.py
@@ -24,11 +24,11 @@
 from typing import NamedTuple
 
 from cloverway.config.settings import Limits
-from cloverway.copiers import RelayCopier, WorkerCopier
-from cloverway.endpoints import EndpointClient
 from cloverway.errors import RequestError
 from cloverway.messages import Request
-from cloverway.relay import Relay
+from cloverway.upstream.copiers import RelayCopier, WorkerCopier
+from cloverway.upstream.endpoints import EndpointClient
+from cloverway.upstream.relay import Relay
 
 PERIOD_S = 0.06
 RAMP_S = 6.0
--- a/cloverway/tests/builders.py
+++ b/cloverway/tests/builders.py
@@ -4,8 +4,8 @@
 
 from cloverway.config.published import Published
 from cloverway.config.settings import Limits, Listen, PlatformSettings, Security, Settings
+from cloverway.membership.view import EndpointState, HostState, Summary, View
 from cloverway.messages import Request
-from cloverway.view import EndpointState, HostState, Summary, View
 
 DOMAINS = {"pl-1": "port-louis", "cu-1": "curepipe", "ro-1": "rodrigues"}
 PROFILES = {
--- a/cloverway/tests/callers_bench.py
+++ b/cloverway/tests/callers_bench.py
@@ -11,14 +11,14 @@
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
-from cloverway.authentication import hash_key
-from cloverway.callers import CallerServer
 from cloverway.config.published import Published
 from cloverway.config.settings import Limits, Listen, PlatformSettings, Security, Settings
+from cloverway.entry.authentication import hash_key
+from cloverway.entry.callers import CallerServer
+from cloverway.entry.listener import Bounds
 from cloverway.exchange import Reply
-from cloverway.listener import Bounds
+from cloverway.membership.view import View, ViewHolder
 from cloverway.messages import Request
-from cloverway.view import View, ViewHolder
 
 BEARER = "secret-of-pharmacy"
 DOCUMENTS: dict[str, Any] = {
--- a/cloverway/tests/copying.py
+++ b/cloverway/tests/copying.py
@@ -8,15 +8,15 @@
 from contextlib import suppress
 
 from cloverway.config.settings import Limits
-from cloverway.copiers import Copier, EndpointStream
-from cloverway.endpoints import EndpointClient
 from cloverway.messages import Request
-from cloverway.meters import StreamStats
 from cloverway.tests.raw_endpoint import (
     PATIENCE_S,
     Conversation,
     make_request,
 )
+from cloverway.upstream.copiers import Copier, EndpointStream
+from cloverway.upstream.endpoints import EndpointClient
+from cloverway.upstream.meters import StreamStats
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 EVENTS = (b"data: a\n\n", b"data: b\n\n", b"data: c\n\n", b"data: [DONE]\n\n")
--- a/cloverway/tests/ledgers.py
+++ b/cloverway/tests/ledgers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cloverway.keys import (
+from cloverway.once.keys import (
     Bounds,
     ClaimCall,
     Ledger,
--- a/cloverway/tests/measure_callers.py
+++ b/cloverway/tests/measure_callers.py
@@ -11,11 +11,11 @@
 import statistics
 import time
 
-from cloverway.authentication import KeyIndex, hash_key
 from cloverway.config.published import Published
+from cloverway.entry.authentication import KeyIndex, hash_key
 from cloverway.errors import Ran
 from cloverway.exchange import Reply
-from cloverway.metrics import Metrics, RequestEnded, StreamEnded
+from cloverway.operations.metrics import Metrics, RequestEnded, StreamEnded
 from cloverway.tests.callers_bench import CHAT, CHAT_BODY, DOCUMENTS, Bench
 
 REQUESTS = 2000
--- a/cloverway/tests/peers.py
+++ b/cloverway/tests/peers.py
@@ -7,13 +7,13 @@
 import threading
 import time
 
-from cloverway import wire
-from cloverway.channel import HEADER, Channel, Identity
 from cloverway.exchange import Reply
-from cloverway.keys import ClaimCall, Grant
 from cloverway.messages import Request
-from cloverway.peer_server import PeerServer
-from cloverway.peering import Changes, PeerBounds
+from cloverway.once.keys import ClaimCall, Grant
+from cloverway.peers import wire
+from cloverway.peers.channel import HEADER, Channel, Identity
+from cloverway.peers.peer_server import PeerServer
+from cloverway.peers.peering import Changes, PeerBounds
 
 SECRET = b"s" * 32
 PATIENCE_S = 10.0
--- a/cloverway/tests/test_admin.py
+++ b/cloverway/tests/test_admin.py
@@ -6,8 +6,9 @@
 
 import pytest
 
-from cloverway.admin import AdminServer, Operations
-from cloverway.directory import HostList
+from cloverway.entry.directory import HostList
+from cloverway.membership.view import EndpointState, HostState, Summary, ViewHolder
+from cloverway.operations.admin import AdminServer, Operations
 from cloverway.tests.callers_bench import (
     CHAT,
     CHAT_BODY,
@@ -16,7 +17,6 @@
     make_view,
     wait_until,
 )
-from cloverway.view import EndpointState, HostState, Summary, ViewHolder
 
 
 class AdminBench:
--- a/cloverway/tests/test_admission.py
+++ b/cloverway/tests/test_admission.py
@@ -5,12 +5,12 @@
 
 import pytest
 
-from cloverway.admission import Line, Throughput, Waiting
 from cloverway.config.schema import Urgency
+from cloverway.dispatch.admission import Line, Throughput, Waiting
+from cloverway.dispatch.prompts import Prefix
+from cloverway.dispatch.retries import FLOOR, SHARE, WINDOW_S, Budget, may_repeat
 from cloverway.errors import Kind, Ran
 from cloverway.messages import Admitted, Outcome, Refused
-from cloverway.prompts import Prefix
-from cloverway.retries import FLOOR, SHARE, WINDOW_S, Budget, may_repeat
 from cloverway.tests.builders import make_published, make_request
 from cloverway.tests.test_routing import E0, E1, Host
 
--- a/cloverway/tests/test_at_most_once.py
+++ b/cloverway/tests/test_at_most_once.py
@@ -9,7 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from cloverway.errors import Kind, Ran
-from cloverway.keys import (
+from cloverway.once.keys import (
     Grant,
     Recorded,
     Settlement,
--- a/cloverway/tests/test_authentication.py
+++ b/cloverway/tests/test_authentication.py
@@ -4,7 +4,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cloverway.authentication import (
+from cloverway.config.published import Published
+from cloverway.config.schema import Profile
+from cloverway.entry.authentication import (
     Authenticator,
     KeyIndex,
     authenticate,
@@ -12,8 +14,6 @@
     hash_key,
     read_bearer,
 )
-from cloverway.config.published import Published
-from cloverway.config.schema import Profile
 from cloverway.errors import RequestError
 from cloverway.tests.callers_bench import BEARER, DOCUMENTS
 
--- a/cloverway/tests/test_bodies.py
+++ b/cloverway/tests/test_bodies.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cloverway.bodies import parse_completion
+from cloverway.entry.bodies import parse_completion
 from cloverway.errors import Kind, RequestError
 
 JSON_TYPE = "application/json"
--- a/cloverway/tests/test_callers_fuzz.py
+++ b/cloverway/tests/test_callers_fuzz.py
@@ -15,11 +15,11 @@
 from hypothesis import HealthCheck, event, example, given, settings
 from hypothesis import strategies as st
 
-from cloverway import bodies
-from cloverway.application import Call
+from cloverway.entry import bodies
+from cloverway.entry.application import Call
+from cloverway.entry.listener import Bounds
 from cloverway.errors import ANSWERS, RequestError
 from cloverway.exchange import Reply
-from cloverway.listener import Bounds
 from cloverway.tests.callers_bench import CHAT, CHAT_BODY, Bench, read_all, wait_until
 
 COUNT = int(os.environ.get("CLOVERWAY_FUZZ", "100"))
--- a/cloverway/tests/test_claims.py
+++ b/cloverway/tests/test_claims.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from cloverway.claims import Claims, KeyTask, Replayed
 from cloverway.errors import Kind, PeerError, Ran, RequestError
 from cloverway.exchange import Reply
-from cloverway.keys import Bounds, Ledger
 from cloverway.messages import Outcome, Request
+from cloverway.once.claims import Claims, KeyTask, Replayed
+from cloverway.once.keys import Bounds, Ledger
 
 BOUNDS = Bounds(keys=100, lifetime_s=100.0, recorded_bytes=10_000, recorded_answer_bytes=1_000)
 PATIENCE_S = 10.0
--- a/cloverway/tests/test_configuration.py
+++ b/cloverway/tests/test_configuration.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from cloverway import documents
-from cloverway.configuration import (
+from cloverway.config import documents
+from cloverway.config.configuration import (
     Accepted,
     ConfigurationStore,
     Gap,
--- a/cloverway/tests/test_configuration_machine.py
+++ b/cloverway/tests/test_configuration_machine.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from cloverway.config.configuration import ConfigurationStore, Gap, Source
 from cloverway.config.published import Published
-from cloverway.configuration import ConfigurationStore, Gap, Source
 from cloverway.errors import ConfigurationError
 from cloverway.sources.port import Changes, Document
 
@@ -81,7 +81,7 @@
 
 
 def store_entry(document: Document) -> Any:
-    from cloverway.documents import Entry  # noqa: PLC0415
+    from cloverway.config.documents import Entry  # noqa: PLC0415
 
     return Entry.from_document(document)
 
--- a/cloverway/tests/test_control.py
+++ b/cloverway/tests/test_control.py
@@ -8,14 +8,14 @@
 
 import pytest
 
+from cloverway.config.configuration import ConfigurationStore
 from cloverway.config.settings import Listen, PlatformSettings, Security, Settings, Timing
-from cloverway.configuration import ConfigurationStore
-from cloverway.control import ControlLoop
 from cloverway.errors import PeerError, PlatformError
+from cloverway.membership.control import ControlLoop
+from cloverway.membership.view import View, ViewHolder
 from cloverway.sources.port import Changes, Document, HostList, Listed
 from cloverway.tests.standins.service import Service
 from cloverway.tests.standins.waiting import wait_until
-from cloverway.view import View, ViewHolder
 
 SECRET = b"a secret of the tests that all hosts share"
 TIMING = Timing(heartbeat_s=0.05, suspect_s=0.6, report_s=0.05, summary_s=0.1, list_s=0.05)
--- a/cloverway/tests/test_copiers.py
+++ b/cloverway/tests/test_copiers.py
@@ -6,10 +6,7 @@
 
 import pytest
 
-from cloverway.copiers import EndpointStream, RelayCopier, WorkerCopier
 from cloverway.errors import EndpointLostError, Kind
-from cloverway.framing import ChunkedBody
-from cloverway.relay import Relay
 from cloverway.tests.copying import END, EVENTS, HEAD, WHOLE, Bench, chunk, play
 from cloverway.tests.raw_endpoint import (
     PATIENCE_S,
@@ -20,6 +17,9 @@
 from cloverway.tests.standins.batching import Timing
 from cloverway.tests.standins.engine import Engine
 from cloverway.tests.standins.waiting import wait_until
+from cloverway.upstream.copiers import EndpointStream, RelayCopier, WorkerCopier
+from cloverway.upstream.framing import ChunkedBody
+from cloverway.upstream.relay import Relay
 
 
 @pytest.fixture(params=[WorkerCopier, lambda: RelayCopier(Relay.start())], ids=["worker", "relay"])
--- a/cloverway/tests/test_decisions.py
+++ b/cloverway/tests/test_decisions.py
@@ -6,10 +6,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from cloverway.decisions import Core
+from cloverway.dispatch.decisions import Core
+from cloverway.dispatch.residency import allowed_regions
 from cloverway.errors import Kind, Ran
+from cloverway.membership.view import HostState, Summary
 from cloverway.messages import Admitted, Away, Outcome, Refused
-from cloverway.residency import allowed_regions
 from cloverway.tests.builders import (
     DOMAINS,
     change_endpoint,
@@ -18,7 +19,6 @@
     make_settings,
     make_view,
 )
-from cloverway.view import HostState, Summary
 
 PUBLISHED = make_published(slots=2)
 TEAMS = ["desk", "desk", "desk", "branch", "branch", "bound", "unknown"]
--- a/cloverway/tests/test_decisions_ends.py
+++ b/cloverway/tests/test_decisions_ends.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from cloverway.decisions import Core
+from cloverway.dispatch.decisions import Core
 from cloverway.errors import Kind, Ran
 from cloverway.messages import Admitted, Local, Outcome, Refused
 from cloverway.tests.builders import (
--- a/cloverway/tests/test_directory.py
+++ b/cloverway/tests/test_directory.py
@@ -1,9 +1,9 @@
 from __future__ import annotations
 
 from cloverway.config.published import Published
-from cloverway.directory import MAX_HOSTS, Freshness, list_hosts
+from cloverway.entry.directory import MAX_HOSTS, Freshness, list_hosts
+from cloverway.membership.view import HostState, Summary, View
 from cloverway.tests.callers_bench import DOCUMENTS
-from cloverway.view import HostState, Summary, View
 
 NOW = 100.0
 FRESH = Freshness(2.0)
--- a/cloverway/tests/test_dispatcher.py
+++ b/cloverway/tests/test_dispatcher.py
@@ -7,11 +7,11 @@
 
 import pytest
 
-from cloverway.dispatcher import Dispatcher
+from cloverway.dispatch.dispatcher import Dispatcher
 from cloverway.errors import Kind, Ran
+from cloverway.membership.view import ViewHolder
 from cloverway.messages import Admitted, Local, Outcome, Refused
 from cloverway.tests.builders import make_published, make_request, make_settings, make_view
-from cloverway.view import ViewHolder
 
 STAY = {"home": "curepipe", "bound": True, "profiles": ["stock"]}
 PUBLISHED = make_published(endpoints=1, slots=2, stay=STAY)
--- a/cloverway/tests/test_endpoints.py
+++ b/cloverway/tests/test_endpoints.py
@@ -8,8 +8,6 @@
 import pytest
 
 from cloverway.config.settings import Limits
-from cloverway.connections import IDLE_PER_ADDRESS, Connection, ConnectionPool
-from cloverway.endpoints import EndpointClient
 from cloverway.errors import EndpointLostError, Kind, Ran, RequestError
 from cloverway.exchange import Reply
 from cloverway.messages import Request
@@ -20,7 +18,9 @@
     make_request,
 )
 from cloverway.tests.standins.waiting import wait_until
-from cloverway.waits import Waits
+from cloverway.upstream.connections import IDLE_PER_ADDRESS, Connection, ConnectionPool
+from cloverway.upstream.endpoints import EndpointClient
+from cloverway.upstream.waits import Waits
 
 
 @pytest.fixture
--- a/cloverway/tests/test_ends.py
+++ b/cloverway/tests/test_ends.py
@@ -7,10 +7,10 @@
 import pytest
 
 from cloverway.core.quarantine import SERVED_S, Crash, CrashNews
-from cloverway.ends import RETOLD_S, Ends
+from cloverway.dispatch.ends import RETOLD_S, Ends
 from cloverway.errors import Kind
-from cloverway.gossip import FULL_EVERY
-from cloverway.seal import MAX_DATAGRAM_BYTES
+from cloverway.membership.gossip import FULL_EVERY
+from cloverway.membership.seal import MAX_DATAGRAM_BYTES
 from cloverway.tests.builders import make_request, make_settings
 from cloverway.tests.virtual import Shape, World
 
@@ -174,7 +174,7 @@
 def test_what_is_heard_and_who_is_refused_can_be_read_in_the_log(caplog):
     """An operator sees refusals at a host that has seen no endpoint end."""
     ends = Ends(make_settings().quarantine)
-    with caplog.at_level("INFO", logger="cloverway.ends"):
+    with caplog.at_level("INFO", logger="cloverway.dispatch.ends"):
         for number in range(ALLOWED_ENDS):
             ends.hear(CrashNews((Crash(f"e{number}", (DEADLY,), 5.0),), ()), 6.0)
     told = [record for record in caplog.records if record.msg == "an endpoint has ended"]
--- a/cloverway/tests/test_file_platform.py
+++ b/cloverway/tests/test_file_platform.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from cloverway.configuration import Accepted, ConfigurationStore, Source
+from cloverway.config.configuration import Accepted, ConfigurationStore, Source
 from cloverway.errors import PlatformError
 from cloverway.sources.file import FilePlatform
 
--- a/cloverway/tests/test_framing.py
+++ b/cloverway/tests/test_framing.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from cloverway.errors import Kind, RequestError
-from cloverway.framing import MAX_EVENT, MAX_LINE, ChunkedBody, EventStream, LengthBody
+from cloverway.upstream.framing import MAX_EVENT, MAX_LINE, ChunkedBody, EventStream, LengthBody
 
 EVENTS = st.lists(
     st.binary(max_size=40).map(lambda text: b"data: " + text.translate(None, b"\r\n") + b"\n\n"),
--- a/cloverway/tests/test_gateway.py
+++ b/cloverway/tests/test_gateway.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from cloverway.claims import Granted, Replayed
 from cloverway.config.published import Published
 from cloverway.errors import EndpointLostError, Kind, Ran, RequestError
 from cloverway.exchange import Reply
 from cloverway.gateway import Ports, Record, RequestGateway
+from cloverway.membership.view import View, ViewHolder
 from cloverway.messages import Admitted, Away, Local, Outcome, Refused, Request, Verdict
-from cloverway.view import View, ViewHolder
+from cloverway.once.claims import Granted, Replayed
 
 PUBLISHED = Published.from_documents(
     {
--- a/cloverway/tests/test_handlers.py
+++ b/cloverway/tests/test_handlers.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from cloverway import peering, wire
 from cloverway.errors import PeerError
-from cloverway.handlers import decode_changes, encode_changes
+from cloverway.peers import peering, wire
+from cloverway.peers.handlers import decode_changes, encode_changes
 from cloverway.sources.port import Changes, Document
 
 
--- a/cloverway/tests/test_heartbeats.py
+++ b/cloverway/tests/test_heartbeats.py
@@ -6,9 +6,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cloverway import heartbeats
 from cloverway.errors import PeerError
-from cloverway.heartbeats import (
+from cloverway.membership import heartbeats
+from cloverway.membership.heartbeats import (
     Detail,
     DomainSummary,
     EndRow,
@@ -19,7 +19,7 @@
     decode,
     encode,
 )
-from cloverway.seal import MAX_DATAGRAM_BYTES, OVERHEAD_BYTES, Seal
+from cloverway.membership.seal import MAX_DATAGRAM_BYTES, OVERHEAD_BYTES, Seal
 
 NAMES = st.from_regex(r"[a-z0-9][a-z0-9.-]{0,20}", fullmatch=True)
 I32 = st.integers(-(2**31), 2**31 - 1)
--- a/cloverway/tests/test_keys.py
+++ b/cloverway/tests/test_keys.py
@@ -5,14 +5,14 @@
 from hypothesis import strategies as st
 
 from cloverway.errors import Kind, Ran
-from cloverway.keynames import KeyName
-from cloverway.keys import (
+from cloverway.messages import Refused
+from cloverway.once.keynames import KeyName
+from cloverway.once.keys import (
     Grant,
     Recorded,
     Settlement,
     compute_digest,
 )
-from cloverway.messages import Refused
 from cloverway.tests.ledgers import ANSWER, BOUNDS, claim_of, issue, make_ledger, settle_of
 
 
--- a/cloverway/tests/test_listener.py
+++ b/cloverway/tests/test_listener.py
@@ -12,10 +12,10 @@
 
 import pytest
 
-from cloverway import caller_connection
+from cloverway.entry import caller_connection
+from cloverway.entry.listener import Bounds
 from cloverway.errors import Kind, RequestError
 from cloverway.exchange import Reply
-from cloverway.listener import Bounds
 from cloverway.tests.callers_bench import (
     BEARER,
     CHAT,
--- a/cloverway/tests/test_logs.py
+++ b/cloverway/tests/test_logs.py
@@ -10,8 +10,8 @@
 from cloverway.exchange import Reply
 from cloverway.gateway import Record
 from cloverway.logs import make_formatter
-from cloverway.metrics import Metrics
-from cloverway.reporting import Reporter
+from cloverway.operations.metrics import Metrics
+from cloverway.operations.reporting import Reporter
 from cloverway.tests.callers_bench import BEARER, CHAT, HEADERS, Bench, FakeStream, read_all
 
 BODY_SECRET = "insulin-for-ward-nine"
@@ -89,7 +89,7 @@
     assert line.pop("time")
     assert line == {
         "level": "INFO",
-        "logger": "cloverway.reporting",
+        "logger": "cloverway.operations.reporting",
         "message": "request",
         "host": "pl-1-a",
         "incarnation": "i-1",
--- a/cloverway/tests/test_membership.py
+++ b/cloverway/tests/test_membership.py
@@ -7,11 +7,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from cloverway.gossip import Own
-from cloverway.heartbeats import Heartbeat, tag_of
-from cloverway.membership import RETIRED_S, Membership, Merged
-from cloverway.readings import LIST_LAG_S, Readings, Report
-from cloverway.seal import MAX_DATAGRAM_BYTES
+from cloverway.membership.gossip import Own
+from cloverway.membership.heartbeats import Heartbeat, tag_of
+from cloverway.membership.membership import RETIRED_S, Membership, Merged
+from cloverway.membership.readings import LIST_LAG_S, Readings, Report
+from cloverway.membership.seal import MAX_DATAGRAM_BYTES
 from cloverway.tests.virtual import SEAL, Shape, World
 
 NAMES = ("h1", "h2", "h3")
--- a/cloverway/tests/test_meters.py
+++ b/cloverway/tests/test_meters.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from cloverway.meters import GAP_BOUNDS_S, Meter
+from cloverway.upstream.meters import GAP_BOUNDS_S, Meter
 
 
 def test_meter_counts_gaps_by_bucket() -> None:
--- a/cloverway/tests/test_metrics.py
+++ b/cloverway/tests/test_metrics.py
@@ -6,7 +6,7 @@
 
 from cloverway.commands.watch import parse_histograms
 from cloverway.errors import Kind, Ran
-from cloverway.metrics import ENDPOINT_LABELS, Gauge, Metrics, RequestEnded, StreamEnded
+from cloverway.operations.metrics import ENDPOINT_LABELS, Gauge, Metrics, RequestEnded, StreamEnded
 
 GAP_BOUNDS_S = (0.01, 0.1)
 
--- a/cloverway/tests/test_passed_on.py
+++ b/cloverway/tests/test_passed_on.py
@@ -6,8 +6,8 @@
 
 from cloverway.errors import Kind, PeerError, Ran, RequestError
 from cloverway.messages import Refused
-from cloverway.passed_on import PassedOnRun, as_cut
-from cloverway.peer_server import PeerServer, _Connection
+from cloverway.peers.passed_on import PassedOnRun, as_cut
+from cloverway.peers.peer_server import PeerServer, _Connection
 from cloverway.tests.peers import (
     BOUNDS,
     CLAIM,
--- a/cloverway/tests/test_peer_failures.py
+++ b/cloverway/tests/test_peer_failures.py
@@ -7,13 +7,13 @@
 
 import pytest
 
-from cloverway import wire
-from cloverway.channel import Channel, FrameKind, Identity
 from cloverway.errors import Kind, PeerError, Ran, RequestError
 from cloverway.exchange import Reply
-from cloverway.keys import Grant
 from cloverway.messages import Refused
-from cloverway.peer_client import PeerClient
+from cloverway.once.keys import Grant
+from cloverway.peers import wire
+from cloverway.peers.channel import Channel, FrameKind, Identity
+from cloverway.peers.peer_client import PeerClient
 from cloverway.tests.peers import (
     BOUNDS,
     CLAIM,
--- a/cloverway/tests/test_peer_keys.py
+++ b/cloverway/tests/test_peer_keys.py
@@ -8,13 +8,13 @@
 
 import pytest
 
-from cloverway.channel import Identity
-from cloverway.claims import Claims, Granted, KeyTask, Replayed
 from cloverway.errors import Kind, Ran, RequestError
 from cloverway.exchange import Reply
-from cloverway.keys import Bounds, Ledger
 from cloverway.messages import Outcome
-from cloverway.peer_client import PeerClient
+from cloverway.once.claims import Claims, Granted, KeyTask, Replayed
+from cloverway.once.keys import Bounds, Ledger
+from cloverway.peers.channel import Identity
+from cloverway.peers.peer_client import PeerClient
 from cloverway.tests.peers import (
     BOUNDS,
     PATIENCE_S,
--- a/cloverway/tests/test_peering.py
+++ b/cloverway/tests/test_peering.py
@@ -2,14 +2,14 @@
 
 import pytest
 
-from cloverway import wire
-from cloverway.channel import HEADER, FrameKind
 from cloverway.errors import Kind, PeerError, Ran, RequestError
 from cloverway.exchange import Reply
-from cloverway.keys import Grant, SettleCall, Settlement
-from cloverway.peer_client import PeerClient
-from cloverway.peer_server import split_pages
-from cloverway.peering import Changes
+from cloverway.once.keys import Grant, SettleCall, Settlement
+from cloverway.peers import wire
+from cloverway.peers.channel import HEADER, FrameKind
+from cloverway.peers.peer_client import PeerClient
+from cloverway.peers.peer_server import split_pages
+from cloverway.peers.peering import Changes
 from cloverway.tests.peers import (
     BOUNDS,
     CLAIM,
--- a/cloverway/tests/test_published.py
+++ b/cloverway/tests/test_published.py
@@ -10,12 +10,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cloverway.config.configuration import ConfigurationStore, Rejected, Source
 from cloverway.config.directory import load, load_directory
 from cloverway.config.published import Published
 from cloverway.config.schema import SINGLES, TABLES
 from cloverway.config.secrets import read_secret
 from cloverway.config.settings import Settings
-from cloverway.configuration import ConfigurationStore, Rejected, Source
 from cloverway.errors import ConfigurationError
 from cloverway.sources.port import Changes, Document
 
--- a/cloverway/tests/test_relay.py
+++ b/cloverway/tests/test_relay.py
@@ -7,12 +7,7 @@
 
 import pytest
 
-from cloverway import relay
-from cloverway.copiers import RelayCopier
 from cloverway.errors import Kind, RequestError
-from cloverway.framing import ChunkedBody
-from cloverway.meters import Meter
-from cloverway.relay import Bounds, Link, Relay
 from cloverway.tests.copying import END, EVENTS, HEAD, Bench, chunk, play
 from cloverway.tests.raw_endpoint import (
     PATIENCE_S,
@@ -20,6 +15,11 @@
     RawEndpoint,
 )
 from cloverway.tests.standins.waiting import wait_until
+from cloverway.upstream import relay
+from cloverway.upstream.copiers import RelayCopier
+from cloverway.upstream.framing import ChunkedBody
+from cloverway.upstream.meters import Meter
+from cloverway.upstream.relay import Bounds, Link, Relay
 
 
 @pytest.fixture
--- a/cloverway/tests/test_reports.py
+++ b/cloverway/tests/test_reports.py
@@ -10,7 +10,7 @@
 
 from cloverway.config.schema import Endpoint, EndpointKind
 from cloverway.errors import PeerError
-from cloverway.reports import FIRST_S, REPORT_BYTES, EndpointReader, Rounds, parse_report
+from cloverway.membership.reports import FIRST_S, REPORT_BYTES, EndpointReader, Rounds, parse_report
 from cloverway.tests.standins.engine import Engine
 
 ENGINE = Endpoint("d", "http://127.0.0.1:1", models=("m",))
@@ -86,7 +86,7 @@
     The kept connection went silent for good, since something between the two ends lost track of
     it; a new connection works at once.
     """
-    monkeypatch.setattr("cloverway.reports.SILENCE_S", 0.1)
+    monkeypatch.setattr("cloverway.membership.reports.SILENCE_S", 0.1)
     good = answer(json.dumps(BODY).encode())
     with Listener(good, good) as listener:
         reader = EndpointReader(ENGINE._replace(url=listener.url))
@@ -110,7 +110,7 @@
     ],
 )
 def test_what_is_no_report_is_an_error_within_its_time(script, monkeypatch):
-    monkeypatch.setattr("cloverway.reports.SILENCE_S", 0.1)
+    monkeypatch.setattr("cloverway.membership.reports.SILENCE_S", 0.1)
     with Listener(script) as listener, pytest.raises(PeerError):
         read(listener.url)
 
--- a/cloverway/tests/test_residency.py
+++ b/cloverway/tests/test_residency.py
@@ -3,9 +3,9 @@
 import pytest
 
 from cloverway.config.published import Published
+from cloverway.dispatch.residency import allowed_regions, check_here
 from cloverway.errors import Kind, RequestError
 from cloverway.messages import Request
-from cloverway.residency import allowed_regions, check_here
 
 PUBLISHED = Published.from_documents(
     {
--- a/cloverway/tests/test_routing.py
+++ b/cloverway/tests/test_routing.py
@@ -6,13 +6,14 @@
 
 import pytest
 
-from cloverway.affinity import rank_places
-from cloverway.decisions import Core
+from cloverway.dispatch.affinity import rank_places
+from cloverway.dispatch.decisions import Core
+from cloverway.dispatch.outliers import LONGEST_PAUSE_S, Outliers
+from cloverway.dispatch.prompts import Prefix
+from cloverway.dispatch.routing import SLOW_START_S
 from cloverway.errors import Kind
+from cloverway.membership.view import HostState
 from cloverway.messages import Admitted, Away, Local, Outcome, Refused
-from cloverway.outliers import LONGEST_PAUSE_S, Outliers
-from cloverway.prompts import Prefix
-from cloverway.routing import SLOW_START_S
 from cloverway.tests.builders import (
     change_endpoint,
     make_published,
@@ -20,7 +21,6 @@
     make_settings,
     make_view,
 )
-from cloverway.view import HostState
 
 E0, E1 = "cu-1-e0", "cu-1-e1"
 
--- a/cloverway/tests/test_tenants.py
+++ b/cloverway/tests/test_tenants.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cloverway.tenants import REVIEW_S, SHARED, TenantLabels
+from cloverway.dispatch.tenants import REVIEW_S, SHARED, TenantLabels
 
 
 def feed(labels, traffic):
--- a/cloverway/tests/test_updates.py
+++ b/cloverway/tests/test_updates.py
@@ -6,11 +6,11 @@
 
 import pytest
 
+from cloverway.config.configuration import ConfigurationStore
 from cloverway.config.settings import Listen, PlatformSettings, Security, Settings
-from cloverway.configuration import ConfigurationStore
+from cloverway.config.updates import Updates
 from cloverway.errors import PeerError, PlatformError
 from cloverway.sources.port import Changes, HostList
-from cloverway.updates import Updates
 
 READ_WITHIN_S = 10.0
 
--- a/cloverway/tests/test_watch.py
+++ b/cloverway/tests/test_watch.py
@@ -7,11 +7,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cloverway.admin import make_gauges
 from cloverway.commands.watch import estimate_quantile, parse_histograms, subtract, summarise
 from cloverway.errors import Kind, Ran
-from cloverway.metrics import Metrics, RequestEnded, StreamEnded
-from cloverway.view import EndpointState, View
+from cloverway.membership.view import EndpointState, View
+from cloverway.operations.admin import make_gauges
+from cloverway.operations.metrics import Metrics, RequestEnded, StreamEnded
 
 ALERTS = Path(__file__).parents[2] / "docs" / "operator-guide" / "alerts.md"
 OWN_NAME = re.compile(r"\bcloverway_\w+")
--- a/cloverway/tests/test_wire.py
+++ b/cloverway/tests/test_wire.py
@@ -6,10 +6,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cloverway import wire
 from cloverway.errors import Kind, PeerError, Ran
-from cloverway.keys import ClaimCall, Grant, Recorded, SettleCall, Settlement
 from cloverway.messages import Refused
+from cloverway.once.keys import ClaimCall, Grant, Recorded, SettleCall, Settlement
+from cloverway.peers import wire
 
 INPUTS = int(os.environ.get("CLOVERWAY_FUZZ", "300"))
 
--- a/cloverway/tests/virtual.py
+++ b/cloverway/tests/virtual.py
@@ -10,12 +10,12 @@
 from cloverway.config.published import Published
 from cloverway.config.settings import Timing
 from cloverway.core.quarantine import QuarantineTerms
-from cloverway.ends import Ends
-from cloverway.gossip import Gossip, Own
-from cloverway.heartbeats import parse_incarnation
-from cloverway.readings import Report
-from cloverway.reports import Rounds
-from cloverway.seal import Seal
+from cloverway.dispatch.ends import Ends
+from cloverway.membership.gossip import Gossip, Own
+from cloverway.membership.heartbeats import parse_incarnation
+from cloverway.membership.readings import Report
+from cloverway.membership.reports import Rounds
+from cloverway.membership.seal import Seal
 
 SEAL = Seal.from_secret(b"a secret of the tests that all hosts share")
 TRIP_S = 0.001
--- /dev/null
+++ b/cloverway/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Requests go out to endpoints, and their answers come back."""
--- a/cloverway/cancels.py
+++ b/cloverway/upstream/cancels.py
@@ -8,8 +8,8 @@
 from concurrent.futures import Future
 from typing import NamedTuple
 
-from cloverway.connections import CALL_FAULTS, Connection
 from cloverway.task import Task
+from cloverway.upstream.connections import CALL_FAULTS, Connection
 
 log = logging.getLogger(__name__)
 
--- a/cloverway/copiers.py
+++ b/cloverway/upstream/copiers.py
@@ -9,11 +9,11 @@
 from contextlib import suppress
 from typing import Protocol
 
-from cloverway.connections import TimedSocket
 from cloverway.errors import EndpointLostError, Kind, RequestError
-from cloverway.framing import EventStream
-from cloverway.meters import Meter, StreamStats
-from cloverway.relay import CALLER_STALL_S, READ_BYTES, Bounds, Link, Relay
+from cloverway.upstream.connections import TimedSocket
+from cloverway.upstream.framing import EventStream
+from cloverway.upstream.meters import Meter, StreamStats
+from cloverway.upstream.relay import CALLER_STALL_S, READ_BYTES, Bounds, Link, Relay
 
 GRACE_S = 5.0
 """How long after its deadline the relay task is waited for."""
--- a/cloverway/endpoints.py
+++ b/cloverway/upstream/endpoints.py
@@ -14,23 +14,29 @@
 from typing import NamedTuple
 
 from cloverway.addresses import split_url
-from cloverway.cancels import Canceller
 from cloverway.config.settings import Limits
-from cloverway.connections import (
+from cloverway.errors import CloverwayError, EndpointLostError, Kind, Ran, RequestError
+from cloverway.exchange import Reply
+from cloverway.messages import Request
+from cloverway.upstream.cancels import Canceller
+from cloverway.upstream.connections import (
     CALL_FAULTS,
     Connection,
     ConnectionPool,
     Head,
     TimedSocket,
 )
-from cloverway.copiers import Copier, EndpointStream, RelayCopier
-from cloverway.errors import CloverwayError, EndpointLostError, Kind, Ran, RequestError
-from cloverway.exchange import Reply
-from cloverway.framing import BodyParser, ChunkedBody, EventStream, LengthBody, make_malformed
-from cloverway.messages import Request
-from cloverway.meters import StreamStats
-from cloverway.relay import Relay
-from cloverway.waits import Wait, Waits
+from cloverway.upstream.copiers import Copier, EndpointStream, RelayCopier
+from cloverway.upstream.framing import (
+    BodyParser,
+    ChunkedBody,
+    EventStream,
+    LengthBody,
+    make_malformed,
+)
+from cloverway.upstream.meters import StreamStats
+from cloverway.upstream.relay import Relay
+from cloverway.upstream.waits import Wait, Waits
 
 log = logging.getLogger(__name__)
 
--- a/cloverway/relay.py
+++ b/cloverway/upstream/relay.py
@@ -19,8 +19,8 @@
 from typing import NamedTuple
 
 from cloverway.errors import EndpointLostError, Kind, RequestError
-from cloverway.framing import EventStream
-from cloverway.meters import Meter
+from cloverway.upstream.framing import EventStream
+from cloverway.upstream.meters import Meter
 
 log = logging.getLogger(__name__)
 
--- a/cloverway/waits.py
+++ b/cloverway/upstream/waits.py
@@ -7,7 +7,7 @@
 from contextlib import contextmanager, suppress
 from socket import SHUT_RDWR
 
-from cloverway.connections import Connection
+from cloverway.upstream.connections import Connection
 
 
 class Wait:
