--- /dev/null
+++ b/cloverway/tests/test_membership_machines.py
@@ -0,0 +1,157 @@
+"""Membership and readings under drawn histories."""
+
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cloverway.membership.heartbeats import Heartbeat
+from cloverway.membership.membership import RETIRED_S, Membership, Merged
+from cloverway.membership.readings import LIST_LAG_S, Readings, Report
+
+NAMES = ("h1", "h2", "h3")
+
+
+SUSPECT_S = 2.0
+
+
+class MembershipMachine(RuleBasedStateMachine):
+    """True hosts send; a network delivers their heartbeats late, twice or never."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.core = Membership("me", 77, SUSPECT_S)
+        self.core.adopt(["me", *NAMES])
+        self.truth = {name: Heartbeat(name, 1, 1) for name in NAMES}
+        self.sent: list[Heartbeat] = []
+        self.left: set[tuple[str, int]] = set()
+        self.seen_left: set[tuple[str, int]] = set()
+        self.highest: dict[tuple[str, int], int] = {}
+        self.taken_at: dict[str, float] = {}
+
+    @rule(name=st.sampled_from(NAMES), leave=st.booleans())
+    def send(self, name, leave):
+        beat = self.truth[name]
+        beat = beat._replace(sequence=beat.sequence + 1, leaving=beat.leaving or leave)
+        self.truth[name] = beat
+        self.sent.append(beat)
+
+    @rule(name=st.sampled_from(NAMES))
+    def replace(self, name):
+        self.truth[name] = Heartbeat(name, self.truth[name].incarnation + 1, 1)
+
+    @rule(pick=st.integers(0, 200), to=st.sampled_from([77, 77, 77, 76, 0]))
+    def deliver(self, pick, to):
+        if not self.sent:
+            return
+        beat = self.sent[pick % len(self.sent)]
+        key = (beat.host, beat.incarnation)
+        before = self.core._members[beat.host]
+        merged = self.core.merge(beat, to, self.now)
+        if merged not in (Merged.NEWS, Merged.KNOWN):
+            assert self.core._members[beat.host] == before
+            return
+        assert to == 77
+        if before and before.incarnation == beat.incarnation:
+            assert beat.sequence > self.highest.get(key, 0)
+        self.highest[key] = max(beat.sequence, self.highest.get(key, 0))
+        self.taken_at[beat.host] = self.now
+        if beat.leaving:
+            self.seen_left.add(key)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 3.0, RETIRED_S + 1]))
+    def pass_time(self, seconds):
+        self.now += seconds
+
+    @rule(seconds=st.sampled_from([1.0, 10.0]))
+    def pause(self, seconds):
+        live = set(self.core.live(self.now))
+        self.core.resume(self.now, self.now + seconds)
+        self.now += seconds
+        assert set(self.core.live(self.now)) == live
+
+    @invariant()
+    def leaving_is_never_taken_back(self):
+        for name, state in self.core.states("d", self.now).items():
+            key = (name, int(state.incarnation, 16))
+            assert state.leaving or key not in self.seen_left
+
+    @invariant()
+    def nothing_is_live_that_was_never_heard(self):
+        assert set(self.core.live(self.now)) <= set(self.taken_at)
+
+    @invariant()
+    def memory_is_bounded(self):
+        assert all(len(retired) <= 16 for retired in self.core._retired.values())
+
+
+MembershipMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=40)
+
+
+TestMembership = MembershipMachine.TestCase
+
+
+class ReadingsMachine(RuleBasedStateMachine):
+    """Two hosts read one endpoint that restarts and leaves; details arrive in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.tables = [Readings(4.0), Readings(4.0)]
+        for table in self.tables:
+            table.adopt(["e"])
+        self.number = 1
+        self.truth = Report("i1", True, False, 0, 0, 8, ("m",))
+        self.details: list = []
+        self.known_left: list[set[str]] = [set(), set()]
+
+    @rule()
+    def leave(self):
+        self.truth = self.truth._replace(leaving=True)
+
+    @rule()
+    def restart(self):
+        self.number += 1
+        self.truth = Report(f"i{self.number}", True, False, 0, 0, 8, ("m",))
+
+    @rule(reader=st.integers(0, 1))
+    def read(self, reader):
+        self.tables[reader].take_report("e", self.truth, self.now)
+        state = self.tables[reader].states(self.now)["e"]
+        assert state.incarnation == self.truth.incarnation
+        assert state.leaving >= self.truth.leaving
+
+    @rule(reader=st.integers(0, 1))
+    def send(self, reader):
+        self.details.append((reader, self.tables[reader].details(["e"], self.now)))
+
+    @rule(pick=st.integers(0, 50))
+    def deliver(self, pick):
+        if self.details:
+            sender, details = self.details[pick % len(self.details)]
+            self.tables[1 - sender].take_details(details, self.now)
+
+    @rule(reader=st.integers(0, 1), leaving=st.booleans())
+    def list_says(self, reader, leaving):
+        self.tables[reader].take_list({"e": leaving}, self.now)
+
+    @rule(seconds=st.sampled_from([0.5, 3.0, LIST_LAG_S]))
+    def pass_time(self, seconds):
+        self.now += seconds
+
+    @invariant()
+    def leaving_is_never_taken_back(self):
+        for table, left in zip(self.tables, self.known_left, strict=True):
+            known = table._known["e"]
+            if known.left:
+                left.add(known.state.incarnation)
+            else:
+                assert known.state.incarnation not in left
+
+
+ReadingsMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=30)
+
+
+TestReadings = ReadingsMachine.TestCase
