Take the ports of test fleets from below those that the system gives away

The number was reserved for TCP only, in the system's own range; UDP sockets of other test processes bind port 0 and are given any number there. Ports are now reserved below that range, each by an exclusive bind.

--- a/cloverway/tests/fleet/standins.py
+++ b/cloverway/tests/fleet/standins.py
@@ -6,6 +6,7 @@
 import base64
 import contextlib
 import json
+import random
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -19,21 +20,31 @@
 
 
 RESERVED: list[socket.socket] = []
+OWN_PORTS = (3_000, 12_000)
+"""Below those of the tests with processes, and below those that the system gives away."""
 
 
 def take_ports(count: int) -> list[int]:
     """Reserve ports for servers that are started later.
 
-    The reserving sockets stay bound for the life of the process. Closed at once, their ports were
-    given to connections of other test processes before the servers could bind them. A server binds
-    beside them, since neither of the two listens yet.
+    The reserving sockets stay bound for the life of the process; a server binds beside them, since
+    neither of the two listens yet. They are below the range that the system gives away by itself:
+    a host's UDP socket has the number of its TCP port, and another test process, which had been
+    given that number for UDP, made a host fail to start.
     """
-    for _ in range(count):
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(*OWN_PORTS)
         sock = socket.socket()
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            sock.close()
+            continue
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(("127.0.0.1", 0))
         RESERVED.append(sock)
-    return [sock.getsockname()[1] for sock in RESERVED[len(RESERVED) - count :]]
+        ports.append(port)
+    return ports
 
 
 def make_server(handler: Callable[[Exchange], Awaitable[None]]) -> Server:
