--- a/cloverway/__main__.py
+++ b/cloverway/__main__.py
@@ -7,15 +7,15 @@
 import sys
 import time
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
 import typer
-from typer.core import TyperGroup
 
 from cloverway import __version__
 from cloverway.commands import admin, bench, call, check, key, output, status, trace, watch
 from cloverway.commands.options import AdminHost, CallerHosts, Json
-from cloverway.errors import CallError, Kind, UserError
+from cloverway.commands.printing import Commands, print_document, print_report
+from cloverway.errors import CallError, Kind
 from cloverway.load import Plan
 from cloverway.serving.settings import FleetSettings
 
@@ -23,18 +23,6 @@
 """Exit code for an answer that is not whole."""
 
 
-class Commands(TyperGroup):
-    """Shows a person's mistakes as plain text."""
-
-    def invoke(self, ctx: Any) -> Any:
-        """Run a command; end with exit code 1 and a plain text on a UserError."""
-        try:
-            return super().invoke(ctx)
-        except UserError as error:
-            typer.echo(f"cloverway: {error}", err=True)
-            raise typer.Exit(1) from error
-
-
 app = typer.Typer(
     cls=Commands,
     name="cloverway",
@@ -94,7 +82,7 @@
 
     Shows every error with its file, its dotted name and what to do. Exit code 1 on errors.
     """
-    _print_report(check.check_directory(directory, against), json)
+    print_report(check.check_directory(directory, against), json)
 
 
 @app.command(
@@ -113,7 +101,7 @@
     json: Json = False,
 ) -> None:
     """Check the settings of a daemon. Exit code 1 on errors."""
-    _print_report(check.check_settings(file, published), json)
+    print_report(check.check_settings(file, published), json)
 
 
 @app.command(
@@ -128,7 +116,7 @@
     json: Json = False,
 ) -> None:
     """Check the settings of a host on the users' platform. Exit code 1 on errors."""
-    _print_document(output.make_plain(FleetSettings.from_toml(file)), json)
+    print_document(output.make_plain(FleetSettings.from_toml(file)), json)
 
 
 @app.command(
@@ -201,7 +189,7 @@
     """
     addresses = status.find_addresses(host or [], published)
     if len(addresses) == 1:
-        _print_document(admin.ask_host(addresses[0], status.PATH), json)
+        print_document(admin.ask_host(addresses[0], status.PATH), json)
         return
     statuses = status.ask_each(addresses)
     faults = status.find_faults(statuses)
@@ -228,7 +216,7 @@
 
     Best first; leaving and overloaded ones are left out. Any host answers.
     """
-    _print_document(admin.ask_host(host, "/v1/hosts"), json)
+    print_document(admin.ask_host(host, "/v1/hosts"), json)
 
 
 @app.command(
@@ -249,7 +237,7 @@
     Nothing is sent to an endpoint.
     """
     question = {"team": team, "profile": profile}
-    _print_document(admin.ask_host(host, "/v1/explain", "POST", question), json)
+    print_document(admin.ask_host(host, "/v1/explain", "POST", question), json)
 
 
 @app.command(
@@ -264,7 +252,7 @@
 
     It takes no new work, tells its callers where to go and ends what is in progress.
     """
-    _print_document(admin.ask_host(host, "/v1/drain", "POST"), json)
+    print_document(admin.ask_host(host, "/v1/drain", "POST"), json)
 
 
 @app.command(
@@ -394,25 +382,6 @@
         typer.echo(f"process {each.pid}: {each.cores:.2f} cores, {each.memory_mb:.0f} MB")
 
 
-def _print_document(document: Any, json: bool) -> None:
-    typer.echo(output.format_json(document) if json else output.format_nested(document))
-
-
-def _print_report(report: check.Report, json: bool) -> None:
-    if json:
-        typer.echo(output.format_json(report._asdict() | {"passed": report.passed}))
-    else:
-        for change in report.changes:
-            typer.echo(change)
-        for warning in report.warnings:
-            typer.echo(f"warning: {warning}", err=True)
-        for error in report.errors:
-            typer.echo(f"error: {error}", err=True)
-        typer.echo(check.summarise(report))
-    if not report.passed:
-        raise typer.Exit(1)
-
-
 def main() -> None:
     """Run the command line."""
     app()
--- a/cloverway/dispatch/admission.py
+++ b/cloverway/dispatch/admission.py
@@ -15,6 +15,7 @@
 from cloverway.config.schema import Urgency
 from cloverway.dispatch.prompts import Prefix
 from cloverway.errors import Kind, Ran
+from cloverway.membership.view import View
 from cloverway.messages import Refused, Request
 
 KEPT_SHARE: dict[Urgency, float] = {Urgency.BATCH: 0.03, Urgency.NORMAL: 0.07}
@@ -27,6 +28,10 @@
 HALF_LIFE_S = 2.5
 LEAST_RATE_PART = 0.1
 """Rate that is assumed at least, as a part of the slots, before anything was measured."""
+STARTING_RETRY_S = 1.0
+"""When to come back to a host that has no configuration yet."""
+LEAVING_RETRY_S = 0.2
+"""When to come back after asking a leaving host: another host can be asked at once."""
 LEAST_RETRY_S = 0.1
 LONGEST_RETRY_S = 30.0
 JITTER = 0.3
@@ -272,3 +277,15 @@
         return Refused(kind, detail, retry_after)
     unknown = Kind.TIMED_OUT if kind is Kind.DEADLINE else Kind.ENDPOINT_FAILED
     return Refused(unknown, detail, None, entry.ran)
+
+
+def refuse_unready(view: View) -> Refused:
+    """Refuse a request at a host that takes no work."""
+    if view.leaving:
+        return Refused(Kind.LEAVING, retry_after=LEAVING_RETRY_S)
+    return Refused(Kind.STARTING, retry_after=STARTING_RETRY_S)
+
+
+def jitter(seconds: float, random: Random) -> float:
+    """Spread a time to come back, so that callers don't come back together."""
+    return seconds * random.uniform(0.5, 1.5)
--- a/cloverway/dispatch/decisions.py
+++ b/cloverway/dispatch/decisions.py
@@ -13,7 +13,7 @@
 
 from cloverway.config.schema import Objective, Urgency
 from cloverway.config.settings import Settings
-from cloverway.dispatch.admission import Line, Waiting, refuse
+from cloverway.dispatch.admission import Line, Waiting, jitter, refuse, refuse_unready
 from cloverway.dispatch.catalogue import Catalogue
 from cloverway.dispatch.ends import Ends
 from cloverway.dispatch.explanation import Explanation, explain, explain_unready
@@ -26,10 +26,6 @@
 from cloverway.membership.view import EndpointState, View
 from cloverway.messages import Away, Outcome, Refused, Request, Verdict
 
-STARTING_RETRY_S = 1.0
-"""When to come back to a host that has no configuration yet."""
-LEAVING_RETRY_S = 0.2
-"""When to come back after asking a leaving host: another host can be asked at once."""
 CAPACITY_RETRY_S = 1.0
 """When to come back where no endpoint is ready: about the lag of a report."""
 LEAST_EXPECTED = 0.2
@@ -65,18 +61,6 @@
     """Requests in progress by model or service."""
 
 
-def refuse_unready(view: View) -> Refused:
-    """Refuse a request at a host that takes no work."""
-    if view.leaving:
-        return Refused(Kind.LEAVING, retry_after=LEAVING_RETRY_S)
-    return Refused(Kind.STARTING, retry_after=STARTING_RETRY_S)
-
-
-def jitter(seconds: float, random: Random) -> float:
-    """Spread a time to come back, so that callers don't come back together."""
-    return seconds * random.uniform(0.5, 1.5)
-
-
 class Core:
     """Own the queues, tickets and budgets of one host, and decide about each request."""
 
--- a/cloverway/tests/fleet/soak.py
+++ b/cloverway/tests/fleet/soak.py
@@ -23,13 +23,10 @@
 from cloverway.serving.client import (
     AnswerError,
     ConnectError,
-    Place,
     Pool,
-    Sending,
     fetch,
     make_request,
 )
-from cloverway.tests.fleet.deployment import read_reply
 from cloverway.tests.fleet.promises import check_ends, find_violations
 from cloverway.tests.fleet.soak_parts import (
     DEADLY,
@@ -41,6 +38,7 @@
     Fault,
     Host,
     Seen,
+    send,
 )
 from cloverway.tests.fleet.standins import (
     Store,
@@ -177,30 +175,7 @@
         return random.choice(self.hosts).callers
 
     async def _send(self, host: str, route: str, pool: Pool, content: bytes = b"x") -> Seen:
-        call = f"c-{next(self._numbers)}"
-        fields = [
-            (b"Host", b"shop.example"),
-            (b"X-Cloverway-Request-Id", call.encode()),
-            (b"X-Cloverway-Deadline-Ms", b"3000"),
-        ]
-        request = make_request("POST", f"/{route}/a", fields, content)
-        began_at = time.monotonic()
-        sending: Sending | None = None
-        status, whole, body, error = 0, False, b"", ""
-        try:
-            async with asyncio.timeout(4.0):
-                sending = Sending(await pool.open(Place(host), 1.0), request, content)
-                sending.write()
-                reply = await read_reply(sending)
-            status, whole, body = reply.status, reply.whole, reply.body
-        except (ConnectError, AnswerError, TimeoutError) as failure:
-            error = repr(failure)
-        finally:
-            if sending is not None:
-                pool.release(Place(host), sending)
-        is_deadly = content.startswith(DEADLY)
-        ended_at = time.monotonic()
-        return Seen(call, route, host, began_at, ended_at, status, whole, body, error, is_deadly)
+        return await send(f"c-{next(self._numbers)}", host, route, pool, content)
 
     # Faults
 
--- a/cloverway/tests/fleet/soak_parts.py
+++ b/cloverway/tests/fleet/soak_parts.py
@@ -3,11 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
 from typing import Any, NamedTuple
 
+from cloverway.serving.client import (
+    AnswerError,
+    ConnectError,
+    Place,
+    Pool,
+    Sending,
+    make_request,
+)
+from cloverway.tests.fleet.deployment import read_reply
 from cloverway.tests.fleet.standins import Endpoint, Store
 from cloverway.tests.standins.links import Link
 from cloverway.tests.standins.processes import Process
@@ -136,3 +146,30 @@
 [retries]
 slack = 200
 """)
+
+
+async def send(call: str, host: str, route: str, pool: Pool, content: bytes) -> Seen:
+    """Send one request as a caller does; give what that saw."""
+    fields = [
+        (b"Host", b"shop.example"),
+        (b"X-Cloverway-Request-Id", call.encode()),
+        (b"X-Cloverway-Deadline-Ms", b"3000"),
+    ]
+    request = make_request("POST", f"/{route}/a", fields, content)
+    began_at = time.monotonic()
+    sending: Sending | None = None
+    status, whole, body, error = 0, False, b"", ""
+    try:
+        async with asyncio.timeout(4.0):
+            sending = Sending(await pool.open(Place(host), 1.0), request, content)
+            sending.write()
+            reply = await read_reply(sending)
+        status, whole, body = reply.status, reply.whole, reply.body
+    except (ConnectError, AnswerError, TimeoutError) as failure:
+        error = repr(failure)
+    finally:
+        if sending is not None:
+            pool.release(Place(host), sending)
+    is_deadly = content.startswith(DEADLY)
+    ended_at = time.monotonic()
+    return Seen(call, route, host, began_at, ended_at, status, whole, body, error, is_deadly)
--- /dev/null
+++ b/cloverway/tests/test_endpoints_kept.py
@@ -0,0 +1,195 @@
+"""Connections to endpoints that are kept between requests, and what goes wrong on them."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+from cloverway.config.settings import Limits
+from cloverway.errors import EndpointLostError, Kind, Ran, RequestError
+from cloverway.tests.raw_endpoint import (
+    Conversation,
+    RawEndpoint,
+    make_request,
+)
+from cloverway.tests.test_endpoints import answer_forever, answer_once, send
+from cloverway.upstream.connections import IDLE_PER_ADDRESS, Connection, ConnectionPool
+from cloverway.upstream.endpoints import EndpointClient
+
+
+@pytest.fixture
+def client() -> Iterator[EndpointClient]:
+    client = EndpointClient.from_settings(Limits())
+    yield client
+    client.close()
+
+
+def test_an_endpoint_that_ends_under_a_request_on_a_kept_connection_is_lost(client) -> None:
+    """A request ends endpoint after endpoint, and none of these ends is counted against it.
+
+    It goes out on a connection that was kept from before. That breaks, which may mean an idle
+    connection that was dropped, so it is sent on a new one; but nobody listens there any more.
+    """
+
+    def end(conversation: Conversation) -> None:
+        conversation.answer(b"{}")
+        endpoint.stop_listening()
+        conversation.read_request()
+
+    with RawEndpoint(end) as endpoint:
+        send(client, endpoint.url)
+        with pytest.raises(RequestError) as failure:
+            send(client, endpoint.url)
+    assert isinstance(failure.value, EndpointLostError)
+    assert (failure.value.kind, failure.value.ran) == (Kind.ENDPOINT_FAILED, Ran.UNKNOWN)
+
+
+def test_an_endpoint_that_refuses_after_a_kept_connection_was_dropped_is_not_lost(client) -> None:
+    def drop(conversation: Conversation) -> None:
+        conversation.answer(b"{}")
+        conversation.read_request()
+
+    def refuse(conversation: Conversation) -> None:
+        conversation.answer(b"{}", b"503 Busy\r\nCloverway-Ran: no")
+
+    with RawEndpoint(drop, refuse) as endpoint:
+        send(client, endpoint.url)
+        with pytest.raises(RequestError) as failure:
+            send(client, endpoint.url)
+    assert not isinstance(failure.value, EndpointLostError)
+    assert failure.value.ran is Ran.UNKNOWN
+
+
+def test_idempotent_requests_share_a_connection(client: EndpointClient) -> None:
+    with RawEndpoint(answer_forever) as endpoint:
+        bodies = [send(client, endpoint.url).body for _ in range(3)]
+        assert bodies == [b'{"n": 0}', b'{"n": 1}', b'{"n": 2}']
+        send(client, endpoint.url, idempotent=False)
+        assert len(endpoint.conversations) == 2
+
+
+def test_stale_connection_and_a_request_that_may_run_once(client: EndpointClient) -> None:
+    """The filing runs once, though a pooled connection to its endpoint is dead.
+
+    The endpoint closes each connection when its second request arrives. Sent on the pooled
+    connection, the filing would fail with no telling whether it ran. It goes on a new one.
+    """
+    with RawEndpoint(answer_once) as endpoint:
+        send(client, endpoint.url)
+        assert send(client, endpoint.url, idempotent=False).body == b"{}"
+        assert [len(each.requests) for each in endpoint.conversations] == [1, 1]
+
+
+def test_stale_connection_and_an_idempotent_request(client: EndpointClient) -> None:
+    """The lookup is answered though the pooled connection it went on was dead.
+
+    The endpoint closes each connection when its second request arrives. Nothing of an answer
+    came, so the lookup is sent once more on a new connection before the endpoint is blamed.
+    """
+    with RawEndpoint(answer_once) as endpoint:
+        send(client, endpoint.url)
+        assert send(client, endpoint.url).body == b"{}"
+        assert [len(each.requests) for each in endpoint.conversations] == [2, 1]
+
+
+def test_connection_that_went_silent(client: EndpointClient) -> None:
+    """The lookup is answered though its pooled connection lost its other end without a sign.
+
+    The second request on it gets no byte. After the gap limit, well before the deadline, the
+    lookup goes on a new connection, which works.
+    """
+
+    def fall_silent(conversation: Conversation) -> None:
+        conversation.answer(b"{}")
+        conversation.read_request()
+        conversation.wait_for_close()
+
+    with RawEndpoint(fall_silent) as endpoint:
+        send(client, endpoint.url)
+        assert send(client, endpoint.url, gap_s=0.1).body == b"{}"
+        assert len(endpoint.conversations) == 2
+
+
+def test_failure_on_a_new_connection_is_not_repeated(client: EndpointClient) -> None:
+    with RawEndpoint(lambda conversation: conversation.read_request()) as endpoint:
+        for idempotent in (True, False):
+            with pytest.raises(RequestError) as failure:
+                send(client, endpoint.url, idempotent=idempotent)
+            assert failure.value.ran is Ran.UNKNOWN
+        assert len(endpoint.requests) == 2
+
+
+def test_idle_connections_expire_and_are_bounded(client: EndpointClient) -> None:
+    pool = ConnectionPool(idle_s=4.0)
+    address = ("127.0.0.1", 1)
+    left, right = socket.socketpair()
+    with left, right:
+        connection = Connection.from_address(address, 1.0)
+        connection.sock = left
+        pool.put(address, connection, now=100.0)
+        assert pool.take(address, now=103.9) is connection
+        pool.put(address, connection, now=100.0)
+        assert pool.take(address, now=104.0) is None
+        assert left.fileno() == -1
+        for _ in range(IDLE_PER_ADDRESS + 5):
+            pool.put(address, Connection.from_address(address, 1.0), now=100.0)
+        assert len(pool._idle[address]) == IDLE_PER_ADDRESS
+
+
+@pytest.mark.parametrize("second", ["refused connection", "refused by check", "refused plainly"])
+def test_not_run_is_not_said_after_a_first_try(client: EndpointClient, second: str) -> None:
+    """A caller is told "unknown", not "not run", where the first of two tries may have run.
+
+    The lookup goes on a pooled connection; the endpoint reads it and closes. The second try, on
+    a new connection, certainly does not run. That says nothing of the first one.
+    """
+    checks = iter([None, None, RequestError(Kind.DEADLINE)])
+
+    def check() -> None:
+        error = next(checks) if second == "refused by check" else None
+        if error is not None:
+            raise error
+
+    def answer_once_and_go(conversation: Conversation) -> None:
+        conversation.answer(b"{}")
+        if second == "refused connection":
+            endpoint.stop_listening()
+        conversation.read_request()
+
+    def refuse(conversation: Conversation) -> None:
+        conversation.answer(b"{}", b"503 Busy\r\nCloverway-Ran: no")
+
+    with RawEndpoint(answer_once_and_go, refuse) as endpoint:
+        send(client, endpoint.url, check=check)
+        with pytest.raises(RequestError) as failure:
+            send(client, endpoint.url, check=check)
+    assert failure.value.ran is Ran.UNKNOWN
+    assert failure.value.kind in {Kind.ENDPOINT_FAILED, Kind.TIMED_OUT}
+
+
+def test_not_run_is_not_said_when_the_deadline_ends_the_first_try(client: EndpointClient) -> None:
+    def fall_silent(conversation: Conversation) -> None:
+        conversation.answer(b"{}")
+        conversation.read_request()
+        conversation.wait_for_close()
+
+    def never_answer(conversation: Conversation) -> None:
+        conversation.read_request()
+        conversation.wait_for_close()
+
+    with RawEndpoint(fall_silent, never_answer) as endpoint:
+        send(client, endpoint.url)
+        with pytest.raises(RequestError) as failure:
+            send(client, endpoint.url, make_request(0.2))
+    assert (failure.value.kind, failure.value.ran) == (Kind.TIMED_OUT, Ran.UNKNOWN)
+
+
+def test_connections_probe_the_other_end(client: EndpointClient) -> None:
+    with RawEndpoint(answer_forever) as endpoint:
+        send(client, endpoint.url)
+        (idle,) = client._pool._idle.values()
+        sock = idle[0].sock
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 6000
