Ask an endpoint that seemed to end which life of it is there, before its request returns

Cause: an end is counted once for each life of an endpoint, and the life is taken from its published entry. A broken connection looks the same whether its endpoint ended or not, so nothing that a host hears by itself can tell.

Ruled out before: naming the next life by the time at which the connection was opened (an engine that lives on and resets connections would count). Not taken: keeping the request from that life for some seconds; the only endpoint of a region would then be refused to a sound request whose connection broke.

Now a request that comes back to a life which seemed to end under it waits for the endpoint's own word on its start: the same start takes the end back, a later one is known as a new life (and as cold) before its entry, and one that refuses, is silent, or another endpoint's answer isn't sent the request. Asked once for all requests that ended together; where no start is told, all is as before.

Test doubles tell their start; in the soak entries of endpoints that ended come up to 1.5 s late.

--- a/cloverway/core/endpoints.py
+++ b/cloverway/core/endpoints.py
@@ -114,6 +114,25 @@
             and not endpoint.is_down(now)
         ]
 
+    def note_born(self, name: str, born_ms: int, now: float) -> list[Change]:
+        """Note when the endpoint at an address started, by its own word; give what changed.
+
+        Its entry comes later. Until then the new life is taken to be as cold as its service is
+        after a start: loaded like the one before, it could end again at once.
+        """
+        endpoint = self.endpoints.get(name)
+        if endpoint is None or endpoint.entry.born_ms is None or born_ms <= endpoint.entry.born_ms:
+            return []
+        entry = endpoint.entry._replace(
+            born_ms=born_ms,
+            draining=False,
+            leaves_s=None,
+            cold_s=self._get_cold_s(endpoint.entry.service),
+        )
+        changes = self._apply_entry(entry, now)
+        self._index()
+        return changes
+
     def forget_missing(self, now: float) -> list[Change]:
         """Drop the endpoints whose entries stayed away."""
         gone = [
@@ -235,6 +254,11 @@
         if entry.leaves_s is not None:
             endpoint.leaves_at = now + entry.leaves_s
 
+    def _get_cold_s(self, service: str) -> float:
+        configuration = self.configuration
+        found = configuration.services.get(service) if configuration is not None else None
+        return found.cold_s if found is not None else 0.0
+
     def _note_past_life(self, entry: EndpointEntry) -> None:
         self._past_lives[entry.id] = entry
         if len(self._past_lives) > MOST_PAST_LIVES:
--- a/cloverway/core/quarantine.py
+++ b/cloverway/core/quarantine.py
@@ -117,6 +117,15 @@
         ended_at = self._ended.get(life)
         if ended_at is None or not _outlives(ended_at, since, until):
             return
+        self._take_back(life, until)
+
+    def note_found(self, life: str, now: float) -> None:
+        """Note that a life of an endpoint has said that it is there: it never ended."""
+        if life in self._ended:
+            self._take_back(life, now)
+
+    def _take_back(self, life: str, until: float) -> None:
+        """Void the end that a life seemed to have before some time."""
         del self._ended[life]
         _keep_last(self._sound, life, until, MOST_ENDED)
         for lives in self._suspects.values():
@@ -137,6 +146,10 @@
         """Count the endpoints that ended while they ran a request."""
         return len(self._suspects.get(digest, ()))
 
+    def has_ended(self, digest: int, life: str) -> bool:
+        """Tell whether a life of an endpoint ended, by all signs, while it ran a request."""
+        return life in self._suspects.get(digest, ())
+
     def get_hold(self, digest: int, now: float) -> Hold | None:
         """Tell why a request must not be sent now, or None when it may."""
         lives = self._suspects.get(digest)
--- a/cloverway/platform/dialect.py
+++ b/cloverway/platform/dialect.py
@@ -11,14 +11,18 @@
 from cloverway.errors import Kind, Ran, RequestError
 from cloverway.platform import names
 from cloverway.platform.documents import decode_documents
+from cloverway.platform.entries import decode_born
 from cloverway.serving.client import ReplyHead
-from cloverway.serving.ports import Lookup, ReplyFacts, SendTerms
+from cloverway.serving.ports import LifeFacts, Lookup, ReplyFacts, SendTerms
 from cloverway.serving.server import Exchange
 
 LOOKUP_PATH = "/resolve"
 READINESS_PATH = "/ready"
+STATE_PATH = "/report"
+"""Where an endpoint says how it is; it needs no place of a request there."""
 DEFAULT_DEADLINE_S = 30.0
 """Time of a caller that names none; the route's own time is shorter."""
+OK = 200
 MISDIRECTED = 421
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that tell a caller that its request did not run, whoever sends them."""
@@ -106,6 +110,15 @@
         sealed = head.get(names.SIGNATURE) is not None
         return ReplyFacts(not_run, sealed, elsewhere)
 
+    def encode_life_question(self, endpoint_id: str) -> tuple[str, list[Header]]:
+        """Give target and headers of the GET that asks an endpoint when it started."""
+        return STATE_PATH, [(names.EXPECTED_ENDPOINT, endpoint_id.encode("latin-1"))]
+
+    def decode_life(self, head: ReplyHead, body: bytes) -> LifeFacts:
+        """Decode the answer to it."""
+        born_ms = decode_born(body) if head.status == OK else None
+        return LifeFacts(head.status == MISDIRECTED, born_ms)
+
     def encode_refusal(self, error: RequestError, call_id: str) -> tuple[int, list[Header], bytes]:
         """Give status, headers and body of the answer to a request that failed here."""
         headers = [PROBLEM]
--- a/cloverway/platform/entries.py
+++ b/cloverway/platform/entries.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import logging
 import re
 from typing import Annotated, Literal, TypeVar
 
@@ -29,6 +30,8 @@
 )
 from cloverway.errors import DocumentError
 
+log = logging.getLogger(__name__)
+
 MOST_ENTRY_BYTES = 64 * 1024
 """An endpoint's entry is some 300 bytes, and grows with the models that it lists."""
 MOST_CONFIGURATION_BYTES = 8 * 1024 * 1024
@@ -87,6 +90,12 @@
         )
 
 
+class _LifeFields(Struct):
+    """The part of an endpoint's state that tells one life of it from the next."""
+
+    born_ms: Count | None = field(name="born", default=None)
+
+
 class _ShareFields(Struct):
     service: Name
     weight: Annotated[float, Meta(ge=0)]
@@ -200,6 +209,15 @@
     return _decode(EntryFields, value, MOST_ENTRY_BYTES).make_entry(name)
 
 
+def decode_born(value: bytes) -> int | None:
+    """Decode when an endpoint started, from what it says of itself; None where it can't be read."""
+    try:
+        return _decode(_LifeFields, value, MOST_ENTRY_BYTES).born_ms
+    except DocumentError as error:
+        log.warning("what an endpoint says of itself can't be read", extra={"why": str(error)})
+        return None
+
+
 def decode_configuration(value: bytes) -> Configuration:
     """Decode a whole configuration; raise DocumentError, whatever the bytes."""
     fields = _decode(_ConfigurationFields, value, MOST_CONFIGURATION_BYTES)
--- a/cloverway/serving/context.py
+++ b/cloverway/serving/context.py
@@ -14,6 +14,7 @@
 from cloverway.serving.client import Pool
 from cloverway.serving.clock import read_clock
 from cloverway.serving.crashes import CrashExchange
+from cloverway.serving.lives import LifeCheck
 from cloverway.serving.ports import Dialect
 from cloverway.serving.settings import FleetSettings
 from cloverway.serving.targeting import Targeting
@@ -45,6 +46,7 @@
         self.usual_failures = UsualFailures()
         self.quarantine = Quarantine(settings.quarantine)
         self.crashes = CrashExchange(members, self.quarantine, figures)
+        self.lives = LifeCheck(self.quarantine, self.pool, dialect, figures)
         self._budgets: dict[str, RetryBudget] = {}
         self._started_at = read_clock()
         self._configured = asyncio.Event()
--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -105,14 +105,19 @@
                 raise RequestError(Kind.QUARANTINED, outcome.reason, ran=self.ran)
 
     async def _take_place(self) -> Target:
-        target = await self.placement.choose(self.ran, self.arrivals > 0)
-        try:
-            # It may have waited, and the news may have come meanwhile.
-            self._check_quarantine()
-        except RequestError:
-            self.context.targeting.release(target)
-            raise
-        return target
+        while True:
+            target = await self.placement.choose(self.ran, self.arrivals > 0)
+            is_kept = False
+            try:
+                # It may have waited, and the news may have come meanwhile.
+                self._check_quarantine()
+                is_kept = await self._may_send(target)
+            finally:
+                if not is_kept:
+                    self.context.targeting.release(target)
+            if is_kept:
+                return target
+            self.tried[target.name] += 1
 
     def _get_service(self) -> Service:
         passed = self.call.passed_on
@@ -263,6 +268,12 @@
             left_s = hold.left_s if self.ran is Ran.NO else None
             raise RequestError(Kind.QUARANTINED, why, ran=self.ran, retry_after=left_s)
 
+    async def _may_send(self, target: Target) -> bool:
+        """Tell whether the request may be sent to a place, after asking it where it may be gone."""
+        if target.candidate is None:
+            return True
+        return await self.context.lives.may_send(target.candidate.endpoint, self._digest)
+
     def _note_ends(self, target: Target, outcome: Broken, now: float) -> None:
         if outcome.is_end:
             self._note_end(target, now)
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -87,6 +87,7 @@
         )
         self.catalogue.on_news = self.gossip.announce_news
         self.gossip.sum_waiting = self.context.targeting.sum_waiting
+        self.context.lives.on_born = self.catalogue.note_born
         self.context.targeting.on_prompt = self.gossip.uses.tell_at_once
         self.started_at = read_clock()
         self.leaving_at: float | None = None
--- a/cloverway/serving/ports.py
+++ b/cloverway/serving/ports.py
@@ -55,6 +55,15 @@
     """The address of an endpoint that has read parts of the prompt already."""
 
 
+class LifeFacts(NamedTuple):
+    """What an endpoint that was asked for it says of itself."""
+
+    elsewhere: bool
+    """Whether another endpoint answered."""
+    born_ms: int | None
+    """Unix time of its start; None where it doesn't say."""
+
+
 class Lookup(NamedTuple):
     """A caller's question which hosts to use."""
 
@@ -102,6 +111,14 @@
         """Decode the head of an endpoint's answer."""
         ...
 
+    def encode_life_question(self, endpoint_id: str) -> tuple[str, list[Header]]:
+        """Give target and headers of the GET that asks an endpoint when it started."""
+        ...
+
+    def decode_life(self, head: ReplyHead, body: bytes) -> LifeFacts:
+        """Decode the answer to it."""
+        ...
+
     def encode_refusal(self, error: RequestError, call_id: str) -> tuple[int, list[Header], bytes]:
         """Give status, headers and body of the answer to a request that failed here."""
         ...
--- a/cloverway/tests/fleet/soak.py
+++ b/cloverway/tests/fleet/soak.py
@@ -54,6 +54,8 @@
 """How long the caller of a deadly request repeats it."""
 DOWN_S = 1.0
 """Time until an endpoint that a request has ended is back."""
+LATE_ENTRY_S = 1.5
+"""The longest time from then until its entry tells so."""
 
 
 class Soak:
@@ -138,7 +140,7 @@
     def _describe(self, endpoint: CountingEndpoint, **fields: Any) -> None:
         """Write the entry of an endpoint."""
         address = self.links[endpoint.name].address
-        entry = endpoint.describe(address=address, born=endpoint.born_ms, **fields)
+        entry = endpoint.describe(address=address, born=endpoint.born, **fields)
         self.store.put(f"servers/{endpoint.name}", entry)
 
     def _list_live(self) -> list[CountingEndpoint]:
@@ -318,7 +320,7 @@
         link = self.links[endpoint.name]
         link.cut()
         link.restore()
-        endpoint.born_ms += 1_000
+        endpoint.born += 1_000
         self._describe(endpoint, coldRemainingMs=500)
 
     async def _repeat_deadly(self) -> None:
@@ -332,7 +334,7 @@
             await asyncio.sleep(self.random.uniform(0.02, 0.4))
 
     def _crash(self, endpoint: CountingEndpoint, body: bytes) -> None:
-        """End an endpoint under a request; it comes back, born again, when its entry has lapsed."""
+        """End an endpoint under a request; it comes back, born again."""
         self.ends[body].append(time.monotonic())
         link = self.links[endpoint.name]
         link.cut()
@@ -343,7 +345,9 @@
     async def _bring_back(self, endpoint: CountingEndpoint) -> None:
         await asyncio.sleep(DOWN_S)
         self.links[endpoint.name].restore()
-        endpoint.born_ms += 1_000
+        endpoint.born += 1_000
+        # What it has published names the life before until its next heartbeat.
+        await asyncio.sleep(self.random.uniform(0.0, LATE_ENTRY_S))
         if f"servers/{endpoint.name}" in self.store.items:
             self._describe(endpoint)
 
--- a/cloverway/tests/fleet/soak_parts.py
+++ b/cloverway/tests/fleet/soak_parts.py
@@ -70,7 +70,7 @@
         super().__init__(name, service, domain)
         self.runs: list[str] = []
         self.break_part = 0.0
-        self.born_ms = 1_700_000_000_000
+        self.born = 1_700_000_000_000
         self.random = Random(name)
         self.answer = self.answer_by_route
         self.on_crash: Callable[[CountingEndpoint, bytes], None] = lambda endpoint, body: None
--- a/cloverway/tests/fleet/standins.py
+++ b/cloverway/tests/fleet/standins.py
@@ -160,6 +160,10 @@
         self.answer: Callable[[Exchange], Awaitable[None]] = self.answer_plainly
         self.cancelled = 0
         self.is_gone = False
+        self.born = 1
+        """The start of the life that runs, which an entry may be late to tell."""
+        self.questions = 0
+        """How often it was asked how it is."""
         self.server = make_server(self._handle)
 
     @property
@@ -225,11 +229,21 @@
     async def start_again(self) -> None:
         """Listen again at the address after a crash, as another process does."""
         self.requests.clear()
+        self.born += 1
         self.server = make_server(self._handle)
         await self.start()
         self.is_gone = False
 
+    async def tell_state(self, exchange: Exchange) -> None:
+        """Say how it is, as endpoints do beside the requests that they run."""
+        self.questions += 1
+        state = {"stage": "combined", "waiting": 0, "running": 0, "born": self.born}
+        await exchange.answer(200, [], json.dumps(state).encode())
+
     async def _handle(self, exchange: Exchange) -> None:
+        if exchange.target == "/report":
+            await self.tell_state(exchange)
+            return
         self.requests.append(exchange)
         try:
             await self.answer(exchange)
--- a/cloverway/tests/test_platform_entries.py
+++ b/cloverway/tests/test_platform_entries.py
@@ -26,6 +26,7 @@
 from cloverway.core.endpoints import Directory
 from cloverway.platform import entries, store
 from cloverway.platform.documents import decode_documents
+from cloverway.platform.entries import decode_born
 from cloverway.platform.store import _decode_items, _keep_some
 
 CASES = int(os.environ.get("ENTRY_CASES", "300"))
@@ -284,3 +285,24 @@
     assert sum(document.value == encode() for document in kept) == 100
     assert len(kept) <= 500 + 100
     assert sum(len(document.value) for document in kept) < 100 * len(encode()) + 1
+
+
+@pytest.mark.parametrize(
+    ("said", "born_ms"),
+    [
+        (b'{"stage": "combined", "running": 2, "born": 1700000000000}', 1_700_000_000_000),
+        (b'{"stage": "combined"}', None),
+        (b'{"born": null}', None),
+        (b'{"born": 1.5}', None),
+        (b'{"born": -1}', None),
+        (b'{"born": "1700000000000"}', None),
+        (b'{"born": 17', None),
+        (b"[]", None),
+        (b"", None),
+        (b"[" * 100_000, None),
+        (b"\xff\xfe", None),
+    ],
+)
+def test_what_an_endpoint_says_of_its_start_is_a_whole_number_or_nothing(said, born_ms):
+    """Whoever listens at an address may answer anything to the question how it is."""
+    assert decode_born(said) == born_ms
