Let few hosts tell one that is heard again of ends, and few tell ends again

Cause: when a host was heard again, each of the others told it up to 256 requests under which endpoints had ended. Hosts of large regions that serve nobody speak rarely and are taken for gone and heard again all the time, so news went from each host to each other one.

Now two hosts of its own region and two of two other regions tell it, of ends of the last minute and of those for which something is refused; and some eight hosts of a region tell ends again in each period, whatever its size. Four tests, three seen red on the code before; the fourth (a region that was cut off) guards the new rule.

--- a/cloverway/serving/crashes.py
+++ b/cloverway/serving/crashes.py
@@ -7,7 +7,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
 
-from cloverway.core.members import Members
+from cloverway.core.members import Members, rank_for
 from cloverway.core.quarantine import Crash, CrashNews, Quarantine
 from cloverway.serving.clock import read_clock
 from cloverway.serving.peerwire import CODEC, CrashReport, EndpointCrash
@@ -23,8 +23,12 @@
 """How long an end is told again after it happened."""
 NEAR_RETOLD = 3
 FAR_RETOLD = 2
-"""Hosts of the region, and of others, that are told again each time: by doubling and more, 1,000
-hosts hear of it within five periods."""
+"""Hosts of the region, and of others, that are told again each time."""
+RETELLERS = 8
+"""Hosts of a region, about, that tell again in each period, whatever its size. Together they tell a
+host of a region of 24 once a period: one that missed the first word by a lost datagram, as one in
+40 does, hears it again for six periods. With each host telling, news went to each of 90 hosts five
+times a second."""
 FAR_REGIONS = 8
 """Regions that are told at once; more of them hear it from these and by what is told again."""
 FAR_HOSTS = 2
@@ -37,6 +41,14 @@
 """What the field holds: an end that long ago, 24 days, counts for nothing any more."""
 MOST_WELCOME = 256
 """Requests that a host is told of when it is heard for the first time, or again after a cut."""
+WELCOMED_S = 60.0
+"""How old an end may be that it is told of, unless a request is refused for it: a request that ends
+endpoints comes again sooner, and those that ran beside it by chance are most of them."""
+WELCOMERS = 2
+"""Hosts of a region that tell it: one more than is needed while all datagrams arrive."""
+WELCOME_REGIONS = 2
+"""Regions that tell it beside its own, which may have been cut off with it. When each host told
+each other one that it heard again, half of all bytes between the regions of 89 hosts were these."""
 
 
 class CrashExchange:
@@ -91,8 +103,29 @@
             self._tell_soon()
 
     def welcome(self, name: str) -> None:
-        """Tell a host that was not there until now what it may have missed."""
-        self._send([name], self._quarantine.list_news(float("-inf"), MOST_WELCOME), read_clock())
+        """Tell a host that was not there until now what it may have missed, if that falls to us."""
+        now = read_clock()
+        recent = self._quarantine.list_news(now - WELCOMED_S, MOST_WELCOME)
+        held = self._quarantine.list_held(now, MOST_WELCOME)
+        news = recent._replace(crashes=recent.crashes + held)
+        if (news.crashes or news.served) and self._must_welcome(name, now):
+            self._send([name], news, now)
+
+    def _must_welcome(self, name: str, now: float) -> bool:
+        """Tell whether this host is one of the few that tell another one what it has missed.
+
+        Hosts that see others of them alive may disagree: then one more tells it, or one less.
+        """
+        own = self._members.own
+        peer = self._members.peers.get(name)
+        members = [other.member for other in self._members.list_alive(now)]
+        regions = {own.region, *(member.region for member in members)}
+        telling = sorted(regions, key=lambda region: rank_for(name, region))[:WELCOME_REGIONS]
+        if own.region not in telling and (peer is None or peer.member.region != own.region):
+            return False
+        near = {member.name for member in members if member.region == own.region}
+        ranked = sorted({own.name, *near} - {name}, key=lambda host: rank_for(name, host))
+        return own.name in ranked[:WELCOMERS]
 
     def _tell_soon(self) -> None:
         if not self._is_telling:
@@ -112,8 +145,10 @@
         self._send([*near, *self._choose_far()], own, now)
 
     def _retell(self, now: float) -> None:
-        news = self._quarantine.list_news(now - RETOLD_S, MOST_TOLD)
         near = self._members.list_region()
+        if random.random() >= RETELLERS / (len(near) + 1):
+            return
+        news = self._quarantine.list_news(now - RETOLD_S, MOST_TOLD)
         far = [name for name in self._members.peers if name not in set(near)]
         chosen = [*_sample(near, NEAR_RETOLD), *_sample(far, FAR_RETOLD)]
         self._send(chosen, news, now)
--- a/cloverway/tests/test_crashes.py
+++ b/cloverway/tests/test_crashes.py
@@ -45,7 +45,7 @@
         self.sent = []
         self.hosts = {name: Host(self, name, name[0]) for name in names}
         for host, other in itertools.permutations(self.hosts.values(), 2):
-            host.members.hear(other.members.own, 0.0, True, 0.0)
+            host.members.hear(other.members.own, 0.0, True, crashes.read_clock())
 
     def send(self, sender, receiver, data):
         self.sent.append((sender, receiver, data))
@@ -176,3 +176,73 @@
         assert sum(net.hosts["a2"].knows(number) for number in range(300)) == 256
 
     asyncio.run(scenario())
+
+
+def count_told(net, name):
+    """Count the hosts that told a host anything."""
+    return len({sender for sender, receiver, _ in net.sent if receiver == name})
+
+
+def test_what_a_newcomer_has_missed_is_told_by_few_hosts_however_many_there_are(clock):
+    """Hosts that speak rarely are taken for gone and heard again all the time, by all the others.
+
+    Each of 60 hosts told each of them all it knew: half of the bytes between regions were that.
+    """
+    net = Net(*(f"{region}{number}" for region in "abc" for number in range(20)))
+    for host in net.hosts.values():
+        host.quarantine.note_crash(Crash("e", (DEADLY,), clock[0]))
+
+    async def scenario():
+        for newcomer in ("a3", "b7", "c19"):
+            host = net.hosts[newcomer]
+            host.quarantine = host.exchange._quarantine = Quarantine(QuarantineTerms())
+            net.sent.clear()
+            for other in net.hosts.values():
+                if other is not host:
+                    other.exchange.welcome(newcomer)
+            assert host.knows()
+            assert 2 <= count_told(net, newcomer) <= 6
+
+    asyncio.run(scenario())
+
+
+def test_a_region_that_was_cut_off_is_told_by_another_one(clock):
+    """All hosts of a region were away, and those next to one of them know as little as it does."""
+    net = Net(*(f"{region}{number}" for region in "abc" for number in range(6)))
+    for name, host in net.hosts.items():
+        if name[0] != "b":
+            host.quarantine.note_crash(Crash("e", (DEADLY,), clock[0]))
+
+    async def scenario():
+        for name, host in net.hosts.items():
+            for newcomer in (other for other in net.hosts if other[0] == "b" and other != name):
+                host.exchange.welcome(newcomer)
+        assert all(host.knows() for host in net.hosts.values())
+
+    asyncio.run(scenario())
+
+
+def test_a_newcomer_is_told_of_old_ends_only_where_something_is_refused_for_them(clock):
+    net = Net("a1", "a2")
+    quarantine = net.hosts["a1"].quarantine
+    for number in range(3):
+        quarantine.note_crash(Crash(f"held-{number}", (DEADLY,), clock[0]))
+    quarantine.note_crash(Crash("old", (8,), clock[0]))
+    clock[0] += crashes.WELCOMED_S + 1.0
+    quarantine.note_crash(Crash("new", (9,), clock[0]))
+    net.hosts["a1"].exchange.welcome("a2")
+    assert [net.hosts["a2"].knows(digest) for digest in (DEADLY, 8, 9)] == [3, 0, 1]
+
+
+def test_what_is_told_again_does_not_grow_with_the_square_of_the_hosts(clock):
+    """News of the last seconds goes through a region of 100 hosts for as long as any comes."""
+    told = {}
+    for hosts in (10, 100):
+        net = Net(*(f"a{number}" for number in range(hosts)))
+        for host in net.hosts.values():
+            host.quarantine.note_crash(Crash("e", (DEADLY,), clock[0]))
+        for _ in range(20):
+            for host in net.hosts.values():
+                host.exchange._retell(clock[0] + 1.0)
+        told[hosts] = len(net.sent) / 20
+    assert told[100] < 2 * told[10]
