Give what a request's own sends tell of ends a module of its own

Moved as it was: when the request is refused, which sends seemed to end an endpoint, and what takes that back.

--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -10,12 +10,10 @@
 import asyncio
 import random
 from collections import Counter
-from functools import cached_property
 
 from cloverway.core.calls import Call
 from cloverway.core.deployment import Route, Service
-from cloverway.core.prediction import STALLED_AFTER_S, Wanted
-from cloverway.core.quarantine import Crash
+from cloverway.core.prediction import Wanted
 from cloverway.errors import Kind, Ran, RequestError, take_worse
 from cloverway.serving.attempt import (
     RETRY_STATUS,
@@ -34,6 +32,7 @@
 from cloverway.serving.placement import Placement
 from cloverway.serving.server import Exchange
 from cloverway.serving.streaming import EventRelay, list_end_to_end
+from cloverway.serving.suspicion import Suspicion
 from cloverway.serving.targeting import Target
 from cloverway.serving.telemetry import format_digest, tell
 
@@ -63,14 +62,11 @@
         """Sends that were written out: only those draw on the retry budget."""
         self.sent_at = call.arrived_at
         """When the last send began."""
-        self.ended: list[str] = []
-        """The lives of endpoints that ended, by all signs, while they ran it."""
-        self.awaited: Target | None = None
-        """Where the answer to it is awaited from."""
         self.tried: Counter[str] = Counter()
         self.wanted = Wanted(call, route, self.service, self.tried)
         self.placement = Placement(context, self.wanted, self.limit_at)
         self.relay = EventRelay(exchange, self.wanted)
+        self.suspicion = Suspicion(context, call, self.relay.timing)
 
     async def run(self) -> None:
         """Run the request to the end of its answer; raise RequestError."""
@@ -81,17 +77,17 @@
             async with asyncio.timeout(max(0.0, left_s)):
                 await self._run_attempts()
         except TimeoutError:
-            self._note_silence()
+            self._note_given_up()
             error = RequestError(Kind.TIMED_OUT, "the time of the route is over", ran=self.ran)
             self._fail(error)
         except asyncio.CancelledError:
-            self._note_silence()
+            self._note_given_up()
             self._tell_end(RequestError(Kind.CALLER_LEFT, "the caller left", ran=self.ran), 0)
             raise
 
     async def _run_attempts(self) -> None:
         while True:
-            self._check_quarantine()
+            self.suspicion.check(self.ran)
             target = await self._take_place()
             outcome = await self._send(target)
             if isinstance(outcome, Answered):
@@ -110,8 +106,8 @@
             is_kept = False
             try:
                 # It may have waited, and the news may have come meanwhile.
-                self._check_quarantine()
-                is_kept = await self._may_send(target)
+                self.suspicion.check(self.ran)
+                is_kept = await self.suspicion.may_send(target)
             finally:
                 if not is_kept:
                     self.context.targeting.release(target)
@@ -133,7 +129,7 @@
 
     async def _send(self, target: Target) -> Outcome:
         now = self.sent_at = read_clock()
-        self.awaited = target
+        self.suspicion.note_sent(target, now)
         self.sends += 1
         self._tell_choice(target, now)
         attempt = Attempt(self.context, self.wanted, target, self._make_terms(), self._note_written)
@@ -178,7 +174,7 @@
     async def _relay_whole(self, target: Target, answered: Answered, body: bytes) -> bool:
         failed = answered.head.status >= RETRY_STATUS
         self._note_result(target, failed)
-        self._note_whole(target, answered)
+        self.suspicion.note_whole(target, answered)
         self.ran = Ran.YES
         if self.exchange.started:
             # A stream that began can't get another head: it ends visibly cut.
@@ -209,7 +205,7 @@
             self.context.targeting.release(target)
             self.context.pool.release(target.place, sending, get_idle_s(target))
         self._note_result(target, False)
-        self._note_whole(target, answered)
+        self.suspicion.note_whole(target, answered)
         self._tell_end(None, answered.head.status)
         return True
 
@@ -217,10 +213,10 @@
 
     def _note_failure(self, target: Target, outcome: Declined | Broken) -> None:
         now = read_clock()
-        self.awaited = None
+        self.suspicion.note_failed()
         self._tell_failure(target, outcome, now)
         if isinstance(outcome, Broken):
-            self._note_ends(target, outcome, now)
+            self.suspicion.note_broken(target, outcome, now)
         elif outcome.is_down and target.candidate is not None:
             # Nothing was sent: when it listens again, it may be tried like one that is new.
             target.candidate.endpoint.refused_at = now
@@ -254,75 +250,11 @@
             load.note_success(now)
         usual.note(self.route.name, failed)
 
-    # Requests that end endpoints
-
-    @cached_property
-    def _digest(self) -> int:
-        return self.call.compute_digest()
-
-    def _check_quarantine(self) -> None:
-        """Raise RequestError when the request has ended too many endpoints to be run again."""
-        hold = self.context.quarantine.get_hold(self._digest, read_clock())
-        if hold is not None:
-            why = f"{hold.ends} endpoints ended while they ran it"
-            left_s = hold.left_s if self.ran is Ran.NO else None
-            raise RequestError(Kind.QUARANTINED, why, ran=self.ran, retry_after=left_s)
-
-    async def _may_send(self, target: Target) -> bool:
-        """Tell whether the request may be sent to a place, after asking it where it may be gone."""
-        if target.candidate is None:
-            return True
-        return await self.context.lives.may_send(target.candidate.endpoint, self._digest)
-
-    def _note_ends(self, target: Target, outcome: Broken, now: float) -> None:
-        if outcome.is_end:
-            self._note_end(target, now)
-        elif self._is_stalled(target, now):
-            self._note_end(target, self._heard_at)
-        for life in outcome.ended:
-            # Not told on: the host that saw it does so, but its answer is here before its word.
-            self.context.quarantine.note_crash(Crash(life, (self._digest,), now))
-
-    def _note_end(self, target: Target, at: float) -> None:
-        if target.candidate is not None:
-            life = target.candidate.endpoint.entry.life
-            self.ended.append(life)
-            self.context.crashes.note_end(life, self._digest, at)
-
-    def _note_whole(self, target: Target, answered: Answered) -> None:
-        """Note that the request had a whole answer, so that it ends nothing."""
-        self.awaited = None
-        self.context.crashes.note_served(self._digest)
-        if target.candidate is not None:
-            # Only the life that a connection was opened to answers on it. By its entry alone, one
-            # that is back before its entry tells would take back the end that it came from.
-            life = target.candidate.endpoint.entry.life
-            opened_at = answered.sending.connection.opened_at
-            self.context.quarantine.note_alive(life, opened_at, read_clock())
-
-    def _note_silence(self) -> None:
-        """Take an endpoint for ended that was silent when the request was given up.
-
-        One that loses power with the request says nothing, and the connection neither.
-        """
+    def _note_given_up(self) -> None:
         now = read_clock()
-        target = self.awaited
-        is_silent = now - self._heard_at >= STALLED_AFTER_S
-        if target is None or not is_silent or not self._is_stalled(target, now):
-            return
-        self._note_end(target, self._heard_at)
-        self._blame_endpoint(target, now)
-
-    @property
-    def _heard_at(self) -> float:
-        """When the last send began, or its answer was last heard of."""
-        return max(self.sent_at, self.relay.timing.last_at)
-
-    def _is_stalled(self, target: Target, now: float) -> bool:
-        """Tell whether an endpoint has served nobody here for longer than a sound one would."""
-        if target.candidate is None:
-            return False
-        return now - target.candidate.endpoint.load.progress_at > STALLED_AFTER_S
+        silent = self.suspicion.note_given_up(now)
+        if silent is not None:
+            self._blame_endpoint(silent, now)
 
     def _may_repeat(self, runs: int) -> bool:
         """Tell whether the request may be run again after some runs."""
--- a/cloverway/serving/forwarding.py
+++ b/cloverway/serving/forwarding.py
@@ -78,8 +78,8 @@
             (KIND_HEADER, str(error.kind).encode()),
             (ARRIVALS_HEADER, str(course.arrivals if course is not None else 0).encode()),
         ]
-        if course is not None and course.ended:
-            headers.append((ENDED_HEADER, ",".join(course.ended).encode("latin-1")))
+        if course is not None and course.suspicion.ended:
+            headers.append((ENDED_HEADER, ",".join(course.suspicion.ended).encode("latin-1")))
         tell(
             "refused",
             request_id=call_id,
