Keep large prompts to a part of the engines where answers pause too long

Now the engines of a region are ordered by a hash, and as many of them as large prompts take of what is read get these; other answers avoid them. Only where more than 3 in 100 answers paused too long. Callers' estimates of tokens are cut to the most that they asked for.

--- a/cloverway/core/prediction.py
+++ b/cloverway/core/prediction.py
@@ -105,6 +105,10 @@
     """Until it is no longer full, as far as that can be told."""
     source: Endpoint | None = None
     """The endpoint that it would fetch parts of the prompt from."""
+    read_s: float = 0.0
+    """Time to read its prompt there."""
+    answer_s: float = 0.0
+    """Time from the first event of its answer to the last one."""
 
 
 class Far(NamedTuple):
@@ -211,7 +215,8 @@
     full = full or (total.running > 0 and total.held + work.held > kv_limit)
     free_s = max(PLACE_S if full else 0.0, over_s / DUTY, STRAINED_S if strained else 0.0)
     chosen = source.endpoint if source is not None and work.fetched else None
-    return Candidate(endpoint, wait_s, cost_s, work, free_s > 0, free_s, chosen)
+    answer_s = (work.held - call.prompt.tokens_in) * state.token_s
+    return Candidate(endpoint, wait_s, cost_s, work, free_s > 0, free_s, chosen, read_s, answer_s)
 
 
 def _estimate_over(queue_s: float, read_s: float, burst_s: float, is_young: bool) -> float:
@@ -263,7 +268,7 @@
 def estimate_out(prompt: Prompt) -> int:
     """Give the tokens that an answer is taken to have."""
     if prompt.likely_out is not None:
-        return prompt.likely_out
+        return min(prompt.likely_out, prompt.tokens_out)
     return int(prompt.tokens_out * DECODE_LIKELY)
 
 
--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -206,6 +206,7 @@
             self.context.pool.release(target.place, sending, get_idle_s(target))
         self._note_result(target, False)
         self.suspicion.note_whole(target, answered)
+        self._note_pauses(target)
         self._tell_end(None, answered.head.status)
         return True
 
@@ -250,6 +251,12 @@
             load.note_success(now)
         usual.note(self.route.name, failed)
 
+    def _note_pauses(self, target: Target) -> None:
+        objective_s = self.route.gap_objective_s
+        if target.candidate is not None and objective_s:
+            isolation = self.context.targeting.get_isolation(self.service.name)
+            isolation.note_answer(self.relay.timing.longest_gap_s, objective_s, read_clock())
+
     def _note_given_up(self) -> None:
         now = read_clock()
         silent = self.suspicion.note_given_up(now)
@@ -294,6 +301,7 @@
             region=target.region,
             wait_s=round(candidate.wait_s, 3) if candidate else None,
             cost_s=round(candidate.cost_s, 3) if candidate else None,
+            answer_s=round(candidate.answer_s, 3) if candidate else None,
             unread=candidate.work.unread if candidate else None,
             fetched=candidate.work.fetched if candidate else None,
             fetch_from=candidate.source.entry.id if candidate and candidate.source else None,
--- a/cloverway/serving/targeting.py
+++ b/cloverway/serving/targeting.py
@@ -4,7 +4,7 @@
 
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from cloverway.core.choice import (
@@ -17,6 +17,7 @@
 from cloverway.core.deployment import Service
 from cloverway.core.endpoints import Directory, Endpoint
 from cloverway.core.fetch import Source, find_source
+from cloverway.core.isolation import Isolation, keep_apart
 from cloverway.core.members import Members, Offer, Peer
 from cloverway.core.pacing import compute_cold_spacing
 from cloverway.core.prediction import (
@@ -32,6 +33,7 @@
 from cloverway.serving.client import Place
 from cloverway.serving.clock import read_clock
 from cloverway.serving.settings import FleetSettings
+from cloverway.serving.telemetry import tell
 from cloverway.serving.waiting import WaitingLine
 
 LOADS_HEARD_S = 1.5
@@ -85,6 +87,9 @@
         self._started_at = read_clock()
         self._numbers = itertools.count(1)
         self._lines: dict[str, WaitingLine[Target]] = {}
+        self._isolations: dict[str, Isolation] = {}
+        self._apart: dict[str, frozenset[str]] = {}
+        """The engines that large prompts of each service were last kept to."""
         self.on_prompt: Callable[[], None] = lambda: None
         """Called when a prompt was sent that other hosts should hear of at once."""
 
@@ -152,7 +157,7 @@
             return True
         return wanted.call.passed_on is None and bool(self._list_offers(wanted, now))
 
-    def list_candidates(self, wanted: Wanted, now: float) -> list[Candidate]:
+    def list_candidates(self, wanted: Wanted, now: float) -> Sequence[Candidate]:
         """List the endpoints of this region that may run a request."""
         region = self._settings.region
         if wanted.route.homes and region not in wanted.route.homes:
@@ -168,12 +173,29 @@
             if endpoint.region == region
         ]
         source = _find_source(wanted, near, now)
-        return [
+        candidates = [
             predict(wanted, endpoint, sender=sender, now=now, source=source)
             for endpoint in near
             if not wanted.tried[endpoint.entry.life]
             and self._may_load(endpoint, wanted.service, now)
         ]
+        if wanted.service.engine is None or wanted.call.prompt is None:
+            return candidates
+        return keep_apart(wanted, candidates, self._choose_apart(wanted.service.name, near, now))
+
+    def get_isolation(self, service: str) -> Isolation:
+        """Give what was seen of prompts and pauses at a service."""
+        return self._isolations.setdefault(service, Isolation(service))
+
+    def _choose_apart(
+        self, service: str, endpoints: Sequence[Endpoint], now: float
+    ) -> frozenset[str]:
+        """Choose the engines that large prompts are kept to, and log when others are chosen."""
+        chosen = self.get_isolation(service).choose(endpoints, now)
+        if chosen != self._apart.get(service, frozenset()):
+            self._apart[service] = chosen
+            tell("large_prompts_kept", service=service, endpoints=sorted(chosen))
+        return chosen
 
     def _pass_to(self, peer: Peer, service: Service) -> Target:
         """Take a place that another region offers, until it offers anew.
@@ -199,6 +221,8 @@
         endpoint = here.endpoint
         number = next(self._numbers)
         endpoint.load.begin(number, here.work, wanted.call.prompt, now)
+        if here.work.unread:
+            self.get_isolation(wanted.service.name).note_prompt(wanted, here, now)
         if here.work.unread >= TOLD_TOKENS:
             self.on_prompt()
         if endpoint.is_cold(now):
