Log the limit that an endpoint names in its answers

The logs of the incident could not tell whether hosts read an endpoint's limit and took each all of it, or read nothing: no line said what the endpoint had said. Now each answer that names one leaves a line with the request, the life of the endpoint and the limit, and counts in cloverway_events_total{what="limit_named"}. No change of what is decided. A value that is no plain decimal number is told and taken for none.

--- a/cloverway/platform/dialect.py
+++ b/cloverway/platform/dialect.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import logging
+import re
 from collections.abc import Iterable, Sequence
 from urllib.parse import parse_qs
 
@@ -16,6 +18,8 @@
 from cloverway.serving.ports import LifeFacts, Lookup, ReplyFacts, SendTerms
 from cloverway.serving.server import Exchange
 
+log = logging.getLogger(__name__)
+
 LOOKUP_PATH = "/resolve"
 READINESS_PATH = "/ready"
 STATE_PATH = "/report"
@@ -27,6 +31,7 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that tell a caller that its request did not run, whoever sends them."""
 MOST_PRIORITY = 9
+DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 PROBLEM = (b"Content-Type", b"application/problem+json")
 
 
@@ -108,7 +113,8 @@
         elsewhere = head.status == MISDIRECTED
         not_run = head.get(names.NOT_RUN) is not None or elsewhere
         sealed = head.get(names.SIGNATURE) is not None
-        return ReplyFacts(not_run, sealed, elsewhere)
+        limit_per_s = _read_limit(head.get(names.LIMIT))
+        return ReplyFacts(not_run, sealed, elsewhere, limit_per_s)
 
     def encode_life_question(self, endpoint_id: str) -> tuple[str, list[Header]]:
         """Give target and headers of the GET that asks an endpoint when it started."""
@@ -191,5 +197,15 @@
     return number
 
 
+def _read_limit(value: bytes | None) -> float | None:
+    """Give the requests a second that an endpoint says it takes; None where it names no limit."""
+    if value is None:
+        return None
+    if DECIMAL.fullmatch(value.strip()) is None:
+        log.warning("the limit that an endpoint names can't be read", extra={"value": value[:40]})
+        return None
+    return float(value)
+
+
 def _format_ms(seconds: float) -> bytes:
     return str(max(1, int(seconds * 1000))).encode()
--- a/cloverway/serving/attempt.py
+++ b/cloverway/serving/attempt.py
@@ -17,8 +17,9 @@
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
 from cloverway.serving.placement import LEAST_S
-from cloverway.serving.ports import SendTerms
+from cloverway.serving.ports import ReplyFacts, SendTerms
 from cloverway.serving.targeting import Target
+from cloverway.serving.telemetry import tell
 
 CONNECT_S = 0.4
 """Time to open a connection within the region: a lost opening packet is sent again only after a
@@ -190,6 +191,7 @@
         if said is not None:
             await sending.read_body(HOLD_BYTES)
             return self._read_refusal(head, said, sent_at)
+        self._note_statement(facts)
         if facts.elsewhere and target.candidate is not None:
             target.candidate.endpoint.misdirected_at = read_clock()
         if facts.not_run:
@@ -205,6 +207,18 @@
             target.candidate.endpoint.load.learn_work(read_clock() - sent_at)
         return Answered(sending, head, body)
 
+    def _note_statement(self, facts: ReplyFacts) -> None:
+        """Note what an endpoint says of itself in an answer."""
+        if self._target.candidate is None or facts.elsewhere or facts.limit_per_s is None:
+            return
+        self._context.figures.note_event("limit_named")
+        tell(
+            "limit_named",
+            request_id=self._wanted.call.id,
+            life=self._target.name,
+            limit_per_s=facts.limit_per_s,
+        )
+
     def _read_refusal(self, head: ReplyHead, said: bytes, sent_at: float) -> Outcome:
         """Read why another host could not serve the request; `said` is what it knows of its run."""
         target = self._target
--- a/cloverway/serving/ports.py
+++ b/cloverway/serving/ports.py
@@ -41,6 +41,8 @@
     """Whether the endpoint's signature is there: without it the bytes are not the endpoint's."""
     elsewhere: bool = False
     """Whether it came from another endpoint than the one that was meant."""
+    limit_per_s: float | None = None
+    """Requests a second that the endpoint takes from all hosts together; None for no limit."""
 
 
 class SendTerms(NamedTuple):
--- a/cloverway/tests/test_platform_names.py
+++ b/cloverway/tests/test_platform_names.py
@@ -7,7 +7,7 @@
 
 PACKAGE = Path(__file__).parent.parent
 WIRE = re.compile(
-    r"x-cloverway-|kv-|targetLatencyMs|routeType|hostname\"|homeRegions|coldRemainingMs|"
+    r"x-cloverway-|kv-|server-l|targetLatencyMs|routeType|hostname\"|homeRegions|coldRemainingMs|"
     r"weightedBackends|sessionAffinity|kvTokens|op/config|op/evacuate|\"servers/",
     re.IGNORECASE,
 )
