Reproduce the incident: an endpoint that names its limit gets all that comes

Three hosts, one endpoint that names 2 requests a second in each answer, callers that send 15 a second: 60 requests reach it in four seconds, 17 are allowed. The log has limit_named for each answer, so the word arrives and is dropped: the first hypothesis.

--- /dev/null
+++ b/cloverway/tests/test_fleet_limits.py
@@ -0,0 +1,68 @@
+"""Endpoints that name the requests a second they take, over real hosts and sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+from cloverway.serving.clock import read_clock
+from cloverway.tests.fleet.deployment import play, run_fleet, wait_for
+
+LIMIT_PER_S = 2.0
+WINDOW_S = 4.0
+ALLOWED = 1.5 * LIMIT_PER_S * WINDOW_S + 5
+"""Requests in any four seconds, from all hosts together."""
+LEARNT_S = 0.5
+"""Time after the first answer that names the limit until it binds."""
+
+
+class LimitedEndpoint:
+    """An endpoint that names a limit in each answer, and notes when requests reach it."""
+
+    def __init__(self, endpoint, limit=b"%g" % LIMIT_PER_S) -> None:
+        self.endpoint = endpoint
+        self.limit = limit
+        self.arrivals = []
+        self.named_at = None
+        """When an answer of it named its limit for the first time."""
+        endpoint.answer = self.answer
+
+    async def answer(self, exchange):
+        self.arrivals.append(read_clock())
+        headers = self.endpoint.head(exchange)
+        if self.limit is not None:
+            headers.append((b"Server-Limit", self.limit))
+            self.named_at = self.named_at or read_clock()
+        await exchange.answer(200, headers, b"ran at " + self.endpoint.name.encode())
+
+    def count_most(self):
+        """Give the most requests of any four seconds since the limit has bound."""
+        bound = [at for at in self.arrivals if at >= self.named_at + LEARNT_S]
+        return max(
+            (sum(start <= at < start + WINDOW_S for at in bound) for start in bound), default=0
+        )
+
+
+async def press(fleet, hosts, seconds, per_s=15):
+    """Send requests to hosts in turn for some seconds, and give the replies."""
+    calls = []
+    for number in range(int(seconds * per_s)):
+        host = hosts[number % len(hosts)]
+        calls.append(asyncio.create_task(fleet.call("/safe/a", host, deadline_ms=1000)))
+        await asyncio.sleep(1 / per_s)
+    return await asyncio.gather(*calls)
+
+
+def test_an_endpoint_gets_no_more_than_the_limit_that_it_names():
+    """Guards against hosts that send an endpoint in need all that comes, whatever it says."""
+
+    async def scenario():
+        async with run_fleet(hosts=3, endpoints=1) as fleet:
+            limited = LimitedEndpoint(fleet.endpoints["desk-0"])
+            await wait_for(lambda: all(len(h.members.peers) == 2 for h in fleet.hosts))
+            replies = await press(fleet, fleet.hosts, 6.0)
+            assert limited.count_most() <= ALLOWED
+            assert {reply.status for reply in replies} == {200, 503}
+            refused = [reply for reply in replies if reply.status == 503]
+            assert all(float(reply.headers[b"retry-after"]) > 0 for reply in refused)
+
+    play(scenario)
