Hold the limit that an endpoint names as a belief of the region, and share it

What was seen: an endpoint in need names in its answers how many requests a second it takes from all hosts together, and gets all that comes: 27 in 4 s at a limit of 1 (11 allowed); in the test that reproduces it 60 in 4 s from three hosts at a limit of 2 (17 allowed).

Cause: the head of an answer was decoded into facts of that one request. What the endpoint said there of itself reached no belief, neither of the host that heard it nor of its siblings; the next choice went by load alone. The class: a statement about an endpoint is handled as a fact of a request.

Ruled out: that each host kept to it by itself (the log of the reproduction has the word of each answer, and the rate doesn't change); that sends escaped by waiting or passing on (each had a line of its own, 1 to 3 ms before it arrived).

Now a limit belongs to the life of the endpoint (core/statements.py); the last word holds, whoever heard it, in whatever order news comes. Hosts of a region tell each other at once and again each second. Each takes an equal part of it (core/limits.py), so that the sum holds whatever the others do, also while news is late; a host that has just started has none until it knows the others. A request that the part leaves no time for is refused at once, with when the next one is due; others go to endpoints without a limit. An endpoint that takes nothing is tried each five seconds. Regions don't offer the room of endpoints that name a limit.

Weighed: an owner of each endpoint (can be cut off; a hop more), parts by each host's need (wrong while news of the need is late).

The last answer without the limit ends it, if it was asked for after the limit was heard: answers overtake each other.

--- a/cloverway/core/endpoints.py
+++ b/cloverway/core/endpoints.py
@@ -20,6 +20,7 @@
     Topology,
 )
 from cloverway.core.load import EndpointLoad
+from cloverway.core.statements import Statements
 
 log = logging.getLogger(__name__)
 
@@ -94,6 +95,8 @@
         self.routes = RouteTable(())
         self.evacuated: set[str] = set()
         self.endpoints: dict[str, Endpoint] = {}
+        self.statements = Statements()
+        """What endpoints say of themselves in their answers."""
         self._past_lives: OrderedDict[str, EndpointEntry] = OrderedDict()
         """The last entries of endpoints that are gone."""
         self._by_service: dict[str, list[Endpoint]] = {}
@@ -114,6 +117,14 @@
             and not endpoint.is_down(now)
         ]
 
+    def is_limited(self, endpoint: Endpoint) -> bool:
+        """Tell whether an endpoint names a limit for all hosts together."""
+        return self.statements.get(endpoint.entry.life).limit_per_s is not None
+
+    def count_limited(self) -> int:
+        """Count the endpoints that name a limit."""
+        return sum(map(self.is_limited, self.endpoints.values()))
+
     def note_born(self, name: str, born_ms: int, now: float) -> list[Change]:
         """Note when the endpoint at an address started, by its own word; give what changed.
 
--- a/cloverway/core/prediction.py
+++ b/cloverway/core/prediction.py
@@ -110,6 +110,12 @@
     answer_s: float = 0.0
     """Time from the first event of its answer to the last one."""
 
+    def delay(self, seconds: float) -> Candidate:
+        """Give the candidate as it is when it may get nothing for some time."""
+        if seconds <= 0:
+            return self
+        return self._replace(full=True, free_s=max(self.free_s, seconds))
+
 
 class Far(NamedTuple):
     """Another region, and the time of the way there and back."""
--- a/cloverway/fleet.thrift
+++ b/cloverway/fleet.thrift
@@ -80,9 +80,21 @@
   3: list<i64> served
 }
 
+struct EndpointStatement {
+  1: string life
+  2: i64 limit_milli
+  3: i32 limit_age_ms
+}
+
+struct StatementReport {
+  1: string host
+  2: list<EndpointStatement> statements
+}
+
 struct Message {
   1: Heartbeat Heartbeat
   2: StoredSnapshot StoredSnapshot
   3: EndpointUses EndpointUses
   4: CrashReport CrashReport
+  5: StatementReport StatementReport
 }
--- a/cloverway/serving/attempt.py
+++ b/cloverway/serving/attempt.py
@@ -19,7 +19,6 @@
 from cloverway.serving.placement import LEAST_S
 from cloverway.serving.ports import ReplyFacts, SendTerms
 from cloverway.serving.targeting import Target
-from cloverway.serving.telemetry import tell
 
 CONNECT_S = 0.4
 """Time to open a connection within the region: a lost opening packet is sent again only after a
@@ -191,7 +190,7 @@
         if said is not None:
             await sending.read_body(HOLD_BYTES)
             return self._read_refusal(head, said, sent_at)
-        self._note_statement(facts)
+        self._note_statement(facts, sent_at)
         if facts.elsewhere and target.candidate is not None:
             target.candidate.endpoint.misdirected_at = read_clock()
         if facts.not_run:
@@ -207,17 +206,17 @@
             target.candidate.endpoint.load.learn_work(read_clock() - sent_at)
         return Answered(sending, head, body)
 
-    def _note_statement(self, facts: ReplyFacts) -> None:
+    def _note_statement(self, facts: ReplyFacts, sent_at: float) -> None:
         """Note what an endpoint says of itself in an answer."""
-        if self._target.candidate is None or facts.elsewhere or facts.limit_per_s is None:
-            return
-        self._context.figures.note_event("limit_named")
-        tell(
-            "limit_named",
-            request_id=self._wanted.call.id,
-            life=self._target.name,
-            limit_per_s=facts.limit_per_s,
-        )
+        is_its_own = self._target.candidate is not None and not facts.elsewhere
+        if is_its_own and (facts.sealed or facts.limit_per_s is not None):
+            self._context.statements.note_limit(
+                self._target.name,
+                facts.limit_per_s,
+                request_id=self._wanted.call.id,
+                sent_at=sent_at,
+                now=read_clock(),
+            )
 
     def _read_refusal(self, head: ReplyHead, said: bytes, sent_at: float) -> Outcome:
         """Read why another host could not serve the request; `said` is what it knows of its run."""
--- a/cloverway/serving/context.py
+++ b/cloverway/serving/context.py
@@ -17,6 +17,7 @@
 from cloverway.serving.lives import LifeCheck
 from cloverway.serving.ports import Dialect
 from cloverway.serving.settings import FleetSettings
+from cloverway.serving.statements import StatementExchange
 from cloverway.serving.targeting import Targeting
 from cloverway.serving.telemetry import Figures
 
@@ -46,6 +47,7 @@
         self.usual_failures = UsualFailures()
         self.quarantine = Quarantine(settings.quarantine)
         self.crashes = CrashExchange(members, self.quarantine, figures)
+        self.statements = StatementExchange(members, directory.statements, figures)
         self.lives = LifeCheck(self.quarantine, self.pool, dialect, figures)
         self._budgets: dict[str, RetryBudget] = {}
         self._started_at = read_clock()
--- a/cloverway/serving/course.py
+++ b/cloverway/serving/course.py
@@ -305,6 +305,7 @@
             unread=candidate.work.unread if candidate else None,
             fetched=candidate.work.fetched if candidate else None,
             fetch_from=candidate.source.entry.id if candidate and candidate.source else None,
+            limit_per_s=self.context.directory.statements.get(target.name).limit_per_s,
             waited_s=round(now - self.call.arrived_at, 3),
             left_s=round(self.limit_at - now, 3),
             send=self.sends,
--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/gossip.py
@@ -23,7 +23,9 @@
     Heartbeat,
     HostState,
     RegionOffer,
+    StatementReport,
 )
+from cloverway.serving.statements import StatementExchange
 from cloverway.serving.sync import DocumentSync
 from cloverway.serving.telemetry import Figures, tell
 from cloverway.serving.uses import UseExchange
@@ -82,6 +84,7 @@
         figures: Figures,
         *,
         crashes: CrashExchange,
+        statements: StatementExchange,
         seeds: tuple[str, ...],
     ) -> None:
         self.members = members
@@ -94,6 +97,8 @@
         self.uses = UseExchange(members, directory, self._send)
         self.crashes = crashes
         crashes.send = self._send
+        self.statements = statements
+        statements.send = self._send
         self.sum_waiting: Callable[[str], float] = lambda service: 0.0
         """Gives the work of the requests that wait here for a service."""
         self._alive: set[str] = set()
@@ -123,6 +128,8 @@
             self.uses.hear(message, read_clock())
         elif isinstance(message, CrashReport):
             self.crashes.hear(message, read_clock())
+        elif isinstance(message, StatementReport):
+            self.statements.hear(message, read_clock())
 
     def error_received(self, exc: Exception) -> None:
         """Note that a datagram met no listener; the host is missed by its silence."""
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -83,6 +83,7 @@
             self.sync,
             self.figures,
             crashes=self.context.crashes,
+            statements=self.context.statements,
             seeds=settings.peers.seeds,
         )
         self.catalogue.on_news = self.gossip.announce_news
@@ -116,6 +117,7 @@
             self.gossip.run,
             self.gossip.uses.run,
             self.gossip.crashes.run,
+            self.gossip.statements.run,
             self.sync.run,
             self.catalogue.run,
             self.catalogue.forget,
@@ -220,7 +222,9 @@
             await exchange.answer(404, [], b"")
             return
         held = self.context.quarantine.count_held(read_clock())
-        await exchange.answer(200, [TEXT], self.figures.render(self.writer.dropped, held))
+        limited = self.directory.count_limited()
+        figures = self.figures.render(self.writer.dropped, held, limited)
+        await exchange.answer(200, [TEXT], figures)
 
     def _format_refusal(self, exchange: Exchange | None, error: RequestError) -> bytes:
         """Give the whole answer to a request that could not be read."""
--- a/cloverway/serving/offers.py
+++ b/cloverway/serving/offers.py
@@ -19,6 +19,7 @@
 ) -> tuple[RegionOffer, ...]:
     """Sum up what this region's endpoints can take, by service.
 
+    Those that are cold or name a limit have no more than their own region's requests need.
     `sum_waiting` gives the work of the requests that wait here for a service.
     """
     configuration = directory.configuration
@@ -29,7 +30,9 @@
         endpoints = [
             endpoint
             for endpoint in directory.list_usable(service.name, now)
-            if directory.topology.region == endpoint.region and not endpoint.is_cold(now)
+            if directory.topology.region == endpoint.region
+            and not endpoint.is_cold(now)
+            and not directory.is_limited(endpoint)
         ]
         if endpoints:
             room = offer_region(service, endpoints, sum_waiting(service.name), now)
--- a/cloverway/serving/peerwire.py
+++ b/cloverway/serving/peerwire.py
@@ -124,4 +124,23 @@
     """Digests of requests that were served after they had run at one that ended."""
 
 
-CODEC = StructCodec("fleet.thrift", (Heartbeat, StoredSnapshot, EndpointUses, CrashReport))
+class EndpointStatement(NamedTuple):
+    """What a life of an endpoint has said of itself last."""
+
+    life: str
+    limit_milli: int
+    """The limit that it names for all hosts, in thousandths of a request per second; -1 where it
+    has ended."""
+    limit_age_ms: int
+    """How long ago it was heard to say so."""
+
+
+class StatementReport(NamedTuple):
+    """What a host knows of what endpoints of its region say of themselves."""
+
+    host: str
+    statements: tuple[EndpointStatement, ...]
+
+
+MESSAGES = (Heartbeat, StoredSnapshot, EndpointUses, CrashReport, StatementReport)
+CODEC = StructCodec("fleet.thrift", MESSAGES)
--- /dev/null
+++ b/cloverway/serving/shares.py
@@ -0,0 +1,70 @@
+"""This host's shares of the limits that endpoints name."""
+
+from __future__ import annotations
+
+from cloverway.core.endpoints import Directory, Endpoint
+from cloverway.core.limits import Allowance, Share, compute_share
+from cloverway.core.members import Members
+
+HOSTS_FOR_S = 0.2
+"""How long the list of hosts that send holds: it is asked for at each endpoint with each choice."""
+
+
+class LimitShares:
+    """Counts what this host sends to endpoints that name a limit."""
+
+    def __init__(self, members: Members, directory: Directory, started_at: float) -> None:
+        self._members = members
+        self._directory = directory
+        self._started_at = started_at
+        self._allowances: dict[str, Allowance] = {}
+        self._hosts: list[str] | None = None
+        self._hosts_at = float("-inf")
+
+    def estimate_wait(self, endpoint: Endpoint, waiting: int, now: float) -> float | None:
+        """Give the seconds until an endpoint may get a request; None where this host has no share.
+
+        `waiting` requests wait here before it where it may get none now.
+        """
+        if not self._directory.is_limited(endpoint):
+            self._allowances.pop(endpoint.entry.life, None)
+            return 0.0
+        share = self._get_share(endpoint, now)
+        if share is None:
+            return None
+        wait_s = self._get_allowance(endpoint, now).estimate_wait(share, now)
+        return wait_s + waiting / share.per_s if wait_s > 0 else 0.0
+
+    def take(self, endpoint: Endpoint, now: float) -> None:
+        """Count a request that is sent to an endpoint."""
+        share = self._get_share(endpoint, now) if self._directory.is_limited(endpoint) else None
+        if share is not None:
+            self._get_allowance(endpoint, now).take(share, now)
+
+    def _get_allowance(self, endpoint: Endpoint, now: float) -> Allowance:
+        life = endpoint.entry.life
+        allowance = self._allowances.get(life)
+        if allowance is None:
+            allowance = self._allowances[life] = Allowance(now)
+        return allowance
+
+    def _get_share(self, endpoint: Endpoint, now: float) -> Share | None:
+        limit_per_s = self._directory.statements.get(endpoint.entry.life).limit_per_s
+        hosts = self._list_hosts(now)
+        if limit_per_s is None or hosts is None:
+            return None
+        own = self._members.own.name
+        age_s = now - self._started_at
+        return compute_share(limit_per_s, endpoint.entry.life, own, hosts, age_s=age_s)
+
+    def _list_hosts(self, now: float) -> list[str] | None:
+        """List the other hosts of the region that send to endpoints; None where this one doesn't.
+
+        In a large region most hosts serve nobody: shares of theirs would be lost.
+        """
+        if now - self._hosts_at >= HOSTS_FOR_S:
+            self._hosts_at = now
+            serving = self._members.list_serving(self._members.own.region)
+            is_serving = self._members.is_serving(now)
+            self._hosts = [peer.member.name for peer in serving] if is_serving else None
+        return self._hosts
--- a/cloverway/serving/targeting.py
+++ b/cloverway/serving/targeting.py
@@ -4,7 +4,7 @@
 
 import itertools
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 from cloverway.core.choice import (
@@ -33,6 +33,7 @@
 from cloverway.serving.client import Place
 from cloverway.serving.clock import read_clock
 from cloverway.serving.settings import FleetSettings
+from cloverway.serving.shares import LimitShares
 from cloverway.serving.telemetry import tell
 from cloverway.serving.waiting import WaitingLine
 
@@ -88,6 +89,7 @@
         self._numbers = itertools.count(1)
         self._lines: dict[str, WaitingLine[Target]] = {}
         self._isolations: dict[str, Isolation] = {}
+        self._shares = LimitShares(members, directory, self._started_at)
         self._apart: dict[str, frozenset[str]] = {}
         """The engines that large prompts of each service were last kept to."""
         self.on_prompt: Callable[[], None] = lambda: None
@@ -146,7 +148,9 @@
         if not candidates:
             return "no endpoint that may run it is left in this region"
         full = sum(candidate.full for candidate in candidates)
-        return f"{full} of {len(candidates)} endpoints here are full"
+        limited = sum(self._directory.is_limited(candidate.endpoint) for candidate in candidates)
+        by_limit = f", {limited} name a limit" if limited else ""
+        return f"{full} of {len(candidates)} endpoints here are full{by_limit}"
 
     def has_place(self, wanted: Wanted, now: float) -> bool:
         """Tell whether an endpoint here or another region may run a request that has failed once.
@@ -173,16 +177,27 @@
             if endpoint.region == region
         ]
         source = _find_source(wanted, near, now)
-        candidates = [
+        predicted = (
             predict(wanted, endpoint, sender=sender, now=now, source=source)
             for endpoint in near
             if not wanted.tried[endpoint.entry.life]
             and self._may_load(endpoint, wanted.service, now)
-        ]
+        )
+        candidates = list(self._keep_limits(predicted, wanted.service, now))
         if wanted.service.engine is None or wanted.call.prompt is None:
             return candidates
         return keep_apart(wanted, candidates, self._choose_apart(wanted.service.name, near, now))
 
+    def _keep_limits(
+        self, candidates: Iterable[Candidate], service: Service, now: float
+    ) -> Iterator[Candidate]:
+        """Leave out endpoints whose limit gives this host no share, and let others wait for it."""
+        waiting = len(self.get_line(service.name))
+        for candidate in candidates:
+            wait_s = self._shares.estimate_wait(candidate.endpoint, waiting, now)
+            if wait_s is not None:
+                yield candidate.delay(wait_s)
+
     def get_isolation(self, service: str) -> Isolation:
         """Give what was seen of prompts and pauses at a service."""
         return self._isolations.setdefault(service, Isolation(service))
@@ -227,6 +242,7 @@
             self.on_prompt()
         if endpoint.is_cold(now):
             endpoint.last_cold_send = now
+        self._shares.take(endpoint, now)
         entry = endpoint.entry
         return Target(entry.address, entry.life, self._settings.region, number, candidate=here)
 
--- a/cloverway/serving/telemetry.py
+++ b/cloverway/serving/telemetry.py
@@ -86,6 +86,11 @@
             "Requests that are refused since endpoints ended while they ran them",
             registry=self._registry,
         )
+        self._limited = aioprometheus.Gauge(
+            "cloverway_endpoints_limited",
+            "Endpoints that name a limit for all hosts together",
+            registry=self._registry,
+        )
         self._first = self._measure("first_seconds", "Time to the first event or the answer")
         self._total = self._measure("request_seconds", "Time to the end of the answer")
         self._gap = self._measure("gap_seconds", "Longest pause between two events of a stream")
@@ -117,10 +122,15 @@
         """Count a change of belief."""
         self._events.inc({"what": what})
 
-    def render(self, dropped: int, held: int) -> bytes:
-        """Give all figures as text, with the lines dropped and the requests refused just now."""
+    def render(self, dropped: int, held: int, limited: int) -> bytes:
+        """Give all figures as text.
+
+        With the lines dropped, the requests that are refused and the endpoints that name a limit
+        just now.
+        """
         self._dropped.set({}, dropped)
         self._held.set({}, held)
+        self._limited.set({}, limited)
         text, _ = aioprometheus.render(self._registry, ["text/plain"])
         return bytes(text)
 
--- /dev/null
+++ b/cloverway/tests/test_core_statements.py
@@ -0,0 +1,60 @@
+"""What is known of endpoints by their own word, joined from several sides; no network."""
+
+from __future__ import annotations
+
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cloverway.core.statements import MOST_LIVES, NOTHING, Statement, Statements
+
+STATEMENTS = st.builds(
+    Statement,
+    st.one_of(st.none(), st.sampled_from([0.0, 0.5, 1.0, 20.0])),
+    st.sampled_from([0.0, 1.0, 1.5, 2.0]),
+)
+
+
+@given(st.lists(STATEMENTS, max_size=4), st.data())
+def test_statements_join_to_the_same_in_any_order_and_however_often(statements, data):
+    """Guards against hosts that go on with different limits after the same news."""
+    repeated = [*statements, *data.draw(st.lists(st.sampled_from(statements or [NOTHING])))]
+    shuffled = data.draw(st.permutations(repeated))
+    joined = [list(itertools.accumulate(some, Statement.join)) for some in (statements, shuffled)]
+    assert [chain[-1] if chain else NOTHING for chain in joined] == [
+        max(statements, key=lambda s: (s.limit_at, -_read(s)), default=NOTHING)
+    ] * 2
+
+
+def _read(statement):
+    return float("inf") if statement.limit_per_s is None else statement.limit_per_s
+
+
+def test_the_last_word_of_an_endpoint_holds():
+    known = Statements()
+    assert known.note("e@1", Statement(2.0, 10.0))
+    assert not known.note("e@1", Statement(2.0, 11.0))
+    assert known.note("e@1", Statement(None, 12.0))
+    assert not known.note("e@1", Statement(2.0, 11.5))
+    assert known.get("e@1").limit_per_s is None
+    assert known.get("e@2") == NOTHING
+
+
+def test_only_endpoints_that_named_a_limit_are_remembered_and_not_too_many():
+    known = Statements()
+    assert not known.note("e", Statement(None, 5.0))
+    assert known.list_since(float("-inf")) == []
+    for number in range(MOST_LIVES + 10):
+        known.note(f"e{number}", Statement(1.0, number))
+    assert len(known.list_since(float("-inf"))) == MOST_LIVES
+    assert known.get(f"e{MOST_LIVES + 9}").limit_per_s == 1.0
+
+
+def test_limits_that_hold_are_told_on_and_ended_ones_for_a_while():
+    known = Statements()
+    known.note("holds", Statement(1.0, 1.0))
+    for life, at in (("ended", 50.0), ("long-ended", 5.0)):
+        known.note(life, Statement(1.0, 1.0))
+        known.note(life, Statement(None, at))
+    assert {life for life, _ in known.list_since(40.0)} == {"holds", "ended"}
--- a/cloverway/tests/test_fleet_gossip.py
+++ b/cloverway/tests/test_fleet_gossip.py
@@ -21,6 +21,7 @@
     Gossip,
 )
 from cloverway.serving.peerwire import CODEC
+from cloverway.serving.statements import StatementExchange
 from cloverway.serving.telemetry import Figures
 
 REGIONS = ("north", "south", "west")
@@ -53,7 +54,14 @@
         figures = Figures()
         crashes = CrashExchange(self.members, Quarantine(QuarantineTerms()), figures)
         self.gossip = Gossip(
-            self.members, directory, catalogue, sync, figures, crashes=crashes, seeds=()
+            self.members,
+            directory,
+            catalogue,
+            sync,
+            figures,
+            crashes=crashes,
+            statements=StatementExchange(self.members, directory.statements, figures),
+            seeds=(),
         )
         self.sent = []
         self.gossip._send = lambda name, data: self.sent.append((name, CODEC.decode(data)))
--- a/cloverway/tests/test_fleet_limits.py
+++ b/cloverway/tests/test_fleet_limits.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from cloverway.core.pacing import SETTLED_S
 from cloverway.serving.clock import read_clock
 from cloverway.tests.fleet.deployment import play, run_fleet, wait_for
 
@@ -52,6 +53,14 @@
     return await asyncio.gather(*calls)
 
 
+async def settle(fleet):
+    """Wait until the hosts know each other for long enough to share a limit."""
+    others = len(fleet.hosts) - 1
+    await wait_for(lambda: all(len(h.members.peers) == others for h in fleet.hosts))
+    until = max(host.started_at for host in fleet.hosts) + SETTLED_S
+    await wait_for(lambda: read_clock() > until)
+
+
 def test_an_endpoint_gets_no_more_than_the_limit_that_it_names():
     """Guards against hosts that send an endpoint in need all that comes, whatever it says."""
 
@@ -66,3 +75,66 @@
             assert all(float(reply.headers[b"retry-after"]) > 0 for reply in refused)
 
     play(scenario)
+
+
+def test_a_host_keeps_to_a_limit_that_only_its_sibling_was_told():
+    """Guards against hosts that each overload an endpoint until they have heard it themselves."""
+
+    async def scenario():
+        async with run_fleet(hosts=2, endpoints=1) as fleet:
+            limited = LimitedEndpoint(fleet.endpoints["desk-0"], b"1")
+            first, second = fleet.hosts
+            await settle(fleet)
+            assert (await fleet.call("/safe/a", first)).status == 200
+            await wait_for(lambda: second.directory.count_limited() == 1)
+            replies = await press(fleet, [second], 3.0)
+            assert 1 <= len(limited.arrivals) <= 3
+            assert {reply.status for reply in replies} == {200, 503}
+
+    play(scenario)
+
+
+def test_requests_go_to_endpoints_that_name_no_limit():
+    """Guards against callers that wait or are refused while another endpoint has room."""
+
+    async def scenario():
+        async with run_fleet(hosts=2, endpoints=2) as fleet:
+            LimitedEndpoint(fleet.endpoints["desk-0"], b"1")
+            assert {reply.status for reply in await press(fleet, fleet.hosts, 3.0)} == {200}
+
+    play(scenario)
+
+
+def test_a_request_that_the_limit_leaves_no_time_for_is_refused_at_once():
+    """Guards against callers that wait for nothing: each other request here waits two seconds."""
+
+    async def scenario():
+        async with run_fleet(hosts=1, endpoints=1) as fleet:
+            limited = LimitedEndpoint(fleet.endpoints["desk-0"], b"0.5")
+            await settle(fleet)
+            await fleet.call("/safe/a")
+            began_at = read_clock()
+            reply = await fleet.call("/safe/a", deadline_ms=1000)
+            assert read_clock() - began_at < 0.2
+            assert reply.status == 503
+            assert float(reply.headers[b"retry-after"]) >= 1.0
+            assert len(limited.arrivals) == 1
+
+    play(scenario)
+
+
+def test_an_endpoint_that_names_no_limit_any_more_gets_all_again():
+    """Guards against a limit that outlives the need of the endpoint."""
+
+    async def scenario():
+        async with run_fleet(hosts=2, endpoints=1) as fleet:
+            limited = LimitedEndpoint(fleet.endpoints["desk-0"], b"2")
+            await settle(fleet)
+            await fleet.call("/safe/a", fleet.hosts[0])
+            await wait_for(lambda: fleet.hosts[1].directory.count_limited() == 1)
+            limited.limit = None
+            await press(fleet, fleet.hosts, 2.5, per_s=4)
+            assert [host.directory.count_limited() for host in fleet.hosts] == [0, 0]
+            assert {reply.status for reply in await press(fleet, fleet.hosts, 1.0)} == {200}
+
+    play(scenario)
--- /dev/null
+++ b/cloverway/tests/test_statements.py
@@ -0,0 +1,121 @@
+"""What hosts tell each other of what endpoints say; messages are caught, no network."""
+
+from __future__ import annotations
+
+import asyncio
+
+from cloverway.core.members import Member, Members
+from cloverway.core.statements import Statements
+from cloverway.serving.peerwire import CODEC
+from cloverway.serving.statements import ENDED_S, MOST_TOLD, StatementExchange
+from cloverway.serving.telemetry import Figures
+
+LIFE = "engine-1@7"
+
+
+def make_member(name, region="north"):
+    return Member(name, 1, "d1", region, f"{name}:80", f"{name}:81", True)
+
+
+class Side:
+    """One host with the messages that it sent."""
+
+    def __init__(self, name, others=("b",), far=()):
+        self.members = Members(make_member(name))
+        for other in others:
+            self.members.hear(make_member(other), 0.0, True, 0.0)
+        for other in far:
+            self.members.hear(make_member(other, "south"), 0.0, True, 0.0)
+        self.statements = Statements()
+        self.exchange = StatementExchange(self.members, self.statements, Figures())
+        self.exchange.send = lambda name, data: self.sent.append((name, CODEC.decode(data)))
+        self.sent = []
+
+    def answer(self, limit_per_s, now, life=LIFE):
+        self.exchange.note_limit(life, limit_per_s, request_id="r", sent_at=now - 1, now=now)
+
+    def take_sent(self):
+        sent, self.sent = self.sent, []
+        return sent
+
+
+def play(scenario):
+    asyncio.run(scenario())
+
+
+def test_siblings_hear_of_a_limit_at_once():
+    """Guards against hosts that each have to be told by an answer of their own."""
+
+    async def scenario():
+        here, there = Side("a", ["b"], far=["c"]), Side("b", ["a"])
+        here.answer(2.5, 100.0)
+        here.answer(2.5, 100.1)
+        await asyncio.sleep(0.1)
+        [(name, report)] = here.take_sent()
+        assert name == "b"
+        there.exchange.hear(report, 500.0)
+        assert there.statements.get(LIFE).limit_per_s == 2.5
+        await asyncio.sleep(0.1)
+        assert there.sent == []
+
+    play(scenario)
+
+
+def test_a_limit_that_changes_with_each_answer_is_told_a_few_times_a_second():
+    """Guards against a message to each host of the region for each answer."""
+
+    async def scenario():
+        here = Side("a")
+        for number in range(40):
+            here.answer(10.0 + number, 100.0 + number / 100)
+            await asyncio.sleep(0.01)
+        assert len(here.take_sent()) <= 4
+
+    play(scenario)
+
+
+def test_a_limit_ends_with_an_answer_that_was_asked_for_after_it():
+    """Guards against an old answer that overtakes and lifts a limit which still holds."""
+
+    async def scenario():
+        here = Side("a")
+        here.answer(1.0, 100.0)
+        here.answer(None, 100.5)
+        assert here.statements.get(LIFE).limit_per_s == 1.0
+        here.answer(None, 101.5)
+        assert here.statements.get(LIFE).limit_per_s is None
+
+    play(scenario)
+
+
+def test_what_holds_is_told_again_and_what_ended_for_a_while():
+    """Guards against hosts that have started, or lost the one datagram, and never hear of it."""
+
+    async def scenario():
+        here = Side("a", ["b"])
+        here.answer(1.0, 100.0)
+        here.answer(1.0, 100.0, "other")
+        here.answer(None, 102.0, "other")
+        await asyncio.sleep(0.1)
+        here.take_sent()
+        here.exchange._retell(101.0 + ENDED_S - 1)
+        [(_, report)] = here.take_sent()
+        assert {(s.life, s.limit_milli) for s in report.statements} == {(LIFE, 1000), ("other", -1)}
+        here.exchange._retell(102.0 + ENDED_S + 1)
+        [(_, report)] = here.take_sent()
+        assert [s.life for s in report.statements] == [LIFE]
+
+    play(scenario)
+
+
+def test_each_message_fits_into_one_packet():
+    async def scenario():
+        here = Side("a", ["b"])
+        for number in range(MOST_TOLD + 5):
+            here.answer(1.0, 100.0, f"engine-of-a-long-name-{number:03}@1760000000000")
+        await asyncio.sleep(0.1)
+        sizes = [len(CODEC.encode(report)) for _, report in here.take_sent()]
+        assert len(sizes) == 2
+        assert max(sizes) <= 1_450
+
+    play(scenario)
