Tell other regions when a region has nothing left to offer

Cause, found while limits were looked for elsewhere: a region's offers list only services that have a usable endpoint there, and a heartbeat without offers changes nothing. Once the last endpoint of a region leaves, turns cold or names a limit, its last offer holds on at the other regions and grows with its age; requests are passed on there in vain, each up to three times.

Now such a service is offered with no place. The new test was red before (the offer still held after 3 s), green after.

--- a/cloverway/serving/offers.py
+++ b/cloverway/serving/offers.py
@@ -37,6 +37,9 @@
         if endpoints:
             room = offer_region(service, endpoints, sum_waiting(service.name), now)
             offers.append(_encode_room(service.name, room))
+        else:
+            # Left out, what was offered last would hold on, and grow with its age.
+            offers.append(RegionOffer(service.name, 0, 0))
     return tuple(offers)
 
 
--- a/cloverway/tests/test_fleet_regions.py
+++ b/cloverway/tests/test_fleet_regions.py
@@ -130,3 +130,28 @@
             assert count_runs(fleet, "desk") == 0
 
     play(scenario)
+
+
+def test_a_region_that_has_nothing_left_to_offer_gets_nothing_passed_on():
+    """Guards against requests that are passed on to a region by what it offered when it had room.
+
+    Its only endpoint leaves. Heartbeats without offers changed nothing, so what it had offered held
+    on and grew with its age: each request was passed on in vain, three times.
+    """
+
+    async def scenario():
+        async with run_fleet(endpoints=0) as fleet:
+            await fleet.add_host("d2")
+            far = await fleet.add_endpoint("far-0", "desk", "d2")
+            north = fleet.hosts[0]
+
+            def offers_room():
+                offers = [p.offers.get("desk") for p in north.members.peers.values()]
+                return any(offer is not None and offer.free > 0 for offer in offers)
+
+            await wait_for(offers_room)
+            assert (await fleet.call("/safe/a", north)).body == b"ran at far-0"
+            fleet.store.put("servers/far-0", far.describe(state="draining"))
+            await wait_for(lambda: not offers_room(), 3.0)
+
+    play(scenario)
