Log that an endpoint says in its answers that it leaves

Now each such answer leaves a line with the life of the endpoint and the request, and counts in cloverway_events_total{what="leaving_said"}. No change of what is decided.

--- a/cloverway/platform/dialect.py
+++ b/cloverway/platform/dialect.py
@@ -114,7 +114,8 @@
         not_run = head.get(names.NOT_RUN) is not None or elsewhere
         sealed = head.get(names.SIGNATURE) is not None
         limit_per_s = _read_limit(head.get(names.LIMIT))
-        return ReplyFacts(not_run, sealed, elsewhere, limit_per_s)
+        leaving = head.get(names.LEAVING) == b"1"
+        return ReplyFacts(not_run, sealed, elsewhere, limit_per_s, leaving)
 
     def encode_life_question(self, endpoint_id: str) -> tuple[str, list[Header]]:
         """Give target and headers of the GET that asks an endpoint when it started."""
--- a/cloverway/serving/attempt.py
+++ b/cloverway/serving/attempt.py
@@ -19,6 +19,7 @@
 from cloverway.serving.placement import LEAST_S
 from cloverway.serving.ports import ReplyFacts, SendTerms
 from cloverway.serving.targeting import Target
+from cloverway.serving.telemetry import tell
 
 CONNECT_S = 0.4
 """Time to open a connection within the region: a lost opening packet is sent again only after a
@@ -209,6 +210,9 @@
     def _note_statement(self, facts: ReplyFacts, sent_at: float) -> None:
         """Note what an endpoint says of itself in an answer."""
         is_its_own = self._target.candidate is not None and not facts.elsewhere
+        if is_its_own and facts.leaving:
+            self._context.figures.note_event("leaving_said")
+            tell("leaving_said", life=self._target.name, request_id=self._wanted.call.id)
         if is_its_own and (facts.sealed or facts.limit_per_s is not None):
             self._context.statements.note_limit(
                 self._target.name,
--- a/cloverway/serving/ports.py
+++ b/cloverway/serving/ports.py
@@ -43,6 +43,8 @@
     """Whether it came from another endpoint than the one that was meant."""
     limit_per_s: float | None = None
     """Requests a second that the endpoint takes from all hosts together; None for no limit."""
+    leaving: bool = False
+    """Whether the endpoint says that it leaves."""
 
 
 class SendTerms(NamedTuple):
--- a/cloverway/tests/test_platform_answers.py
+++ b/cloverway/tests/test_platform_answers.py
@@ -27,3 +27,9 @@
 
 def test_an_answer_that_names_no_limit_says_nothing_of_one():
     assert decode().limit_per_s is None
+
+
+@pytest.mark.parametrize(("value", "leaving"), [(b"1", True), (b"0", False), (b"soon", False)])
+def test_an_endpoint_says_in_one_way_that_it_leaves(value, leaving):
+    assert decode((b"server-leaving", value)).leaving is leaving
+    assert decode().leaving is False
