Leave an endpoint alone for as long as it asked the host to

Now the time is kept by the life of the endpoint, so that it outlives an entry that lapses; the endpoint is a place that is full until then. A request that can't wait so long goes elsewhere, or is refused at once with when to come back. A send that was placed before is given up before its first byte. The pause is this host's alone and isn't told to others. An hour is the longest that is believed.

--- a/cloverway/core/endpoints.py
+++ b/cloverway/core/endpoints.py
@@ -38,6 +38,11 @@
 """How long an endpoint gets nothing after nobody listened at its address: it has ended, and its
 entry lapses only after its last heartbeats, or it starts again. One try each half second finds out
 when it is back; requests wait that long for the only one."""
+LONGEST_PAUSE_S = 3_600.0
+"""The longest time for which an endpoint that asks for a pause is left alone: a number that is
+wrong by a factor of a thousand must not take it out for good."""
+MOST_PAUSES = 4_096
+"""Lives of endpoints whose last pause is remembered."""
 MOST_PAST_LIVES = 2_000
 """Endpoints that are gone whose last entry is remembered, so that an older one of theirs that comes
 late isn't taken for a new endpoint's."""
@@ -102,6 +107,8 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.statements = Statements()
         """What endpoints say of themselves in their answers."""
+        self._paused_until: OrderedDict[str, float] = OrderedDict()
+        """Until when each life of an endpoint wants nothing from this host."""
         self._past_lives: OrderedDict[str, EndpointEntry] = OrderedDict()
         """The last entries of endpoints that are gone."""
         self._by_service: dict[str, list[Endpoint]] = {}
@@ -135,6 +142,18 @@
         lives = {endpoint.entry.life for endpoint in self.endpoints.values()}
         return [item for item in self.statements.list_since(since) if item[0] in lives]
 
+    def note_pause(self, life: str, seconds: float, now: float) -> None:
+        """Note that a life of an endpoint wants nothing from this host for some time."""
+        until = now + min(seconds, LONGEST_PAUSE_S)
+        self._paused_until[life] = max(until, self._paused_until.get(life, until))
+        self._paused_until.move_to_end(life)
+        if len(self._paused_until) > MOST_PAUSES:
+            self._paused_until.popitem(last=False)
+
+    def get_pause_s(self, endpoint: Endpoint, now: float) -> float:
+        """Give the seconds for which an endpoint still wants nothing from this host."""
+        return max(0.0, self._paused_until.get(endpoint.entry.life, 0.0) - now)
+
     def is_limited(self, endpoint: Endpoint) -> bool:
         """Tell whether an endpoint names a limit for all hosts together."""
         return self.statements.get(endpoint.entry.life).limit_per_s is not None
--- a/cloverway/platform/dialect.py
+++ b/cloverway/platform/dialect.py
@@ -28,6 +28,7 @@
 """Time of a caller that names none; the route's own time is shorter."""
 OK = 200
 MISDIRECTED = 421
+UNAVAILABLE = 503
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that tell a caller that its request did not run, whoever sends them."""
 MOST_PRIORITY = 9
@@ -113,9 +114,12 @@
         elsewhere = head.status == MISDIRECTED
         not_run = head.get(names.NOT_RUN) is not None or elsewhere
         sealed = head.get(names.SIGNATURE) is not None
-        limit_per_s = _read_limit(head.get(names.LIMIT))
+        limit = head.get(names.LIMIT)
+        limit_per_s = _read_decimal(limit, "the limit that an endpoint names can't be read")
         leaving = head.get(names.LEAVING) == b"1"
-        return ReplyFacts(not_run, sealed, elsewhere, limit_per_s, leaving)
+        pause = head.get(names.RETRY_AFTER) if head.status == UNAVAILABLE else None
+        pause_s = _read_decimal(pause, "the pause that an endpoint asks for can't be read")
+        return ReplyFacts(not_run, sealed, elsewhere, limit_per_s, leaving, pause_s)
 
     def encode_life_question(self, endpoint_id: str) -> tuple[str, list[Header]]:
         """Give target and headers of the GET that asks an endpoint when it started."""
@@ -132,7 +136,7 @@
         if call_id:
             headers.append((names.REQUEST_ID, call_id.encode("latin-1")))
         if error.retry_after is not None and error.ran is Ran.NO:
-            headers.append((b"Retry-After", f"{error.retry_after:.3f}".encode()))
+            headers.append((names.RETRY_AFTER, f"{error.retry_after:.3f}".encode()))
         body = json.dumps(error.as_problem(call_id)).encode()
         return _choose_status(error), headers, body
 
@@ -198,12 +202,12 @@
     return number
 
 
-def _read_limit(value: bytes | None) -> float | None:
-    """Give the requests a second that an endpoint says it takes; None where it names no limit."""
+def _read_decimal(value: bytes | None, complaint: str) -> float | None:
+    """Give a plain decimal number; None where there is none, and a complaint where it is none."""
     if value is None:
         return None
     if DECIMAL.fullmatch(value.strip()) is None:
-        log.warning("the limit that an endpoint names can't be read", extra={"value": value[:40]})
+        log.warning(complaint, extra={"value": value[:40]})
         return None
     return float(value)
 
--- a/cloverway/serving/attempt.py
+++ b/cloverway/serving/attempt.py
@@ -128,9 +128,10 @@
         except ConnectError as error:
             is_down = error.nobody_listens and target.candidate is not None
             return Declined(f"no connection: {error}", arrived=False, is_down=is_down)
-        if self._is_leaving():
+        objection = self._find_objection()
+        if objection is not None:
             connection.abort()
-            return Declined("the endpoint leaves", blames_host=False, arrived=False)
+            return Declined(objection, blames_host=False, arrived=False)
         request = self._make_request()
         if request is None:
             connection.abort()
@@ -150,10 +151,16 @@
             if not kept:
                 pool.release(target.place, sending, get_idle_s(target))
 
-    def _is_leaving(self) -> bool:
-        """Tell whether the endpoint has begun to leave since it was chosen."""
-        candidate = self._target.candidate
-        return candidate is not None and candidate.endpoint.is_leaving(read_clock())
+    def _find_objection(self) -> str | None:
+        """Say why the endpoint must not get the request, by what has come since it was chosen."""
+        candidate, now = self._target.candidate, read_clock()
+        if candidate is None:
+            return None
+        if candidate.endpoint.is_leaving(now):
+            return "the endpoint leaves"
+        if self._context.directory.get_pause_s(candidate.endpoint, now) > 0:
+            return "the endpoint asked for a pause"
+        return None
 
     def _make_request(self) -> h11.Request | None:
         """Give the request as it is sent; None when the time is over.
@@ -217,10 +224,12 @@
     def _note_statement(self, facts: ReplyFacts, sent_at: float) -> None:
         """Note what an endpoint says of itself in an answer."""
         target, now = self._target, read_clock()
-        if target.candidate is not None and not facts.elsewhere:
-            self._context.statements.note_answer(
-                target.name, facts, request_id=self._wanted.call.id, sent_at=sent_at, now=now
-            )
+        if target.candidate is None or facts.elsewhere:
+            return
+        call_id = self._wanted.call.id
+        self._context.statements.note_answer(
+            target.name, facts, request_id=call_id, sent_at=sent_at, now=now
+        )
 
     def _read_refusal(self, head: ReplyHead, said: bytes, sent_at: float) -> Outcome:
         """Read why another host could not serve the request; `said` is what it knows of its run."""
--- a/cloverway/serving/offers.py
+++ b/cloverway/serving/offers.py
@@ -19,7 +19,8 @@
 ) -> tuple[RegionOffer, ...]:
     """Sum up what this region's endpoints can take, by service.
 
-    Those that are cold or name a limit have no more than their own region's requests need.
+    Those that are cold, name a limit or asked for a pause have no more than their own region's
+    requests need.
     `sum_waiting` gives the work of the requests that wait here for a service.
     """
     configuration = directory.configuration
@@ -33,6 +34,7 @@
             if directory.topology.region == endpoint.region
             and not endpoint.is_cold(now)
             and not directory.is_limited(endpoint)
+            and not directory.get_pause_s(endpoint, now)
         ]
         if endpoints:
             room = offer_region(service, endpoints, sum_waiting(service.name), now)
--- a/cloverway/serving/ports.py
+++ b/cloverway/serving/ports.py
@@ -45,6 +45,8 @@
     """Requests a second that the endpoint takes from all hosts together; None for no limit."""
     leaving: bool = False
     """Whether the endpoint says that it leaves."""
+    pause_s: float | None = None
+    """How long the endpoint wants nothing from this host; None where it doesn't say."""
 
 
 class SendTerms(NamedTuple):
--- a/cloverway/serving/statements.py
+++ b/cloverway/serving/statements.py
@@ -63,6 +63,10 @@
         answers on several connections overtake each other. Without a signature it may not be the
         endpoint's own word that there is none.
         """
+        if facts.pause_s is not None:
+            self._directory.note_pause(life, facts.pause_s, now)
+            self._figures.note_event("pause_asked")
+            tell("pause_asked", life=life, pause_s=facts.pause_s, request_id=request_id)
         if facts.limit_per_s is not None:
             statement = Statement(facts.limit_per_s, now, facts.leaving)
         elif facts.sealed:
--- a/cloverway/serving/targeting.py
+++ b/cloverway/serving/targeting.py
@@ -183,20 +183,24 @@
             if not wanted.tried[endpoint.entry.life]
             and self._may_load(endpoint, wanted.service, now)
         )
-        candidates = list(self._keep_limits(predicted, wanted.service, now))
+        candidates = list(self._keep_wishes(predicted, wanted.service, now))
         if wanted.service.engine is None or wanted.call.prompt is None:
             return candidates
         return keep_apart(wanted, candidates, self._choose_apart(wanted.service.name, near, now))
 
-    def _keep_limits(
+    def _keep_wishes(
         self, candidates: Iterable[Candidate], service: Service, now: float
     ) -> Iterator[Candidate]:
-        """Leave out endpoints whose limit gives this host no share, and let others wait for it."""
+        """Leave out endpoints whose limit gives this host no share.
+
+        Others wait for their part of it, or for the end of a pause that they asked for.
+        """
         waiting = len(self.get_line(service.name))
         for candidate in candidates:
             wait_s = self._shares.estimate_wait(candidate.endpoint, waiting, now)
             if wait_s is not None:
-                yield candidate.delay(wait_s)
+                pause_s = self._directory.get_pause_s(candidate.endpoint, now)
+                yield candidate.delay(max(wait_s, pause_s))
 
     def get_isolation(self, service: str) -> Isolation:
         """Give what was seen of prompts and pauses at a service."""
--- a/cloverway/tests/test_core_lives.py
+++ b/cloverway/tests/test_core_lives.py
@@ -93,6 +93,19 @@
     assert len(directory.list_usable("desk", 5.0)) == 1
 
 
+def test_a_pause_that_an_endpoint_asked_for_outlives_its_entry():
+    """Guards against entries that lapse while the store is away and bring a full endpoint back."""
+    directory = make_directory(make_entry(1_000))
+    directory.note_pause("e1@1000", 60.0, 1.0)
+    directory.apply([EndpointPublished("e1", None)], 2.0)
+    assert directory.forget_missing(2.0 + MISSING_GRACE_S)
+    publish(directory, 5.0, make_entry(1_000))
+    assert directory.get_pause_s(directory.endpoints["e1"], 5.0) == 56.0
+    assert directory.get_pause_s(directory.endpoints["e1"], 61.0) == 0.0
+    publish(directory, 10.0, make_entry(9_000))
+    assert directory.get_pause_s(directory.endpoints["e1"], 10.0) == 0.0
+
+
 def test_a_word_that_comes_before_the_entry_is_kept_for_it():
     """Guards against a host that has just started and hears of an endpoint before the store."""
     directory = make_directory()
