Leave an endpoint alone for as long as it asked, at the daemon of the own interface

The same cause as at the hosts of a fleet, found by looking there: an engine that did not start a request may say for how long it wants nothing from the host; the time went to the one caller, and the endpoint was left alone for half a second by the count of failures, or not at all where it was the last one. So it got all requests again while it could only refuse them.

Tests with one and with two endpoints, red without the new line; the gateway's hand-over. Not here: limits and leaving, which the own interface's endpoints don't say in answers; their load reports tell of leaving, and hosts follow these.

--- a/cloverway/dispatch/decisions.py
+++ b/cloverway/dispatch/decisions.py
@@ -127,9 +127,13 @@
         random: Random,
         *,
         retry: int | None = None,
+        pause_s: float | None = None,
     ) -> list[Decided]:
-        """Note the end of an attempt; `retry` is the place that asks for another route."""
-        ended = self._tickets.close(ticket, outcome, now)
+        """Note the end of an attempt; `retry` is the place that asks for another route.
+
+        `pause_s` is how long the endpoint wants nothing from this host, where it said so.
+        """
+        ended = self._tickets.close(ticket, outcome, now, pause_s)
         self._ends.note(ended, outcome, view, now)
         outlook = self._look(view, now, random)
         line = self._line(ended.entry.target)
--- a/cloverway/dispatch/dispatcher.py
+++ b/cloverway/dispatch/dispatcher.py
@@ -96,10 +96,15 @@
         self._task.send(Started(ticket, at))
 
     def finished(
-        self, ticket: int, outcome: Outcome, at: float, retry: bool = False
+        self,
+        ticket: int,
+        outcome: Outcome,
+        at: float,
+        retry: bool = False,
+        pause_s: float | None = None,
     ) -> Verdict | None:
         """Note the end of an attempt; with `retry` wait for a new route or a refusal."""
-        answer = self._task.send(Finished(ticket, outcome, at, retry))
+        answer = self._task.send(Finished(ticket, outcome, at, retry, pause_s))
         verdict: Verdict | None = answer.result(LONGEST_WAIT_S) if retry else None
         return verdict
 
@@ -148,9 +153,11 @@
             case Started(ticket, at):
                 self._core.start(ticket, view, at)
                 answer.set_result(None)
-            case Finished(ticket, outcome, at, retry):
+            case Finished(ticket, outcome, at, retry, pause_s):
                 held = self._hold(answer) if retry else None
-                decided = self._core.finish(ticket, outcome, view, now, self._random, retry=held)
+                decided = self._core.finish(
+                    ticket, outcome, view, now, self._random, retry=held, pause_s=pause_s
+                )
                 self._answer(decided)
                 if held is None:
                     answer.set_result(None)
--- a/cloverway/dispatch/tickets.py
+++ b/cloverway/dispatch/tickets.py
@@ -94,8 +94,10 @@
         if queue_s <= bearable_s:
             self._knowledge.estimates.note_first(target, first_s, ticket.cold_bytes)
 
-    def close(self, number: int, outcome: Outcome, now: float) -> Ticket:
-        """End an attempt and learn from its outcome."""
+    def close(
+        self, number: int, outcome: Outcome, now: float, pause_s: float | None = None
+    ) -> Ticket:
+        """End an attempt and learn from its outcome; `pause_s` is what its endpoint asked for."""
         assert number in self._open, "a ticket is finished once"
         self._stop_reading(number, self._open[number])
         ticket = self._open.pop(number)
@@ -108,6 +110,8 @@
             self._learn_success(ticket, now)
         elif outcome is not Outcome.CALLER_LEFT:
             self._learn_failure(ticket, outcome, now)
+        if pause_s is not None and isinstance(ticket.candidate.route, Local):
+            self._knowledge.outliers.note_pause(ticket.candidate.name, pause_s, now)
         return ticket
 
     def _stop_reading(self, number: int, ticket: Ticket) -> None:
--- a/cloverway/gateway.py
+++ b/cloverway/gateway.py
@@ -70,8 +70,18 @@
         """Tell that the first byte of the answer came."""
         ...
 
-    def finished(self, ticket: int, outcome: Outcome, at: float, retry: bool) -> Verdict | None:
-        """Tell how an attempt ended, and get another route where asked for."""
+    def finished(
+        self,
+        ticket: int,
+        outcome: Outcome,
+        at: float,
+        retry: bool = False,
+        pause_s: float | None = None,
+    ) -> Verdict | None:
+        """Tell how an attempt ended, and get another route where asked for.
+
+        `pause_s` is how long the endpoint wants nothing from this host, where it said so.
+        """
         ...
 
 
@@ -273,7 +283,8 @@
         outcome = _choose_outcome(error)
         now = self.gateway.clock()
         retry = (not_run or failed) and now < self.request.deadline
-        verdict = self.gateway.ports.router.finished(admitted.ticket, outcome, now, retry)
+        pause_s = error.retry_after if error.kind is Kind.ENDPOINT_REFUSED else None
+        verdict = self.gateway.ports.router.finished(admitted.ticket, outcome, now, retry, pause_s)
         if isinstance(verdict, Refused):
             return None
         return verdict
--- a/cloverway/messages.py
+++ b/cloverway/messages.py
@@ -90,6 +90,8 @@
     at: float
     retry: bool = False
     """Asks for another route for the same request."""
+    pause_s: float | None = None
+    """How long the endpoint wants nothing from this host, where it said so."""
 
 
 class Cancelled(NamedTuple):
--- a/cloverway/tests/test_gateway.py
+++ b/cloverway/tests/test_gateway.py
@@ -40,6 +40,7 @@
     def __init__(self, *verdicts: Verdict) -> None:
         self.verdicts = list(verdicts)
         self.ended: list[tuple[int, Outcome, bool]] = []
+        self.pauses: list[float | None] = []
 
     def submit(self, request: Request) -> Verdict:
         return self.verdicts.pop(0)
@@ -47,8 +48,11 @@
     def started(self, ticket: int, at: float) -> None:
         pass
 
-    def finished(self, ticket: int, outcome: Outcome, at: float, retry: bool) -> Verdict | None:
+    def finished(
+        self, ticket: int, outcome: Outcome, at: float, retry: bool, pause_s: float | None = None
+    ) -> Verdict | None:
         self.ended.append((ticket, outcome, retry))
+        self.pauses.append(pause_s)
         return self.verdicts.pop(0) if retry else None
 
 
@@ -161,6 +165,17 @@
     assert bench.records[0].ran is Ran.YES
 
 
+def test_the_dispatcher_hears_for_how_long_an_endpoint_wants_nothing() -> None:
+    """Guards against a pause that reaches the caller of one request and no later choice."""
+    bench, router, *_ = make_bench(
+        RequestError(Kind.ENDPOINT_REFUSED, ran=Ran.NO, retry_after=7.0),
+        verdicts=(Admitted(1, HERE), Refused(Kind.NO_CAPACITY, retry_after=1.0)),
+    )
+    with pytest.raises(RequestError):
+        bench.gateway.run(make_request())
+    assert router.pauses == [7.0]
+
+
 def test_a_refusal_after_a_failed_attempt_is_not_called_not_run() -> None:
     """The first attempt fails after its first byte left; the retry finds no endpoint.
 
--- a/cloverway/tests/test_routing.py
+++ b/cloverway/tests/test_routing.py
@@ -8,7 +8,7 @@
 
 from cloverway.dispatch.affinity import rank_places
 from cloverway.dispatch.decisions import Core
-from cloverway.dispatch.outliers import LONGEST_PAUSE_S, Outliers
+from cloverway.dispatch.outliers import LONGEST_ASKED_S, LONGEST_PAUSE_S, Outliers
 from cloverway.dispatch.prompts import Prefix
 from cloverway.dispatch.routing import SLOW_START_S
 from cloverway.errors import Kind
@@ -42,11 +42,11 @@
         decided = self.core.arrive(self.count, request, self.view, self.now, self.random)
         return dict(decided).get(self.count)
 
-    def finish(self, verdict, outcome=Outcome.DONE, retry=False):
+    def finish(self, verdict, outcome=Outcome.DONE, retry=False, pause_s=None):
         self.count += 1
         place = self.count if retry else None
         decided = self.core.finish(
-            verdict.ticket, outcome, self.view, self.now, self.random, retry=place
+            verdict.ticket, outcome, self.view, self.now, self.random, retry=place, pause_s=pause_s
         )
         return dict(decided).get(place)
 
@@ -121,6 +121,28 @@
     assert host.place() == Local(E0, host.published.endpoints[E0].url)
 
 
+@pytest.mark.parametrize("endpoints", [1, 2])
+def test_an_endpoint_that_asked_for_a_pause_gets_nothing_until_it_is_over(endpoints):
+    """Guards against requests to a full endpoint that has said when it takes the next one."""
+    host = Host(make_published(endpoints=endpoints))
+    verdict = host.arrive()
+    full = verdict.route.endpoint
+    host.finish(verdict, Outcome.REFUSED, pause_s=20.0)
+    for host.now in (0.1, 15.0, 19.9):
+        places = [host.place() for _ in range(3)]
+        assert full not in [getattr(place, "endpoint", None) for place in places]
+    host.now = 20.1
+    assert full in [getattr(host.place(), "endpoint", None) for _ in range(4)]
+
+
+def test_a_pause_that_an_endpoint_asked_for_has_a_bound():
+    """Guards against a number that is wrong by a factor and takes an endpoint out for good."""
+    outliers = Outliers()
+    outliers.note_pause("e", 1e9, 0.0)
+    assert outliers.is_paused("e", LONGEST_ASKED_S - 1)
+    assert not outliers.is_paused("e", LONGEST_ASKED_S + 1)
+
+
 def test_pauses_of_a_flapping_endpoint_double_up_to_a_bound():
     outliers = Outliers()
     now, pauses = 0.0, []
