Let ends and statements of endpoints reach other hosts by one exchange

Both told their news at once, again for a while and to hosts that had not been there, each with its own timers, samples and choice of who tells. That stands once now (serving/news.py); a kind of news says what is fresh, what still holds and what a newcomer must know, and takes over what it hears. Heartbeats hand on what they don't know by its type.

Statements are now told to newcomers too, by the same few hosts; else no change of what is told. The tests of ends drive the exchange in place of the kind; their checks are as they were.

--- a/cloverway/serving/context.py
+++ b/cloverway/serving/context.py
@@ -15,6 +15,7 @@
 from cloverway.serving.clock import read_clock
 from cloverway.serving.crashes import CrashExchange
 from cloverway.serving.lives import LifeCheck
+from cloverway.serving.news import NewsExchange
 from cloverway.serving.ports import Dialect
 from cloverway.serving.settings import FleetSettings
 from cloverway.serving.statements import StatementExchange
@@ -46,8 +47,10 @@
         self.targeting = Targeting(settings, directory, members)
         self.usual_failures = UsualFailures()
         self.quarantine = Quarantine(settings.quarantine)
-        self.crashes = CrashExchange(members, self.quarantine, figures)
-        self.statements = StatementExchange(members, directory, figures)
+        own_name = members.own.name
+        self.crashes = CrashExchange(own_name, self.quarantine, figures)
+        self.statements = StatementExchange(own_name, directory, figures)
+        self.news = NewsExchange(members, (self.crashes, self.statements))
         self.lives = LifeCheck(self.quarantine, self.pool, dialect, figures)
         self._budgets: dict[str, RetryBudget] = {}
         self._started_at = read_clock()
--- a/cloverway/serving/crashes.py
+++ b/cloverway/serving/crashes.py
@@ -2,37 +2,17 @@
 
 from __future__ import annotations
 
-import asyncio
-import random
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 
-from cloverway.core.members import Members, rank_for
 from cloverway.core.quarantine import Crash, CrashNews, Quarantine
 from cloverway.serving.clock import read_clock
+from cloverway.serving.news import TELL_AFTER_S, FreshNews
 from cloverway.serving.peerwire import CODEC, CrashReport, EndpointCrash
 from cloverway.serving.telemetry import Figures, tell
 
-TELL_AFTER_S = 0.02
-"""How long news waits to be told: all requests that an endpoint took along break within it, and one
-message tells of all of them. A caller that repeats its request at once meets hosts that know."""
-RETELL_S = 1.0
-"""Period in which what was learnt lately is told again to a few hosts, since datagrams are lost and
-some hosts can't reach each other. Each of them does the same, so all know within some periods."""
 RETOLD_S = 6.0
 """How long an end is told again after it happened."""
-NEAR_RETOLD = 3
-FAR_RETOLD = 2
-"""Hosts of the region, and of others, that are told again each time."""
-RETELLERS = 8
-"""Hosts of a region, about, that tell again in each period, whatever its size. Together they tell a
-host of a region of 24 once a period: one that missed the first word by a lost datagram, as one in
-40 does, hears it again for six periods. With each host telling, news went to each of 90 hosts five
-times a second."""
-FAR_REGIONS = 8
-"""Regions that are told at once; more of them hear it from these and by what is told again."""
-FAR_HOSTS = 2
-"""Hosts of each of these."""
 MOST_TOLD = 64
 """Requests in one message, as many as an engine runs: within one packet of 1,500 bytes."""
 LIFE_SIZE = 4
@@ -44,18 +24,16 @@
 WELCOMED_S = 60.0
 """How old an end may be that it is told of, unless a request is refused for it: a request that ends
 endpoints comes again sooner, and those that ran beside it by chance are most of them."""
-WELCOMERS = 2
-"""Hosts of a region that tell it: one more than is needed while all datagrams arrive."""
-WELCOME_REGIONS = 2
-"""Regions that tell it beside its own, which may have been cut off with it. When each host told
-each other one that it heard again, half of all bytes between the regions of 89 hosts were these."""
 
 
 class CrashExchange:
     """Notes ends of endpoints in the quarantine of this host, and tells and hears of them."""
 
-    def __init__(self, members: Members, quarantine: Quarantine, figures: Figures) -> None:
-        self._members = members
+    message = CrashReport
+    is_regional = False
+
+    def __init__(self, own_name: str, quarantine: Quarantine, figures: Figures) -> None:
+        self._own_name = own_name
         self._quarantine = quarantine
         self._figures = figures
         self._own: defaultdict[str, list[Crash]] = defaultdict(list)
@@ -63,15 +41,7 @@
         self._served: list[int] = []
         self._passed: list[Crash] = []
         """Ends that it heard from other regions and hasn't told its own yet."""
-        self._is_telling = False
-        self.send: Callable[[str, bytes], None] = lambda address, data: None
-        """Sends a datagram to a host."""
-
-    async def run(self) -> None:
-        """Tell what was learnt lately again, for ever."""
-        while True:
-            await asyncio.sleep(RETELL_S)
-            self._retell(read_clock())
+        self.tell_soon: Callable[[float], None] = lambda delay_s: None
 
     def note_end(self, life: str, digest: int, at: float) -> None:
         """Note that an endpoint ended, by all signs, while it ran a request."""
@@ -79,16 +49,16 @@
         if fresh is not None:
             self._own[life].append(fresh)
             self._tell_held(fresh, at)
-            self._tell_soon()
+            self.tell_soon(TELL_AFTER_S)
 
     def note_served(self, digest: int) -> None:
         """Note that a request had a whole answer."""
         if self._quarantine.note_served(digest, read_clock()):
             self._served.append(digest)
-            self._tell_soon()
+            self.tell_soon(TELL_AFTER_S)
 
-    def hear(self, report: CrashReport, now: float) -> None:
-        """Take over what another host tells."""
+    def hear(self, report: CrashReport, is_far: bool, now: float) -> None:
+        """Take over what another host tells; one of another region has told few hosts of this."""
         for digest in report.served:
             self._quarantine.note_served(digest, now)
         heard = [_read_crash(crash, now) for crash in report.crashes]
@@ -97,79 +67,32 @@
             requests = len(crash.digests)
             tell("end_heard", life=crash.life, requests=requests, peer=report.host)
             self._tell_held(crash, now)
-        sender = self._members.peers.get(report.host)
-        if sender is None or sender.member.region != self._members.own.region:
+        if is_far:
             self._passed.extend(fresh)
-            self._tell_soon()
+            self.tell_soon(TELL_AFTER_S)
 
-    def welcome(self, name: str) -> None:
-        """Tell a host that was not there until now what it may have missed, if that falls to us."""
-        now = read_clock()
-        recent = self._quarantine.list_news(now - WELCOMED_S, MOST_WELCOME)
-        held = self._quarantine.list_held(now, MOST_WELCOME)
-        news = recent._replace(crashes=recent.crashes + held)
-        if (news.crashes or news.served) and self._must_welcome(name, now):
-            self._send([name], news, now)
-
-    def _must_welcome(self, name: str, now: float) -> bool:
-        """Tell whether this host is one of the few that tell another one what it has missed.
-
-        Hosts that see others of them alive may disagree: then one more tells it, or one less.
-        """
-        own = self._members.own
-        peer = self._members.peers.get(name)
-        members = [other.member for other in self._members.list_alive(now)]
-        regions = {own.region, *(member.region for member in members)}
-        telling = sorted(regions, key=lambda region: rank_for(name, region))[:WELCOME_REGIONS]
-        if own.region not in telling and (peer is None or peer.member.region != own.region):
-            return False
-        near = {member.name for member in members if member.region == own.region}
-        ranked = sorted({own.name, *near} - {name}, key=lambda host: rank_for(name, host))
-        return own.name in ranked[:WELCOMERS]
-
-    def _tell_soon(self) -> None:
-        if not self._is_telling:
-            self._is_telling = True
-            asyncio.get_running_loop().call_later(TELL_AFTER_S, self._tell_fresh)
-
-    def _tell_fresh(self) -> None:
-        self._is_telling = False
-        now = read_clock()
+    def take_fresh(self, now: float) -> FreshNews:
+        """Give what wasn't told yet."""
         own = CrashNews(tuple(map(_join, self._own.values())), tuple(self._served))
         passed = CrashNews(tuple(self._passed), ())
         self._own, self._served, self._passed = defaultdict(list), [], []
         for crash in own.crashes:
             tell("endpoint_ended", life=crash.life, requests=len(crash.digests))
-        near = self._members.list_region()
-        self._send(near, passed, now)
-        self._send([*near, *self._choose_far()], own, now)
-
-    def _retell(self, now: float) -> None:
-        near = self._members.list_region()
-        if random.random() >= RETELLERS / (len(near) + 1):
-            return
-        news = self._quarantine.list_news(now - RETOLD_S, MOST_TOLD)
-        far = [name for name in self._members.peers if name not in set(near)]
-        chosen = [*_sample(near, NEAR_RETOLD), *_sample(far, FAR_RETOLD)]
-        self._send(chosen, news, now)
-
-    def _choose_far(self) -> Iterable[str]:
-        """Choose some hosts in each of some other regions."""
-        regions: dict[str, list[str]] = {}
-        for name, peer in self._members.peers.items():
-            if peer.member.region != self._members.own.region:
-                regions.setdefault(peer.member.region, []).append(name)
-        for region in _sample(list(regions), FAR_REGIONS):
-            yield from _sample(regions[region], FAR_HOSTS)
-
-    def _send(self, names: Iterable[str], news: CrashNews, now: float) -> None:
-        if not news.crashes and not news.served:
-            return
-        own = self._members.own.name
-        messages = [_encode(own, part, now) for part in _split(news)]
-        for name in names:
-            for message in messages:
-                self.send(name, message)
+        messages = self._encode(own, now)
+        return FreshNews([*messages, *self._encode(passed, now)], messages)
+
+    def list_standing(self, now: float) -> list[bytes]:
+        """Give messages of the ends of the last seconds."""
+        return self._encode(self._quarantine.list_news(now - RETOLD_S, MOST_TOLD), now)
+
+    def list_for_newcomer(self, now: float) -> list[bytes]:
+        """Give messages of the ends of the last minute, and of what is refused for older ones."""
+        recent = self._quarantine.list_news(now - WELCOMED_S, MOST_WELCOME)
+        held = self._quarantine.list_held(now, MOST_WELCOME)
+        return self._encode(recent._replace(crashes=recent.crashes + held), now)
+
+    def _encode(self, news: CrashNews, now: float) -> list[bytes]:
+        return [_encode(self._own_name, part, now) for part in _split(news)]
 
     def _tell_held(self, crash: Crash, now: float) -> None:
         """Log the requests that are refused from now on."""
@@ -221,7 +144,3 @@
 
 def _read_crash(crash: EndpointCrash, now: float) -> Crash:
     return Crash(crash.life, crash.digests, now - crash.age_ms / 1000)
-
-
-def _sample(names: list[str], most: int) -> list[str]:
-    return random.sample(names, min(most, len(names)))
--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/gossip.py
@@ -14,18 +14,15 @@
 from cloverway.errors import PeerError
 from cloverway.serving.catalogue import Catalogue
 from cloverway.serving.clock import read_clock
-from cloverway.serving.crashes import CrashExchange
+from cloverway.serving.news import NewsExchange
 from cloverway.serving.offers import list_offers, read_offer
 from cloverway.serving.peerwire import (
     CODEC,
-    CrashReport,
     EndpointUses,
     Heartbeat,
     HostState,
     RegionOffer,
-    StatementReport,
 )
-from cloverway.serving.statements import StatementExchange
 from cloverway.serving.sync import DocumentSync
 from cloverway.serving.telemetry import Figures, tell
 from cloverway.serving.uses import UseExchange
@@ -83,8 +80,7 @@
         sync: DocumentSync,
         figures: Figures,
         *,
-        crashes: CrashExchange,
-        statements: StatementExchange,
+        news: NewsExchange,
         seeds: tuple[str, ...],
     ) -> None:
         self.members = members
@@ -95,10 +91,8 @@
         self.seeds = seeds
         self._transport: asyncio.DatagramTransport
         self.uses = UseExchange(members, directory, self._send)
-        self.crashes = crashes
-        crashes.send = self._send
-        self.statements = statements
-        statements.send = self._send
+        self.news = news
+        news.send = self._send
         self.sum_waiting: Callable[[str], float] = lambda service: 0.0
         """Gives the work of the requests that wait here for a service."""
         self._alive: set[str] = set()
@@ -122,14 +116,13 @@
         except PeerError as error:
             log.warning("a datagram can't be read", extra={"why": str(error)})
             return
+        now = read_clock()
         if isinstance(message, Heartbeat):
-            self._hear(message, format_address(addr), read_clock())
+            self._hear(message, format_address(addr), now)
         elif isinstance(message, EndpointUses):
-            self.uses.hear(message, read_clock())
-        elif isinstance(message, CrashReport):
-            self.crashes.hear(message, read_clock())
-        elif isinstance(message, StatementReport):
-            self.statements.hear(message, read_clock())
+            self.uses.hear(message, now)
+        else:
+            self.news.hear(message, now)
 
     def error_received(self, exc: Exception) -> None:
         """Note that a datagram met no listener; the host is missed by its silence."""
@@ -340,7 +333,7 @@
         for name in alive - self._alive:
             self.figures.note_event("host_heard")
             tell("host_heard", peer=name, region=self.members.peers[name].member.region)
-            self.crashes.welcome(name)
+            self.news.welcome(name, now)
         for name in self._alive - alive:
             self.figures.note_event("host_silent")
             tell("host_silent", peer=name)
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -82,8 +82,7 @@
             self.catalogue,
             self.sync,
             self.figures,
-            crashes=self.context.crashes,
-            statements=self.context.statements,
+            news=self.context.news,
             seeds=settings.peers.seeds,
         )
         self.catalogue.on_news = self.gossip.announce_news
@@ -116,8 +115,7 @@
         runs = (
             self.gossip.run,
             self.gossip.uses.run,
-            self.gossip.crashes.run,
-            self.gossip.statements.run,
+            self.context.news.run,
             self.sync.run,
             self.catalogue.run,
             self.catalogue.forget,
--- a/cloverway/serving/statements.py
+++ b/cloverway/serving/statements.py
@@ -2,29 +2,18 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from collections.abc import Callable, Iterable
 
 from cloverway.core.endpoints import Directory
-from cloverway.core.members import Members
 from cloverway.core.statements import News, Statement
-from cloverway.serving.clock import read_clock
+from cloverway.serving.news import TELL_AFTER_S, FreshNews
 from cloverway.serving.peerwire import CODEC, EndpointStatement, StatementReport
 from cloverway.serving.ports import ReplyFacts
 from cloverway.serving.telemetry import Figures, tell
 
-TELL_AFTER_S = 0.02
-"""How long news waits to be told, so that one message tells of several endpoints."""
 TELL_EVERY_S = 0.2
 """Least time between two tellings: an endpoint may name another limit with each answer."""
-RETELL_S = 1.0
-"""Period in which what holds is told again to a few hosts: datagrams are lost, and some hosts have
-just started."""
-RETOLD = 3
-"""Hosts of the region that are told again each time."""
-RETELLERS = 8
-"""Hosts of a region, about, that tell again in each period, whatever its size."""
 ENDED_S = 10.0
 """How long the end of a limit is told again: a host that missed it learns of it with its own next
 answer of the endpoint, and sends it less until then."""
@@ -36,23 +25,22 @@
 
 
 class StatementExchange:
-    """Takes over what endpoints say of themselves, and tells and hears of it."""
+    """Takes over what endpoints say of themselves, and tells and hears of it.
 
-    def __init__(self, members: Members, directory: Directory, figures: Figures) -> None:
-        self._members = members
+    Endpoints answer hosts of their own region only: nobody else needs to know.
+    """
+
+    message = StatementReport
+    is_regional = True
+
+    def __init__(self, own_name: str, directory: Directory, figures: Figures) -> None:
+        self._own_name = own_name
         self._directory = directory
         self._figures = figures
         self._fresh: dict[str, None] = {}
         """Lives of endpoints of which news is to be told, in the order in which it came."""
         self._told_at = float("-inf")
-        self.send: Callable[[str, bytes], None] = lambda address, data: None
-        """Sends a datagram to a host."""
-
-    async def run(self) -> None:
-        """Tell what holds again, for ever."""
-        while True:
-            await asyncio.sleep(RETELL_S)
-            self._retell(read_clock())
+        self.tell_soon: Callable[[float], None] = lambda delay_s: None
 
     def note_answer(
         self, life: str, facts: ReplyFacts, *, request_id: str, sent_at: float, now: float
@@ -76,9 +64,10 @@
         news = self._directory.note_statement(life, statement)
         if news:
             self._tell_news(life, news, now, request_id=request_id)
-            self._tell_soon(life, now)
+            self._fresh[life] = None
+            self.tell_soon(max(TELL_AFTER_S, self._told_at + TELL_EVERY_S - now))
 
-    def hear(self, report: StatementReport, now: float) -> None:
+    def hear(self, report: StatementReport, is_far: bool, now: float) -> None:
         """Take over what another host tells."""
         for told in report.statements:
             news = self._directory.note_statement(told.life, _read_statement(told, now))
@@ -106,36 +95,36 @@
                 peer=peer,
             )
 
-    def _tell_soon(self, life: str, now: float) -> None:
-        if not self._fresh:
-            delay_s = max(TELL_AFTER_S, self._told_at + TELL_EVERY_S - now)
-            asyncio.get_running_loop().call_later(delay_s, self._tell_fresh)
-        self._fresh[life] = None
-
-    def _tell_fresh(self) -> None:
-        self._told_at = now = read_clock()
+    def take_fresh(self, now: float) -> FreshNews:
+        """Give what wasn't told yet."""
         fresh = [(life, self._directory.statements.get(life)) for life in self._fresh]
         self._fresh.clear()
-        self._send(self._members.list_region(), fresh, now)
+        if fresh:
+            self._told_at = now
+        return FreshNews(self._encode(fresh, now))
 
-    def _retell(self, now: float) -> None:
-        near = self._members.list_region()
-        if random.random() >= RETELLERS / (len(near) + 1):
-            return
+    def list_standing(self, now: float) -> list[bytes]:
+        """Give a message of what holds, of some endpoints by chance where there are many."""
         standing = self._directory.list_statements(now - ENDED_S)
-        told = random.sample(standing, min(MOST_TOLD, len(standing)))
-        self._send(random.sample(near, min(RETOLD, len(near))), told, now)
-
-    def _send(
-        self, names: Iterable[str], statements: list[tuple[str, Statement]], now: float
-    ) -> None:
-        own = self._members.own.name
-        for first in range(0, len(statements), MOST_TOLD):
-            part = statements[first : first + MOST_TOLD]
-            told = tuple(_encode_statement(life, statement, now) for life, statement in part)
-            data = CODEC.encode(StatementReport(own, told))
-            for name in names:
-                self.send(name, data)
+        return self._encode(random.sample(standing, min(MOST_TOLD, len(standing))), now)
+
+    def list_for_newcomer(self, now: float) -> list[bytes]:
+        """Give messages of all that holds."""
+        return self._encode(self._directory.list_statements(now - ENDED_S), now)
+
+    def _encode(self, statements: list[tuple[str, Statement]], now: float) -> list[bytes]:
+        parts = [
+            statements[first : first + MOST_TOLD] for first in range(0, len(statements), MOST_TOLD)
+        ]
+        return [
+            CODEC.encode(
+                StatementReport(
+                    self._own_name,
+                    tuple(_encode_statement(life, statement, now) for life, statement in part),
+                )
+            )
+            for part in parts
+        ]
 
 
 def _encode_statement(life: str, statement: Statement, now: float) -> EndpointStatement:
--- a/cloverway/tests/test_crashes.py
+++ b/cloverway/tests/test_crashes.py
@@ -9,13 +9,9 @@
 
 from cloverway.core.members import Member, Members
 from cloverway.core.quarantine import Crash, Quarantine, QuarantineTerms
-from cloverway.serving import crashes
-from cloverway.serving.crashes import (
-    MOST_TOLD,
-    RETOLD_S,
-    TELL_AFTER_S,
-    CrashExchange,
-)
+from cloverway.serving import crashes, news
+from cloverway.serving.crashes import MOST_TOLD, RETOLD_S, CrashExchange
+from cloverway.serving.news import TELL_AFTER_S, NewsExchange
 from cloverway.serving.peerwire import CODEC
 from cloverway.serving.telemetry import Figures
 
@@ -30,8 +26,9 @@
     def __init__(self, net, name, region):
         self.members = Members(Member(name, 1, region, region, name, name, True))
         self.quarantine = Quarantine(QuarantineTerms())
-        self.exchange = CrashExchange(self.members, self.quarantine, Figures())
-        self.exchange.send = lambda to, data: net.send(name, to, data)
+        self.exchange = CrashExchange(name, self.quarantine, Figures())
+        self.news = NewsExchange(self.members, [self.exchange])
+        self.news.send = lambda to, data: net.send(name, to, data)
 
     def knows(self, digest=DEADLY):
         return self.quarantine.count_ends(digest)
@@ -50,7 +47,8 @@
     def send(self, sender, receiver, data):
         self.sent.append((sender, receiver, data))
         if not self.lost(sender, receiver):
-            self.hosts[receiver].exchange.hear(CODEC.decode(data), crashes.read_clock())
+            is_far = sender[0] != receiver[0]
+            self.hosts[receiver].exchange.hear(CODEC.decode(data), is_far, crashes.read_clock())
 
     def list_knowing(self):
         return {name for name, host in self.hosts.items() if host.knows()}
@@ -61,6 +59,7 @@
     """A clock that tests set; waits of the event loop are as they are."""
     times = [1_000.0]
     monkeypatch.setattr(crashes, "read_clock", lambda: times[0])
+    monkeypatch.setattr(news, "read_clock", lambda: times[0])
     return times
 
 
@@ -94,19 +93,19 @@
         await settle()
         assert net.list_knowing() == {"a1", "a3"}
         for host in net.hosts.values():
-            host.exchange._retell(clock[0] + 1.0)
+            host.news.retell(clock[0] + 1.0)
         await settle()
         assert net.list_knowing() == set(net.hosts)
         net.sent.clear()
         for host in net.hosts.values():
-            host.exchange._retell(clock[0] + RETOLD_S + 0.1)
+            host.news.retell(clock[0] + RETOLD_S + 0.1)
         assert not net.sent, "it isn't told for ever"
 
     asyncio.run(scenario())
 
 
 def test_hosts_tell_again_by_themselves(clock, monkeypatch):
-    monkeypatch.setattr(crashes, "RETELL_S", 0.01)
+    monkeypatch.setattr(news, "RETELL_S", 0.01)
     net = Net("a1", "a2")
     net.lost = lambda sender, receiver: True
 
@@ -114,7 +113,7 @@
         net.hosts["a1"].exchange.note_end("e", DEADLY, clock[0])
         await settle()
         net.lost = lambda sender, receiver: False
-        telling = asyncio.create_task(net.hosts["a1"].exchange.run())
+        telling = asyncio.create_task(net.hosts["a1"].news.run())
         async with asyncio.timeout(5.0):
             while not net.hosts["a2"].knows():
                 await asyncio.sleep(0.01)
@@ -133,7 +132,7 @@
         await settle()
         net.lost = lambda sender, receiver: False
         clock[0] += 60.0
-        net.hosts["a1"].exchange.welcome("a2")
+        net.hosts["a1"].news.welcome("a2", clock[0])
         assert net.list_knowing() == {"a1", "a2"}
         hold_s = [host.quarantine.list_news(0.0, 9).crashes[0].at for host in net.hosts.values()]
         assert hold_s[0] == pytest.approx(hold_s[1], abs=0.002), "it ended a minute ago for both"
@@ -171,7 +170,7 @@
         assert len(net.sent) == 1
         for number in range(300):
             net.hosts["a1"].quarantine.note_crash(Crash(f"{name}{number}", (number,), clock[0]))
-        net.hosts["a1"].exchange.welcome("a2")
+        net.hosts["a1"].news.welcome("a2", clock[0])
         assert all(len(data) <= PACKET_BYTES for _, _, data in net.sent)
         assert sum(net.hosts["a2"].knows(number) for number in range(300)) == 256
 
@@ -199,7 +198,7 @@
             net.sent.clear()
             for other in net.hosts.values():
                 if other is not host:
-                    other.exchange.welcome(newcomer)
+                    other.news.welcome(newcomer, clock[0])
             assert host.knows()
             assert 2 <= count_told(net, newcomer) <= 6
 
@@ -216,7 +215,7 @@
     async def scenario():
         for name, host in net.hosts.items():
             for newcomer in (other for other in net.hosts if other[0] == "b" and other != name):
-                host.exchange.welcome(newcomer)
+                host.news.welcome(newcomer, clock[0])
         assert all(host.knows() for host in net.hosts.values())
 
     asyncio.run(scenario())
@@ -230,7 +229,7 @@
     quarantine.note_crash(Crash("old", (8,), clock[0]))
     clock[0] += crashes.WELCOMED_S + 1.0
     quarantine.note_crash(Crash("new", (9,), clock[0]))
-    net.hosts["a1"].exchange.welcome("a2")
+    net.hosts["a1"].news.welcome("a2", clock[0])
     assert [net.hosts["a2"].knows(digest) for digest in (DEADLY, 8, 9)] == [3, 0, 1]
 
 
@@ -243,6 +242,6 @@
             host.quarantine.note_crash(Crash("e", (DEADLY,), clock[0]))
         for _ in range(20):
             for host in net.hosts.values():
-                host.exchange._retell(clock[0] + 1.0)
+                host.news.retell(clock[0] + 1.0)
         told[hosts] = len(net.sent) / 20
     assert told[100] < 2 * told[10]
--- a/cloverway/tests/test_fleet_gossip.py
+++ b/cloverway/tests/test_fleet_gossip.py
@@ -10,8 +10,6 @@
 from cloverway.core.deployment import Configuration, EndpointEntry, EngineShape, Service, Topology
 from cloverway.core.endpoints import Directory, Endpoint
 from cloverway.core.members import ACTIVE_RATE, LEAST_NAMED, Member, Members
-from cloverway.core.quarantine import Quarantine, QuarantineTerms
-from cloverway.serving.crashes import CrashExchange
 from cloverway.serving.gossip import (
     FAR_HOSTS,
     FAR_IDLE_PER_S,
@@ -20,8 +18,8 @@
     SETTLING_S,
     Gossip,
 )
+from cloverway.serving.news import NewsExchange
 from cloverway.serving.peerwire import CODEC
-from cloverway.serving.statements import StatementExchange
 from cloverway.serving.telemetry import Figures
 
 REGIONS = ("north", "south", "west")
@@ -52,15 +50,13 @@
         catalogue = SimpleNamespace(read_at=0.0, table=SimpleNamespace(revision=1, digest=1))
         sync = SimpleNamespace(note=lambda peer, now: None)
         figures = Figures()
-        crashes = CrashExchange(self.members, Quarantine(QuarantineTerms()), figures)
         self.gossip = Gossip(
             self.members,
             directory,
             catalogue,
             sync,
             figures,
-            crashes=crashes,
-            statements=StatementExchange(self.members, directory, figures),
+            news=NewsExchange(self.members, ()),
             seeds=(),
         )
         self.sent = []
--- a/cloverway/tests/test_statements.py
+++ b/cloverway/tests/test_statements.py
@@ -7,6 +7,7 @@
 from cloverway.core.deployment import EndpointEntry, EndpointPublished, Topology
 from cloverway.core.endpoints import Directory
 from cloverway.core.members import Member, Members
+from cloverway.serving.news import NewsExchange
 from cloverway.serving.peerwire import CODEC
 from cloverway.serving.ports import ReplyFacts
 from cloverway.serving.statements import ENDED_S, MOST_TOLD, StatementExchange
@@ -30,8 +31,9 @@
             self.members.hear(make_member(other, "south"), 0.0, True, 0.0)
         self.directory = Directory(Topology("d1", "north", {"d1": "north"}))
         self.statements = self.directory.statements
-        self.exchange = StatementExchange(self.members, self.directory, Figures())
-        self.exchange.send = lambda name, data: self.sent.append((name, CODEC.decode(data)))
+        self.exchange = StatementExchange(name, self.directory, Figures())
+        self.news = NewsExchange(self.members, [self.exchange])
+        self.news.send = lambda name, data: self.sent.append((name, CODEC.decode(data)))
         self.sent = []
 
     def publish(self, *lives):
@@ -63,7 +65,7 @@
         await asyncio.sleep(0.1)
         [(name, report)] = here.take_sent()
         assert name == "b"
-        there.exchange.hear(report, 500.0)
+        there.exchange.hear(report, False, 500.0)
         assert there.statements.get(LIFE).limit_per_s == 2.5
         await asyncio.sleep(0.1)
         assert there.sent == []
@@ -110,10 +112,10 @@
         here.answer(None, 102.0, OTHER)
         await asyncio.sleep(0.1)
         here.take_sent()
-        here.exchange._retell(101.0 + ENDED_S - 1)
+        here.news.retell(101.0 + ENDED_S - 1)
         [(_, report)] = here.take_sent()
         assert {(s.life, s.limit_milli) for s in report.statements} == {(LIFE, 1000), (OTHER, -1)}
-        here.exchange._retell(102.0 + ENDED_S + 1)
+        here.news.retell(102.0 + ENDED_S + 1)
         [(_, report)] = here.take_sent()
         assert [s.life for s in report.statements] == [LIFE]
 
@@ -143,7 +145,7 @@
         here.answer(None, 101.0)
         await asyncio.sleep(0.1)
         [(_, report)] = here.take_sent()
-        there.exchange.hear(report, 500.0)
+        there.exchange.hear(report, False, 500.0)
         [usable] = there.directory.list_usable("desk", 500.0)
         assert usable.entry.life == OTHER
 
@@ -160,7 +162,7 @@
         here.answer(None, 100.0, OTHER, leaving=True)
         await asyncio.sleep(0.1)
         here.take_sent()
-        here.exchange._retell(300.0)
+        here.news.retell(300.0)
         [(_, report)] = here.take_sent()
         assert [(s.life, s.leaving, s.limit_milli) for s in report.statements] == [(LIFE, True, -1)]
 
