Tell a host that restarts what the others know before it serves callers

Causes: hosts tell a newcomer what it has missed when one appears among those that are alive, and a host that restarts within 1.5 s was never away; and a host served callers as soon as it had a configuration, 40 ms after its start, whatever the others knew.

Now the first word of each new incarnation counts as a newcomer's, told by the few hosts that it asks first, before anything else is said to it; and it serves callers and counts as ready when that has come, or after 0.4 s without it.

--- a/cloverway/serving/context.py
+++ b/cloverway/serving/context.py
@@ -25,6 +25,10 @@
 START_WAIT_S = 0.6
 """Age of a host up to which it lets requests wait for its first configuration: the store answers a
 host that is far within 0.35 s. A caller that is refused comes back later, and has one try less."""
+MEETING_S = 0.4
+"""Age of a host up to which it lets requests wait until another host has told it what it knows: the
+way to a far region and back, twice. What has just started would otherwise send a request on that
+all others refuse. With nobody there it serves all the same."""
 
 
 class Context:
@@ -55,6 +59,8 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._started_at = read_clock()
         self._configured = asyncio.Event()
+        self._introduced = asyncio.Event()
+        self._has_seeds = any(seed != own_name for seed in settings.peers.seeds)
 
     def get_budget(self, service: str) -> RetryBudget:
         """Give this host's share of the retry budget of a service."""
@@ -67,13 +73,27 @@
         """Note that a configuration is in force."""
         self._configured.set()
 
-    async def wait_for_configuration(self) -> None:
-        """Wait for the first configuration, for as long as one can be expected."""
-        left_s = self._started_at + START_WAIT_S - read_clock()
-        if left_s > 0 and not self._configured.is_set():
+    def note_introduced(self) -> None:
+        """Note that another host has told this one what it knows."""
+        self._introduced.set()
+
+    def is_introduced(self, now: float) -> bool:
+        """Tell whether the host knows what the others know, as far as there are any."""
+        is_old = now >= self._started_at + MEETING_S
+        return self._introduced.is_set() or is_old or not self._has_seeds
+
+    async def wait_for_start(self) -> None:
+        """Wait for the first configuration and for the word of another host, each for its time."""
+        await self._wait(self._configured, START_WAIT_S)
+        if self._has_seeds:
+            await self._wait(self._introduced, MEETING_S)
+
+    async def _wait(self, event: asyncio.Event, until_age_s: float) -> None:
+        left_s = self._started_at + until_age_s - read_clock()
+        if left_s > 0 and not event.is_set():
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(left_s):
-                    await self._configured.wait()
+                    await event.wait()
 
     def get_configuration(self) -> Configuration:
         """Give the configuration in force; a route was found in it."""
--- a/cloverway/serving/forwarding.py
+++ b/cloverway/serving/forwarding.py
@@ -46,7 +46,7 @@
         course: Course | None = None
         try:
             call = self._context.dialect.decode_call(exchange)._replace(passed_on=passed)
-            await self._context.wait_for_configuration()
+            await self._context.wait_for_start()
             route = self._find_route(call)
             course = Course(self._context, exchange, call, route)
             await course.run()
--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/gossip.py
@@ -95,6 +95,9 @@
         news.send = self._send
         self.sum_waiting: Callable[[str], float] = lambda service: 0.0
         """Gives the work of the requests that wait here for a service."""
+        self.on_introduced: Callable[[], None] = lambda: None
+        """Called when another host was heard for the first time."""
+        self._is_introduced = False
         self._alive: set[str] = set()
         self._started_at = read_clock()
         self._idle_far_at = 0.0
@@ -209,6 +212,17 @@
         others = tuple(_describe_peer(other, now) for other in alive[:MOST_WELCOME])
         self._send(peer.member.name, self._encode(now, others, offers))
 
+    def _tell_newcomer(self, peer: Peer, known: int, now: float) -> None:
+        """Tell a host of the news that it has missed, when it is first heard itself.
+
+        One that restarts sooner than it is missed was never away for the others. One that knows
+        nobody yet has asked few hosts, so each of them tells it.
+        """
+        if known:
+            self.news.welcome(peer.member.name, now)
+        else:
+            self.news.tell_all(peer.member.name, now)
+
     def _send_far(self, now: float) -> None:
         """Tell other regions what this one can take, if this host knows, and that it is alive.
 
@@ -298,9 +312,12 @@
         for other in heartbeat.others:
             self._hear_of(other, now)
         known = self.members.peers.get(state.name)
+        was_heard = known is not None and known.direct_at > float("-inf")
         peer = self.members.hear(_read_member(state), 0.0, True, now)
         if peer is None:
             return
+        if peer is not known or not was_heard:
+            self._tell_newcomer(peer, heartbeat.known, now)
         if peer is not known:
             self._welcome(peer, heartbeat.known, now)
         if address != state.name:
@@ -317,6 +334,16 @@
         if heartbeat.offers:
             peer.offers_at = now
             peer.offers = {offer.service_name: read_offer(offer) for offer in heartbeat.offers}
+        self._note_introduced(peer, now)
+
+    def _note_introduced(self, peer: Peer, now: float) -> None:
+        """Note the first heartbeat that is heard: what the host knows has come just before it."""
+        if self._is_introduced:
+            return
+        self._is_introduced = True
+        age_s = round(now - self._started_at, 3)
+        tell("introduced", peer=peer.member.name, hosts=len(self.members.peers), age_s=age_s)
+        self.on_introduced()
 
     def _hear_of(self, state: HostState, now: float) -> None:
         """Take over what a heartbeat says of another host than its sender."""
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -22,7 +22,7 @@
 from cloverway.errors import ConfigurationError, Kind, RequestError
 from cloverway.serving.catalogue import Catalogue
 from cloverway.serving.clock import read_clock
-from cloverway.serving.context import Context
+from cloverway.serving.context import MEETING_S, Context
 from cloverway.serving.forwarding import Forwarder
 from cloverway.serving.gossip import Gossip
 from cloverway.serving.ports import Dialect, Store
@@ -49,6 +49,9 @@
 TEXT = (b"Content-Type", b"text/plain; version=0.0.4")
 JSON = (b"Content-Type", b"application/json")
 
+MARGIN_S = 0.01
+"""Between two readings of the clock, whose timers may be early by a millisecond."""
+
 MakeStore = Callable[[FleetSettings], Store]
 
 
@@ -87,6 +90,7 @@
         )
         self.catalogue.on_news = self.gossip.announce_news
         self.gossip.sum_waiting = self.context.targeting.sum_waiting
+        self.gossip.on_introduced = self._note_introduced
         self.context.lives.on_born = self.catalogue.note_born
         self.context.targeting.on_prompt = self.gossip.uses.tell_at_once
         self.started_at = read_clock()
@@ -122,6 +126,7 @@
             self._tick,
         )
         self._tasks = [asyncio.create_task(_keep_running(run)) for run in runs]
+        asyncio.get_running_loop().call_later(MEETING_S + MARGIN_S, self._update_ready)
 
     async def leave(self) -> None:
         """Lead callers and other hosts away, and wait for the requests in progress."""
@@ -149,10 +154,19 @@
         return configuration.limits if configuration is not None else CallerLimits()
 
     def _note_changes(self, changes: list[Change]) -> None:
-        own = self.members.own
         if self.directory.configuration is not None:
             self.context.note_configured()
-        ready = self.directory.configuration is not None and not own.leaving
+        self._update_ready()
+
+    def _note_introduced(self) -> None:
+        self.context.note_introduced()
+        self._update_ready()
+
+    def _update_ready(self) -> None:
+        own = self.members.own
+        knows_enough = self.context.is_introduced(read_clock())
+        has_routes = self.directory.configuration is not None
+        ready = has_routes and knows_enough and not own.leaving
         if ready != own.ready:
             self.members.own = own._replace(ready=ready)
             tell("ready" if ready else "not_ready")
--- a/cloverway/tests/fleet/deployment.py
+++ b/cloverway/tests/fleet/deployment.py
@@ -122,13 +122,23 @@
         sending.write()
         return sending
 
+    async def stop(self, host: Host) -> None:
+        """End a host at once, as a kill does."""
+        self.hosts.remove(host)
+        _end(host)
+        await asyncio.sleep(0)
+
     async def close(self) -> None:
         for host in self.hosts:
-            for task in host._tasks:
-                task.cancel()
-            host.gossip._transport.close()
-            for server in (host.callers, host.inner, host.lookup, host.readiness, host.metrics):
-                server.stop_accepting()
+            _end(host)
+
+
+def _end(host: Host) -> None:
+    for task in host._tasks:
+        task.cancel()
+    host.gossip._transport.close()
+    for server in (host.callers, host.inner, host.lookup, host.readiness, host.metrics):
+        server.stop_accepting()
 
 
 async def read_reply(sending: Sending) -> Reply:
