Ask the other hosts what they know while a host is loaded

Now a host binds its address for the others before its libraries are loaded and knocks at its seeds; what they tell waits in the socket, and is heard first. Loading takes some 0.3 s, so that also a far host has answered by then; after it 0.1 s are waited at most.

--- a/cloverway/serving/context.py
+++ b/cloverway/serving/context.py
@@ -26,10 +26,11 @@
 START_WAIT_S = 0.6
 """Age of a host up to which it lets requests wait for its first configuration: the store answers a
 host that is far within 0.35 s. A caller that is refused comes back later, and has one try less."""
-MEETING_S = 0.4
-"""Age of a host up to which it lets requests wait until another host has told it what it knows: the
-way to a far region and back, twice. What has just started would otherwise send a request on that
-all others refuse. With nobody there it serves all the same."""
+MEETING_S = 0.1
+"""Age of a host up to which it lets requests wait until another host has told it what it knows. It
+has knocked at the others before it was loaded, so that even a far one has answered by now. What
+has just started would otherwise send a request on that all others refuse. With nobody there it
+serves all the same: when all hosts start at once, nobody knows anything."""
 
 
 class Context:
--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/gossip.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+import socket
 from collections.abc import Callable
 from typing import cast
 
@@ -14,6 +15,7 @@
 from cloverway.errors import PeerError
 from cloverway.serving.catalogue import Catalogue
 from cloverway.serving.clock import read_clock
+from cloverway.serving.early import KNOCK
 from cloverway.serving.news import NewsExchange
 from cloverway.serving.offers import list_offers, read_offer
 from cloverway.serving.peerwire import (
@@ -103,9 +105,12 @@
         self._idle_far_at = 0.0
         self._period_s = NEAR_S
 
-    async def start(self, address: str) -> None:
-        """Bind the address for heartbeats; raise OSError."""
+    async def start(self, address: str, early: socket.socket | None = None) -> None:
+        """Bind the address for heartbeats; raise OSError. `early` may be bound there already."""
         loop = asyncio.get_running_loop()
+        if early is not None and format_address(early.getsockname()) == address:
+            await loop.create_datagram_endpoint(lambda: self, sock=early)
+            return
         await loop.create_datagram_endpoint(lambda: self, local_addr=split_address(address))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -114,6 +119,9 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Hear a heartbeat, or what another host tells of endpoints."""
+        if data == KNOCK:
+            self._answer_knock(format_address(addr), read_clock())
+            return
         try:
             message = CODEC.decode(data)
         except PeerError as error:
@@ -212,6 +220,14 @@
         others = tuple(_describe_peer(other, now) for other in alive[:MOST_WELCOME])
         self._send(peer.member.name, self._encode(now, others, offers))
 
+    def _answer_knock(self, address: str, now: float) -> None:
+        """Tell a host that is being loaded what it must know, and then who is there."""
+        self.figures.note_event("knock_heard")
+        self.news.tell_all(address, now)
+        others = self.members.list_alive(now)[:MOST_WELCOME]
+        described = tuple(_describe_peer(other, now) for other in others)
+        self._send(address, self._encode(now, described, self._list_offers(now)))
+
     def _tell_newcomer(self, peer: Peer, known: int, now: float) -> None:
         """Tell a host of the news that it has missed, when it is first heard itself.
 
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -8,7 +8,6 @@
 import math
 import secrets
 import signal
-import socket
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -23,6 +22,7 @@
 from cloverway.serving.catalogue import Catalogue
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import MEETING_S, Context
+from cloverway.serving.early import Early
 from cloverway.serving.forwarding import Forwarder
 from cloverway.serving.gossip import Gossip
 from cloverway.serving.ports import Dialect, Store
@@ -52,6 +52,8 @@
 MARGIN_S = 0.01
 """Between two readings of the clock, whose timers may be early by a millisecond."""
 
+NOTHING_EARLY = Early()
+
 MakeStore = Callable[[FleetSettings], Store]
 
 
@@ -103,17 +105,17 @@
         self.metrics = Server(self._handle_metrics, terms)
         self._tasks: list[asyncio.Task[None]] = []
 
-    async def start(self, early: socket.socket | None = None) -> None:
+    async def start(self, early: Early = NOTHING_EARLY) -> None:
         """Bind all addresses and start all tasks; raise OSError when one can't be bound.
 
-        `early` listens for callers already.
+        `early` holds sockets that are open already.
         """
         listen = self.settings.listen
-        await self.gossip.start(listen.control)
+        await self.gossip.start(listen.control, early.control)
         await self.inner.start(self.members.own.inner)
         await self.readiness.start(listen.readiness)
         await self.lookup.start(listen.lookup)
-        await self.callers.start(listen.callers, early)
+        await self.callers.start(listen.callers, early.callers)
         ip, _ = split_address(listen.callers)
         await self.metrics.start(f"{ip}:{listen.metrics_port}")
         runs = (
@@ -278,9 +280,7 @@
     )
 
 
-async def _run(
-    path: Path, settings: FleetSettings, host: Host, early: socket.socket | None
-) -> None:
+async def _run(path: Path, settings: FleetSettings, host: Host, early: Early) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     reload = asyncio.Event()
@@ -322,11 +322,11 @@
 
 
 def run_host(
-    path: Path, make_store: MakeStore, dialect: Dialect, early: socket.socket | None = None
+    path: Path, make_store: MakeStore, dialect: Dialect, early: Early = NOTHING_EARLY
 ) -> None:
     """Run one host until it is told to stop; raise ConfigurationError.
 
-    `early` is a socket that listens at the callers' address already.
+    `early` holds sockets that are open already.
     """
     settings = FleetSettings.from_toml(path)
     incarnation = secrets.token_hex(4)
