Put the modules of a fleet's host into folders by subject

serving/ had 33 modules flat. They stand now by what they are about: http (connections), requests (the course of one), hosts (what hosts tell each other), documents; what puts a host together, its settings, ports, logs and clock stay at the top.

--- a/cloverway/platform/dialect.py
+++ b/cloverway/platform/dialect.py
@@ -14,9 +14,9 @@
 from cloverway.platform import names
 from cloverway.platform.documents import decode_documents
 from cloverway.platform.entries import decode_born
-from cloverway.serving.client import ReplyHead
+from cloverway.serving.http.client import ReplyHead
+from cloverway.serving.http.server import Exchange
 from cloverway.serving.ports import LifeFacts, Lookup, ReplyFacts, SendTerms
-from cloverway.serving.server import Exchange
 
 log = logging.getLogger(__name__)
 
--- a/cloverway/platform/store.py
+++ b/cloverway/platform/store.py
@@ -14,7 +14,7 @@
 from cloverway.core.deployment import Document, Snapshot
 from cloverway.errors import PlatformError
 from cloverway.platform.documents import PREFIXES, is_unreadable
-from cloverway.serving.client import AnswerError, AnswerTooLongError, ConnectError, Pool, fetch
+from cloverway.serving.http.client import AnswerError, AnswerTooLongError, ConnectError, Pool, fetch
 from cloverway.serving.ports import HistoryGoneError, StoreBusyError
 
 ANSWER_S = 0.9
--- a/cloverway/serving/context.py
+++ b/cloverway/serving/context.py
@@ -11,16 +11,16 @@
 from cloverway.core.failures import UsualFailures
 from cloverway.core.members import Members
 from cloverway.core.quarantine import Quarantine
-from cloverway.serving.client import Pool
 from cloverway.serving.clock import read_clock
-from cloverway.serving.crashes import CrashExchange
-from cloverway.serving.lives import LifeCheck
-from cloverway.serving.news import NewsExchange
+from cloverway.serving.hosts.crashes import CrashExchange
+from cloverway.serving.hosts.news import NewsExchange
+from cloverway.serving.hosts.statements import StatementExchange
+from cloverway.serving.hosts.suspects import SuspectWatch
+from cloverway.serving.http.client import Pool
 from cloverway.serving.ports import Dialect
+from cloverway.serving.requests.lives import LifeCheck
+from cloverway.serving.requests.targeting import Targeting
 from cloverway.serving.settings import FleetSettings
-from cloverway.serving.statements import StatementExchange
-from cloverway.serving.suspects import SuspectWatch
-from cloverway.serving.targeting import Targeting
 from cloverway.serving.telemetry import Figures
 
 START_WAIT_S = 0.6
--- /dev/null
+++ b/cloverway/serving/documents/__init__.py
@@ -0,0 +1,1 @@
+"""The published documents, from the store or from another host."""
--- a/cloverway/serving/sync.py
+++ b/cloverway/serving/documents/sync.py
@@ -12,10 +12,10 @@
 from cloverway.core.documents import DocumentTable
 from cloverway.core.members import Members, Peer
 from cloverway.errors import PeerError
-from cloverway.serving.catalogue import Catalogue
-from cloverway.serving.client import AnswerError, ConnectError, Pool, fetch
 from cloverway.serving.clock import read_clock
-from cloverway.serving.peerwire import CODEC, StoredDocument, StoredSnapshot
+from cloverway.serving.documents.catalogue import Catalogue
+from cloverway.serving.hosts.peerwire import CODEC, StoredDocument, StoredSnapshot
+from cloverway.serving.http.client import AnswerError, ConnectError, Pool, fetch
 from cloverway.serving.telemetry import tell
 
 READ_STALE_S = 1.6
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -19,16 +19,16 @@
 from cloverway.core.entry import choose_for_caller, choose_ttl
 from cloverway.core.members import Member, Members
 from cloverway.errors import ConfigurationError, Kind, RequestError
-from cloverway.serving.catalogue import Catalogue
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import MEETING_S, Context
+from cloverway.serving.documents.catalogue import Catalogue
+from cloverway.serving.documents.sync import DocumentSync, answer_fetch
 from cloverway.serving.early import Early
-from cloverway.serving.forwarding import Forwarder
-from cloverway.serving.gossip import Gossip
+from cloverway.serving.hosts.gossip import Gossip
+from cloverway.serving.http.server import REASONS, Exchange, Server, ServerTerms
 from cloverway.serving.ports import Dialect, Store
-from cloverway.serving.server import REASONS, Exchange, Server, ServerTerms
+from cloverway.serving.requests.forwarding import Forwarder
 from cloverway.serving.settings import FleetSettings
-from cloverway.serving.sync import DocumentSync, answer_fetch
 from cloverway.serving.telemetry import Figures, LineWriter, configure_lines, tell
 
 log = logging.getLogger(__name__)
--- /dev/null
+++ b/cloverway/serving/hosts/__init__.py
@@ -0,0 +1,1 @@
+"""What the hosts of a fleet tell each other."""
--- a/cloverway/serving/gossip.py
+++ b/cloverway/serving/hosts/gossip.py
@@ -13,21 +13,21 @@
 from cloverway.core.endpoints import Directory
 from cloverway.core.members import Member, Members, Peer
 from cloverway.errors import PeerError
-from cloverway.serving.catalogue import Catalogue
 from cloverway.serving.clock import read_clock
+from cloverway.serving.documents.catalogue import Catalogue
+from cloverway.serving.documents.sync import DocumentSync
 from cloverway.serving.early import KNOCK
-from cloverway.serving.news import NewsExchange
-from cloverway.serving.offers import list_offers, read_offer
-from cloverway.serving.peerwire import (
+from cloverway.serving.hosts.news import NewsExchange
+from cloverway.serving.hosts.offers import list_offers, read_offer
+from cloverway.serving.hosts.peerwire import (
     CODEC,
     EndpointUses,
     Heartbeat,
     HostState,
     RegionOffer,
 )
-from cloverway.serving.sync import DocumentSync
+from cloverway.serving.hosts.uses import UseExchange
 from cloverway.serving.telemetry import Figures, tell
-from cloverway.serving.uses import UseExchange
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/cloverway/serving/http/__init__.py
@@ -0,0 +1,1 @@
+"""Connections, and HTTP on them: callers, endpoints, other hosts."""
--- a/cloverway/serving/client.py
+++ b/cloverway/serving/http/client.py
@@ -13,7 +13,7 @@
 from cloverway.core.calls import Header
 from cloverway.errors import CloverwayError
 from cloverway.serving.clock import read_clock
-from cloverway.serving.transport import Connection, connect
+from cloverway.serving.http.transport import Connection, connect
 
 IDLE_S = 4.0
 """How long a connection is kept where the other end names no time: below the shortest idle time
--- a/cloverway/serving/server.py
+++ b/cloverway/serving/http/server.py
@@ -16,7 +16,7 @@
 from cloverway.core.deployment import CallerLimits
 from cloverway.errors import Kind, Ran, RequestError
 from cloverway.serving.clock import read_clock
-from cloverway.serving.transport import Connection, listen
+from cloverway.serving.http.transport import Connection, listen
 
 log = logging.getLogger(__name__)
 
--- a/cloverway/serving/ports.py
+++ b/cloverway/serving/ports.py
@@ -8,8 +8,8 @@
 from cloverway.core.calls import Call, Header
 from cloverway.core.deployment import Document, Publication, Snapshot
 from cloverway.errors import PlatformError, RequestError
-from cloverway.serving.client import ReplyHead
-from cloverway.serving.server import Exchange
+from cloverway.serving.http.client import ReplyHead
+from cloverway.serving.http.server import Exchange
 
 
 class StoreBusyError(PlatformError):
--- a/cloverway/serving/attempt.py
+++ b/cloverway/serving/requests/attempt.py
@@ -13,12 +13,18 @@
 from cloverway.core.deployment import CallKind
 from cloverway.core.prediction import Wanted
 from cloverway.errors import Kind
-from cloverway.serving.client import AnswerError, ConnectError, ReplyHead, Sending, make_request
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
-from cloverway.serving.placement import LEAST_S
+from cloverway.serving.http.client import (
+    AnswerError,
+    ConnectError,
+    ReplyHead,
+    Sending,
+    make_request,
+)
 from cloverway.serving.ports import ReplyFacts, SendTerms
-from cloverway.serving.targeting import Target
+from cloverway.serving.requests.placement import LEAST_S
+from cloverway.serving.requests.targeting import Target
 
 CONNECT_S = 0.4
 """Time to open a connection within the region: a lost opening packet is sent again only after a
--- a/cloverway/serving/course.py
+++ b/cloverway/serving/requests/course.py
@@ -15,7 +15,11 @@
 from cloverway.core.deployment import Route, Service
 from cloverway.core.prediction import Wanted
 from cloverway.errors import Kind, Ran, RequestError, take_worse
-from cloverway.serving.attempt import (
+from cloverway.serving.clock import read_clock
+from cloverway.serving.context import Context
+from cloverway.serving.http.client import AnswerError
+from cloverway.serving.http.server import Exchange
+from cloverway.serving.requests.attempt import (
     RETRY_STATUS,
     Answered,
     Attempt,
@@ -26,14 +30,10 @@
     SilenceError,
     get_idle_s,
 )
-from cloverway.serving.client import AnswerError
-from cloverway.serving.clock import read_clock
-from cloverway.serving.context import Context
-from cloverway.serving.placement import Placement
-from cloverway.serving.server import Exchange
-from cloverway.serving.streaming import EventRelay, list_end_to_end
-from cloverway.serving.suspicion import Suspicion
-from cloverway.serving.targeting import Target
+from cloverway.serving.requests.placement import Placement
+from cloverway.serving.requests.streaming import EventRelay, list_end_to_end
+from cloverway.serving.requests.suspicion import Suspicion
+from cloverway.serving.requests.targeting import Target
 from cloverway.serving.telemetry import format_digest, tell
 
 FIRST_PATIENCE = 2.5
--- a/cloverway/serving/forwarding.py
+++ b/cloverway/serving/requests/forwarding.py
@@ -5,7 +5,10 @@
 from cloverway.core.calls import Call, PassedOn
 from cloverway.core.deployment import Route
 from cloverway.errors import Kind, RequestError
-from cloverway.serving.attempt import (
+from cloverway.serving.clock import read_clock
+from cloverway.serving.context import Context
+from cloverway.serving.http.server import Exchange
+from cloverway.serving.requests.attempt import (
     ARRIVALS_HEADER,
     ENDED_HEADER,
     KIND_HEADER,
@@ -13,10 +16,7 @@
     RAN_HEADER,
     decode_pass,
 )
-from cloverway.serving.clock import read_clock
-from cloverway.serving.context import Context
-from cloverway.serving.course import Course
-from cloverway.serving.server import Exchange
+from cloverway.serving.requests.course import Course
 from cloverway.serving.telemetry import format_digest, tell
 
 
--- a/cloverway/serving/lives.py
+++ b/cloverway/serving/requests/lives.py
@@ -8,8 +8,8 @@
 
 from cloverway.core.endpoints import Endpoint
 from cloverway.core.quarantine import Quarantine
-from cloverway.serving.client import AnswerError, ConnectError, Pool, fetch, make_request
 from cloverway.serving.clock import read_clock
+from cloverway.serving.http.client import AnswerError, ConnectError, Pool, fetch, make_request
 from cloverway.serving.ports import Dialect, LifeFacts
 from cloverway.serving.telemetry import Figures, tell
 
--- a/cloverway/serving/placement.py
+++ b/cloverway/serving/requests/placement.py
@@ -8,8 +8,8 @@
 from cloverway.errors import Kind, Ran, RequestError
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
-from cloverway.serving.targeting import Target
-from cloverway.serving.waiting import Ask, Rank
+from cloverway.serving.requests.targeting import Target
+from cloverway.serving.requests.waiting import Ask, Rank
 
 LEAST_S = 0.05
 """A request with less time left isn't sent: its answer could not come back in time."""
--- a/cloverway/serving/streaming.py
+++ b/cloverway/serving/requests/streaming.py
@@ -5,12 +5,12 @@
 from cloverway.core.calls import Header
 from cloverway.core.pauses import Gap
 from cloverway.core.prediction import DEFAULT_GAP_S, Wanted
-from cloverway.serving.attempt import Answered, bear_silence
-from cloverway.serving.client import ReplyHead, Sending
 from cloverway.serving.clock import read_clock
-from cloverway.serving.events import EventSplitter
-from cloverway.serving.server import Exchange
-from cloverway.serving.targeting import Target
+from cloverway.serving.http.client import ReplyHead, Sending
+from cloverway.serving.http.events import EventSplitter
+from cloverway.serving.http.server import Exchange
+from cloverway.serving.requests.attempt import Answered, bear_silence
+from cloverway.serving.requests.targeting import Target
 
 GAP_PATIENCE = 4.0
 """Silence between two events, in wanted pauses, after which a stream goes on elsewhere where it
--- a/cloverway/serving/suspicion.py
+++ b/cloverway/serving/requests/suspicion.py
@@ -5,11 +5,11 @@
 from cloverway.core.prediction import STALLED_AFTER_S, Wanted
 from cloverway.core.quarantine import Crash
 from cloverway.errors import Kind, Ran, RequestError
-from cloverway.serving.attempt import Answered, Broken
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
-from cloverway.serving.streaming import Timing
-from cloverway.serving.targeting import Target
+from cloverway.serving.requests.attempt import Answered, Broken
+from cloverway.serving.requests.streaming import Timing
+from cloverway.serving.requests.targeting import Target
 
 
 class Suspicion:
--- a/cloverway/serving/targeting.py
+++ b/cloverway/serving/requests/targeting.py
@@ -30,13 +30,13 @@
     predict,
     predict_region,
 )
-from cloverway.serving.client import Place
 from cloverway.serving.clock import read_clock
+from cloverway.serving.hosts.suspects import SuspectWatch
+from cloverway.serving.http.client import Place
+from cloverway.serving.requests.shares import LimitShares
+from cloverway.serving.requests.waiting import WaitingLine
 from cloverway.serving.settings import FleetSettings
-from cloverway.serving.shares import LimitShares
-from cloverway.serving.suspects import SuspectWatch
 from cloverway.serving.telemetry import tell
-from cloverway.serving.waiting import WaitingLine
 
 LOADS_HEARD_S = 1.5
 """Age up to which a host may not have heard yet what the others have at endpoints: its own start,
--- a/cloverway/tests/fleet/deployment.py
+++ b/cloverway/tests/fleet/deployment.py
@@ -11,8 +11,8 @@
 from cloverway.core.calls import Header
 from cloverway.platform.dialect import PlatformDialect
 from cloverway.platform.store import PlatformStore
-from cloverway.serving.client import AnswerError, Pool, Sending, make_request
 from cloverway.serving.host import Host
+from cloverway.serving.http.client import AnswerError, Pool, Sending, make_request
 from cloverway.serving.settings import FleetSettings, Listen, Peers, StoreSettings
 from cloverway.serving.telemetry import LineWriter
 from cloverway.tests.fleet.standins import (
--- a/cloverway/tests/fleet/soak.py
+++ b/cloverway/tests/fleet/soak.py
@@ -20,7 +20,7 @@
 from random import Random
 from typing import Any
 
-from cloverway.serving.client import (
+from cloverway.serving.http.client import (
     AnswerError,
     ConnectError,
     Pool,
--- a/cloverway/tests/fleet/soak_parts.py
+++ b/cloverway/tests/fleet/soak_parts.py
@@ -9,7 +9,7 @@
 from random import Random
 from typing import Any, NamedTuple
 
-from cloverway.serving.client import (
+from cloverway.serving.http.client import (
     AnswerError,
     ConnectError,
     Place,
--- a/cloverway/tests/fleet/standins.py
+++ b/cloverway/tests/fleet/standins.py
@@ -14,7 +14,7 @@
 
 from cloverway.core.calls import Header
 from cloverway.core.deployment import CallerLimits
-from cloverway.serving.server import Exchange, Server, ServerTerms
+from cloverway.serving.http.server import Exchange, Server, ServerTerms
 
 SIGNATURE = (b"X-Cloverway-Response-Seal", b"1.2.3")
 
--- a/cloverway/tests/test_crashes.py
+++ b/cloverway/tests/test_crashes.py
@@ -9,10 +9,10 @@
 
 from cloverway.core.members import Member, Members
 from cloverway.core.quarantine import Crash, Quarantine, QuarantineTerms
-from cloverway.serving import crashes, news
-from cloverway.serving.crashes import MOST_TOLD, RETOLD_S, CrashExchange
-from cloverway.serving.news import TELL_AFTER_S, NewsExchange
-from cloverway.serving.peerwire import CODEC
+from cloverway.serving.hosts import crashes, news
+from cloverway.serving.hosts.crashes import MOST_TOLD, RETOLD_S, CrashExchange
+from cloverway.serving.hosts.news import TELL_AFTER_S, NewsExchange
+from cloverway.serving.hosts.peerwire import CODEC
 from cloverway.serving.telemetry import Figures
 
 PACKET_BYTES = 1_472
--- a/cloverway/tests/test_early.py
+++ b/cloverway/tests/test_early.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cloverway.serving.early import Early, listen_early
-from cloverway.serving.server import Server, ServerTerms
+from cloverway.serving.http.server import Server, ServerTerms
 from cloverway.tests.fleet.standins import CallerLimits, take_ports
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
--- a/cloverway/tests/test_fleet_hosts.py
+++ b/cloverway/tests/test_fleet_hosts.py
@@ -9,9 +9,9 @@
 
 from cloverway.core.entry import SETTLE_S
 from cloverway.platform.store import Answer
-from cloverway.serving.catalogue import FOLLOW_S
-from cloverway.serving.client import Sending, fetch, make_request
 from cloverway.serving.clock import read_clock
+from cloverway.serving.documents.catalogue import FOLLOW_S
+from cloverway.serving.http.client import Sending, fetch, make_request
 from cloverway.tests.fleet.deployment import play, read_reply, run_fleet, wait_for
 from cloverway.tests.fleet.standins import make_route, make_service, take_ports
 
@@ -246,7 +246,7 @@
         async with run_fleet(hosts=2) as fleet:
             first, second = fleet.hosts
             await wait_for(lambda: first.members.peers and second.members.peers)
-            monkeypatch.setattr("cloverway.serving.uses.TELL_S", 60.0)
+            monkeypatch.setattr("cloverway.serving.hosts.uses.TELL_S", 60.0)
             await asyncio.sleep(0.3)
             for host in fleet.hosts:
                 for peer in host.members.peers.values():
@@ -272,7 +272,7 @@
     async def scenario():
         async with run_fleet(hosts=12) as fleet:
             await wait_for(lambda: all(len(h.members.peers) == 11 for h in fleet.hosts))
-            monkeypatch.setattr("cloverway.serving.gossip.OTHERS", 0)
+            monkeypatch.setattr("cloverway.serving.hosts.gossip.OTHERS", 0)
             newcomer = await fleet.add_host()
             await wait_for(lambda: len(newcomer.members.peers) == 12, 1.0)
 
--- a/cloverway/tests/test_fleet_parts.py
+++ b/cloverway/tests/test_fleet_parts.py
@@ -23,10 +23,10 @@
 from cloverway.platform.dialect import PlatformDialect
 from cloverway.platform.documents import decode_documents
 from cloverway.serving.clock import read_clock
-from cloverway.serving.events import EventSplitter
+from cloverway.serving.http.events import EventSplitter
+from cloverway.serving.requests.waiting import FIRST_TRIED, NEXT_TRIED, Ask, Rank, WaitingLine
 from cloverway.serving.settings import FleetSettings
 from cloverway.serving.telemetry import PENDING_BYTES, LineWriter
-from cloverway.serving.waiting import FIRST_TRIED, NEXT_TRIED, Ask, Rank, WaitingLine
 
 STREAM = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 9))
 
--- a/cloverway/tests/test_fleet_path.py
+++ b/cloverway/tests/test_fleet_path.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cloverway.serving.client import AnswerError
+from cloverway.serving.http.client import AnswerError
 from cloverway.tests.fleet.deployment import count_runs, play, run_fleet, wait_for
 from cloverway.tests.fleet.standins import make_route, make_service
 
--- a/cloverway/tests/test_fleet_regions.py
+++ b/cloverway/tests/test_fleet_regions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cloverway.serving.client import fetch, make_request
+from cloverway.serving.http.client import fetch, make_request
 from cloverway.tests.fleet.deployment import count_runs, play, run_fleet, wait_for
 from cloverway.tests.fleet.standins import make_route, make_service
 
--- a/cloverway/tests/test_lives.py
+++ b/cloverway/tests/test_lives.py
@@ -8,8 +8,8 @@
 import pytest
 
 from cloverway.core.quarantine import Crash
-from cloverway.serving import lives
 from cloverway.serving.clock import read_clock
+from cloverway.serving.requests import lives
 from cloverway.tests.fleet.deployment import play, run_fleet, wait_for
 from cloverway.tests.fleet.standins import make_route, make_service
 
--- a/cloverway/tests/test_platform_answers.py
+++ b/cloverway/tests/test_platform_answers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cloverway.platform.dialect import PlatformDialect
-from cloverway.serving.client import ReplyHead
+from cloverway.serving.http.client import ReplyHead
 
 
 def decode(*headers, status=200):
--- a/cloverway/tests/test_platform_names.py
+++ b/cloverway/tests/test_platform_names.py
@@ -43,7 +43,7 @@
     """
     reserved = {"name", "msg", "args", "module", "message", "filename", "lineno", "process"}
     calls = re.compile(r"\btell\((.*?)\n?\s*\)", re.DOTALL)
-    for path in (PACKAGE / "serving").glob("*.py"):
+    for path in (PACKAGE / "serving").rglob("*.py"):
         for call in calls.findall(path.read_text(encoding="utf-8")):
             names = set(re.findall(r"\b(\w+)=", call))
             assert not names & reserved, f"{path.name}: {call}"
--- a/cloverway/tests/test_server_fuzz.py
+++ b/cloverway/tests/test_server_fuzz.py
@@ -10,8 +10,8 @@
 import random
 
 from cloverway.core.deployment import CallerLimits
-from cloverway.serving.server import Server, ServerTerms
-from cloverway.serving.transport import Connection
+from cloverway.serving.http.server import Server, ServerTerms
+from cloverway.serving.http.transport import Connection
 
 INPUTS = int(os.environ.get("FUZZ_INPUTS", "3000"))
 SEED = int(os.environ.get("FUZZ_SEED", "1"))
