--- a/cloverway/serving/documents/catalogue.py
+++ b/cloverway/serving/documents/catalogue.py
@@ -12,7 +12,7 @@
 from cloverway.core.endpoints import Change, Directory
 from cloverway.core.members import Members, rank_for
 from cloverway.errors import PlatformError
-from cloverway.serving.clock import read_clock
+from cloverway.serving.clock import read_clock, wait_for_tick
 from cloverway.serving.ports import Dialect, HistoryGoneError, Store
 from cloverway.serving.telemetry import Figures, tell
 
@@ -32,11 +32,14 @@
 """A host that doesn't read for others reads the store itself when what it knows is older than this:
 a read by a reader, its pace, and one heartbeat of a large region. A change is then still in force
 within the four seconds that the strictest deployments give it."""
-LOOK_S = 0.1
-"""How often such a host looks how old its documents are."""
+LOOK_S = 0.2
+"""How often such a host looks how old its documents are, and whether it is to read for others."""
+RANK_EVERY_S = 0.4
+"""How long a host goes by its rank among the readers. It is asked for with each heartbeat and each
+look at the documents, and looks at all hosts that are known."""
 RETRY_S = 0.3
 LONGEST_RETRY_S = 1.0
-FORGET_EVERY_S = 0.5
+FORGET_EVERY_S = 0.4
 
 
 class Catalogue:
@@ -61,6 +64,8 @@
         self._figures = figures
         self._reads_per_s = reads_per_s
         self._lost = False
+        self._is_reader = False
+        self._ranked_at = float("-inf")
         self._was_reader = False
         self.on_change: Callable[[list[Change]], None] = lambda changes: None
         self.on_news: Callable[[], None] = lambda: None
@@ -73,7 +78,7 @@
         while True:
             began_at = read_clock()
             if not whole and not self._must_read(began_at):
-                await asyncio.sleep(LOOK_S)
+                await wait_for_tick(LOOK_S)
                 continue
             try:
                 whole = not await self._read(whole)
@@ -93,7 +98,7 @@
     async def forget(self) -> None:
         """Drop endpoints that stayed away, for ever."""
         while True:
-            await asyncio.sleep(FORGET_EVERY_S)
+            await wait_for_tick(FORGET_EVERY_S)
             self._tell(self.directory.forget_missing(read_clock()))
 
     def apply(self, snapshot: Snapshot, source: str, now: float) -> None:
@@ -113,6 +118,12 @@
 
         Hosts may disagree for a moment: then one more reads, or none until its documents are old.
         """
+        if now - self._ranked_at >= RANK_EVERY_S:
+            self._is_reader = self._rank_as_reader(now)
+            self._ranked_at = now
+        return self._is_reader
+
+    def _rank_as_reader(self, now: float) -> bool:
         own = self._members.own
         names = [
             peer.member.name
--- a/cloverway/serving/documents/sync.py
+++ b/cloverway/serving/documents/sync.py
@@ -12,7 +12,7 @@
 from cloverway.core.documents import DocumentTable
 from cloverway.core.members import Members, Peer
 from cloverway.errors import PeerError
-from cloverway.serving.clock import read_clock
+from cloverway.serving.clock import count_to_tick, read_clock
 from cloverway.serving.documents.catalogue import Catalogue
 from cloverway.serving.hosts.peerwire import CODEC, StoredDocument, StoredSnapshot
 from cloverway.serving.http.client import AnswerError, ConnectError, Pool, fetch
@@ -52,12 +52,15 @@
         """Fetch documents whenever another host knows more, for ever."""
         while True:
             try:
-                async with asyncio.timeout(LOOK_S):
+                async with asyncio.timeout(count_to_tick(LOOK_S)):
                     await self._news.wait()
             except TimeoutError:
                 pass
+            now = read_clock()
+            if not self._news.is_set() and not self._is_stale(now):
+                continue
             self._news.clear()
-            peer = self._choose_source(read_clock())
+            peer = self._choose_source(now)
             if peer is not None:
                 await self._fetch_from(peer)
 
@@ -65,6 +68,9 @@
         table = self._catalogue.table
         return peer.revision > table.revision and peer.digest != table.digest
 
+    def _is_stale(self, now: float) -> bool:
+        return now - self._catalogue.read_at > READ_STALE_S
+
     def _choose_source(self, now: float) -> Peer | None:
         """Choose a host that knows more: of this domain, or any when the documents here are old."""
         known = [
@@ -76,7 +82,7 @@
         ]
         own = self._members.own
         near = [peer for peer in known if peer.member.domain == own.domain]
-        stale = now - self._catalogue.read_at > READ_STALE_S
+        stale = self._is_stale(now)
         if near and (stale or not self._catalogue.is_reader(now)):
             return random.choice(near)
         if not stale:
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -19,7 +19,7 @@
 from cloverway.core.entry import choose_for_caller, choose_ttl
 from cloverway.core.members import Member, Members
 from cloverway.errors import ConfigurationError, Kind, RequestError
-from cloverway.serving.clock import read_clock
+from cloverway.serving.clock import count_to_tick, read_clock, wait_for_tick
 from cloverway.serving.context import MEETING_S, Context
 from cloverway.serving.documents.catalogue import Catalogue
 from cloverway.serving.documents.sync import DocumentSync, answer_fetch
@@ -33,7 +33,7 @@
 
 log = logging.getLogger(__name__)
 
-TICK_S = 0.5
+TICK_S = 0.4
 SETTINGS_EVERY_S = 1.0
 """How often the settings file is looked at: it may change without a signal."""
 NOTICE_S = 2.8
@@ -100,9 +100,10 @@
         terms = ServerTerms(self._get_limits, self._is_leaving, self._format_refusal)
         self.callers = Server(self._handle_call, terms)
         self.inner = Server(self._handle_inner, terms)
-        self.lookup = Server(self._handle_lookup, terms)
-        self.readiness = Server(self._handle_readiness, terms)
-        self.metrics = Server(self._handle_metrics, terms)
+        brief = terms._replace(is_brief=True)
+        self.lookup = Server(self._handle_lookup, brief)
+        self.readiness = Server(self._handle_readiness, brief)
+        self.metrics = Server(self._handle_metrics, brief)
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self, early: Early = NOTHING_EARLY) -> None:
@@ -176,7 +177,7 @@
 
     async def _tick(self) -> None:
         while True:
-            await asyncio.sleep(TICK_S)
+            await wait_for_tick(TICK_S)
             self.context.pool.expire(read_clock())
 
     async def _handle_call(self, exchange: Exchange) -> None:
@@ -302,7 +303,7 @@
     seen = path.read_bytes()
     while True:
         try:
-            async with asyncio.timeout(SETTINGS_EVERY_S):
+            async with asyncio.timeout(count_to_tick(SETTINGS_EVERY_S)):
                 await reload.wait()
         except TimeoutError:
             pass
--- a/cloverway/serving/hosts/gossip.py
+++ b/cloverway/serving/hosts/gossip.py
@@ -11,9 +11,9 @@
 
 from cloverway.addresses import format_address, split_address
 from cloverway.core.endpoints import Directory
-from cloverway.core.members import Member, Members, Peer
+from cloverway.core.members import ACTIVE_RATE, Member, Members, Peer
 from cloverway.errors import PeerError
-from cloverway.serving.clock import read_clock
+from cloverway.serving.clock import read_clock, wait_for_tick
 from cloverway.serving.documents.catalogue import Catalogue
 from cloverway.serving.documents.sync import DocumentSync
 from cloverway.serving.early import KNOCK
@@ -49,7 +49,8 @@
 SETTLING_S = 5.0
 """Age up to which a host keeps the shorter period, so that all of its region hear of it."""
 NEAR_TOLD = 3
-"""Hosts of the region that are told each second of others. All hosts of a region send heartbeats to
+"""Hosts of the region that are told of others each second, or with each heartbeat by those that
+speak more rarely. All hosts of a region send heartbeats to
 each other, so this only mends what a host has missed."""
 FAR_S = 1.0
 """Period of heartbeats to other regions, where bytes cost and only sums are told."""
@@ -141,7 +142,7 @@
 
     async def run(self) -> None:
         """Send heartbeats for ever."""
-        near_at = far_at = 0.0
+        near_at = far_at = others_at = 0.0
         while True:
             now = read_clock()
             if now >= near_at:
@@ -149,9 +150,11 @@
                 near_at = now + self._period_s - TICK_S / 2
                 self._send_near(now)
                 self._note_alive(now)
+            if now >= others_at:
+                others_at = now + max(FAR_S, self._period_s) - TICK_S / 2
+                self._send_others(now)
             if now >= far_at:
                 far_at = now + FAR_S
-                self._send_others(now)
                 self._send_far(now)
                 self._send_seeds(now)
                 self.members.forget(now)
@@ -162,7 +165,7 @@
                     near_at = now
             elif now - self._started_at < YOUNG_S:
                 self._send_seeds(now)
-            await asyncio.sleep(TICK_S)
+            await wait_for_tick(TICK_S)
 
     def announce(self) -> None:
         """Tell all hosts at once what has changed of this one."""
@@ -372,7 +375,16 @@
             peer.period_s = state.period_ms / 1000
 
     def _note_alive(self, now: float) -> None:
-        alive = {peer.member.name for peer in self.members.list_alive(now)}
+        """Note which hosts came and went: those of the region, and those that serve elsewhere.
+
+        Hosts of other regions that serve nobody speak so rarely that each seems to come and go all
+        the time; those were two of three lines in the log of a host of a large fleet.
+        """
+        alive = {
+            peer.member.name
+            for peer in self.members.list_alive(now)
+            if self._is_near(peer.member) or peer.rate >= ACTIVE_RATE
+        }
         for name in alive - self._alive:
             self.figures.note_event("host_heard")
             tell("host_heard", peer=name, region=self.members.peers[name].member.region)
--- a/cloverway/serving/hosts/news.py
+++ b/cloverway/serving/hosts/news.py
@@ -12,7 +12,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from cloverway.core.members import Members, rank_for
-from cloverway.serving.clock import read_clock
+from cloverway.serving.clock import read_clock, wait_for_tick
 
 TELL_AFTER_S = 0.02
 """How long news waits to be told, so that what is learnt in one moment is told together: all
@@ -98,7 +98,7 @@
     async def run(self) -> None:
         """Tell what was learnt lately again, for ever."""
         while True:
-            await asyncio.sleep(RETELL_S)
+            await wait_for_tick(RETELL_S)
             self.retell(read_clock())
 
     def retell(self, now: float) -> None:
--- a/cloverway/serving/hosts/uses.py
+++ b/cloverway/serving/hosts/uses.py
@@ -9,7 +9,7 @@
 from cloverway.core.endpoints import Directory, Endpoint
 from cloverway.core.load import SiblingLoad
 from cloverway.core.members import Members, Peer
-from cloverway.serving.clock import read_clock
+from cloverway.serving.clock import read_clock, wait_for_tick
 from cloverway.serving.hosts.peerwire import CODEC, EndpointUse, EndpointUses
 
 TELL_S = 0.2
@@ -45,7 +45,7 @@
             if self._list_news(is_refresh):
                 # Most hosts of a large region serve nobody: they need not know who listens.
                 self._tell(self._list_listeners(), is_refresh)
-            await asyncio.sleep(TELL_S)
+            await wait_for_tick(TELL_S)
 
     def tell_at_once(self) -> None:
         """Tell the other hosts of a long prompt without waiting for the next period.
--- a/cloverway/serving/http/server.py
+++ b/cloverway/serving/http/server.py
@@ -111,6 +111,8 @@
     is_leaving: Callable[[], bool]
     refuse: Callable[[Exchange | None, RequestError], bytes]
     """Gives the whole answer for a request that could not be read."""
+    is_brief: bool = False
+    """Whether connections carry one small question only."""
 
 
 class Server:
@@ -131,7 +133,8 @@
 
         `early` listens there already.
         """
-        self._server = await listen(address, self._accept, early)
+        is_brief = self._terms.is_brief
+        self._server = await listen(address, self._accept, early, is_brief=is_brief)
 
     def stop_accepting(self) -> None:
         """Accept no new connections."""
--- a/cloverway/serving/http/transport.py
+++ b/cloverway/serving/http/transport.py
@@ -27,9 +27,12 @@
 class Connection(asyncio.Protocol):
     """A connection that one task reads and writes."""
 
-    def __init__(self, on_made: Callable[[Connection], Any] | None = None) -> None:
+    def __init__(
+        self, on_made: Callable[[Connection], Any] | None = None, *, is_brief: bool = False
+    ) -> None:
         loop = asyncio.get_running_loop()
         self._on_made = on_made
+        self._is_brief = is_brief
         self._received = bytearray()
         self._eof = False
         self._error: Exception | None = None
@@ -45,13 +48,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take over the transport."""
         self.transport = cast(asyncio.Transport, transport)
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_EVERY_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_TRIES)
+        if not self._is_brief:
+            _watch_other_end(transport.get_extra_info("socket"))
         if self._on_made is not None:
             self._on_made(self)
 
@@ -144,6 +142,15 @@
             self._wakeup.set_result(None)
 
 
+def _watch_other_end(sock: socket.socket) -> None:
+    """Let the system find out when the other end is gone without a word."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_EVERY_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_TRIES)
+
+
 async def connect(address: str, timeout_s: float) -> Connection:
     """Open a connection; raise OSError, which TimeoutError is."""
     loop = asyncio.get_running_loop()
@@ -156,16 +163,24 @@
 
 
 async def listen(
-    address: str, on_made: Callable[[Connection], Any], early: socket.socket | None = None
+    address: str,
+    on_made: Callable[[Connection], Any],
+    early: socket.socket | None = None,
+    *,
+    is_brief: bool = False,
 ) -> asyncio.Server:
     """Accept connections at an address; raise OSError when it can't be bound.
 
-    `early` is a socket that listens there already.
+    `early` is a socket that listens there already. Connections that are brief carry one small
+    question: they end by themselves soon, and nobody watches whether the other end is there. That
+    saves five calls to the system of the twenty that such a question takes.
     """
+
+    def make() -> Connection:
+        return Connection(on_made, is_brief=is_brief)
+
     loop = asyncio.get_running_loop()
     if early is not None and format_address(early.getsockname()) == address:
-        return await loop.create_server(lambda: Connection(on_made), sock=early, backlog=BACKLOG)
+        return await loop.create_server(make, sock=early, backlog=BACKLOG)
     host, port = split_address(address)
-    return await loop.create_server(
-        lambda: Connection(on_made), host, port, backlog=BACKLOG, reuse_address=True
-    )
+    return await loop.create_server(make, host, port, backlog=BACKLOG, reuse_address=True)
--- a/cloverway/structs.py
+++ b/cloverway/structs.py
@@ -8,7 +8,8 @@
 from enum import StrEnum
 from functools import cache
 from importlib import resources
-from typing import Any, get_args, get_origin, get_type_hints
+from operator import attrgetter
+from typing import Any, NamedTuple, get_args, get_origin, get_type_hints
 
 import thriftpy2
 from thriftpy2.protocol import TCyBinaryProtocolFactory
@@ -59,10 +60,11 @@
 
     def _pack(self, value: Any) -> Any:
         if hasattr(value, "_fields"):
-            packed = getattr(load_idl(self._idl_name), type(value).__name__)()
-            for name in value._fields:
-                setattr(packed, name, self._pack(getattr(value, name)))
-            return packed
+            make = getattr(load_idl(self._idl_name), type(value).__name__)
+            items = zip(value._fields, value, strict=True)
+            return make(
+                **{name: item if type(item) in _PLAIN else self._pack(item) for name, item in items}
+            )
         if isinstance(value, tuple):
             return [self._pack(item) for item in value]
         return str(value) if isinstance(value, StrEnum) else value
@@ -75,22 +77,65 @@
         return thriftpy2.load(str(path), module_name=f"cloverway_{path.stem}_thrift")
 
 
+class _Field(NamedTuple):
+    """How one field of a message is read."""
+
+    name: str
+    plain: Any
+    """The type of a value that is taken as it is; None where each is converted."""
+    convert: Convert
+    default: Any
+    """What stands for a field that isn't there; the field itself is missing without one."""
+
+
+_MISSING = object()
+_PLAIN = (str, bytes, int, bool)
+
+
 def _unpack(kind: Any, packed: Any) -> Any:
-    defaults = kind._field_defaults
+    """Give the message of a struct.
+
+    Where all of its fields are there and are to be taken as they are, as with the hosts that a
+    heartbeat tells of, they are read and checked in two steps for all of them.
+    """
+    read_all, types = _plan_whole(kind)
+    if types is not None:
+        found = read_all(packed)
+        if tuple(map(type, found)) == types:
+            return kind(*found)
     values = []
-    for name, convert in _list_fields(kind):
+    for name, plain, convert, default in _list_fields(kind):
         value = getattr(packed, name, None)
-        if value is None and name in defaults:
-            values.append(defaults[name])
+        if type(value) is plain:
+            values.append(value)
+        elif value is None and default is not _MISSING:
+            values.append(default)
         else:
             values.append(convert(value))
     return kind(*values)
 
 
 @cache
-def _list_fields(kind: Any) -> tuple[tuple[str, Convert], ...]:
+def _plan_whole(kind: Any) -> tuple[Callable[[Any], tuple[Any, ...]], tuple[Any, ...] | None]:
+    """Give what reads all fields of a struct, and their types where each is taken as it is."""
+    types = tuple(field.plain for field in _list_fields(kind))
+    is_whole = len(types) > 1 and None not in types
+    return attrgetter(*kind._fields) if is_whole else tuple, types if is_whole else None
+
+
+@cache
+def _list_fields(kind: Any) -> tuple[_Field, ...]:
     hints = get_type_hints(kind)
-    return tuple((name, _choose_convert(hints[name])) for name in kind._fields)
+    defaults = kind._field_defaults
+    return tuple(
+        _Field(
+            name,
+            hints[name] if hints[name] in _PLAIN else None,
+            _choose_convert(hints[name]),
+            defaults.get(name, _MISSING),
+        )
+        for name in kind._fields
+    )
 
 
 def _choose_convert(hint: Any) -> Convert:
--- /dev/null
+++ b/cloverway/tests/test_clock.py
@@ -0,0 +1,26 @@
+"""The ticks at which the tasks of a host wake up together."""
+
+from __future__ import annotations
+
+import pytest
+
+from cloverway.serving import clock
+
+
+@pytest.mark.parametrize("period_s", [0.2, 0.4, 1.0])
+@pytest.mark.parametrize("passed_s", [0.0, 0.03, 0.19, 0.7, 123.456])
+def test_a_tick_comes_within_a_period_and_a_quarter(period_s, passed_s, monkeypatch):
+    monkeypatch.setattr(clock.time, "monotonic", lambda: clock.ORIGIN + passed_s)
+    left_s = clock.count_to_tick(period_s)
+    assert clock.LEAST_PART * period_s <= left_s <= (1 + clock.LEAST_PART) * period_s
+    ticks = (passed_s + left_s) / period_s
+    assert ticks == pytest.approx(round(ticks))
+
+
+def test_tasks_whose_periods_are_multiples_wake_up_together(monkeypatch):
+    """Guards against a host that serves nobody and is woken for each of its tasks by itself."""
+    now_s = 7.93
+    monkeypatch.setattr(clock.time, "monotonic", lambda: clock.ORIGIN + now_s)
+    for period_s in (0.2, 0.4, 1.0):
+        ticks = (now_s + clock.count_to_tick(period_s)) / 0.2
+        assert ticks == pytest.approx(round(ticks))
--- a/cloverway/tests/test_fleet_gossip.py
+++ b/cloverway/tests/test_fleet_gossip.py
@@ -169,3 +169,15 @@
     assert not members.is_alive(peer, 8.1)
     peer.period_s = 0.0
     assert not members.is_alive(peer, 6.0)
+
+
+def test_hosts_far_away_that_serve_nobody_do_not_come_and_go_in_the_log(caplog):
+    """Guards against a log that is full of hosts which speak rarely, and tells nothing of them."""
+    host = Host(2)
+    far = [p for p in host.members.peers.values() if p.member.region != "north"]
+    far[0].rate = ACTIVE_RATE
+    with caplog.at_level("INFO"):
+        host.gossip._note_alive(0.5)
+    heard = [record.peer for record in caplog.records if record.message == "host_heard"]
+    near = [p.member.name for p in host.members.peers.values() if p.member.region == "north"]
+    assert sorted(heard) == sorted([*near, far[0].member.name])
