Count the wait for a thread, and the time of a body, against the deadline

What callers saw: a request whose deadline had passed while its host was paused was run after the wake-up and answered 200; so was one that had waited for a thread of a busy host for longer than its caller waits. The work was done after the caller had gone.

Cause: the deadline began when a worker thread took the request. The listener counts a request as in progress from its complete head, and the head then waits for a thread: for a moment on an idle host, for as long as others take on a busy one, for the length of a pause if the process is stopped there. On the platform's path it began even later, with the end of the body, for which a caller has ten seconds.

Evidence: with four threads busy, a fifth request had an arrival time after the moment at which it was already counted in progress (302.8008 > 302.7995); with its body sent 0.5 s after its head, an endpoint was handed 1998 ms of a deadline of 2000 ms.

Why this works: the listener stamps the connection when the head is complete, before it counts the request, and the deadline begins there. The server of the platform's path stamps it between head and body. A head that lies unread in the kernel while the process is stopped still counts from the moment it is read: no time of its arrival is known.

Both tests failed before: test_the_wait_for_a_thread_counts_against_the_deadline and test_the_time_that_a_body_takes_counts_against_the_deadline. The fuzz test's fake connection names the time itself.

--- a/cloverway/entry/application.py
+++ b/cloverway/entry/application.py
@@ -49,6 +49,14 @@
         """Return whether the caller uses HTTP/1.0, which has no chunked framing."""
         return bool(self.http_request.response_protocol == HTTP_1_0)
 
+    @property
+    def arrived_at(self) -> float:
+        """Return the monotonic time at which the head was complete.
+
+        The wait for a thread counts against the deadline, because the caller waits as well.
+        """
+        return self.connection.head_received_at
+
     def get_header(self, name: str) -> str:
         """Return a header, or an empty string."""
         return self.headers.get(name, "")
--- a/cloverway/entry/caller_connection.py
+++ b/cloverway/entry/caller_connection.py
@@ -199,6 +199,8 @@
         """Whether the complete head of a request was received."""
         self.head_deadline = float("inf")
         """Monotonic time by which the head must be complete; infinite before its first byte."""
+        self.head_received_at = float("-inf")
+        """Monotonic time at which the head of the last request was complete."""
 
     def limit_reading(
         self, timeout_s: float | None, on_slow: Callable[[], object] | None = None
@@ -223,6 +225,7 @@
             may_send_more = False
         if HEAD_END in source.prefetched or len(source.prefetched) >= limits.max_bytes:
             self.head_deadline = float("inf")
+            self.head_received_at = now
             self.had_request = True
             return HeadState.COMPLETE
         if not may_send_more:
--- a/cloverway/entry/callers.py
+++ b/cloverway/entry/callers.py
@@ -173,18 +173,17 @@
         if call.path == HOSTS_PATH:
             require_method(call, "GET")
             return make_json_reply(self.list_hosts())
-        arrived_at = self._clock()
         try:
-            request = self._build_request(call, arrived_at)
+            request = self._build_request(call)
         except RequestError as error:
-            self._report_rejection(call, error, arrived_at)
+            self._report_rejection(call, error)
             raise
         if isinstance(request, Reply):
             return request
         with self._disconnects.watch(call.connection.socket, call.id):
             return self._gateway.run(request)
 
-    def _build_request(self, call: IncomingCall, arrived_at: float) -> Request | Reply:
+    def _build_request(self, call: IncomingCall) -> Request | Reply:
         """Check a call, cheapest checks first; return its request or an immediate reply."""
         check_path(call)
         published = self._holder.current.published
@@ -213,8 +212,8 @@
             method=call.method,
             body=body,
             content_type=content_type,
-            arrived_at=arrived_at,
-            deadline=arrived_at + deadline_s,
+            arrived_at=call.arrived_at,
+            deadline=call.arrived_at + deadline_s,
             stream=stream,
             key=key,
             revision=published.revision,
@@ -243,7 +242,7 @@
         ran = Ran.UNKNOWN if rejection.kind is Kind.INTERNAL else Ran.NO
         self._on_rejection(Rejection(rejection.request_id, "", "", "", rejection.kind, ran, 0.0))
 
-    def _report_rejection(self, call: IncomingCall, error: RequestError, arrived_at: float) -> None:
+    def _report_rejection(self, call: IncomingCall, error: RequestError) -> None:
         # `ran` in the log is about this request; in the answer it is also about the key.
         ran = error.ran
         if call.get_header(KEY_HEADER) and error.kind is not Kind.KEY_INVALID:
@@ -251,7 +250,7 @@
             # caller would repeat the work with a new key.
             error.ran = Ran.UNKNOWN
         team, profile = self._identify(call)
-        total_s = self._clock() - arrived_at
+        total_s = self._clock() - call.arrived_at
         self._on_rejection(Rejection(call.id, call.method, team, profile, error.kind, ran, total_s))
 
     def _identify(self, call: IncomingCall) -> tuple[str, str]:
--- a/cloverway/serving/http/server.py
+++ b/cloverway/serving/http/server.py
@@ -56,7 +56,12 @@
     """One complete request, and the way to answer it."""
 
     def __init__(
-        self, connection: Connection, http: h11.Connection, head: h11.Request, body: bytes
+        self,
+        connection: Connection,
+        http: h11.Connection,
+        head: h11.Request,
+        body: bytes,
+        arrived_at: float,
     ) -> None:
         self.connection = connection
         self._http = http
@@ -64,7 +69,9 @@
         self.target = head.target.decode("latin-1")
         self.headers: list[Header] = list(head.headers)
         self.body = body
-        self.arrived_at = read_clock()
+        self.arrived_at = arrived_at
+        """When its head was complete. The caller's deadline counts from then, however long the
+        body takes."""
         self.started = False
         self.finished = False
         self.close_after = False
@@ -178,9 +185,10 @@
     async def _serve_one(self, connection: Connection, http: h11.Connection) -> bool:
         """Read and answer one request; return whether the connection stays open."""
         head = await self._read_head(connection, http)
+        arrived_at = read_clock()
         _check_framing(head)
         body = await self._read_body(connection, http)
-        exchange = Exchange(connection, http, head, body)
+        exchange = Exchange(connection, http, head, body, arrived_at)
         exchange.close_after = self._options.is_leaving()
         self.in_progress += 1
         try:
--- a/cloverway/tests/test_callers_fuzz.py
+++ b/cloverway/tests/test_callers_fuzz.py
@@ -101,7 +101,11 @@
     query = path.partition("?")[0]
     reader = io.BufferedReader(io.BytesIO(body))
     connection = SimpleNamespace(
-        rfile=reader, socket=None, limit_reading=lambda *_: None, linger=False
+        rfile=reader,
+        socket=None,
+        limit_reading=lambda *_: None,
+        linger=False,
+        head_received_at=10.0,
     )
     http = SimpleNamespace(
         chunked_read=chunked, rfile=SimpleNamespace(remaining=0), body_is_read=False
@@ -147,7 +151,7 @@
     fields["sent_headers"] = {**length, **fields["sent_headers"], **fields.pop("more", {})}
     call = make_call(**fields, chunked=chunked)
     try:
-        request = harness.server._build_request(call, 10.0)
+        request = harness.server._build_request(call)
     except RequestError as error:
         assert error.kind in ERROR_ANSWERS
         event(error.kind)
--- a/cloverway/tests/test_fleet_requests.py
+++ b/cloverway/tests/test_fleet_requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from cloverway.serving.http.client import ResponseError
@@ -338,3 +340,27 @@
                     continue
 
     run_scenario(scenario)
+
+
+def test_the_time_that_a_body_takes_counts_against_the_deadline():
+    """Guards against work that runs after its caller has left.
+
+    The body follows its head half a second later, as on a slow link or when the host is suspended
+    in between. If the deadline began with the end of the body, the endpoint would get more time
+    than its caller waits.
+    """
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            connection = await fleet.pool.open_new(fleet.hosts[0].settings.listen.callers, 1.0)
+            connection.write(
+                b"POST /once/a HTTP/1.1\r\nHost: shop.example\r\nX-Cloverway-Request-Id: a\r\n"
+                b"X-Cloverway-Deadline-Ms: 2000\r\nContent-Length: 1\r\n\r\n"
+            )
+            await asyncio.sleep(0.5)
+            connection.write(b"x")
+            assert (await connection.receive()).startswith(b"HTTP/1.1 200")
+            fields = dict(fleet.endpoints["desk-0"].requests[0].headers)
+            assert int(fields[b"x-cloverway-deadline-ms"]) <= 1500
+
+    run_scenario(scenario)
--- a/cloverway/tests/test_listener.py
+++ b/cloverway/tests/test_listener.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import threading
+import time
 
 import pytest
 
@@ -375,6 +376,30 @@
                 assert read_answer(sock).status == 200
 
 
+def test_the_wait_for_a_thread_counts_against_the_deadline():
+    """Guards against work that runs after its caller has left.
+
+    All threads are busy, so the complete head of a request waits for one. If its deadline began
+    only when a thread took it, the request would run although the caller gave up long ago.
+    """
+    with make_harness() as harness:
+        harness.gateway.resume.clear()
+        request = (HEAD + f"Content-Length: {len(CHAT_BODY)}\r\n\r\n").encode() + CHAT_BODY
+        with contextlib.ExitStack() as stack:
+            callers = [stack.enter_context(harness.connect()) for _ in range(5)]
+            for sock in callers[:4]:
+                sock.sendall(request)
+            assert wait_until(lambda: len(harness.gateway.requests) == 4)
+            callers[4].sendall(request)
+            assert wait_until(lambda: harness.server.count_in_progress() == 5)
+            head_was_read_by = time.monotonic()
+            harness.gateway.resume.set()
+            assert read_answer(callers[4]).status == 200
+            waited = harness.gateway.requests[4]
+            assert waited.arrived_at <= head_was_read_by
+            assert waited.deadline == waited.arrived_at + 5.0
+
+
 def test_no_thread_is_left_after_a_stop():
     before = threading.active_count()
     with make_harness() as harness:
