Leave the time for which a host is suspended out of its timeouts

What callers saw: 503 "no endpoint that may run it is left in this region", not run, although the endpoints were idle; the answer of an endpoint dropped and the work run a second time; an idle connection reset together with the request that had just been sent on it.

Cause: a timer that is due during a suspension fires at the wake-up, in the same pass of the event loop in which the input that arrived meanwhile is read. asyncio.timeout cancels the wait at once, before the waiting task gets that input. So a host took its own suspension for the silence of an endpoint, put the endpoint among those tried, and had no other. A connection is opened within 0.4 s, so pauses of less than half a second are enough.

Looked at and left: the time of the route, which the caller counts too, and periods of tasks.

--- a/cloverway/serving/http/client.py
+++ b/cloverway/serving/http/client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import re
 from collections import defaultdict
 from collections.abc import Callable, Sequence
@@ -14,6 +13,7 @@
 from cloverway.errors import CloverwayError
 from cloverway.serving.clock import read_clock
 from cloverway.serving.http.transport import Connection, connect
+from cloverway.serving.timeouts import limit_running_time
 
 DEFAULT_IDLE_S = 4.0
 """How long an idle connection is kept if the server states no idle timeout: below the shortest idle
@@ -253,7 +253,7 @@
     destination = Destination(address)
     exchange: ClientExchange | None = None
     try:
-        async with asyncio.timeout(timeout_s):
+        async with limit_running_time(timeout_s):
             connection = await pool.acquire(destination, timeout_s)
             exchange = ClientExchange(connection, request, body)
             exchange.write()
--- a/cloverway/serving/http/server.py
+++ b/cloverway/serving/http/server.py
@@ -17,6 +17,7 @@
 from cloverway.errors import Kind, Ran, RequestError
 from cloverway.serving.clock import read_clock
 from cloverway.serving.http.transport import Connection, listen
+from cloverway.serving.timeouts import limit_running_time
 
 log = logging.getLogger(__name__)
 
@@ -215,7 +216,7 @@
     async def _receive_head(self, connection: Connection, timeout_s: float) -> bytes:
         self._idle[connection] = read_clock()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with limit_running_time(timeout_s, steps=1):
                 data = await connection.receive()
         except TimeoutError:
             raise CallerDisconnectedError() from None
@@ -230,7 +231,7 @@
         chunks: list[bytes] = []
         size = 0
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
+            async with limit_running_time(BODY_TIMEOUT_S):
                 while True:
                     event = _next_event(http)
                     if isinstance(event, h11.EndOfMessage):
--- a/cloverway/serving/http/transport.py
+++ b/cloverway/serving/http/transport.py
@@ -10,6 +10,7 @@
 from cloverway.addresses import format_address, split_address
 from cloverway.serving.clock import read_clock
 from cloverway.serving.early_sockets import LISTEN_BACKLOG
+from cloverway.serving.timeouts import limit_running_time
 
 READ_AHEAD_BYTES = 128 * 1024
 """Bytes that are buffered ahead of the reader; above this the sender has to wait."""
@@ -158,7 +159,7 @@
     """Open a connection; raise OSError, of which TimeoutError is a subclass."""
     loop = asyncio.get_running_loop()
     host, port = split_address(address)
-    async with asyncio.timeout(timeout_s):
+    async with limit_running_time(timeout_s):
         _, connection = await loop.create_connection(Connection, host, port)
     sock = connection.transport.get_extra_info("socket")
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, OUTGOING_USER_TIMEOUT_MS)
--- a/cloverway/serving/requests/attempt.py
+++ b/cloverway/serving/requests/attempt.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import NamedTuple
@@ -25,6 +24,7 @@
 from cloverway.serving.ports import ReplyFacts, SendOptions
 from cloverway.serving.requests.placement import MIN_SEND_TIME_S
 from cloverway.serving.requests.target_selector import Target
+from cloverway.serving.timeouts import limit_running_time
 
 CONNECT_TIMEOUT_S = 0.4
 """Timeout for opening a connection within the region. The kernel retransmits a lost SYN only after
@@ -270,9 +270,12 @@
 
 @asynccontextmanager
 async def limit_idle_time(seconds: float | None) -> AsyncIterator[None]:
-    """Raise IdleTimeoutError if the block takes longer than `seconds`; None for no limit."""
+    """Raise IdleTimeoutError if the block takes longer than `seconds`; None for no limit.
+
+    The time for which this host is suspended doesn't count.
+    """
     try:
-        async with asyncio.timeout(seconds):
+        async with limit_running_time(seconds):
             yield
     except TimeoutError:
         if seconds is None:
