Let one request at a time try an endpoint that refused connections

What callers saw: attempts lost in bursts while an endpoint is down and its entry is still there; a request without attempts left is refused.

Cause: half a second after a refused connection the endpoint counts as idle again, and every request that is queued at that moment is sent there before the first has been refused.

Why this works: the request that is sent there first renews the backoff, so that the others find the endpoint down until it is connected or half a second has passed again; a connection ends the backoff.

--- a/cloverway/core/endpoints.py
+++ b/cloverway/core/endpoints.py
@@ -66,7 +66,7 @@
         self.misdirected_at = float("-inf")
         """When another endpoint answered at its address."""
         self.refused_at = float("-inf")
-        """When its address last refused a connection."""
+        """When its address last refused a connection, or was tried again since then."""
         self.has_announced_leaving = False
         """Whether it has announced in a response that it is leaving. Its entry says so later, and
         not at all while the store is unavailable."""
@@ -79,6 +79,19 @@
         """Return whether its address has just refused a connection."""
         return now - self.refused_at < REFUSED_BACKOFF_S
 
+    def begin_attempt(self, now: float) -> None:
+        """Record that a request is about to be sent to it.
+
+        If its address has refused the last connection, no other request is sent until this one is
+        connected. Otherwise all queued requests would try it at once when the backoff is over.
+        """
+        if self.refused_at > float("-inf"):
+            self.refused_at = now
+
+    def record_connected(self) -> None:
+        """Record that its address has accepted a connection."""
+        self.refused_at = float("-inf")
+
     def is_leaving(self, now: float) -> bool:
         """Return whether the endpoint must not get new requests."""
         if self.entry.draining or self.leaves_at is not None or self.has_unreadable_entry:
--- a/cloverway/serving/requests/attempt.py
+++ b/cloverway/serving/requests/attempt.py
@@ -142,6 +142,8 @@
         except ConnectError as error:
             is_down = error.connection_refused and target.candidate is not None
             return Declined(f"no connection: {error}", reached_endpoint=False, is_down=is_down)
+        if target.candidate is not None:
+            target.candidate.endpoint.record_connected()
         reason = self._find_exclusion()
         if reason is not None:
             connection.abort()
--- a/cloverway/serving/requests/target_selector.py
+++ b/cloverway/serving/requests/target_selector.py
@@ -271,6 +271,7 @@
             self.on_large_prompt()
         if endpoint.is_cold(now):
             endpoint.last_cold_send_at = now
+        endpoint.begin_attempt(now)
         self._shares.take(endpoint, now)
         entry = endpoint.entry
         until = min(routed.call.deadline, routed.call.arrived_at + routed.route.timeout_s)
--- a/cloverway/tests/test_fleet_restarts.py
+++ b/cloverway/tests/test_fleet_restarts.py
@@ -193,6 +193,44 @@
     run_scenario(scenario)
 
 
+def test_one_request_tries_an_endpoint_again_that_refused_connections():
+    """Guards against a burst of failed attempts each time that a crashed endpoint is tried again.
+
+    Half a second after its refusal the endpoint counts as idle, and all queued requests would be
+    sent there at once. One of them is enough to tell whether it listens again.
+    """
+
+    async def scenario():
+        async with run_fleet() as fleet:
+            crashed, busy = fleet.endpoints["desk-0"], fleet.endpoints["desk-1"]
+            crashed.crash()
+            fleet.store.put("servers/desk-1", busy.make_entry(slots=1, sequence=2))
+            await wait_for(lambda: get_entry(fleet, "desk-1").slots == 1)
+
+            async def answer_slowly(exchange):
+                await asyncio.sleep(0.03)
+                await busy.answer_ok(exchange)
+
+            busy.answer = answer_slowly
+            opened = []
+            fleet.hosts[0].context.pool._on_connect = opened.append
+            while crashed.address not in opened:
+                calls = [asyncio.create_task(fleet.call("/safe/a")) for _ in range(2)]
+                await asyncio.gather(*calls)
+            await asyncio.sleep(REFUSED_BACKOFF_S)
+            opened.clear()
+            calls = [asyncio.create_task(fleet.call("/safe/a")) for _ in range(8)]
+            assert {reply.status for reply in await asyncio.gather(*calls)} == {200}
+            assert opened.count(crashed.address) <= 1
+            await crashed.restart()
+            async with asyncio.timeout(5.0):
+                while len(crashed.requests) < 2:
+                    calls = [asyncio.create_task(fleet.call("/safe/a")) for _ in range(4)]
+                    await asyncio.gather(*calls)
+
+    run_scenario(scenario)
+
+
 def test_requests_are_queued_while_the_only_endpoint_restarts():
     """The only endpoint of a service crashes, and listens again half a second later.
 
