Try another host of a region after one that cannot be reached

What callers saw: 503 endpoint_refused, "the peer did not respond in time", not run, after the second that connecting may take, although another host of the same region worked and three seconds of the deadline were left.

Cause: a host that can't be reached was reported to the dispatcher as a refusal. A refusal of another host speaks for its failure domain (no capacity there), so the whole domain was put among those tried, and ejected for all other requests too. Outcome NOT_SENT, which speaks for the host alone, existed and was never reported. An idempotent request whose pooled connection had gone silent fared no better: refused with "unknown", it was neither "not started" nor among the failures that are repeated, and ended there.

Evidence: a bound team's request after NOT_SENT got the other host in the decisions' own test, but with REFUSED, which is what the gateway sent, nothing; only the first of several requests got it, as each took one from the retry budget.

Why this works: PeerUnreachableError is raised where nothing ran since the host was silent or lost; the gateway reports it as NOT_SENT, and the request goes to another host of the domain at once. Such a retry takes nothing from the budget: no endpoint had any work. A request is still forwarded three times at most, each within the time to connect. An idempotent request is repeated after a refusal that leaves open whether it ran.

Looked for elsewhere: on the platform's path the host and the region are counted apart, and a region is tried three times.

New cell: "pause and wake of one far at lookup". The stand-ins' pause waits until the process is stopped: on a busy machine its threads went on after the signal, and a step was not held where its cell says.

--- a/cloverway/dispatch/decisions.py
+++ b/cloverway/dispatch/decisions.py
@@ -383,7 +383,8 @@
         entry = entry._replace(entry_id=entry_id, ran=ran, tried=entry.tried | {failed})
         profile = context.published.profiles.get(entry.request.profile)
         is_safe = may_retry(outcome, profile is not None and profile.idempotent)
-        refused_by_domain = outcome is Outcome.REFUSED and len(destinations) > 1
+        # An attempt that reached no endpoint adds no load that the budget would have to limit.
+        is_free = len(destinations) > 1 and outcome in (Outcome.REFUSED, Outcome.NOT_SENT)
         is_late = entry.latest_start_at <= context.now
         refusal = self._crash_tracker.find_refusal(entry.request, context.now)
         if refusal is not None:
@@ -391,7 +392,7 @@
             return [
                 Decision(entry_id, refuse(entry, refusal.kind, refusal.retry_after, refusal.detail))
             ]
-        if not is_safe or is_late or not (refused_by_domain or self._budget.try_take(context.now)):
+        if not is_safe or is_late or not (is_free or self._budget.try_take(context.now)):
             self._open_request_ids.remove(entry.request.id)
             wait_s = jitter(CAPACITY_RETRY_AFTER_S, context.random)
             return [Decision(entry_id, refuse(entry, Kind.ENDPOINT_REFUSED, wait_s))]
--- a/cloverway/errors.py
+++ b/cloverway/errors.py
@@ -195,6 +195,16 @@
     """The connection to an endpoint was lost while it ran a request, as when it crashes."""
 
 
+class PeerUnreachableError(RequestError):
+    """Another host could not be reached, or was lost before it had the whole request.
+
+    The request did not run. This says nothing about the other hosts of its failure domain.
+    """
+
+    def __init__(self, detail: str = "") -> None:
+        super().__init__(Kind.ENDPOINT_REFUSED, detail, ran=Ran.NO)
+
+
 class CallError(RequestError):
     """A call by `cloverway.client` failed; carries what a report or a retry needs."""
 
--- a/cloverway/gateway.py
+++ b/cloverway/gateway.py
@@ -13,7 +13,14 @@
 from cloverway.config.published import Published
 from cloverway.config.schema import Profile
 from cloverway.dispatch import residency
-from cloverway.errors import EndpointLostError, Kind, Ran, RequestError, combine_ran
+from cloverway.errors import (
+    EndpointLostError,
+    Kind,
+    PeerUnreachableError,
+    Ran,
+    RequestError,
+    combine_ran,
+)
 from cloverway.membership.view import ViewHolder
 from cloverway.messages import Admitted, LocalRoute, Outcome, Refused, RemoteRoute, Request, Verdict
 from cloverway.once.claims import HeldGrant, Replayed
@@ -32,8 +39,9 @@
 )
 """Refusals of a request that was not started, which may be retried elsewhere for any profile."""
 
-IDEMPOTENT_RETRY_KINDS = frozenset({Kind.ENDPOINT_FAILED, Kind.TRUNCATED})
-"""Failures of a request that may have been started; only an idempotent one is retried."""
+IDEMPOTENT_RETRY_KINDS = NOT_STARTED_KINDS | {Kind.ENDPOINT_FAILED, Kind.TRUNCATED}
+"""Failures of a request that may have been started; only an idempotent one is retried. A refusal is
+among them if an earlier connection of the same attempt went silent."""
 
 
 class RequestRecord(NamedTuple):
@@ -350,5 +358,6 @@
     if error.kind is Kind.CALLER_LEFT:
         return Outcome.CALLER_LEFT
     if error.ran is Ran.NO and not started:
-        return Outcome.REFUSED
+        is_unreachable = isinstance(error, PeerUnreachableError)
+        return Outcome.NOT_SENT if is_unreachable else Outcome.REFUSED
     return Outcome.LOST if isinstance(error, EndpointLostError) else Outcome.FAILED
--- a/cloverway/peers/peer_client.py
+++ b/cloverway/peers/peer_client.py
@@ -8,7 +8,7 @@
 import time
 from typing import NamedTuple
 
-from cloverway.errors import Kind, PeerError, Ran, RequestError
+from cloverway.errors import Kind, PeerError, PeerUnreachableError, Ran, RequestError
 from cloverway.messages import Refused, Request
 from cloverway.once.keys import ClaimCall, ClaimResult, Grant, Recorded, SettleCall
 from cloverway.peers import wire
@@ -120,12 +120,12 @@
         try:
             channel = self._connect(host, address, request.deadline - time.monotonic())
         except PeerError as error:
-            raise RequestError(Kind.ENDPOINT_REFUSED, str(error), ran=Ran.NO) from error
+            raise PeerUnreachableError(str(error)) from error
         response = self._exchange(channel, request, start_by, self._limits.silence_timeout_s)
         if not isinstance(response, _LostConnection):
             return self._make_reply(channel, address, response, request)
         if response.ran is Ran.NO:
-            raise RequestError(Kind.ENDPOINT_REFUSED, response.detail, ran=Ran.NO)
+            raise PeerUnreachableError(response.detail)
         deadline_passed = time.monotonic() >= request.deadline
         kind = Kind.TIMED_OUT if deadline_passed else Kind.ENDPOINT_FAILED
         raise RequestError(kind, response.detail, ran=Ran.UNKNOWN)
--- a/cloverway/tests/matrix/faults.py
+++ b/cloverway/tests/matrix/faults.py
@@ -2,8 +2,8 @@
 
 The subject of a fault names the processes that it affects: "host" is the host that the caller uses,
 "endpoint" all endpoints of the call's region that can run it, "one endpoint" the first of these,
-"far" the hosts of the remote region, "peers" all other hosts, "second" the other host of the
-entry host's failure domain.
+"far" the hosts of the remote region, "one far" the first of these, "peers" all other hosts,
+"second" the other host of the entry host's failure domain.
 """
 
 from __future__ import annotations
@@ -35,6 +35,7 @@
         "endpoint": endpoints,
         "one endpoint": endpoints[:1],
         "far": testbed.list_hosts(REMOTE),
+        "one far": testbed.list_hosts(REMOTE)[:1],
         "peers": others,
         "second": [SECOND_ENTRY],
     }[subject]
--- a/cloverway/tests/matrix/table.py
+++ b/cloverway/tests/matrix/table.py
@@ -91,6 +91,7 @@
 
 PAUSE = [
     _make_cell("pause and wake", "lookup", "host", COMPLETE, ONCE),
+    _make_cell("pause and wake", "lookup", "one far", COMPLETE, ONCE, team="bound-cu"),
     _make_cell("pause and wake", "admit", "host", NOT_RUN, NEVER, deadline_ms=SHORT_DEADLINE_MS),
     _make_cell("pause and wake", "queue", "host", NOT_RUN, NEVER, deadline_ms=2500, quick=True),
     _make_cell(
--- a/cloverway/tests/standins/fleet.py
+++ b/cloverway/tests/standins/fleet.py
@@ -141,7 +141,7 @@
         self.processes[name].kill()
 
     def pause(self, name: str) -> None:
-        self.processes[name].send(signal.SIGSTOP)
+        self.processes[name].pause()
 
     def resume(self, name: str) -> None:
         self.processes[name].send(signal.SIGCONT)
--- a/cloverway/tests/standins/processes.py
+++ b/cloverway/tests/standins/processes.py
@@ -105,6 +105,21 @@
         if self.running:
             os.kill(self.pid, number)
 
+    def pause(self) -> None:
+        """Stop the process, and wait until none of its threads runs any more.
+
+        On a busy machine, threads go on for some milliseconds after the signal was sent.
+        """
+        self.send(signal.SIGSTOP)
+        wait_until(self._is_stopped, 5, f"{self.name} to be stopped")
+
+    def _is_stopped(self) -> bool:
+        threads = Path(f"/proc/{self.pid}/task").glob("*/stat")
+        try:
+            return all(stat.read_text().rpartition(")")[2].split()[0] == "T" for stat in threads)
+        except OSError:
+            return False  # a thread ended meanwhile
+
     def kill(self) -> None:
         self.send(signal.SIGKILL)
         self.wait()
--- a/cloverway/tests/test_gateway.py
+++ b/cloverway/tests/test_gateway.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cloverway.config.published import Published
-from cloverway.errors import EndpointLostError, Kind, Ran, RequestError
+from cloverway.errors import EndpointLostError, Kind, PeerUnreachableError, Ran, RequestError
 from cloverway.gateway import GatewayDependencies, RequestGateway, RequestRecord
 from cloverway.membership.view import View, ViewHolder
 from cloverway.messages import Admitted, LocalRoute, Outcome, Refused, RemoteRoute, Request, Verdict
@@ -256,6 +256,35 @@
     assert claims.settled == [(Outcome.DONE, reply)]
 
 
+def test_an_unreachable_host_is_not_reported_as_a_refusal_of_its_failure_domain() -> None:
+    """Guards against refusing the requests of a whole region because one of its hosts is silent.
+
+    Nothing was sent, so the request may go to another host there.
+    """
+    harness, dispatcher, _, _ = make_harness(
+        PeerUnreachableError("the peer did not respond in time"),
+        DONE,
+        verdicts=(Admitted(1, REMOTE_ROUTE), Admitted(2, REMOTE_ROUTE)),
+    )
+    assert harness.gateway.run(make_request(team="bound")).status == 200
+    assert dispatcher.ended[0] == (1, Outcome.NOT_SENT, True)
+
+
+@pytest.mark.parametrize("kind", [Kind.ENDPOINT_REFUSED, Kind.NO_CAPACITY])
+def test_an_idempotent_request_is_retried_after_a_refusal_that_leaves_open_whether_it_ran(
+    kind: Kind,
+) -> None:
+    """Guards against refusing a request that is safe to repeat.
+
+    Its first connection went silent after it was sent, and the second one was refused.
+    """
+    harness, dispatcher, _, _ = make_harness(
+        RequestError(kind, ran=Ran.UNKNOWN), DONE, verdicts=(Admitted(1, REMOTE_ROUTE),) * 2
+    )
+    assert harness.gateway.run(make_request(team="bound")).status == 200
+    assert dispatcher.ended[0] == (1, Outcome.FAILED, True)
+
+
 def test_a_request_resumed_after_its_deadline_is_not_sent() -> None:
     """The process is paused between the route and the send, and resumes after the deadline.
 
--- a/cloverway/tests/test_peer_failures.py
+++ b/cloverway/tests/test_peer_failures.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cloverway.errors import Kind, PeerError, Ran, RequestError
+from cloverway.errors import Kind, PeerError, PeerUnreachableError, Ran, RequestError
 from cloverway.once.keys import Grant
 from cloverway.peers import wire
 from cloverway.peers.channel import Channel, FrameKind, Identity
@@ -109,7 +109,9 @@
     for _ in range(3):
         with pytest.raises(PeerError):
             client.claim("h2", proxy.address, CLAIM)
-    assert run_refused(client, proxy.address) == (Kind.ENDPOINT_REFUSED, Ran.NO)
+    with pytest.raises(PeerUnreachableError) as error:
+        client.run("h2", proxy.address, make_request())
+    assert (error.value.kind, error.value.ran) == (Kind.ENDPOINT_REFUSED, Ran.NO)
     wait_until(lambda: proxy.connections)
     assert len(proxy.connections) == 2
     assert not handler.claims
--- a/cloverway/tests/test_routing.py
+++ b/cloverway/tests/test_routing.py
@@ -11,7 +11,7 @@
 from cloverway.dispatch.outliers import MAX_EJECTION_S, MAX_REQUESTED_PAUSE_S, OutlierDetector
 from cloverway.dispatch.prompts import Prefix
 from cloverway.dispatch.routing import SLOW_START_S
-from cloverway.errors import Kind
+from cloverway.errors import Kind, Ran
 from cloverway.membership.view import HostState
 from cloverway.messages import Admitted, LocalRoute, Outcome, Refused, RemoteRoute
 from cloverway.tests.builders import (
@@ -254,6 +254,37 @@
     assert not used_hosts & excluded
 
 
+def test_another_host_is_tried_after_one_that_cannot_be_reached():
+    """Guard against refusing the requests of a region because one of its hosts is silent.
+
+    The host is paused, so connecting to it takes until the timeout. Nothing was sent, and the other
+    host of its failure domain works. No endpoint had any work, so the retry takes no budget.
+    """
+    host = Host(free=8)
+    verdicts = [host.arrive(team="bound") for _ in range(6)]
+    silent = verdicts[0].route.host
+    for verdict in verdicts:
+        assert verdict.route.domain == "ro-1"
+        if verdict.route.host == silent:
+            again = host.finish(verdict, Outcome.NOT_SENT, retry=True)
+            assert again.route.domain == "ro-1"
+            assert again.route.host != silent
+    assert {host.get_route(team="bound").host for _ in range(6)} == {"ro-1-h0", "ro-1-h1"} - {
+        silent
+    }
+
+
+def test_a_request_ends_when_no_host_of_its_region_can_be_reached():
+    """Guard against a request that tries silent hosts until its caller has gone."""
+    host = Host(free=8)
+    verdict = host.arrive(team="bound")
+    for _ in range(2):
+        assert isinstance(verdict, Admitted)
+        verdict = host.finish(verdict, Outcome.NOT_SENT, retry=True)
+    assert isinstance(verdict, Refused)
+    assert (verdict.kind, verdict.ran) == (Kind.ENDPOINT_REFUSED, Ran.NO)
+
+
 def test_bound_team_is_served_in_its_region_or_refused():
     host = Host(free=8)
     route = host.get_route(team="bound")
