Judge the silence of others by the time up to which a host has listened

What callers saw: 503 no_capacity, not run, from a host that had been paused for 1.4 to 2.1 s, for every call to another region, until the next summary came from there.

Cause: the age of a summary was judged by two limits. The control loop drops a failure domain after the time that its summaries may take (2.1 s in the tests), and a domain that was dropped, or never heard, is tried all the same; the dispatcher took a summary older than five periods (1.5 s) for an unreachable domain and did not try it. In between a domain was in the view and not used. A pause of the host ages everything it knows by the length of the pause, and the dispatcher decides before the control loop has run again. The loop's handling of a pause covered hosts and endpoints of the own domain, not other domains; nor did the dispatcher see it, since it judged ages by itself.

Why this works: a summary carries the time until which its domain counts as reachable, computed once, where summaries are kept; a pause renews it for the domains that were reachable before; a view says when it was made, and the dispatcher and the list of hosts judge silence by that time.

Domains that become reachable or unreachable are logged, and the status shows how long each still counts.

--- a/cloverway/dispatch/routing.py
+++ b/cloverway/dispatch/routing.py
@@ -42,8 +42,6 @@
 """Added cost of a full batch over an empty one, as a fraction of the service time."""
 RANKED_UNCACHED_FRACTIONS = (0.1, 0.3, 0.6)
 """Assumed uncached fraction of a prompt at its first endpoints by rendezvous hash."""
-MAX_SUMMARY_AGE_PERIODS = 5
-"""Age of a summary, in its periods, above which the failure domain is treated as unreachable."""
 AWAY_RESERVED_FRACTION = 0.1
 """Fraction of another failure domain's slots that is left free for its own callers."""
 
@@ -163,6 +161,7 @@
         self.catalogue = catalogue
         self.learned = learned
         self.now = now
+        self._known_until = view.get_known_until(now)
         self._timing = timing
         self._states: dict[str, list[EndpointState]] = {}
         self._assessments: dict[str, Assessment] = {}
@@ -367,12 +366,11 @@
         return min(pair, key=lambda host: host.load).name
 
     def _is_live(self, host: HostState) -> bool:
-        return not host.leaving and self.now - host.heard_at <= self._timing.suspect_s
+        return not host.leaving and host.is_alive(self._known_until, self._timing.suspect_s)
 
     def is_usable(self, summary: Summary) -> bool:
-        """Return whether a summary is recent and has ready endpoints."""
-        age = self.now - summary.at
-        return summary.ready > 0 and age <= MAX_SUMMARY_AGE_PERIODS * self._timing.summary_s
+        """Return whether a failure domain is reachable and has ready endpoints."""
+        return summary.ready > 0 and self._known_until < summary.usable_until
 
     def _assess(self, state: EndpointState) -> Assessment:
         record = self.learned.get_record(state.name, state.slots)
--- a/cloverway/entry/host_list.py
+++ b/cloverway/entry/host_list.py
@@ -68,7 +68,7 @@
     state = view.hosts.get(name)
     if state is not None and (state.leaving or state.overloaded):
         return False
-    if state is not None and now - state.heard_at <= max_ages.host_s:
+    if state is not None and state.is_alive(view.get_known_until(now), max_ages.host_s):
         return True
     return _is_in_fresh_domain(view, name, state, now, max_ages)
 
@@ -87,7 +87,7 @@
     if state is not None and state.heard_at > float("-inf"):
         return False
     return any(
-        summary.domain == domain and now - summary.at <= max_ages.domain_s
+        summary.domain == domain and view.get_known_until(now) - summary.at <= max_ages.domain_s
         for summary in view.summaries.values()
     )
 
--- a/cloverway/membership/control.py
+++ b/cloverway/membership/control.py
@@ -384,15 +384,24 @@
         all_reported = all(state.reported_at > NEVER for state in endpoints)
         self._serving = all_reported or now >= self._serve_deadline
 
+    def _update_remote_state(self, now: float) -> None:
+        self._remote_due_at = now + self._settings.timing.summary_s
+        known = {domain for domain, _ in self._remote_state[1]}
+        self._remote_state = (
+            self.gossip.get_remote_hosts(now),
+            self.gossip.get_remote_capacity(now),
+        )
+        reachable = {domain for domain, _ in self._remote_state[1]}
+        for domain in sorted(reachable - known):
+            log.info("a failure domain is reachable", extra={"domain": domain})
+        for domain in sorted(known - reachable):
+            log.warning("a failure domain is unreachable", extra={"domain": domain})
+
     def _publish(self, now: float) -> None:
         """Publish a new view to all other tasks, by a single assignment."""
         self._view_due_at = now + VIEW_INTERVAL_S
         if now >= self._remote_due_at:
-            self._remote_due_at = now + self._settings.timing.summary_s
-            self._remote_state = (
-                self.gossip.get_remote_hosts(now),
-                self.gossip.get_remote_capacity(now),
-            )
+            self._update_remote_state(now)
         hosts, capacities = self._remote_state
         endpoints = self.gossip.get_endpoints(now)
         self._update_serving(endpoints.values(), now)
@@ -408,4 +417,5 @@
             summaries=capacities,
             leaving=self._leaving,
             platform_stale=self._updates.platform_stale,
+            made_at=now,
         )
--- a/cloverway/membership/gossip.py
+++ b/cloverway/membership/gossip.py
@@ -154,6 +154,7 @@
         """Record that this process was paused between two times."""
         self.members.resume(paused_at, now)
         self.endpoint_table.resume(now)
+        self.summaries.resume(paused_at, now)
         self.resumed_at = now
 
     def make_heartbeats(self, now: float) -> Iterator[Outgoing]:
--- a/cloverway/membership/membership.py
+++ b/cloverway/membership/membership.py
@@ -153,6 +153,7 @@
                 load=member.load,
                 revision=member.revision,
                 heard_at=member.heard_at,
+                grace_until=member.grace_until,
             )
             for name, member in self._members.items()
             if member and _is_live(member, now, self.suspect_s)
--- a/cloverway/membership/summaries.py
+++ b/cloverway/membership/summaries.py
@@ -53,6 +53,8 @@
     relayed: DomainSummary | None = None
     """The summary that was last relayed to or by siblings."""
     relayed_at: float = float("-inf")
+    grace_until: float = float("-inf")
+    """Until when the failure domain counts as reachable regardless of its silence."""
 
 
 class Summaries:
@@ -125,9 +127,21 @@
             record = record._replace(relayed=summary, relayed_at=at)
         elif known:
             record = record._replace(relayed=known.relayed, relayed_at=known.relayed_at)
+        if known:
+            record = record._replace(grace_until=known.grace_until)
         self._records[summary.domain] = record
         return True
 
+    def resume(self, paused_at: float, now: float) -> None:
+        """Record that this process was paused between two times.
+
+        The other failure domains were not silent, this process could not receive. Each one that
+        was reachable before the pause gets its full timeout again.
+        """
+        for name in self._list_current(paused_at):
+            grace_until = now + self.get_loss_timeout(name)
+            self._records[name] = self._records[name]._replace(grace_until=grace_until)
+
     def take_due_relays(self, now: float) -> list[DomainSummary]:
         """Return the summaries to relay to siblings: urgent changes soon, the rest rarely.
 
@@ -154,7 +168,7 @@
 
     def make_host_states(self, now: float) -> Iterator[HostState]:
         """Yield the live hosts of other failure domains for the view."""
-        for record in self._list_current(now):
+        for record in self._list_current(now).values():
             for row in record.summary.hosts:
                 name = self._hosts.get(row.host)
                 if name:
@@ -181,18 +195,24 @@
                 free=row.free,
                 waiting=row.waiting,
                 at=record.at,
+                usable_until=self._get_usable_until(record),
             )
-            for record in self._list_current(now)
+            for record in self._list_current(now).values()
             for row in record.summary.targets
             if (target := self._targets.get(row.target))
         }
 
-    def _list_current(self, now: float) -> Iterable[SummaryRecord]:
-        return [
-            record
+    def _list_current(self, now: float) -> dict[str, SummaryRecord]:
+        """Return the summaries of the failure domains that count as reachable, by domain."""
+        return {
+            name: record
             for name, record in self._records.items()
-            if now - record.at < self.get_loss_timeout(name)
-        ]
+            if now < self._get_usable_until(record)
+        }
+
+    def _get_usable_until(self, record: SummaryRecord) -> float:
+        silent_at = record.at + self.get_loss_timeout(record.summary.domain)
+        return max(silent_at, record.grace_until)
 
     def _is_due(self, record: SummaryRecord, now: float) -> bool:
         in_region = record.summary.domain in self._region_domains
--- a/cloverway/membership/view.py
+++ b/cloverway/membership/view.py
@@ -39,6 +39,12 @@
     """Requests in progress divided by the limit, 0 to 1."""
     revision: int = 0
     heard_at: float = float("-inf")
+    grace_until: float = float("-inf")
+    """Until when it counts as alive regardless of its silence, after a pause of this process."""
+
+    def is_alive(self, known_until: float, suspect_s: float) -> bool:
+        """Return whether it was heard recently enough, as of the time that the view shows."""
+        return known_until - self.heard_at <= suspect_s or known_until < self.grace_until
 
 
 class Summary(NamedTuple):
@@ -52,6 +58,8 @@
     """Number of free slots."""
     waiting: int = 0
     at: float = float("-inf")
+    usable_until: float = float("inf")
+    """When the failure domain counts as unreachable unless a newer summary arrives."""
 
 
 class View(NamedTuple):
@@ -71,6 +79,16 @@
     leaving: bool = False
     platform_stale: bool = False
     """Whether a peer knows a later revision than the one that the platform returns."""
+    made_at: float = float("inf")
+    """Up to when this host has processed what it received."""
+
+    def get_known_until(self, now: float) -> float:
+        """Return the time by which to judge how long others have been silent.
+
+        After a pause of this process the view is as old as the pause. Judged by the present time,
+        all others would seem to have been silent for so long.
+        """
+        return min(now, self.made_at)
 
     @property
     def ready(self) -> bool:
--- a/cloverway/operations/admin.py
+++ b/cloverway/operations/admin.py
@@ -9,6 +9,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator, Mapping, Sequence
+from math import isfinite
 from typing import Any, NamedTuple
 
 from cloverway.config.settings import Settings
@@ -160,6 +161,7 @@
 
 AGE_FIELDS = {"heard_at": "heard_s_ago", "reported_at": "reported_s_ago", "at": "heard_s_ago"}
 AGE_FIELDS["started_at"] = "started_s_ago"
+LIMIT_FIELDS = {"grace_until": "grace_s_left", "usable_until": "usable_s_left"}
 
 
 def _describe_state(state: Any, now: float) -> dict[str, Any]:
@@ -169,8 +171,10 @@
 def _iterate_fields(fields: Mapping[str, Any], now: float) -> Iterator[tuple[str, Any]]:
     for name, value in fields.items():
         if name in AGE_FIELDS:
-            # A time of minus infinity means "never"; JSON can't represent it.
-            yield AGE_FIELDS[name], round(now - value, 3) if value > float("-inf") else None
+            # An infinite time means "never" or "no limit"; JSON can't represent it.
+            yield AGE_FIELDS[name], round(now - value, 3) if isfinite(value) else None
+        elif name in LIMIT_FIELDS:
+            yield LIMIT_FIELDS[name], round(value - now, 3) if isfinite(value) else None
         else:
             yield name, value
 
--- a/cloverway/tests/builders.py
+++ b/cloverway/tests/builders.py
@@ -7,6 +7,8 @@
 from cloverway.membership.view import EndpointState, HostState, Summary, View
 from cloverway.messages import Request
 
+SUMMARY_LIFETIME_S = 5.0
+"""How long the failure domain of a summary counts as reachable without a newer one."""
 DOMAINS = {"pl-1": "port-louis", "cu-1": "curepipe", "ro-1": "rodrigues"}
 PROFILES = {
     "stock": {"model": "clover", "idempotent": True, "urgency": "normal"},
@@ -99,7 +101,9 @@
         for name in published.endpoints_of(domain)
     }
     summaries = {
-        (other, "clover"): Summary(other, "clover", ready=2, free=free, at=now)
+        (other, "clover"): Summary(
+            other, "clover", ready=2, free=free, at=now, usable_until=now + SUMMARY_LIFETIME_S
+        )
         for other in DOMAINS
         if free is not None and other != domain
     }
