Read what a peer has sent when the timeout passed during a pause

What callers saw: nothing that a test caught; found while looking for the fault of the suspended host elsewhere. A request would be refused, or end as unknown, with "the peer did not respond in time" although the response was there.

Cause: the wait for a frame gave up without looking at the socket when no time was left. If the process is paused between a read that finds nothing and that check, everything that arrived in the pause is ignored.

Evidence: a socket that pauses its process past the timeout just after it found nothing, with the response under way.

Why this works: the socket is polled once more without waiting. A peer that sends byte by byte gains nothing: with an empty buffer the poll fails, and a frame has a maximum size. Looked at and left: reads of callers and of endpoints, whose deadline must also end a sender that always has something to send.

test_response_that_arrived_during_a_pause failed before.

--- a/cloverway/peers/channel.py
+++ b/cloverway/peers/channel.py
@@ -280,8 +280,10 @@
         return taken
 
     def _wait(self, event: int, deadline: float) -> None:
-        remaining_s = deadline - time.monotonic()
-        if remaining_s <= 0 or not self._poll(event, remaining_s):
+        # Polled also when no time is left: if this process was paused until the deadline, the bytes
+        # that arrived meanwhile are in the socket's buffer.
+        remaining_s = max(0.0, deadline - time.monotonic())
+        if not self._poll(event, remaining_s):
             raise PeerError("the peer did not respond in time")
 
     def _poll(self, event: int, timeout_s: float) -> bool:
--- a/cloverway/tests/test_peer_failures.py
+++ b/cloverway/tests/test_peer_failures.py
@@ -209,6 +209,36 @@
     assert refused == (Kind.NO_CAPACITY, Ran.UNKNOWN)
 
 
+class PausedSocket:
+    """A socket whose process is paused just after it has found nothing to read."""
+
+    def __init__(self, connection, pause):
+        self._connection = connection
+        self._pause = pause
+
+    def __getattr__(self, name):
+        return getattr(self._connection, name)
+
+    def recv(self, size):
+        try:
+            return self._connection.recv(size)
+        except BlockingIOError:
+            self._pause()
+            raise
+
+
+def test_response_that_arrived_during_a_pause(server, handler, client):
+    """Guards against refusing a request because this process was paused past the timeout.
+
+    The response lies in the socket's buffer; the timeout is over when the process looks again.
+    """
+    channel = connect(server)
+    channel.socket = PausedSocket(channel.socket, lambda: time.sleep(2 * SHORT_S))
+    channel.send_message(CLAIM, make_deadline())
+    assert channel.receive_message(time.monotonic() + SHORT_S) == Grant(10.0)
+    channel.close()
+
+
 class FailingChannel:
     """A fake channel whose nth frame can't be sent."""
 
