Ask again for the description of the other hosts when it was lost

What callers saw: a host that has just started names few hosts in its lookups, reads the store and counts its share of endpoints as if it were almost alone, until it has gradually discovered the others.

Cause: the seeds describe all other hosts to a newcomer once, in response to its first heartbeat. A lost datagram was never replaced: its later heartbeats come from a host that the seeds know.

Why this works: heartbeats say how many hosts their sender knows. A host in its first five seconds that knows less than half as many asks that sender, at most five times a second, with the datagram that hosts send while they load. In a fleet that starts as a whole nobody knows more than the others, and nobody asks.

--- a/cloverway/serving/hosts/gossip.py
+++ b/cloverway/serving/hosts/gossip.py
@@ -109,6 +109,7 @@
         self._had_first_contact = False
         self._alive_names: set[str] = set()
         self._started_at = read_clock()
+        self._requested_state_at = 0.0
         self._idle_remote_at = 0.0
         self._period_s = REGION_PERIOD_S
 
@@ -377,6 +378,20 @@
                 offer.service_name: decode_region_offer(offer) for offer in heartbeat.offers
             }
         self._record_first_contact(peer, now)
+        self._request_missed_state(peer, heartbeat.known, now)
+
+    def _request_missed_state(self, peer: Peer, known_hosts: int, now: float) -> None:
+        """Ask a host to describe the others if its first description was lost.
+
+        It sends that once, in response to the first heartbeat. Without it, a host that has just
+        started would act as if it were almost alone until it had gradually discovered the others.
+        """
+        is_starting = now - self._started_at < RECENTLY_STARTED_S
+        knows_few = 2 * len(self.members.peers) < min(known_hosts, MAX_SYNC_HOSTS)
+        if is_starting and knows_few and now - self._requested_state_at >= TICK_S:
+            self._requested_state_at = now
+            self.metrics.record_event("state_requested")
+            self._send(peer.member.name, SYNC_REQUEST)
 
     def _record_first_contact(self, peer: Peer, now: float) -> None:
         """Report the first heartbeat of another host, which sends its updates just before it."""
--- a/cloverway/tests/test_fleet_hosts.py
+++ b/cloverway/tests/test_fleet_hosts.py
@@ -286,6 +286,40 @@
     run_scenario(scenario)
 
 
+def test_a_newcomer_asks_again_when_the_description_of_the_other_hosts_is_lost(monkeypatch):
+    """Guards against a host that acts as if it were almost alone, for lack of one datagram.
+
+    Each seed describes the other hosts once, in response to the first heartbeat. If these datagrams
+    are lost, the newcomer knows its seeds only.
+    """
+
+    async def scenario():
+        async with run_fleet(hosts=12) as fleet:
+            await wait_for(lambda: all(len(h.members.peers) == 11 for h in fleet.hosts))
+            monkeypatch.setattr("cloverway.serving.hosts.gossip.MAX_RELAYED_HOSTS", 0)
+            known = {host.members.own.name for host in fleet.hosts}
+            lost = []
+
+            def lose_first_response(host):
+                send = host.gossip._send
+
+                def send_or_lose(address, data):
+                    if address not in known and len(lost) < 3 and host not in lost:
+                        lost.append(host)
+                    else:
+                        send(address, data)
+
+                monkeypatch.setattr(host.gossip, "_send", send_or_lose)
+
+            for host in fleet.hosts:
+                lose_first_response(host)
+            joining_host = await fleet.add_host()
+            await wait_for(lambda: len(joining_host.members.peers) == 12, 1.0)
+            assert len(lost) == 3
+
+    run_scenario(scenario)
+
+
 def test_hosts_that_start_together_discover_each_other_within_half_a_second():
     """All hosts restart; the seed of one of them starts a little later than the host itself.
 
