Log each failed attempt of the own interface

What callers saw: a refusal whose log line names the last destination and the number of attempts, but not what happened at the others; the two failures of the known red cell could be told apart by their body only. A line for each failed attempt has the request, the destination, the outcome, whether it ran, why, and whether it is retried. test_an_unreachable_host_is_not_reported_as_a_refusal_of_its_failure_domain checks it.

--- a/cloverway/gateway.py
+++ b/cloverway/gateway.py
@@ -309,6 +309,19 @@
         verdict = self.gateway.dependencies.dispatcher.report_finished(
             admitted.ticket, outcome, now, retry, requested_pause_s
         )
+        log.info(
+            "attempt failed",
+            extra={
+                "request_id": self.request.id,
+                "to": self.record.endpoint,
+                "attempt": self.record.attempts,
+                "outcome": str(outcome),
+                "kind": str(error.kind),
+                "ran": str(error.ran),
+                "why": error.detail,
+                "is_retried": isinstance(verdict, Admitted),
+            },
+        )
         if isinstance(verdict, Refused):
             return None
         return verdict
--- a/cloverway/tests/test_gateway.py
+++ b/cloverway/tests/test_gateway.py
@@ -256,11 +256,14 @@
     assert claims.settled == [(Outcome.DONE, reply)]
 
 
-def test_an_unreachable_host_is_not_reported_as_a_refusal_of_its_failure_domain() -> None:
+def test_an_unreachable_host_is_not_reported_as_a_refusal_of_its_failure_domain(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     """Guards against refusing the requests of a whole region because one of its hosts is silent.
 
     Nothing was sent, so the request may go to another host there.
     """
+    caplog.set_level("INFO")
     harness, dispatcher, _, _ = make_harness(
         PeerUnreachableError("the peer did not respond in time"),
         DONE,
@@ -268,6 +271,10 @@
     )
     assert harness.gateway.run(make_request(team="bound")).status == 200
     assert dispatcher.ended[0] == (1, Outcome.NOT_SENT, True)
+    (line,) = [vars(record) for record in caplog.records if record.msg == "attempt failed"]
+    assert (line["request_id"], line["to"]) == ("r1", "south-a/s1")
+    assert (line["outcome"], line["why"]) == ("not_sent", "the peer did not respond in time")
+    assert line["is_retried"]
 
 
 @pytest.mark.parametrize("kind", [Kind.ENDPOINT_REFUSED, Kind.NO_CAPACITY])
