Say in a failed wait of the fleet's tests whether its condition holds by then

A test with hosts in one event loop fails at its bound, too, when the process is stopped: the known red newcomer test did so in a trial, 2.15 s, with all 12 hosts known. Its message was an empty TimeoutError. The bound and the check stay; the message now has the length of the longest stop and whether the condition holds.

--- a/cloverway/tests/fleet/deployment.py
+++ b/cloverway/tests/fleet/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
 
@@ -29,6 +30,7 @@
     take_ports,
 )
 
+POLL_S = 0.01
 REGIONS = {"d1": "north", "d2": "south"}
 
 
@@ -169,10 +171,25 @@
 
 
 async def wait_for(condition, timeout_s: float = 5.0) -> None:
-    """Wait until a condition holds; raise TimeoutError after `timeout_s`."""
-    async with asyncio.timeout(timeout_s):
-        while not condition():
-            await asyncio.sleep(0.01)
+    """Wait until a condition holds; raise TimeoutError after `timeout_s`.
+
+    The message tells whether it holds by then, and how long the event loop did not run at once: a
+    process that is stopped for longer than the timeout proves nothing about the hosts in it.
+    """
+    longest_stall_s = 0.0
+    checked_at = time.monotonic()
+    try:
+        async with asyncio.timeout(timeout_s):
+            while not condition():
+                await asyncio.sleep(POLL_S)
+                longest_stall_s = max(longest_stall_s, time.monotonic() - checked_at)
+                checked_at = time.monotonic()
+    except TimeoutError:
+        longest_stall_s = max(longest_stall_s, time.monotonic() - checked_at)
+        raise TimeoutError(
+            f"not within {timeout_s:g} s; it {'holds' if condition() else 'does not hold'} now; "
+            f"the event loop did not run for up to {longest_stall_s:.3f} s"
+        ) from None
 
 
 @asynccontextmanager
