Let a stand-in's pause report the threads that did not stop

In a trial beside other work one pause of a daemon was not complete after five seconds, once in more than a thousand; its message did not tell which thread was still running, and the process was left stopped for all that followed. The process now goes on, and the message has the state of each thread.

--- a/cloverway/tests/standins/processes.py
+++ b/cloverway/tests/standins/processes.py
@@ -111,14 +111,19 @@
         On a busy machine, threads go on for some milliseconds after the signal was sent.
         """
         self.send(signal.SIGSTOP)
-        wait_until(self._is_stopped, 5, f"{self.name} to be stopped")
-
-    def _is_stopped(self) -> bool:
-        threads = Path(f"/proc/{self.pid}/task").glob("*/stat")
         try:
-            return all(stat.read_text().rpartition(")")[2].split()[0] == "T" for stat in threads)
-        except OSError:
-            return False  # a thread ended meanwhile
+            wait_until(lambda: set(self._read_thread_states()) <= {"T"}, 5, f"{self.name} to stop")
+        except AssertionError as error:
+            self.send(signal.SIGCONT)
+            raise AssertionError(f"{error}; its threads: {self._read_thread_states()}") from error
+
+    def _read_thread_states(self) -> str:
+        """Return the kernel's state of each thread, a letter each; T is stopped."""
+        states = ""
+        for stat in Path(f"/proc/{self.pid}/task").glob("*/stat"):
+            with contextlib.suppress(OSError):  # the thread has ended meanwhile
+                states += stat.read_text().rpartition(")")[2].split()[0]
+        return states
 
     def kill(self) -> None:
         self.send(signal.SIGKILL)
