--- a/cloverway/tests/test_routing.py
+++ b/cloverway/tests/test_routing.py
@@ -236,6 +236,17 @@
     assert not any(is_away(verdict) for verdict in verdicts)
 
 
+def test_a_view_from_before_a_pause_does_not_make_domains_unreachable():
+    """Guard against refusing the first calls after a pause of the host itself.
+
+    The host decides before it has processed what arrived during the pause.
+    """
+    host = Host(free=8)
+    host.view = host.view._replace(made_at=0.0)
+    host.now = 60.0
+    assert host.get_route(team="bound").domain == "ro-1"
+
+
 @pytest.mark.parametrize("change", [{"leaving": True}, {"overloaded": True}, {"heard_at": -9.0}])
 def test_leaving_overloaded_or_silent_host_is_not_used(change):
     host = Host(make_published(objective=WEIGHTS["riviere"]), free=8)
