Give a request that reached nobody the last ejected host of its region

An ejected endpoint is used if there is no other; for the hosts of a failure domain there was no such rule.

Why this works: a request that could not reach one host of a domain gets the host there whose ejection ends first. New requests to a domain whose hosts are all ejected are refused at once, as before.

test_an_ejected_host_is_tried_after_the_other_one_could_not_be_reached failed before: refused for admitted.

--- a/cloverway/dispatch/routing.py
+++ b/cloverway/dispatch/routing.py
@@ -346,12 +346,7 @@
 
         If this host has never heard of any of them by gossip, choose any published one.
         """
-        published = [
-            name
-            for name in self.catalogue.list_hosts(domain)
-            if make_host_key(name) not in tried
-            and not self.learned.outliers.is_paused(make_host_key(name), self.now)
-        ]
+        published = self._list_usable_hosts(domain, tried)
         heard_hosts = [host for host in self._by_domain[domain] if host.heard_at != float("-inf")]
         if not heard_hosts:
             return random.choice(published) if published else None
@@ -365,6 +360,26 @@
         pair = random.sample(live, min(2, len(live)))
         return min(pair, key=lambda host: host.load).name
 
+    def _list_usable_hosts(self, domain: str, tried: frozenset[str]) -> list[str]:
+        """Return the published hosts of a failure domain that are not tried and not ejected.
+
+        A request that could not reach another host there gets the last ejected one, since the
+        failures of that host may have been due to something else. Other requests don't wait for it.
+        """
+        names = [
+            name for name in self.catalogue.list_hosts(domain) if make_host_key(name) not in tried
+        ]
+        usable = [
+            name
+            for name in names
+            if not self.learned.outliers.is_paused(make_host_key(name), self.now)
+        ]
+        is_retry = len(names) < len(self.catalogue.list_hosts(domain))
+        if usable or not is_retry:
+            return usable
+        last = self.learned.outliers.filter_usable(list(map(make_host_key, names)), self.now)
+        return [name for name in names if make_host_key(name) in last]
+
     def _is_live(self, host: HostState) -> bool:
         return not host.leaving and host.is_alive(self._known_until, self._timing.suspect_s)
 
--- a/cloverway/tests/test_routing.py
+++ b/cloverway/tests/test_routing.py
@@ -8,7 +8,12 @@
 
 from cloverway.dispatch.affinity import rank_destinations
 from cloverway.dispatch.decisions import DispatchCore
-from cloverway.dispatch.outliers import MAX_EJECTION_S, MAX_REQUESTED_PAUSE_S, OutlierDetector
+from cloverway.dispatch.outliers import (
+    MAX_EJECTION_S,
+    MAX_REQUESTED_PAUSE_S,
+    MIN_CONSECUTIVE_FAILURES,
+    OutlierDetector,
+)
 from cloverway.dispatch.prompts import Prefix
 from cloverway.dispatch.routing import SLOW_START_S
 from cloverway.errors import Kind, Ran
@@ -285,6 +290,28 @@
     }
 
 
+def test_an_ejected_host_is_tried_after_the_other_one_could_not_be_reached():
+    """Guard against refusing a request of a region whose one host is silent and the other works.
+
+    Two requests have just failed at the working host, so that it is ejected for a moment. It is the
+    last chance of a request that has reached nobody.
+    """
+    host = Host(free=8)
+    ejected = host.get_route(team="bound").host
+    failures = 0
+    while failures < MIN_CONSECUTIVE_FAILURES:
+        verdict = host.arrive(team="bound")
+        failed = verdict.route.host == ejected
+        host.finish(verdict, Outcome.FAILED if failed else Outcome.DONE)
+        failures += failed
+    verdict = host.arrive(team="bound")
+    assert verdict.route.host != ejected
+    again = host.finish(verdict, Outcome.NOT_SENT, retry=True)
+    assert isinstance(again, Admitted)
+    assert again.route.host == ejected
+    assert isinstance(host.arrive(team="bound"), Refused), "both are ejected, so refuse at once"
+
+
 def test_a_request_ends_when_no_host_of_its_region_can_be_reached():
     """Guard against a request that tries silent hosts until its caller has gone."""
     host = Host(free=8)
