--- a/cloverway/core/documents.py
+++ b/cloverway/core/documents.py
@@ -30,6 +30,11 @@
 MAX_UNREADABLE = 2_000
 """Unreadable documents retained, so that each is reported once and other hosts learn which entries
 became invalid. Beyond this number the oldest are dropped."""
+UNREADABLE_CUTOFF = 40_000
+"""Number of documents in one read beyond which unreadable ones are dropped, and so treated as
+absent. If a writer fills the store, its keys would not fit into the memory of a host."""
+UNREADABLE = b""
+"""Replaces a value that can't be decoded; no valid document is empty."""
 MAX_DOCUMENTS = 30_000
 """Documents stored: three times the endpoints of the largest deployment planned for. Further
 documents are ignored, so that a writer that fills the store can't exhaust the memory of hosts."""
@@ -113,9 +118,8 @@
         publications = self._decode((document,))
         if not publications or (known is None and len(self._known) >= MAX_DOCUMENTS):
             return []
-        match publications:
-            case [EndpointUnreadable() | DocumentUnreadable()]:
-                return self._record_unreadable(document, known, publications)
+        if _is_unreadable(publications):
+            return self._record_unreadable(document, known, publications)
         if document.value is None:
             return self._remove(document, known, publications)
         return self._store(document, known, publications)
@@ -171,7 +175,25 @@
 
 def _make_unreadable_document(key: str, revision: int) -> Document:
     """Return a placeholder that no host can decode; the original bytes aren't stored."""
-    return Document(key, revision, b"")
+    return Document(key, revision, UNREADABLE)
+
+
+def limit_unreadable(page: Iterable[Document], read_count: int, decode: Decode) -> list[Document]:
+    """Return a page with unreadable documents emptied, or dropped beyond UNREADABLE_CUTOFF."""
+    kept = []
+    for document in page:
+        if not _is_unreadable(decode((document,))):
+            kept.append(document)
+        elif read_count + len(kept) < UNREADABLE_CUTOFF:
+            kept.append(document._replace(value=UNREADABLE))
+    return kept
+
+
+def _is_unreadable(publications: list[Publication]) -> bool:
+    match publications:
+        case [EndpointUnreadable() | DocumentUnreadable()]:
+            return True
+    return False
 
 
 def _hash_content(document: Document, publications: list[Publication]) -> int:
--- a/cloverway/platform/documents.py
+++ b/cloverway/platform/documents.py
@@ -28,11 +28,6 @@
     return [publication for publication in decoded if publication is not None]
 
 
-def is_unreadable(document: Document) -> bool:
-    """Return whether a document has a known key but a malformed value."""
-    return isinstance(_decode_document(document), EndpointUnreadable | DocumentUnreadable)
-
-
 def _decode_document(document: Document) -> Publication | None:
     key, value = document.key, document.value
     if key == CONFIGURATION_KEY and value is not None:
--- a/cloverway/platform/store.py
+++ b/cloverway/platform/store.py
@@ -12,8 +12,9 @@
 import msgspec
 
 from cloverway.core.deployment import Document, Snapshot
+from cloverway.core.documents import UNREADABLE, limit_unreadable
 from cloverway.errors import PlatformError
-from cloverway.platform.documents import PREFIXES, is_unreadable
+from cloverway.platform.documents import PREFIXES, decode_documents
 from cloverway.serving.http.client import (
     ConnectError,
     ConnectionPool,
@@ -30,16 +31,10 @@
 """Maximum size of a response. A page has about 1 MB, or a single value of up to this size. A host
 has some hundred MB of memory, and decoding takes several times the size of a response."""
 MAX_PAGES = 10_000
-UNREADABLE_CUTOFF = 40_000
-"""Number of documents in one read beyond which unreadable ones are dropped, and so treated as
-absent. If a writer fills the store, its keys would not fit into the memory of a host."""
 ALL_KEYS = ""
 """Prefix of all keys: one watch covers the writes of operators and endpoints, because each watch
 uses resources of the store."""
 
-UNREADABLE = b""
-"""Replaces a value that can't be decoded; no valid document is empty."""
-
 
 class StoreItem(msgspec.Struct):
     """One key of the store, without the fields that aren't used."""
@@ -103,7 +98,7 @@
             response = await self._call("/kv-range", {"prefix": prefix, "after": after}, 0.0)
             revisions.append(response.at)
             page = _decode_items(response.items)
-            documents += _limit_unreadable(page, len(documents))
+            documents += limit_unreadable(page, len(documents), decode_documents)
             if not response.has_more or not page:
                 break
             after = page[-1].key
@@ -139,17 +134,6 @@
             raise PlatformError(f"{path}: malformed response") from error
 
 
-def _limit_unreadable(page: tuple[Document, ...], read_count: int) -> list[Document]:
-    """Return a page with unreadable documents emptied, or dropped beyond UNREADABLE_CUTOFF."""
-    kept = []
-    for document in page:
-        if not is_unreadable(document):
-            kept.append(document)
-        elif read_count + len(kept) < UNREADABLE_CUTOFF:
-            kept.append(document._replace(value=UNREADABLE))
-    return kept
-
-
 def _decode_items(items: list[object]) -> tuple[Document, ...]:
     """Decode the items of a response; skip malformed ones."""
     decoded = (_decode_item(item) for item in items)
--- a/cloverway/tests/test_platform_entries.py
+++ b/cloverway/tests/test_platform_entries.py
@@ -14,6 +14,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cloverway.core import documents as core_documents
 from cloverway.core.deployment import (
     Document,
     DocumentUnreadable,
@@ -22,12 +23,17 @@
     Snapshot,
     Topology,
 )
-from cloverway.core.documents import MAX_DOCUMENTS, MAX_UNREADABLE, DocumentTable
+from cloverway.core.documents import (
+    MAX_DOCUMENTS,
+    MAX_UNREADABLE,
+    DocumentTable,
+    limit_unreadable,
+)
 from cloverway.core.endpoints import Directory
-from cloverway.platform import entries, store
+from cloverway.platform import entries
 from cloverway.platform.documents import decode_documents
 from cloverway.platform.entries import decode_start_time
-from cloverway.platform.store import _decode_items, _limit_unreadable
+from cloverway.platform.store import _decode_items
 
 CASES = int(os.environ.get("ENTRY_CASES", "300"))
 TOPOLOGY = Topology("d1", "north", {"d1": "north", "d2": "south"})
@@ -282,12 +288,12 @@
 
 def test_a_read_of_a_full_store_keeps_the_valid_entries(monkeypatch):
     """Memory stays bounded: a million keys of another writer would get the host killed."""
-    monkeypatch.setattr(store, "UNREADABLE_CUTOFF", 500)
+    monkeypatch.setattr(core_documents, "UNREADABLE_CUTOFF", 500)
     kept = []
     for number in range(100):
         garbage = (Document(f"servers/j{number}-{n}", 2, b"x" * 1_000) for n in range(99))
         valid = Document(f"servers/z{number}", 2, encode())
-        kept += _limit_unreadable((*garbage, valid), len(kept))
+        kept += limit_unreadable((*garbage, valid), len(kept), decode_documents)
     assert sum(document.value == encode() for document in kept) == 100
     assert len(kept) <= 500 + 100
     assert sum(len(document.value) for document in kept) < 100 * len(encode()) + 1
