Log the epoch of the store, and a read that is dropped because newer documents are known

The logs of the incident don't say whether the store had lost writes: it states an epoch in each answer, which rises with each loss, and nothing read it. Now `store_epoch` says when it changes, with the revision then and the one known, `snapshot_is_older` has it, and dropped reads are counted.

A malformed epoch makes the answer an error: read as 0, all that the store says would count as old.

--- a/cloverway/core/deployment.py
+++ b/cloverway/core/deployment.py
@@ -177,6 +177,8 @@
     documents: tuple[Document, ...]
     complete: bool
     """Whether these are all documents, rather than only those that changed."""
+    epoch: int = 0
+    """The epoch of the store, which increases each time that it has lost writes."""
 
 
 class ConfigurationPublished(NamedTuple):
--- a/cloverway/platform/store.py
+++ b/cloverway/platform/store.py
@@ -14,11 +14,13 @@
 from cloverway.core.deployment import Document, Snapshot
 from cloverway.core.documents import UNREADABLE, limit_unreadable
 from cloverway.errors import PlatformError
+from cloverway.platform import names
 from cloverway.platform.documents import PREFIXES, decode_documents
 from cloverway.serving.http.client import (
     ConnectError,
     ConnectionPool,
     ResponseError,
+    ResponseHead,
     ResponseTooLargeError,
     fetch,
 )
@@ -31,6 +33,8 @@
 """Maximum size of a response. A page has about 1 MB, or a single value of up to this size. A host
 has some hundred MB of memory, and decoding takes several times the size of a response."""
 MAX_PAGES = 10_000
+MAX_EPOCH_DIGITS = 18
+"""An epoch fits into the 64 bits of a message between hosts."""
 ALL_KEYS = ""
 """Prefix of all keys: one watch covers the writes of operators and endpoints, because each watch
 uses resources of the store."""
@@ -55,6 +59,8 @@
     events: list[object] = []
     """Changes of a watch."""
     has_more: bool = msgspec.field(name="hasMore", default=False)
+    epoch: int = 0
+    """Stated in a header."""
 
 
 log = logging.getLogger(__name__)
@@ -77,7 +83,8 @@
         """
         snapshots = await asyncio.gather(*(self._read_prefix(prefix) for prefix in PREFIXES))
         documents = tuple(document for snapshot in snapshots for document in snapshot.documents)
-        return Snapshot(min(snapshot.revision for snapshot in snapshots), documents, True)
+        revision = min(snapshot.revision for snapshot in snapshots)
+        return Snapshot(revision, documents, True, max(snapshot.epoch for snapshot in snapshots))
 
     async def watch(self, after: int, wait_s: float) -> Snapshot:
         """Return the changes after a revision; raise PlatformError."""
@@ -88,7 +95,8 @@
         except ResponseTooLargeError as error:
             # Writers are faster than this reader. Reading all keys in bounded pages works instead.
             raise HistoryGoneError("/kv-watch: too many changes") from error
-        return Snapshot(max(after, response.at), _decode_items(response.events), False)
+        documents = _decode_items(response.events)
+        return Snapshot(max(after, response.at), documents, False, response.epoch)
 
     async def _read_prefix(self, prefix: str) -> Snapshot:
         documents: list[Document] = []
@@ -102,7 +110,7 @@
             if not response.has_more or not page:
                 break
             after = page[-1].key
-        return Snapshot(min(revisions), tuple(documents), True)
+        return Snapshot(min(revisions), tuple(documents), True, response.epoch)
 
     async def _call(self, path: str, query: dict[str, str], wait_s: float) -> StoreResponse:
         fields = {name: value for name, value in query.items() if value or name == "prefix"}
@@ -129,9 +137,21 @@
         if head.status != 200:
             raise PlatformError(f"{path}: status {head.status}")
         try:
-            return msgspec.json.decode(body, type=StoreResponse)
+            response = msgspec.json.decode(body, type=StoreResponse)
         except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
             raise PlatformError(f"{path}: malformed response") from error
+        response.epoch = _read_epoch(head)
+        return response
+
+
+def _read_epoch(head: ResponseHead) -> int:
+    """Return the epoch of the store, 0 where it states none; raise PlatformError."""
+    stated = head.get(names.STORE_EPOCH)
+    if stated is None:
+        return 0
+    if not stated.isdigit() or len(stated) > MAX_EPOCH_DIGITS:
+        raise PlatformError(f"the epoch of the store is malformed: {stated[:40]!r}")
+    return int(stated)
 
 
 def _decode_items(items: list[object]) -> tuple[Document, ...]:
--- a/cloverway/serving/documents/catalogue.py
+++ b/cloverway/serving/documents/catalogue.py
@@ -65,6 +65,7 @@
         self._metrics = metrics
         self._reads_per_s = reads_per_s
         self._is_store_lost = False
+        self._store_epoch: int | None = None
         self._is_reader = False
         self._ranked_at = float("-inf")
         self._was_reader = False
@@ -106,7 +107,14 @@
         """Apply documents from the store or another host; an older revision changes nothing."""
         if snapshot.revision < self.table.revision:
             own = self.table.revision
-            log_event("snapshot_is_older", source=source, revision=snapshot.revision, own=own)
+            self._metrics.record_event("snapshot_is_older")
+            log_event(
+                "snapshot_is_older",
+                source=source,
+                revision=snapshot.revision,
+                own=own,
+                epoch=snapshot.epoch,
+            )
             return
         self._report_changes(self.directory.apply(self.table.apply(snapshot), now))
 
@@ -144,6 +152,7 @@
             snapshot = await self._store.watch(self.table.revision, WATCH_TIMEOUT_S)
         now = read_clock()
         self._metrics.record_read("whole" if full else "changes")
+        self._record_store_epoch(snapshot)
         if self._is_store_lost:
             self._is_store_lost = False
             log_event(
@@ -174,6 +183,18 @@
             self._is_store_lost = True
             log_event("store_lost", logging.WARNING, why=str(error), revision=self.table.revision)
 
+    def _record_store_epoch(self, snapshot: Snapshot) -> None:
+        if snapshot.epoch == self._store_epoch:
+            return
+        log_event(
+            "store_epoch",
+            epoch=snapshot.epoch,
+            before=self._store_epoch,
+            revision=snapshot.revision,
+            own=self.table.revision,
+        )
+        self._store_epoch = snapshot.epoch
+
     def _report_changes(self, changes: list[Change]) -> None:
         for change in changes:
             self._metrics.record_event(change.what)
--- a/cloverway/tests/fleet/standins.py
+++ b/cloverway/tests/fleet/standins.py
@@ -60,6 +60,8 @@
     def __init__(self) -> None:
         self.port = take_ports(1)[0]
         self.revision = 1
+        self.epoch: bytes | None = None
+        """The epoch that it states in all its responses; None for a store that states none."""
         self.items: dict[str, tuple[int, bytes]] = {}
         self.history: list[tuple[str, int, bytes | None]] = []
         self.compacted = 0
@@ -114,13 +116,16 @@
             await asyncio.sleep(3600)
         await asyncio.sleep(self.delay_s)
         if self.status != 200:
-            await exchange.answer(self.status, [], b"")
+            await exchange.answer(self.status, self._make_head(), b"")
             return
         parts = urlsplit(exchange.target)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         handler = self._range if parts.path == "/kv-range" else self._watch
         status, answer = await handler(query)
-        await exchange.answer(status, [], json.dumps(answer).encode())
+        await exchange.answer(status, self._make_head(), json.dumps(answer).encode())
+
+    def _make_head(self) -> list[Header]:
+        return [] if self.epoch is None else [(b"Store-Era", self.epoch)]
 
     async def _range(self, query: dict[str, str]) -> tuple[int, Any]:
         prefix, after = query.get("prefix", ""), query.get("after", "")
