Reproduce changes that are never in force after the store lost writes: red

The fake of the store can return to a copy of itself: revisions are assigned again, a watch from one that it doesn't have gets 410, and the epoch rises by one.

--- a/cloverway/tests/fleet/standins.py
+++ b/cloverway/tests/fleet/standins.py
@@ -9,7 +9,7 @@
 import random
 import socket
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
 from cloverway.core.calls import Header
@@ -54,6 +54,14 @@
     return Server(handler, ServerOptions(CallerLimits, lambda: False, refuse))
 
 
+class StoreCopy(NamedTuple):
+    """What a store holds at one moment."""
+
+    revision: int
+    items: dict[str, tuple[int, bytes]]
+    history: list[tuple[str, int, bytes | None]]
+
+
 class Store:
     """A store that is read-only over HTTP; operators and endpoints write in process."""
 
@@ -102,6 +110,19 @@
         self.history.clear()
         self._wake()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to which the store can be restored later."""
+        return StoreCopy(self.revision, dict(self.items), list(self.history))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Lose all writes since a copy: their revisions are assigned again, in a new epoch."""
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self.history = list(copy.history)
+        self.compacted = min(self.compacted, copy.revision)
+        self.epoch = b"%d" % (int(self.epoch or 0) + 1)
+        self._wake()
+
     def _record(self, key: str, data: bytes | None) -> None:
         self.history.append((key, self.revision, data))
         self._wake()
@@ -136,10 +157,10 @@
     async def _watch(self, query: dict[str, str]) -> tuple[int, Any]:
         after = int(query["after"])
         changed = self._changed
-        if not self._since(after) and self.compacted <= after:
+        if not self._since(after) and self.compacted <= after <= self.revision:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), int(query["waitMs"]) / 1000)
-        if self.compacted > after:
+        if not self.compacted <= after <= self.revision:
             return 410, {}
         return 200, {"events": self._since(after), "at": self.revision}
 
--- a/cloverway/tests/test_fleet_store_restored.py
+++ b/cloverway/tests/test_fleet_store_restored.py
@@ -2,7 +2,52 @@
 
 from __future__ import annotations
 
+import asyncio
+
+import pytest
+
+from cloverway.serving.clock import read_clock
 from cloverway.tests.fleet.deployment import run_fleet, run_scenario, wait_for
+from cloverway.tests.fleet.standins import make_route, make_service
+
+APPLY_TIMEOUT_S = 4.0
+"""The time within which a change that the store has accepted is in force at all hosts."""
+LOSSES = pytest.mark.parametrize(("hosts", "lost"), [(1, 1), (3, 60)])
+"""The hosts of the fleet, and the number of writes that its store loses."""
+
+
+async def lose_writes(fleet, count, away_s=0.5):
+    """Let the store be away, and come back without its last writes, all of which hosts know."""
+    copy = fleet.store.copy()
+    for number in range(count):
+        fleet.store.put(f"op/evacuate/unknown-{number}", {})
+    revision = fleet.store.revision
+    await wait_for(lambda: all(h.catalogue.table.revision == revision for h in fleet.hosts))
+    await restore(fleet, copy, away_s)
+
+
+async def restore(fleet, copy, away_s):
+    fleet.store.status = 503
+    await asyncio.sleep(away_s)
+    fleet.store.restore(copy)
+    fleet.store.status = 200
+
+
+def publish_route(fleet, name):
+    fleet.publish([make_route(name, "idempotent", "desk")], [make_service("desk")])
+
+
+async def wait_for_version(fleet, hosts):
+    def is_in_force():
+        return all(h.directory.configuration.version == fleet.version for h in hosts)
+
+    await wait_for(is_in_force, APPLY_TIMEOUT_S)
+
+
+def is_leaving(host, name):
+    endpoint = host.directory.endpoints.get(name)
+    usable = host.directory.list_usable("desk", read_clock())
+    return endpoint is None or endpoint not in usable
 
 
 def test_a_new_epoch_of_the_store_is_logged(caplog):
@@ -18,3 +63,90 @@
             assert (record.before, record.epoch) == (0, 3)
 
     run_scenario(scenario)
+
+
+@LOSSES
+def test_a_configuration_published_after_the_store_lost_writes_is_in_force(hosts, lost):
+    """Guards against hosts that take all that the store says for older than what they know."""
+
+    async def scenario():
+        async with run_fleet(hosts, endpoints=1) as fleet:
+            await lose_writes(fleet, lost)
+            publish_route(fleet, "new")
+            await wait_for_version(fleet, fleet.hosts)
+            assert (await fleet.call("/new/a")).status == 200
+
+    run_scenario(scenario)
+
+
+@LOSSES
+def test_an_endpoint_that_leaves_after_the_store_lost_writes_gets_no_requests(hosts, lost):
+    """Guards against requests to an endpoint whose draining entry no host has read."""
+
+    async def scenario():
+        async with run_fleet(hosts) as fleet:
+            await lose_writes(fleet, lost)
+            leaving = fleet.endpoints["desk-0"]
+            fleet.store.put("servers/desk-0", leaving.make_entry(state="draining"))
+            await wait_for(lambda: all(is_leaving(h, "desk-0") for h in fleet.hosts), 4.0)
+            for number in range(6):
+                assert (await fleet.call(f"/safe/{number}")).status == 200
+            assert leaving.requests == []
+
+    run_scenario(scenario)
+
+
+@LOSSES
+def test_a_domain_evacuated_after_the_store_lost_writes_gets_no_requests(hosts, lost):
+    """Guards against requests to a domain that operators have evacuated seconds ago."""
+
+    async def scenario():
+        async with run_fleet(hosts) as fleet:
+            await lose_writes(fleet, lost)
+            fleet.store.put("op/evacuate/d1", {})
+            await wait_for(
+                lambda: all(h.directory.evacuated == {"d1"} for h in fleet.hosts), APPLY_TIMEOUT_S
+            )
+
+    run_scenario(scenario)
+
+
+def test_changes_made_while_the_revisions_catch_up_are_in_force():
+    """Guards against a host that watches on from its old revision once that is another write's.
+
+    The host hears nothing from the store until the reused revisions have passed its own. Its watch
+    is then answered, without the changes up to there.
+    """
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            copy = fleet.store.copy()
+            fleet.store.put("op/evacuate/d2", {})
+            await wait_for(lambda: fleet.hosts[0].directory.evacuated)
+            fleet.store.status = 503
+            await asyncio.sleep(1.2)
+            fleet.store.restore(copy)
+            publish_route(fleet, "new")
+            fleet.store.put("op/evacuate/d2", {})
+            fleet.store.put("op/evacuate/unknown", {})
+            fleet.store.status = 200
+            await wait_for_version(fleet, fleet.hosts)
+
+    run_scenario(scenario)
+
+
+def test_an_endpoint_that_the_copy_lacks_is_gone_after_the_grace_period():
+    """Guards against requests to an endpoint that is gone, since its removal is never read."""
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            copy = fleet.store.copy()
+            late = await fleet.add_endpoint("desk-late", "desk")
+            await wait_for(lambda: "desk-late" in fleet.hosts[0].directory.endpoints)
+            await restore(fleet, copy, 0.2)
+            await wait_for(lambda: is_leaving(fleet.hosts[0], "desk-late"), APPLY_TIMEOUT_S)
+            for number in range(6):
+                assert (await fleet.call(f"/safe/{number}")).status == 200
+            assert late.requests == []
+
+    run_scenario(scenario)
