Create the event loop of the control loop when it starts, so that it is always closed

A daemon that can't bind its peer address printed a traceback after its message: "Exception ignored in BaseEventLoop.__del__ ... Invalid file descriptor: -1". The loop was created with the daemon and closed by its thread; when an address is in use before that thread starts, nothing closed it, and the garbage collector did so at exit, after the sockets it needs.

Now the loop is created after the bind, just before the thread.

--- a/cloverway/membership/control.py
+++ b/cloverway/membership/control.py
@@ -100,7 +100,6 @@
         self._report_workers = WorkerThreads("reports", READER_THREADS)
         self._list_workers = WorkerThreads("list", 1)
         self._datagram_socket = DatagramSocket(settings.listen.peers)
-        self._loop = asyncio.new_event_loop()
         self._stopping = asyncio.Event()
         self._thread = threading.Thread(target=self._run, name="control", daemon=True)
 
@@ -138,6 +137,8 @@
     def start(self) -> None:
         """Bind the socket and start the threads; raise OSError when it can't be bound."""
         self._datagram_socket.bind()
+        # Not before: nothing would close the loop of a daemon that can't bind its addresses.
+        self._loop = asyncio.new_event_loop()
         self._report_workers.start()
         self._list_workers.start()
         self._updates.start()
@@ -153,8 +154,9 @@
         """Mark this host as leaving in the view, and broadcast it to the siblings at once."""
         self._leaving = True
         self._holder.current = self._holder.current._replace(leaving=True)
-        with contextlib.suppress(RuntimeError):
-            self._loop.call_soon_threadsafe(self._schedule_broadcast)
+        if self._thread.is_alive():
+            with contextlib.suppress(RuntimeError):
+                self._loop.call_soon_threadsafe(self._schedule_broadcast)
 
     def get_changes_after(self, revision: int) -> Changes:
         """Return the documents that changed after a revision; safe to call from any thread."""
