Order documents by the epoch of the store before its revision

The store had been away, and came back from a copy three writes older: it gives revisions out again. Hosts held revision 16 and dropped every full read (13, 15) as older, until the counter had passed 16. Then their watch went on from a number that was another write's by now, and all writes up to there were never read.

The class: facts are ordered by a counter of someone else's, which orders nothing across a loss. The store states an epoch that rises with each. A position in its history is now (epoch, revision), compared in this order, wherever documents are ordered: where a watch begins, what is an older read, which entry of a key is newer, deletions, what hosts tell each other in heartbeats, what they fetch from each other. Further: - An answer of a watch from another epoch gives no changes: everything is read again, once. - The pages of a full read are of one epoch, or it is an error and repeated. - Changes between hosts never span epochs: a host of an earlier one gets all documents. A host whose documents are the same adopts the later position, as before, and can then tell no changes from before it. - A host that is cut off and holds higher revisions of the epoch before wins over nobody, and follows those that can read. What was in force stays: a lower version of the configuration is not applied, and leaving is final for an incarnation, whatever the copy says; an endpoint that the copy lacks is gone after its two seconds.

Ruled out: stale replicas of the store (the copy's reads have a higher epoch in the reproduction, and in the record what was written was read within 0.3 s), followers that lag (readers dropped what they read themselves).

The messages between hosts have the epoch as new fields; a host without them counts as epoch 0.

--- a/cloverway/core/deployment.py
+++ b/cloverway/core/deployment.py
@@ -161,6 +161,18 @@
         return self.id if self.started_ms is None else f"{self.id}@{self.started_ms}"
 
 
+class StorePosition(NamedTuple):
+    """A point in the history of the store.
+
+    A store that has lost writes assigns their revisions again, in the next epoch. So a position of
+    a later epoch is later, whatever its revision.
+    """
+
+    epoch: int = 0
+    """Increases each time that the store has lost writes; 0 for a store that states none."""
+    revision: int = 0
+
+
 class Document(NamedTuple):
     """A published value, not decoded."""
 
@@ -168,6 +180,13 @@
     revision: int
     value: bytes | None
     """None where this revision deleted the document."""
+    epoch: int = 0
+    """The epoch of the store that the revision belongs to."""
+
+    @property
+    def position(self) -> StorePosition:
+        """Where in the history of the store it was written."""
+        return StorePosition(self.epoch, self.revision)
 
 
 class Snapshot(NamedTuple):
@@ -178,7 +197,12 @@
     complete: bool
     """Whether these are all documents, rather than only those that changed."""
     epoch: int = 0
-    """The epoch of the store, which increases each time that it has lost writes."""
+    """The epoch of the store that the revision belongs to."""
+
+    @property
+    def position(self) -> StorePosition:
+        """Up to where in the history of the store the documents are known."""
+        return StorePosition(self.epoch, self.revision)
 
 
 class ConfigurationPublished(NamedTuple):
--- a/cloverway/core/documents.py
+++ b/cloverway/core/documents.py
@@ -1,4 +1,4 @@
-"""The published documents known to a host, compared by content rather than by revision.
+"""The published documents known to a host, compared by content rather than by position.
 
 Endpoints write their entries every second, and nearly all of these writes change nothing. Hosts
 that synchronize documents with each other compare digests of the decoded content: while the digests
@@ -22,7 +22,9 @@
     EndpointUnreadable,
     Publication,
     Snapshot,
+    StorePosition,
 )
+from cloverway.errors import PlatformError
 
 MAX_TOMBSTONES = 2_000
 """Deletions retained for hosts that request changes; a host that requests older changes receives
@@ -39,6 +41,8 @@
 """Documents stored: three times the endpoints of the largest deployment planned for. Further
 documents are ignored, so that a writer that fills the store can't exhaust the memory of hosts."""
 
+BEFORE_ALL = StorePosition(-1, -1)
+
 Decode = Callable[[Iterable[Document]], list[Publication]]
 
 
@@ -46,72 +50,102 @@
     document: Document
     content_hash: int
     """Hash of the content, without the counters of endpoint entries."""
-    changed_revision: int
-    """The revision at which this host first saw this content."""
+    changed_at: StorePosition
+    """The position at which this host first saw this content."""
 
 
 class DocumentTable:
-    """All known documents up to a revision of the store."""
+    """All known documents up to a position in the history of the store."""
 
     def __init__(self, decode: Decode) -> None:
-        self.revision = 0
+        self.position = StorePosition()
         self.digest = 0
         """XOR of the content hashes of all documents; equal on hosts with the same content."""
         self._decode = decode
         self._known: dict[str, _KnownDocument] = {}
-        self._removed: OrderedDict[str, int] = OrderedDict()
-        self._unreadable: OrderedDict[str, int] = OrderedDict()
-        """Keys of unreadable documents, with the revision at which each became unreadable."""
-        self._complete_since = 0
-        """The revision since which this table knows every change, including deletions."""
+        self._removed: OrderedDict[str, StorePosition] = OrderedDict()
+        self._unreadable: OrderedDict[str, StorePosition] = OrderedDict()
+        """Keys of unreadable documents, with the position at which each became unreadable."""
+        self._complete_since = StorePosition()
+        """The position since which this table knows every change, including deletions; of the same
+        epoch as its own position."""
+
+    @property
+    def revision(self) -> int:
+        """The revision of the store up to which the documents are known, in its epoch."""
+        return self.position.revision
+
+    def follows_loss(self, snapshot: Snapshot) -> bool:
+        """Return whether the store has lost writes that may be known here."""
+        return StorePosition() < self.position and self.position.epoch < snapshot.epoch
 
     def apply(self, snapshot: Snapshot) -> list[Publication]:
-        """Apply a snapshot; return the documents whose content changed. Ignore an older one."""
-        if snapshot.revision < self.revision:
+        """Apply a snapshot; return the documents whose content changed. Ignore an older one.
+
+        The changes of another epoch are ignored too: they don't start from what is known here.
+        """
+        is_delta_of_other_epoch = not snapshot.complete and snapshot.epoch != self.position.epoch
+        if snapshot.position < self.position or is_delta_of_other_epoch:
             return []
         documents = [item for item in snapshot.documents if self._is_newer(item)]
         if snapshot.complete:
             documents += self._list_absent(snapshot)
-            self._complete_since = snapshot.revision
+            self._complete_since = snapshot.position
         changed = [p for document in documents for p in self._apply_one(document)]
-        self.revision = snapshot.revision
+        self.position = snapshot.position
         return changed
 
-    def adopt_revision(self, revision: int, digest: int) -> bool:
-        """Adopt a later revision from a host with the same digest; return whether it was done."""
-        if digest != self.digest or revision < self.revision:
+    def adopt_position(self, position: StorePosition, digest: int) -> bool:
+        """Adopt a later position from a host with the same digest; return whether it was done."""
+        if digest != self.digest or position < self.position:
             return False
-        self.revision = revision
+        if position.epoch > self.position.epoch:
+            self._complete_since = position
+        self.position = position
         return True
 
-    def export_since(self, after: int) -> Snapshot:
-        """Return the changes since a revision, or all documents where those aren't known."""
-        if not self._complete_since <= after <= self.revision:
+    def export_since(self, after: StorePosition | None) -> Snapshot:
+        """Return the changes since a position, or all documents where those aren't known."""
+        if after is None or not self._complete_since <= after <= self.position:
             readable = [known.document for known in self._known.values()]
             unreadable = [
                 _make_unreadable_document(key, at)
                 for key, at in self._unreadable.items()
                 if key not in self._known
             ]
-            return Snapshot(self.revision, (*readable, *unreadable), True)
-        changed = [k.document for k in self._known.values() if k.changed_revision > after]
-        removed = [Document(key, at, None) for key, at in self._removed.items() if at > after]
+            return self._make_snapshot((*readable, *unreadable), True)
+        changed = [k.document for k in self._known.values() if k.changed_at > after]
+        removed = [
+            Document(key, at.revision, None, at.epoch)
+            for key, at in self._removed.items()
+            if at > after
+        ]
         unreadable = [
             _make_unreadable_document(key, at) for key, at in self._unreadable.items() if at > after
         ]
-        return Snapshot(self.revision, (*changed, *removed, *unreadable), False)
+        return self._make_snapshot((*changed, *removed, *unreadable), False)
+
+    def _make_snapshot(self, documents: tuple[Document, ...], is_complete: bool) -> Snapshot:
+        return Snapshot(self.position.revision, documents, is_complete, self.position.epoch)
 
     def _is_newer(self, document: Document) -> bool:
         known = self._known.get(document.key)
         if known is not None:
-            return document.revision > known.document.revision
-        seen_at = max(self._removed.get(document.key, -1), self._unreadable.get(document.key, -1))
-        return document.revision > seen_at
+            return document.position > known.document.position
+        seen_at = max(
+            self._removed.get(document.key, BEFORE_ALL),
+            self._unreadable.get(document.key, BEFORE_ALL),
+        )
+        return document.position > seen_at
 
     def _list_absent(self, snapshot: Snapshot) -> list[Document]:
         present = {document.key for document in snapshot.documents}
         known_keys = {*self._known, *self._unreadable}
-        return [Document(key, snapshot.revision, None) for key in known_keys if key not in present]
+        return [
+            Document(key, snapshot.revision, None, snapshot.epoch)
+            for key in known_keys
+            if key not in present
+        ]
 
     def _apply_one(self, document: Document) -> list[Publication]:
         known = self._known.get(document.key)
@@ -134,7 +168,7 @@
             self._known[document.key] = known._replace(document=document)
             return publications if was_unreadable else []
         self.digest ^= content_hash ^ (known.content_hash if known is not None else 0)
-        self._known[document.key] = _KnownDocument(document, content_hash, document.revision)
+        self._known[document.key] = _KnownDocument(document, content_hash, document.position)
         return publications
 
     def _record_unreadable(
@@ -148,7 +182,7 @@
             self._drop(document.key, known)
         if document.key in self._unreadable:
             return []
-        self._unreadable[document.key] = document.revision
+        self._unreadable[document.key] = document.position
         if len(self._unreadable) > MAX_UNREADABLE:
             _, dropped_at = self._unreadable.popitem(last=False)
             self._complete_since = max(self._complete_since, dropped_at)
@@ -161,7 +195,7 @@
         if known is None and not was_unreadable:
             return []
         self._drop(document.key, known)
-        self._removed[document.key] = document.revision
+        self._removed[document.key] = document.position
         if len(self._removed) > MAX_TOMBSTONES:
             _, dropped_at = self._removed.popitem(last=False)
             self._complete_since = max(self._complete_since, dropped_at)
@@ -173,9 +207,23 @@
             self.digest ^= known.content_hash
 
 
-def _make_unreadable_document(key: str, revision: int) -> Document:
+def _make_unreadable_document(key: str, at: StorePosition) -> Document:
     """Return a placeholder that no host can decode; the original bytes aren't stored."""
-    return Document(key, revision, UNREADABLE)
+    return Document(key, at.revision, UNREADABLE, at.epoch)
+
+
+def merge_pages(pages: Iterable[Snapshot]) -> Snapshot:
+    """Merge the pages of one read of the store; raise PlatformError if it lost writes meanwhile.
+
+    The pages don't form a consistent snapshot. The returned revision is the lowest of all pages, so
+    that the following watch repeats all writes made while they were read.
+    """
+    pages = list(pages)
+    epochs = {page.epoch for page in pages}
+    if len(epochs) > 1:
+        raise PlatformError(f"the store has lost writes while it was read: epochs {sorted(epochs)}")
+    documents = tuple(document for page in pages for document in page.documents)
+    return Snapshot(min(page.revision for page in pages), documents, True, epochs.pop())
 
 
 def limit_unreadable(page: Iterable[Document], read_count: int, decode: Decode) -> list[Document]:
--- a/cloverway/core/members.py
+++ b/cloverway/core/members.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from cloverway.core.decay import DecayingSum
+from cloverway.core.deployment import StorePosition
 from cloverway.core.load import EngineState
 
 ALIVE_TIMEOUT_S = 1.5
@@ -93,8 +94,8 @@
         self.heard_directly_at = float("-inf")
         """When its own last heartbeat arrived; `heard_at` counts other hosts' reports of it too."""
         self.configuration_version = 0
-        self.revision = 0
-        """Revision of the store up to which it knows the documents, from any source."""
+        self.position = StorePosition()
+        """Up to where in the history of the store it knows the documents, from any source."""
         self.digest = 0
         """Digest of the documents that it knows."""
         self.store_read_age_s = float("inf")
--- a/cloverway/fleet.thrift
+++ b/cloverway/fleet.thrift
@@ -47,6 +47,7 @@
   8: i32 rate_mhz
   9: i64 digest
   10: i32 known
+  11: i64 epoch
 }
 
 struct EndpointUses {
@@ -59,6 +60,7 @@
   2: i64 revision
   3: binary value
   4: bool removed
+  5: i64 epoch
 }
 
 struct StoredSnapshot {
@@ -66,6 +68,7 @@
   2: list<StoredDocument> documents
   3: bool whole
   4: i64 digest
+  5: i64 epoch
 }
 
 struct EndpointCrash {
--- a/cloverway/platform/store.py
+++ b/cloverway/platform/store.py
@@ -11,8 +11,8 @@
 import h11
 import msgspec
 
-from cloverway.core.deployment import Document, Snapshot
-from cloverway.core.documents import UNREADABLE, limit_unreadable
+from cloverway.core.deployment import Document, Snapshot, StorePosition
+from cloverway.core.documents import UNREADABLE, limit_unreadable, merge_pages
 from cloverway.errors import PlatformError
 from cloverway.platform import names
 from cloverway.platform.documents import PREFIXES, decode_documents
@@ -76,41 +76,40 @@
     async def read_all(self) -> Snapshot:
         """Return all documents; raise PlatformError.
 
-        The pages don't form a consistent snapshot. The returned revision is the lowest of all
-        pages, so that the following watch repeats all writes made while pages were read.
         All prefixes are read concurrently, because a host needs them to become ready, and each call
         to a store in a remote region takes a round trip of 160 ms.
         """
-        snapshots = await asyncio.gather(*(self._read_prefix(prefix) for prefix in PREFIXES))
-        documents = tuple(document for snapshot in snapshots for document in snapshot.documents)
-        revision = min(snapshot.revision for snapshot in snapshots)
-        return Snapshot(revision, documents, True, max(snapshot.epoch for snapshot in snapshots))
+        return merge_pages(
+            await asyncio.gather(*(self._read_prefix(prefix) for prefix in PREFIXES))
+        )
 
-    async def watch(self, after: int, wait_s: float) -> Snapshot:
-        """Return the changes after a revision; raise PlatformError."""
+    async def watch(self, after: StorePosition, wait_s: float) -> Snapshot:
+        """Return the changes after a position; raise PlatformError."""
         wait_ms = int(wait_s * 1000)
-        query = {"prefix": ALL_KEYS, "after": str(after), "waitMs": str(wait_ms)}
+        query = {"prefix": ALL_KEYS, "after": str(after.revision), "waitMs": str(wait_ms)}
         try:
             response = await self._call("/kv-watch", query, wait_s)
         except ResponseTooLargeError as error:
             # Writers are faster than this reader. Reading all keys in bounded pages works instead.
             raise HistoryGoneError("/kv-watch: too many changes") from error
-        documents = _decode_items(response.events)
-        return Snapshot(max(after, response.at), documents, False, response.epoch)
+        if response.epoch != after.epoch:
+            raise HistoryGoneError("/kv-watch: the store has lost writes")
+        documents = _decode_items(response.events, response.epoch)
+        return Snapshot(max(after.revision, response.at), documents, False, response.epoch)
 
     async def _read_prefix(self, prefix: str) -> Snapshot:
-        documents: list[Document] = []
-        revisions: list[int] = []
+        pages: list[Snapshot] = []
         after = ""
         for _ in range(MAX_PAGES):
             response = await self._call("/kv-range", {"prefix": prefix, "after": after}, 0.0)
-            revisions.append(response.at)
-            page = _decode_items(response.items)
-            documents += limit_unreadable(page, len(documents), decode_documents)
-            if not response.has_more or not page:
+            items = _decode_items(response.items, response.epoch)
+            count = sum(len(page.documents) for page in pages)
+            documents = limit_unreadable(items, count, decode_documents)
+            pages.append(Snapshot(response.at, tuple(documents), True, response.epoch))
+            if not response.has_more or not items:
                 break
-            after = page[-1].key
-        return Snapshot(min(revisions), tuple(documents), True, response.epoch)
+            after = items[-1].key
+        return merge_pages(pages)
 
     async def _call(self, path: str, query: dict[str, str], wait_s: float) -> StoreResponse:
         fields = {name: value for name, value in query.items() if value or name == "prefix"}
@@ -154,13 +153,13 @@
     return int(stated)
 
 
-def _decode_items(items: list[object]) -> tuple[Document, ...]:
+def _decode_items(items: list[object], epoch: int) -> tuple[Document, ...]:
     """Decode the items of a response; skip malformed ones."""
-    decoded = (_decode_item(item) for item in items)
+    decoded = (_decode_item(item, epoch) for item in items)
     return tuple(document for document in decoded if document is not None)
 
 
-def _decode_item(fields: object) -> Document | None:
+def _decode_item(fields: object, epoch: int) -> Document | None:
     try:
         item = msgspec.convert(fields, StoreItem)
     except msgspec.ValidationError as error:
@@ -169,7 +168,7 @@
         )
         return None
     value = None if item.tombstone else _decode_value(item.value)
-    return Document(item.key, item.revision, value)
+    return Document(item.key, item.revision, value, epoch)
 
 
 def _decode_value(value: object) -> bytes:
--- a/cloverway/serving/documents/catalogue.py
+++ b/cloverway/serving/documents/catalogue.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Callable
 
-from cloverway.core.deployment import Snapshot
+from cloverway.core.deployment import Snapshot, StorePosition
 from cloverway.core.documents import DocumentTable
 from cloverway.core.endpoints import Change, Directory
 from cloverway.core.members import Members, rank_host
@@ -65,7 +65,6 @@
         self._metrics = metrics
         self._reads_per_s = reads_per_s
         self._is_store_lost = False
-        self._store_epoch: int | None = None
         self._is_reader = False
         self._ranked_at = float("-inf")
         self._was_reader = False
@@ -86,9 +85,15 @@
                 full = not await self._read(full)
                 retry_s = MIN_RETRY_S
                 delay_s = began_at + self._choose_interval() - read_clock()
-            except HistoryGoneError:
+            except HistoryGoneError as error:
                 self._metrics.record_read("history_gone")
-                log_event("store_history_gone", revision=self.table.revision)
+                position = self.table.position
+                log_event(
+                    "store_history_gone",
+                    revision=position.revision,
+                    epoch=position.epoch,
+                    why=str(error),
+                )
                 full = True
                 delay_s = 0.0
             except PlatformError as error:
@@ -104,19 +109,29 @@
             self._report_changes(self.directory.forget_missing(read_clock()))
 
     def apply(self, snapshot: Snapshot, source: str, now: float) -> None:
-        """Apply documents from the store or another host; an older revision changes nothing."""
-        if snapshot.revision < self.table.revision:
-            own = self.table.revision
+        """Apply documents from the store or another host; older ones change nothing."""
+        own = self.table.position
+        if snapshot.position < own:
             self._metrics.record_event("snapshot_is_older")
             log_event(
                 "snapshot_is_older",
                 source=source,
                 revision=snapshot.revision,
-                own=own,
                 epoch=snapshot.epoch,
+                own=own.revision,
+                own_epoch=own.epoch,
             )
             return
-        self._report_changes(self.directory.apply(self.table.apply(snapshot), now))
+        changes = self.directory.apply(self.table.apply(snapshot), now)
+        self._record_epoch(own, source)
+        self._report_changes(changes)
+
+    def adopt_position(self, position: StorePosition, digest: int, source: str) -> bool:
+        """Adopt the position of a host that has the same documents; return whether it was done."""
+        own = self.table.position
+        is_adopted = self.table.adopt_position(position, digest)
+        self._record_epoch(own, source)
+        return is_adopted
 
     def record_restart(self, name: str, started_ms: int) -> None:
         """Record that an endpoint has restarted, as it stated itself, before its entry shows it."""
@@ -149,10 +164,9 @@
         if full:
             snapshot = await self._store.read_all()
         else:
-            snapshot = await self._store.watch(self.table.revision, WATCH_TIMEOUT_S)
+            snapshot = await self._store.watch(self.table.position, WATCH_TIMEOUT_S)
         now = read_clock()
         self._metrics.record_read("whole" if full else "changes")
-        self._record_store_epoch(snapshot)
         if self._is_store_lost:
             self._is_store_lost = False
             log_event(
@@ -183,17 +197,19 @@
             self._is_store_lost = True
             log_event("store_lost", logging.WARNING, why=str(error), revision=self.table.revision)
 
-    def _record_store_epoch(self, snapshot: Snapshot) -> None:
-        if snapshot.epoch == self._store_epoch:
+    def _record_epoch(self, before: StorePosition, source: str) -> None:
+        now = self.table.position
+        if now.epoch == before.epoch:
             return
+        self._metrics.record_event("store_epoch")
         log_event(
             "store_epoch",
-            epoch=snapshot.epoch,
-            before=self._store_epoch,
-            revision=snapshot.revision,
-            own=self.table.revision,
+            source=source,
+            epoch=now.epoch,
+            revision=now.revision,
+            before=before.epoch,
+            own=before.revision,
         )
-        self._store_epoch = snapshot.epoch
 
     def _report_changes(self, changes: list[Change]) -> None:
         for change in changes:
--- a/cloverway/serving/documents/sync.py
+++ b/cloverway/serving/documents/sync.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from cloverway.core.deployment import Document, Snapshot
+from cloverway.core.deployment import Document, Snapshot, StorePosition
 from cloverway.core.documents import DocumentTable
 from cloverway.core.members import Members, Peer
 from cloverway.errors import PeerError
@@ -43,8 +43,7 @@
 
     def record_peer(self, peer: Peer, now: float) -> None:
         """Compare the documents with those that another host has just reported."""
-        table = self._catalogue.table
-        if table.adopt_revision(peer.revision, peer.digest):
+        if self._catalogue.adopt_position(peer.position, peer.digest, "peer"):
             read_at = now - peer.store_read_age_s - ONE_WAY_LATENCY_S
             self._catalogue.read_at = max(self._catalogue.read_at, read_at)
         elif self._has_newer(peer) and peer.member.domain == self._members.own.domain:
@@ -68,7 +67,7 @@
 
     def _has_newer(self, peer: Peer) -> bool:
         table = self._catalogue.table
-        return peer.revision > table.revision and peer.digest != table.digest
+        return peer.position > table.position and peer.digest != table.digest
 
     def _is_stale(self, now: float) -> bool:
         return now - self._catalogue.read_at > STALE_S
@@ -95,10 +94,10 @@
     async def _fetch_from(self, peer: Peer) -> None:
         sent_at = read_clock()
         try:
-            snapshot = await self._fetch(peer, self._catalogue.table.revision)
+            snapshot = await self._fetch(peer, self._catalogue.table.position)
             self._apply(snapshot)
             if self._catalogue.table.digest != snapshot.digest:
-                # The two hosts had different documents at the same revision, which only a full
+                # The two hosts had different documents at the same position, which only a full
                 # fetch repairs.
                 snapshot = await self._fetch(peer, None)
                 self._apply(snapshot)
@@ -112,13 +111,14 @@
             "documents_fetched",
             peer=peer.member.name,
             revision=snapshot.revision,
+            epoch=snapshot.epoch,
             documents=len(snapshot.documents),
             whole=snapshot.whole,
             age_s=round(sent_at - self._catalogue.read_at, 3),
         )
 
-    async def _fetch(self, peer: Peer, after: int | None) -> StoredSnapshot:
-        target = SNAPSHOT_PATH if after is None else f"{SNAPSHOT_PATH}?after={after}"
+    async def _fetch(self, peer: Peer, after: StorePosition | None) -> StoredSnapshot:
+        target = SNAPSHOT_PATH if after is None else f"{SNAPSHOT_PATH}?after={_format(after)}"
         request = h11.Request(method="GET", target=target, headers=[(b"Host", b"peer")])
         head, body = await fetch(
             self._pool,
@@ -137,10 +137,10 @@
 
     def _apply(self, snapshot: StoredSnapshot) -> None:
         documents = tuple(
-            Document(item.key, item.revision, None if item.removed else item.value)
+            Document(item.key, item.revision, None if item.removed else item.value, item.epoch)
             for item in snapshot.documents
         )
-        fetched = Snapshot(snapshot.revision, documents, snapshot.whole)
+        fetched = Snapshot(snapshot.revision, documents, snapshot.whole, snapshot.epoch)
         self._catalogue.apply(fetched, "peer", read_clock())
 
 
@@ -150,11 +150,25 @@
     if parts.path != SNAPSHOT_PATH:
         return None
     after = parse_qs(parts.query).get("after", [""])[0]
-    snapshot = table.export_since(int(after) if after.isdigit() else -1)
+    snapshot = table.export_since(_parse(after))
     documents = tuple(
-        StoredDocument(item.key, item.revision, item.value or b"", item.value is None)
+        StoredDocument(item.key, item.revision, item.value or b"", item.value is None, item.epoch)
         for item in snapshot.documents
     )
     return CODEC.encode(
-        StoredSnapshot(snapshot.revision, documents, snapshot.complete, table.digest)
+        StoredSnapshot(
+            snapshot.revision, documents, snapshot.complete, table.digest, snapshot.epoch
+        )
     )
+
+
+def _format(position: StorePosition) -> str:
+    return f"{position.epoch}.{position.revision}"
+
+
+def _parse(text: str) -> StorePosition | None:
+    """Return the position in a query; None for another text, which is answered with everything."""
+    epoch, _, revision = text.partition(".")
+    if not epoch.isdecimal() or not revision.isdecimal():
+        return None
+    return StorePosition(int(epoch), int(revision))
--- a/cloverway/serving/hosts/gossip.py
+++ b/cloverway/serving/hosts/gossip.py
@@ -10,6 +10,7 @@
 from typing import cast
 
 from cloverway.addresses import format_address, split_address
+from cloverway.core.deployment import StorePosition
 from cloverway.core.endpoints import Directory
 from cloverway.core.members import ACTIVE_REQUESTS_PER_S, Member, Members, Peer
 from cloverway.errors import PeerError
@@ -313,16 +314,18 @@
     ) -> bytes:
         age_ms = min(now - self.catalogue.read_at, 1e6) * 1000
         configuration = self.directory.configuration
+        position = self.catalogue.table.position
         heartbeat = Heartbeat(
             _describe(self.members.own, 0.0, self._period_s),
             configuration.version if configuration is not None else 0,
-            self.catalogue.table.revision,
+            position.revision,
             int(age_ms),
             others,
             capacity,
             int(self.members.get_own_request_rate(now) * 1000),
             self.catalogue.table.digest,
             len(self.members.peers),
+            position.epoch,
         )
         return CODEC.encode(heartbeat)
 
@@ -366,7 +369,7 @@
                 extra={"from": address, "is": state.name},
             )
         peer.configuration_version = heartbeat.version
-        peer.revision = heartbeat.revision
+        peer.position = StorePosition(heartbeat.epoch, heartbeat.revision)
         peer.store_read_age_s = heartbeat.read_age_ms / 1000
         peer.request_rate = heartbeat.rate_mhz / 1000
         peer.heartbeat_period_s = state.period_ms / 1000
--- a/cloverway/serving/hosts/messages.py
+++ b/cloverway/serving/hosts/messages.py
@@ -90,6 +90,8 @@
     """Digest of the content of all documents that the sender knows."""
     known: int = 0
     """Number of hosts that the sender knows."""
+    epoch: int = 0
+    """The epoch of the store that `revision` belongs to."""
 
 
 class StoredDocument(NamedTuple):
@@ -99,6 +101,7 @@
     revision: int
     value: bytes
     removed: bool = False
+    epoch: int = 0
 
 
 class StoredSnapshot(NamedTuple):
@@ -109,6 +112,7 @@
     whole: bool = True
     digest: int = 0
     """Digest of all documents that the sender knows."""
+    epoch: int = 0
 
 
 class EndpointCrash(NamedTuple):
--- a/cloverway/serving/ports.py
+++ b/cloverway/serving/ports.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple, Protocol
 
 from cloverway.core.calls import Call, Header
-from cloverway.core.deployment import Document, Publication, Snapshot
+from cloverway.core.deployment import Document, Publication, Snapshot, StorePosition
 from cloverway.errors import PlatformError, RequestError
 from cloverway.serving.http.client import ResponseHead
 from cloverway.serving.http.server import Exchange
@@ -17,7 +17,7 @@
 
 
 class HistoryGoneError(PlatformError):
-    """The store no longer has the changes since a revision; read all documents again."""
+    """The store doesn't have the changes since a position; read all documents again."""
 
 
 class Store(Protocol):
@@ -27,8 +27,12 @@
         """Return all documents."""
         ...
 
-    async def watch(self, after: int, wait_s: float) -> Snapshot:
-        """Return the changes after a revision; wait up to `wait_s` seconds for the first one."""
+    async def watch(self, after: StorePosition, wait_s: float) -> Snapshot:
+        """Return the changes after a position, of the same epoch.
+
+        Wait up to `wait_s` seconds for the first one. Raise HistoryGoneError if the store doesn't
+        have them, because it has discarded its history or has lost writes.
+        """
         ...
 
 
--- a/cloverway/tests/bench_fleet.py
+++ b/cloverway/tests/bench_fleet.py
@@ -94,7 +94,7 @@
     measure("a reader: a write that says something new, half of them", lambda: write("draining"))
     measure("a follower: a heartbeat of who knows the same", lambda: table.adopt_revision(1, 2))
     measure(
-        "changes of 1,000 entries for a follower", lambda: table.export_since(table.revision), 200
+        "changes of 1,000 entries for a follower", lambda: table.export_since(table.position), 200
     )
 
 
--- a/cloverway/tests/test_core_documents.py
+++ b/cloverway/tests/test_core_documents.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from cloverway.core import documents as documents_module
-from cloverway.core.deployment import Document, Snapshot
+from cloverway.core.deployment import Document, Snapshot, StorePosition
 from cloverway.core.documents import DocumentTable
 from cloverway.platform.documents import decode_documents
 
@@ -43,9 +43,9 @@
     reader = make_table(Document("servers/a", 5, make_entry()))
     follower = make_table(Document("servers/a", 4, make_entry()), revision=9)
     apply_changes(reader, 20, Document("servers/a", 20, make_entry(sequence=9)))
-    assert follower.adopt_revision(reader.revision, reader.digest)
+    assert follower.adopt_position(reader.position, reader.digest)
     assert follower.revision == 20
-    assert not follower.adopt_revision(19, reader.digest)
+    assert not follower.adopt_position(StorePosition(0, 19), reader.digest)
 
 
 def test_host_that_missed_a_change_does_not_adopt_the_revision():
@@ -53,7 +53,7 @@
     reader = make_table(Document("servers/a", 5, make_entry()))
     follower = make_table(Document("servers/a", 5, make_entry()))
     apply_changes(reader, 12, Document("servers/a", 12, make_entry("draining")))
-    assert not follower.adopt_revision(reader.revision, reader.digest)
+    assert not follower.adopt_position(reader.position, reader.digest)
     assert follower.revision == 10
 
 
@@ -61,7 +61,7 @@
     reader = make_table(Document("servers/a", 5, make_entry()), Document("servers/b", 6, b"{}"))
     follower = make_table(Document("servers/a", 5, make_entry()), Document("servers/b", 6, b"{}"))
     apply_changes(reader, 12, Document("servers/a", 12, None))
-    snapshot = reader.export_since(follower.revision)
+    snapshot = reader.export_since(follower.position)
     assert not snapshot.complete
     assert [item.key for item in snapshot.documents] == ["servers/a"]
     follower.apply(snapshot)
@@ -76,11 +76,40 @@
     behind = make_table(*(Document(key, 5, make_entry()) for key in keys))
     for number, key in enumerate(keys[:4]):
         apply_changes(reader, 20 + number, Document(key, 20 + number, None))
-    snapshot = reader.export_since(behind.revision)
+    snapshot = reader.export_since(behind.position)
     assert snapshot.complete
     behind.apply(snapshot)
     assert behind.digest == reader.digest
-    assert reader.export_since(-1).complete
+    assert reader.export_since(None).complete
+
+
+def test_documents_of_a_later_epoch_replace_those_with_higher_revisions():
+    """The store lost the revisions 6 to 12: what it says since then is later, not older."""
+    table = make_table(
+        Document("servers/a", 5, make_entry()), Document("servers/b", 5, make_entry())
+    )
+    apply_changes(table, 12, Document("servers/a", 12, make_entry("draining")))
+    restored = Document("servers/a", 5, make_entry(), 1)
+    table.apply(Snapshot(5, (restored,), True, 1))
+    assert table.position == StorePosition(1, 5)
+    assert table.digest == make_table(restored).digest
+    assert table.apply(Snapshot(14, (Document("servers/b", 14, make_entry()),), True)) == []
+
+
+def test_changes_of_another_epoch_are_not_applied():
+    """They start from a state that is not known; applied, what lies between would be missing."""
+    table = make_table(Document("servers/a", 5, make_entry()))
+    changes = Snapshot(12, (Document("servers/b", 12, make_entry(), 1),), False, 1)
+    assert table.apply(changes) == []
+    assert table.position == StorePosition(0, 10)
+
+
+def test_a_host_of_an_earlier_epoch_receives_all_documents():
+    table = make_table(Document("servers/a", 5, make_entry()), revision=20)
+    assert table.adopt_position(StorePosition(1, 8), table.digest)
+    assert not table.adopt_position(StorePosition(0, 30), table.digest)
+    assert table.export_since(StorePosition(0, 20)).complete
+    assert not table.export_since(StorePosition(1, 8)).complete
 
 
 def test_older_snapshot_is_ignored():
@@ -113,10 +142,84 @@
                 apply_changes(table, revision, *new)
             case which:
                 table = readers[which - 2]
-                if not follower.adopt_revision(table.revision, table.digest):
-                    follower.apply(table.export_since(follower.revision))
+                if not follower.adopt_position(table.position, table.digest):
+                    follower.apply(table.export_since(follower.position))
     for table in readers:
         apply_changes(table, 100, *(item for item in history if item.revision > table.revision))
-    if not follower.adopt_revision(100, readers[0].digest):
-        follower.apply(readers[0].export_since(follower.revision))
+    if not follower.adopt_position(StorePosition(0, 100), readers[0].digest):
+        follower.apply(readers[0].export_since(follower.position))
     assert readers[0].digest == readers[1].digest == follower.digest
+
+
+class RestoredStore:
+    """A store that returns to a copy of itself; each write has a position in its history."""
+
+    def __init__(self):
+        self.position = StorePosition()
+        self.written = []
+
+    def write(self, key, state):
+        self.position = self.position._replace(revision=self.position.revision + 1)
+        value = None if state is None else make_entry(state)
+        revision, epoch = self.position.revision, self.position.epoch
+        self.written.append(Document(f"servers/{key}", revision, value, epoch))
+
+    def lose(self, count):
+        """Lose the last writes; the revisions are assigned again."""
+        self.written = self.written[: max(0, len(self.written) - count)]
+        self.written = [item._replace(epoch=item.epoch + 1) for item in self.written]
+        self.position = StorePosition(self.position.epoch + 1, len(self.written))
+
+    def read(self, table):
+        """Answer a host: the changes, or everything where its position isn't of this epoch."""
+        epoch, revision = self.position
+        if table.position.epoch != epoch:
+            latest = {item.key: item for item in self.written}
+            present = tuple(item for item in latest.values() if item.value is not None)
+            table.apply(Snapshot(revision, present, True, epoch))
+        new = tuple(item for item in self.written if item.position > table.position)
+        table.apply(Snapshot(revision, new, False, epoch))
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("write"), st.sampled_from("abc"), st.sampled_from(["ready", None])),
+        st.tuples(st.just("lose"), st.integers(0, 6)),
+        st.tuples(st.just("read"), st.integers(0, 1)),
+        st.tuples(st.just("sync"), st.integers(0, 3), st.integers(0, 3)),
+    ),
+    max_size=40,
+)
+
+
+def sync(table, source):
+    """Let a host take over the documents of another one, as hosts do after a heartbeat."""
+    if table.adopt_position(source.position, source.digest):
+        return
+    if source.position > table.position:
+        table.apply(source.export_since(table.position))
+        if table.digest != source.digest:
+            table.apply(source.export_since(None))
+
+
+@given(STEPS)
+@settings(max_examples=500)
+def test_hosts_converge_although_the_store_loses_writes(steps):
+    """Two hosts read the store, two only follow; they learn of a loss at different moments."""
+    store = RestoredStore()
+    tables = [make_table(revision=0) for _ in range(4)]
+    for step in steps:
+        match step:
+            case ("write", key, state):
+                store.write(key, state)
+            case ("lose", count):
+                store.lose(count)
+            case ("read", number):
+                store.read(tables[number])
+            case ("sync", number, source):
+                sync(tables[number], tables[source])
+    for table in tables[:2]:
+        store.read(table)
+    for number in (2, 3):
+        sync(tables[number], tables[number - 1])
+    assert len({table.digest for table in tables}) == 1
--- a/cloverway/tests/test_fleet_gossip.py
+++ b/cloverway/tests/test_fleet_gossip.py
@@ -7,7 +7,14 @@
 
 from types import SimpleNamespace
 
-from cloverway.core.deployment import Configuration, EndpointEntry, EngineSpec, Service, Topology
+from cloverway.core.deployment import (
+    Configuration,
+    EndpointEntry,
+    EngineSpec,
+    Service,
+    StorePosition,
+    Topology,
+)
 from cloverway.core.endpoints import Directory, Endpoint
 from cloverway.core.members import ACTIVE_REQUESTS_PER_S, MIN_NAMED_HOSTS, Member, Members
 from cloverway.serving.hosts.broadcast import UpdateBroadcaster
@@ -47,7 +54,9 @@
         entry = EndpointEntry("e1", "model", "10.0.0.1:80", "north-a", 64)
         directory.endpoints["e1"] = Endpoint(entry, "north")
         directory._index()
-        catalogue = SimpleNamespace(read_at=0.0, table=SimpleNamespace(revision=1, digest=1))
+        catalogue = SimpleNamespace(
+            read_at=0.0, table=SimpleNamespace(position=StorePosition(0, 1), digest=1)
+        )
         sync = SimpleNamespace(record_peer=lambda peer, now: None)
         metrics = Metrics()
         self.gossip = Gossip(
--- a/cloverway/tests/test_fleet_store_restored.py
+++ b/cloverway/tests/test_fleet_store_restored.py
@@ -9,6 +9,7 @@
 from cloverway.serving.clock import read_clock
 from cloverway.tests.fleet.deployment import run_fleet, run_scenario, wait_for
 from cloverway.tests.fleet.standins import make_route, make_service
+from cloverway.tests.standins.links import Link
 
 APPLY_TIMEOUT_S = 4.0
 """The time within which a change that the store has accepted is in force at all hosts."""
@@ -150,3 +151,103 @@
             assert late.requests == []
 
     run_scenario(scenario)
+
+
+def test_a_host_that_cannot_reach_the_store_follows_those_that_can():
+    """Guards against old numbers, which are higher, that win over those that others read."""
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            link = Link(fleet.store.address).start()
+            try:
+                cut_off = await fleet.add_host(store=f"127.0.0.1:{link.port}")
+                await wait_for(lambda: cut_off.members.own.ready)
+                copy = fleet.store.copy()
+                publish_route(fleet, "lost")
+                await wait_for_version(fleet, fleet.hosts)
+                link.stop()
+                await restore(fleet, copy, 0.2)
+                publish_route(fleet, "new")
+                await wait_for_version(fleet, fleet.hosts)
+                assert (await fleet.call("/new/a", cut_off)).status == 200
+                assert len({h.catalogue.table.digest for h in fleet.hosts}) == 1
+            finally:
+                link.stop()
+
+    run_scenario(scenario)
+
+
+def test_a_host_that_starts_after_the_loss_follows_the_store():
+    """Guards against a host that takes the old numbers from another, which doesn't know yet."""
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            link = Link(fleet.store.address).start()
+            try:
+                await fleet.add_host(store=f"127.0.0.1:{link.port}")
+                copy = fleet.store.copy()
+                fleet.store.put("op/evacuate/d2", {})
+                await wait_for(lambda: all(h.directory.evacuated for h in fleet.hosts))
+                link.stop()
+                await restore(fleet, copy, 0.0)
+                started = await fleet.add_host()
+                publish_route(fleet, "new")
+                await wait_for_version(fleet, [*fleet.hosts, started])
+            finally:
+                link.stop()
+
+    run_scenario(scenario)
+
+
+def test_configuration_and_draining_endpoint_that_the_copy_lacks_stay_in_force():
+    """Guards against a store that takes back what was in force, before it is written again."""
+
+    async def scenario():
+        async with run_fleet(hosts=2) as fleet:
+            copy = fleet.store.copy()
+            publish_route(fleet, "new")
+            leaving = fleet.endpoints["desk-0"]
+            fleet.store.put("servers/desk-0", leaving.make_entry(state="draining"))
+            await wait_for_version(fleet, fleet.hosts)
+            await wait_for(lambda: all(is_leaving(h, "desk-0") for h in fleet.hosts))
+            await restore(fleet, copy, 0.2)
+            epoch = int(fleet.store.epoch)
+            await wait_for(
+                lambda: all(h.catalogue.table.position.epoch == epoch for h in fleet.hosts)
+            )
+            for number in range(6):
+                for host in fleet.hosts:
+                    assert (await fleet.call(f"/new/{number}", host)).status == 200
+            assert leaving.requests == []
+
+    run_scenario(scenario)
+
+
+def test_a_host_reads_everything_once_after_the_store_lost_writes():
+    """Guards against a full read at each 410; each read is billed."""
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            await lose_writes(fleet, 5)
+            fleet.store.calls.clear()
+            await asyncio.sleep(4.0)
+            whole = [call for call in fleet.store.calls if call.startswith("/kv-range?prefix=op")]
+            assert len(whole) == 1
+
+    run_scenario(scenario)
+
+
+def test_several_losses_in_quick_succession_lose_no_later_change():
+    """Guards against hosts that tell one loss from the state before, but not two."""
+
+    async def scenario():
+        async with run_fleet(hosts=3, endpoints=1) as fleet:
+            copy = fleet.store.copy()
+            for number in range(4):
+                fleet.store.put(f"op/evacuate/unknown-{number}", {})
+                await asyncio.sleep(0.3)
+                await restore(fleet, copy, 0.1)
+            publish_route(fleet, "new")
+            await wait_for_version(fleet, fleet.hosts)
+
+    run_scenario(scenario)
--- a/cloverway/tests/test_platform_entries.py
+++ b/cloverway/tests/test_platform_entries.py
@@ -21,6 +21,7 @@
     EndpointPublished,
     EndpointUnreadable,
     Snapshot,
+    StorePosition,
     Topology,
 )
 from cloverway.core.documents import (
@@ -227,13 +228,13 @@
     """
     reader, directory = make_directory()
     follower = DocumentTable(decode_documents)
-    follower.apply(reader.export_since(-1))
+    follower.apply(reader.export_since(None))
     assert follower.digest == reader.digest
     read(reader, directory, 2, "servers/e1", b"{", now=1.0)
-    assert not follower.adopt_revision(reader.revision, reader.digest)
-    (publication,) = follower.apply(reader.export_since(1))
+    assert not follower.adopt_position(reader.position, reader.digest)
+    (publication,) = follower.apply(reader.export_since(StorePosition(0, 1)))
     assert isinstance(publication, EndpointUnreadable)
-    assert follower.adopt_revision(reader.revision, reader.digest)
+    assert follower.adopt_position(reader.position, reader.digest)
 
 
 def test_a_malformed_configuration_never_replaces_a_valid_one():
@@ -248,7 +249,7 @@
     ]
     assert [type(item) for item in publications] == [DocumentUnreadable]
     joining = DocumentTable(decode_documents)
-    assert joining.apply(table.export_since(-1))[0].configuration.version == 3
+    assert joining.apply(table.export_since(None))[0].configuration.version == 3
 
 
 def test_an_evacuation_of_an_unknown_domain_does_nothing():
@@ -267,7 +268,7 @@
         {"key": "servers/d", "revision": 5},
         *({"key": 1, "revision": 5, "value": ""}, {"key": "servers/e"}, None, []),
     ]
-    published = decode_documents(_decode_items([*malformed, valid]))
+    published = decode_documents(_decode_items([*malformed, valid], 0))
     used = [item.id for item in published if isinstance(item, EndpointPublished)]
     assert used == ["a"]
 
--- a/cloverway/tests/test_platform_store.py
+++ b/cloverway/tests/test_platform_store.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
+from cloverway.core.deployment import StorePosition
 from cloverway.errors import PlatformError
 from cloverway.platform.store import PlatformStore
+from cloverway.serving.ports import HistoryGoneError
 from cloverway.tests.fleet.deployment import run_scenario
 from cloverway.tests.fleet.standins import Store
 
@@ -23,7 +27,7 @@
     async def scenario():
         store, client = await start_store(stated)
         assert (await client.read_all()).epoch == epoch
-        assert (await client.watch(store.revision - 1, 1.0)).epoch == epoch
+        assert (await client.watch(StorePosition(epoch, store.revision - 1), 1.0)).epoch == epoch
 
     run_scenario(scenario)
 
@@ -38,3 +42,50 @@
             await client.read_all()
 
     run_scenario(scenario)
+
+
+def test_a_read_that_spans_the_loss_of_writes_is_an_error():
+    """Guards against documents of two epochs that are taken for one state of the store."""
+
+    async def scenario():
+        store, client = await start_store(b"1")
+        copy = store.copy()
+        for number in range(2 * store.page_size):
+            store.put(f"servers/e{number}", {})
+
+        async def call(path, query, wait_s):
+            response = await PlatformStore._call(client, path, query, wait_s)
+            if query.get("after"):
+                return response
+            store.restore(copy)
+            store.put("servers/f", {})
+            return response
+
+        client._call = call
+        with pytest.raises(PlatformError, match="lost writes while it was read"):
+            await client.read_all()
+        client._call = PlatformStore._call.__get__(client)
+        snapshot = await client.read_all()
+        assert {document.key for document in snapshot.documents} == {"op/evacuate/d1", "servers/f"}
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("reused", [0, 9])
+def test_a_watch_that_waits_while_writes_are_lost_gives_no_changes(reused):
+    """Guards against changes that are missing between the known position and the answer."""
+
+    async def scenario():
+        store, client = await start_store(b"1")
+        copy = store.copy()
+        store.put("op/evacuate/d2", {})
+        position = (await client.read_all()).position
+        watch = asyncio.create_task(client.watch(position, 1.0))
+        await asyncio.sleep(0.1)
+        for number in range(reused):
+            copy.items[f"op/evacuate/u{number}"] = (copy.revision + number, b"")
+        store.restore(copy._replace(revision=copy.revision + reused))
+        with pytest.raises(HistoryGoneError):
+            await watch
+
+    run_scenario(scenario)
