Take all documents of another host as of its position

An endpoint could stay gone at a host for as long as its entry didn't change: it got no requests, and a region with no other refused callers.

The entry is removed and written again, the same as before (as when it lapsed while the store was away). A host that read neither has the same documents as one that read both, and adopts the later position; the revision that it has of the entry is the one from before. A host that read the removal alone then fetches everything from it, finds the entry older than the removal, and counts itself as up to date: its own reads begin after the second write. Across a loss of writes the same came about with any entry that was written again.

A host is only asked for everything at a position that is as late as one's own. So its documents count as of that position, unless a later write of the key is known here.

--- a/cloverway/core/documents.py
+++ b/cloverway/core/documents.py
@@ -12,7 +12,7 @@
 
 import hashlib
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 from cloverway.core.deployment import (
@@ -87,7 +87,7 @@
         is_delta_of_other_epoch = not snapshot.complete and snapshot.epoch != self.position.epoch
         if snapshot.position < self.position or is_delta_of_other_epoch:
             return []
-        documents = [item for item in snapshot.documents if self._is_newer(item)]
+        documents = list(self._list_newer(snapshot))
         if snapshot.complete:
             documents += self._list_absent(snapshot)
             self._complete_since = snapshot.position
@@ -128,15 +128,29 @@
     def _make_snapshot(self, documents: tuple[Document, ...], is_complete: bool) -> Snapshot:
         return Snapshot(self.position.revision, documents, is_complete, self.position.epoch)
 
-    def _is_newer(self, document: Document) -> bool:
-        known = self._known.get(document.key)
+    def _list_newer(self, snapshot: Snapshot) -> Iterator[Document]:
+        """Yield the documents of a snapshot that are newer than what is known of their keys.
+
+        A host whose documents are the same as those of a later position may not have seen each
+        change of them, so all its documents are as new as its position.
+        """
+        for document in snapshot.documents:
+            seen_at = self._get_position(document.key)
+            if document.position > seen_at:
+                yield document
+            elif snapshot.complete and seen_at <= snapshot.position and self._differs(document):
+                yield document._replace(revision=snapshot.revision, epoch=snapshot.epoch)
+
+    def _get_position(self, key: str) -> StorePosition:
+        """Return the position of the last known write or deletion of a key."""
+        known = self._known.get(key)
         if known is not None:
-            return document.position > known.document.position
-        seen_at = max(
-            self._removed.get(document.key, BEFORE_ALL),
-            self._unreadable.get(document.key, BEFORE_ALL),
-        )
-        return document.position > seen_at
+            return known.document.position
+        return max(self._removed.get(key, BEFORE_ALL), self._unreadable.get(key, BEFORE_ALL))
+
+    def _differs(self, document: Document) -> bool:
+        known = self._known.get(document.key)
+        return known is None or known.document.value != document.value
 
     def _list_absent(self, snapshot: Snapshot) -> list[Document]:
         present = {document.key for document in snapshot.documents}
--- a/cloverway/tests/test_core_documents.py
+++ b/cloverway/tests/test_core_documents.py
@@ -151,6 +151,33 @@
     assert readers[0].digest == readers[1].digest == follower.digest
 
 
+def test_all_documents_of_another_host_replace_what_it_never_saw_change():
+    """Guards against an endpoint that stays gone here, since another host missed its absence.
+
+    Its entry is removed and written again, the same as before. The other host read neither, and
+    adopted the later position; the revision that it has of the entry is the one from before.
+    """
+    written = Document("servers/a", 5, make_entry())
+    reader, other, behind = make_table(written), make_table(written), make_table(written)
+    apply_changes(behind, 11, Document("servers/a", 11, None))
+    apply_changes(reader, 11, Document("servers/a", 11, None))
+    apply_changes(reader, 12, Document("servers/a", 12, make_entry()))
+    assert other.adopt_position(reader.position, reader.digest)
+    sync(behind, other)
+    assert behind.digest == reader.digest
+    joining = make_table(revision=0)
+    sync(joining, behind)
+    assert joining.digest == reader.digest
+
+
+def test_all_documents_of_another_host_do_not_replace_what_is_newer_here():
+    """A page of a full read may be later than the position of the read, and than the other host."""
+    behind = make_table(Document("servers/a", 5, make_entry()), revision=11)
+    reader = make_table(Document("servers/a", 12, make_entry("draining")))
+    sync(reader, behind)
+    assert reader.digest == make_table(Document("servers/a", 12, make_entry("draining"))).digest
+
+
 class RestoredStore:
     """A store that returns to a copy of itself; each write has a position in its history."""
 
