Keep an evacuation in force that the store has lost, until it is written again

Callers' requests were sent into a domain that operators had emptied, from the moment at which the store came back from a copy without the evacuation until they had written it again. An endpoint that the copy lacks has two seconds to come back; an evacuation had none: what a read lacks counted as taken back, though after a loss of writes it shows only that the store doesn't know it.

A document that is missing in the first read of a new epoch is lost, not deleted. The domain stays evacuated for 5 s more (LOST_EVACUATION_GRACE_S; log line `evacuation_lost`); holding on costs capacity for as long, sending may hit machines that are out of service. Written again it is as before, and ends at once when operators end it.

test_an_evacuation_that_the_copy_lacks_stays_in_force failed before: no longer evacuated in the first read after the return. An evacuation that had been taken back and stands in the copy holds again until operators delete it again; that is as before, and meant: a domain too many is avoided for a moment.

--- a/cloverway/core/endpoints.py
+++ b/cloverway/core/endpoints.py
@@ -33,6 +33,9 @@
 """How long the endpoints of an evacuated domain are treated as cold after the end of the
 evacuation, unless their entries say that they are cold: a heartbeat of theirs arrives in less
 time."""
+LOST_EVACUATION_GRACE_S = 5.0
+"""How long an evacuation stays in force after the store has lost it. Operators write it again, and
+a domain that they have emptied may be out of service."""
 MISDIRECTED_BACKOFF_S = 3.0
 """How long an endpoint gets no requests after another one has answered at its address. By then its
 entry has expired or has its new address. Each request sent there would waste an attempt."""
@@ -119,6 +122,8 @@
         self.configuration: Configuration | None = None
         self.routes = RouteTable(())
         self.evacuated: set[str] = set()
+        self.lost_evacuations: dict[str, float] = {}
+        """Evacuated domains whose evacuation the store has lost, with the time of that."""
         self.endpoints: dict[str, Endpoint] = {}
         self.statements = Statements()
         """Announcements that endpoints make about themselves in responses."""
@@ -128,9 +133,17 @@
         """The last entries of removed endpoints, by id."""
         self._by_service: dict[str, list[Endpoint]] = {}
 
-    def apply(self, publications: Iterable[Publication], now: float) -> list[Change]:
-        """Apply publications and return the changes."""
-        changes = [change for item in publications for change in self._apply(item, now)]
+    def apply(
+        self, publications: Iterable[Publication], now: float, *, follows_loss: bool = False
+    ) -> list[Change]:
+        """Apply publications and return the changes.
+
+        `follows_loss` tells that the store has lost writes just before: a document that is missing
+        was not deleted, and is written again.
+        """
+        changes = [
+            change for item in publications for change in self._apply(item, now, follows_loss)
+        ]
         self._index()
         return changes
 
@@ -216,12 +229,21 @@
             self._index()
         return [Change("endpoint_gone", name) for name in removed]
 
-    def _apply(self, item: Publication, now: float) -> list[Change]:
+    def take_back_lost(self, now: float) -> list[Change]:
+        """Take back the evacuations that the store has lost and nobody has written again."""
+        expired = [
+            domain
+            for domain, lost_at in self.lost_evacuations.items()
+            if now - lost_at >= LOST_EVACUATION_GRACE_S
+        ]
+        return [change for d in expired for change in self._set_evacuated(d, False, now)]
+
+    def _apply(self, item: Publication, now: float, follows_loss: bool) -> list[Change]:
         match item:
             case ConfigurationPublished(configuration):
                 return self._apply_configuration(configuration)
-            case EvacuationPublished(domain, active):
-                return self._apply_evacuation(domain, active, now)
+            case EvacuationPublished():
+                return self._apply_evacuation(item, now, follows_loss)
             case DocumentUnreadable(key, why):
                 return [Change("document_unreadable", key, why)]
             case EndpointUnreadable(name, why):
@@ -242,7 +264,21 @@
         self.routes = RouteTable(configuration.routes)
         return [Change("configuration", str(configuration.version))]
 
-    def _apply_evacuation(self, domain: str, active: bool, now: float) -> list[Change]:
+    def _apply_evacuation(
+        self, item: EvacuationPublished, now: float, follows_loss: bool
+    ) -> list[Change]:
+        if follows_loss and not item.active:
+            return self._record_lost_evacuation(item.domain, now)
+        return self._set_evacuated(item.domain, item.active, now)
+
+    def _record_lost_evacuation(self, domain: str, now: float) -> list[Change]:
+        if domain not in self.evacuated or domain in self.lost_evacuations:
+            return []
+        self.lost_evacuations[domain] = now
+        return [Change("evacuation_lost", domain)]
+
+    def _set_evacuated(self, domain: str, active: bool, now: float) -> list[Change]:
+        self.lost_evacuations.pop(domain, None)
         if active == (domain in self.evacuated):
             return []
         if domain not in self.topology.regions:
--- a/cloverway/serving/documents/catalogue.py
+++ b/cloverway/serving/documents/catalogue.py
@@ -103,10 +103,12 @@
             await asyncio.sleep(max(0.0, delay_s))
 
     async def forget_missing(self) -> None:
-        """Drop endpoints that stayed missing, forever."""
+        """Drop endpoints and evacuations that stayed missing, forever."""
         while True:
             await wait_for_tick(FORGET_PERIOD_S)
-            self._report_changes(self.directory.forget_missing(read_clock()))
+            now = read_clock()
+            self._report_changes(self.directory.forget_missing(now))
+            self._report_changes(self.directory.take_back_lost(now))
 
     def apply(self, snapshot: Snapshot, source: str, now: float) -> None:
         """Apply documents from the store or another host; older ones change nothing."""
@@ -122,7 +124,8 @@
                 own_epoch=own.epoch,
             )
             return
-        changes = self.directory.apply(self.table.apply(snapshot), now)
+        follows_loss = self.table.follows_loss(snapshot)
+        changes = self.directory.apply(self.table.apply(snapshot), now, follows_loss=follows_loss)
         self._record_epoch(own, source)
         self._report_changes(changes)
 
--- a/cloverway/tests/test_core_endpoints.py
+++ b/cloverway/tests/test_core_endpoints.py
@@ -14,7 +14,7 @@
     Topology,
     WeightedService,
 )
-from cloverway.core.endpoints import Directory
+from cloverway.core.endpoints import LOST_EVACUATION_GRACE_S, Directory
 from cloverway.core.lookup import choose_hosts_for_caller
 from cloverway.core.members import (
     ALIVE_TIMEOUT_S,
@@ -98,6 +98,28 @@
     assert list_usable_ids(directory, 0.0) == []
 
 
+def test_an_evacuation_that_the_store_has_lost_stays_in_force_for_a_grace_period():
+    """Guards against requests to a domain out of service, and against one that stays unused."""
+    directory = make_directory(make_entry())
+    directory.apply([EvacuationPublished("d1", True)], 1.0)
+    directory.apply([EvacuationPublished("d1", False)], 2.0, follows_loss=True)
+    assert directory.take_back_lost(2.0 + LOST_EVACUATION_GRACE_S - 0.1) == []
+    assert list_usable_ids(directory, 6.0) == []
+    changes = directory.take_back_lost(2.0 + LOST_EVACUATION_GRACE_S)
+    assert [change.what for change in changes] == ["taken_back"]
+    assert list_usable_ids(directory, 8.0) == ["e1"]
+
+
+def test_an_evacuation_that_is_written_again_ends_when_operators_end_it():
+    directory = make_directory(make_entry())
+    directory.apply([EvacuationPublished("d1", True)], 1.0)
+    directory.apply([EvacuationPublished("d1", False)], 2.0, follows_loss=True)
+    directory.apply([EvacuationPublished("d1", True)], 3.0)
+    assert directory.take_back_lost(30.0) == []
+    directory.apply([EvacuationPublished("d1", False)], 30.0)
+    assert list_usable_ids(directory, 30.0) == ["e1"]
+
+
 def test_an_evacuated_domain_gets_no_requests_and_is_cold_afterwards():
     directory = make_directory(make_entry())
     directory.apply([EvacuationPublished("d1", True)], 1.0)
--- a/cloverway/tests/test_fleet_store_restored.py
+++ b/cloverway/tests/test_fleet_store_restored.py
@@ -45,6 +45,11 @@
     await wait_for(is_in_force, APPLY_TIMEOUT_S)
 
 
+async def wait_for_epoch(fleet):
+    epoch = int(fleet.store.epoch)
+    await wait_for(lambda: all(h.catalogue.table.position.epoch == epoch for h in fleet.hosts))
+
+
 def is_leaving(host, name):
     endpoint = host.directory.endpoints.get(name)
     usable = host.directory.list_usable("desk", read_clock())
@@ -211,10 +216,7 @@
             await wait_for_version(fleet, fleet.hosts)
             await wait_for(lambda: all(is_leaving(h, "desk-0") for h in fleet.hosts))
             await restore(fleet, copy, 0.2)
-            epoch = int(fleet.store.epoch)
-            await wait_for(
-                lambda: all(h.catalogue.table.position.epoch == epoch for h in fleet.hosts)
-            )
+            await wait_for_epoch(fleet)
             for number in range(6):
                 for host in fleet.hosts:
                     assert (await fleet.call(f"/new/{number}", host)).status == 200
@@ -251,3 +253,24 @@
             await wait_for_version(fleet, fleet.hosts)
 
     run_scenario(scenario)
+
+
+def test_an_evacuation_that_the_copy_lacks_stays_in_force():
+    """Guards against requests to an evacuated domain until operators have evacuated it again."""
+
+    async def scenario():
+        async with run_fleet(hosts=2, endpoints=1) as fleet:
+            copy = fleet.store.copy()
+            fleet.store.put("op/evacuate/d1", {})
+            await wait_for(lambda: all(h.directory.evacuated for h in fleet.hosts))
+            await restore(fleet, copy, 0.2)
+            await wait_for_epoch(fleet)
+            for _ in range(20):
+                assert all(h.directory.evacuated == {"d1"} for h in fleet.hosts)
+                await asyncio.sleep(0.1)
+            fleet.store.put("op/evacuate/d1", {})
+            await wait_for(lambda: not any(h.directory.lost_evacuations for h in fleet.hosts))
+            fleet.store.delete("op/evacuate/d1")
+            await wait_for(lambda: not any(h.directory.evacuated for h in fleet.hosts))
+
+    run_scenario(scenario)
