Doubt an endpoint that was gone when an older copy of the store brings its entry back

Each host sent callers' requests to an endpoint that had been gone for seconds, as soon as the store came back from a copy in which its entry still stood: to a crashed one, each costs an attempt. The removal is done again some seconds later.

An endpoint that a host has counted as gone, and whose entry comes with the first read of a new epoch, gets no requests for 4 s: by then the entry of one that is gone has lapsed again. If it writes its entry before, it is used at once.

--- a/cloverway/core/endpoints.py
+++ b/cloverway/core/endpoints.py
@@ -36,6 +36,9 @@
 LOST_EVACUATION_GRACE_S = 5.0
 """How long an evacuation stays in force after the store has lost it. Operators write it again, and
 a domain that they have emptied may be out of service."""
+RESTORED_ENTRY_BACKOFF_S = 4.0
+"""How long an endpoint that was gone gets no requests after its entry came back with an older copy
+of the store. By then the entry has lapsed again, or the endpoint is alive."""
 MISDIRECTED_BACKOFF_S = 3.0
 """How long an endpoint gets no requests after another one has answered at its address. By then its
 entry has expired or has its new address. Each request sent there would waste an attempt."""
@@ -70,6 +73,8 @@
         """When another endpoint answered at its address."""
         self.refused_at = float("-inf")
         """When its address last refused a connection, or was tried again since then."""
+        self.restored_at = float("-inf")
+        """When its entry came back with an older copy of the store, after it was gone."""
         self.has_announced_leaving = False
         """Whether it has announced in a response that it is leaving. Its entry says so later, and
         not at all while the store is unavailable."""
@@ -103,6 +108,8 @@
             return True
         if now - self.misdirected_at < MISDIRECTED_BACKOFF_S:
             return True
+        if now - self.restored_at < RESTORED_ENTRY_BACKOFF_S:
+            return True
         return self.missing_since is not None and now - self.missing_since >= MISSING_GRACE_S
 
 
@@ -252,7 +259,15 @@
                 return self._apply_removal(name, now)
             case EndpointPublished(_, entry):
                 assert entry is not None
-                return self._apply_entry(entry, now)
+                is_restored = follows_loss and self._was_removed(entry)
+                changes = self._apply_entry(entry, now)
+                if is_restored:
+                    self.endpoints[entry.id].restored_at = now
+                return changes
+
+    def _was_removed(self, entry: EndpointEntry) -> bool:
+        past = self._past_entries.get(entry.id)
+        return past is not None and past.started_ms == entry.started_ms
 
     def _apply_configuration(self, configuration: Configuration) -> list[Change]:
         current = self.configuration
@@ -354,6 +369,7 @@
         draining = entry.draining or endpoint.entry.draining
         endpoint.entry = entry._replace(draining=draining)
         endpoint.missing_since = None
+        endpoint.restored_at = float("-inf")
         endpoint.has_unreadable_entry = False
         endpoint.cold_until = (
             now + entry.cold_s if entry.cold_s > 0 else min(endpoint.cold_until, now)
--- a/cloverway/tests/test_core_endpoints.py
+++ b/cloverway/tests/test_core_endpoints.py
@@ -98,6 +98,40 @@
     assert list_usable_ids(directory, 0.0) == []
 
 
+def make_directory_with_gone_endpoint():
+    directory = make_directory(make_entry())
+    directory.apply([EndpointPublished("e1", None)], 10.0)
+    directory.forget_missing(13.0)
+    return directory
+
+
+def test_an_endpoint_that_was_gone_and_is_restored_by_a_copy_gets_no_requests_at_first():
+    """Guards against requests to an endpoint that is gone, and against one that stays unused."""
+    directory = make_directory_with_gone_endpoint()
+    directory.apply([EndpointPublished("e1", make_entry())], 20.0, follows_loss=True)
+    assert list_usable_ids(directory, 23.9) == []
+    assert list_usable_ids(directory, 24.1) == ["e1"]
+
+
+def test_an_endpoint_that_was_gone_is_used_at_once_when_it_writes_its_entry():
+    directory = make_directory_with_gone_endpoint()
+    directory.apply([EndpointPublished("e1", make_entry())], 20.0, follows_loss=True)
+    directory.apply([EndpointPublished("e1", make_entry())], 21.0)
+    assert list_usable_ids(directory, 21.0) == ["e1"]
+
+
+def test_endpoints_that_a_copy_still_has_are_used_without_a_pause():
+    """Guards against a region that refuses requests each time that the store loses writes."""
+    directory = make_directory(make_entry(), make_entry("e2"))
+    directory.apply([EndpointPublished("e1", None)], 10.0)
+    directory.apply(
+        [EndpointPublished(name, make_entry(name)) for name in ("e1", "e2")],
+        11.0,
+        follows_loss=True,
+    )
+    assert list_usable_ids(directory, 11.0) == ["e1", "e2"]
+
+
 def test_an_evacuation_that_the_store_has_lost_stays_in_force_for_a_grace_period():
     """Guards against requests to a domain out of service, and against one that stays unused."""
     directory = make_directory(make_entry())
--- a/cloverway/tests/test_fleet_store_restored.py
+++ b/cloverway/tests/test_fleet_store_restored.py
@@ -274,3 +274,21 @@
             await wait_for(lambda: not any(h.directory.evacuated for h in fleet.hosts))
 
     run_scenario(scenario)
+
+
+def test_an_endpoint_that_was_gone_and_stands_in_the_copy_gets_no_requests():
+    """Guards against requests to an endpoint that is gone, whose entry the copy brings back."""
+
+    async def scenario():
+        async with run_fleet(hosts=2) as fleet:
+            copy = fleet.store.copy()
+            fleet.store.delete("servers/desk-0")
+            await wait_for(lambda: not any("desk-0" in h.directory.endpoints for h in fleet.hosts))
+            await restore(fleet, copy, 0.2)
+            await wait_for_epoch(fleet)
+            for number in range(10):
+                for host in fleet.hosts:
+                    assert (await fleet.call(f"/safe/{number}", host)).status == 200
+            assert fleet.endpoints["desk-0"].requests == []
+
+    run_scenario(scenario)
