Let the store of the soak lose writes

It is away for up to a second and returns to a copy of up to 2.5 s before, overlapping with the other faults; what it lost is written again up to 1.5 s later.

--- a/cloverway/tests/fleet/soak.py
+++ b/cloverway/tests/fleet/soak.py
@@ -76,6 +76,8 @@
         self.crash_times: defaultdict[bytes, list[float]] = defaultdict(list)
         """Times at which a request crashed an endpoint, by the body of the request."""
         self.version = 0
+        self._deleted: set[str] = set()
+        """Keys of endpoints that have left for good."""
         self._restarts: set[asyncio.Task[None]] = set()
         self._pool = ConnectionPool()
         self._ports = Ports()
@@ -193,6 +195,7 @@
         faults: tuple[Callable[[], Awaitable[None]], ...] = (
             *(self._kill, self._pause, self._replace, self._reload, self._lose_store),
             *(self._silence_store, self._store_fails, self._compact, self._configure),
+            self._lose_writes,
             *(self._break_link, self._break_endpoint, self._drain_endpoint),
             *(self._spoil_entry, self._restart_endpoint, self._repeat_deadly),
         )
@@ -277,6 +280,31 @@
     async def _compact(self) -> None:
         self.store.compact()
 
+    async def _lose_writes(self) -> None:
+        """Let the store return to an older copy; what it lost is written again a little later."""
+        copy = self.store.copy()
+        await self._wait_fault_duration()
+        self.store.status = 503
+        await self._wait_fault_duration(0.1, 1.0)
+        lost = dict(self.store.items)
+        self.store.restore(copy)
+        self.store.status = 200
+        await self._wait_fault_duration(0.0, 1.5)
+        self._write_again(lost, copy.revision)
+
+    def _write_again(self, lost: dict[str, tuple[int, bytes]], restored_revision: int) -> None:
+        written_since = {
+            key for key, (revision, _) in self.store.items.items() if revision > restored_revision
+        }
+        for key, (_, data) in lost.items():
+            known = self.store.items.get(key)
+            is_current = known is not None and known[1] == data
+            if key not in written_since | self._deleted and not is_current:
+                self.store.put_bytes(key, data)
+        for key in [key for key in self.store.items if key not in lost or key in self._deleted]:
+            if key not in written_since:
+                self.store.delete(key)
+
     async def _configure(self) -> None:
         self._publish()
 
@@ -309,6 +337,7 @@
         await self._add_endpoint(leaving.service, leaving.domain)
         self._describe(leaving, state="draining")
         await self._wait_fault_duration(1.0, 3.0)
+        self._deleted.add(f"servers/{leaving.name}")
         self.store.delete(f"servers/{leaving.name}")
 
     async def _spoil_entry(self) -> None:
