Leave no connection open at a link that is cut

In the fault matrix, after other cells, callers of the cell "kill of one endpoint at queue" were told 504 timed_out, ran unknown, at their deadline. The host's log shows that the call, and a filler that was tried again, had been sent to the killed endpoint in the millisecond of its death, and that nothing came back for 4 s: neither an answer nor a reset.

The fault is of the stand-in. An asyncio.Server that is closed leaves connections that it has accepted in the same iteration of its loop: creating the transport fails on an assertion, and nobody serves or closes the socket. Hosts connect again at once when theirs are reset, so just then. A link also left the connections alone for which it was still connecting to its target.

The link accepts by itself now, and a cut resets all of these. Whether asyncio servers of the product are closed while it serves was looked at: they aren't, a host that leaves accepts until its process ends.

--- a/cloverway/tests/standins/links.py
+++ b/cloverway/tests/standins/links.py
@@ -65,9 +65,12 @@
         self._delay_s = 0.0
         self._bytes_per_s: float | None = None
         self._max_passed: int | None = None
+        self._opening: dict[asyncio.StreamWriter, ClientIdentity] = {}
+        """Accepted connections that have none to the target yet."""
         self._pairs: set[Pair] = set()
         self._blackholed_pairs: set[Pair] = set()
-        self._listener: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._forwarding: set[asyncio.Task[None]] = set()
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._run, name="link", daemon=True)
 
@@ -155,10 +158,10 @@
         return asyncio.run_coroutine_threadsafe(work, self._loop).result(5)
 
     async def _listen(self) -> None:
-        self._listener = await asyncio.start_server(
-            self._accept, "127.0.0.1", self.port, reuse_address=True
-        )
-        self.port = self._listener.sockets[0].getsockname()[1]
+        self._listener = socket.create_server(("127.0.0.1", self.port), backlog=128)
+        self._listener.setblocking(False)
+        self.port = self._listener.getsockname()[1]
+        self._loop.add_reader(self._listener, self._accept, self._listener)
 
     async def _listen_udp(self) -> None:
         await self._loop.create_datagram_endpoint(
@@ -166,15 +169,25 @@
         )
 
     async def _reset(self) -> None:
-        if ANY_CLIENT in self._cut and self._listener is not None:
-            self._listener.close()
-            self._listener = None
+        if ANY_CLIENT in self._cut:
+            await self._refuse()
+        for writer, client in self._opening.items():
+            if self.is_cut(client):
+                writer.transport.abort()
         for pair in [
             pair for pair in self._pairs | self._blackholed_pairs if self.is_cut(pair.client)
         ]:
             pair.caller_writer.transport.abort()
             pair.target_writer.transport.abort()
 
+    async def _refuse(self) -> None:
+        # An asyncio.Server that is closed leaves connections open, and unserved, which it has
+        # accepted in the same iteration of its loop.
+        if self._listener is not None:
+            self._loop.remove_reader(self._listener)
+            self._listener.close()
+            self._listener = None
+
     async def _blackhole_open_pairs(self) -> None:
         for pair in self._pairs:
             pair.caller_writer.transport.pause_reading()
@@ -182,17 +195,35 @@
         self._blackholed_pairs |= self._pairs
         self._pairs.clear()
 
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def _accept(self, listener: socket.socket) -> None:
+        try:
+            sock, address = listener.accept()
+        except OSError:
+            return  # The client has left, or another call accepted the connection.
+        sock.setblocking(False)
+        task = self._loop.create_task(self._forward(sock, address[1]))
+        self._forwarding.add(task)
+        task.add_done_callback(self._forwarding.discard)
+
+    async def _forward(self, sock: socket.socket, client_port: int) -> None:
         self.connections += 1
-        client = ClientIdentity(self.identify, "tcp", writer.get_extra_info("peername")[1])
+        reader, writer = await asyncio.open_connection(sock=sock)
+        client = ClientIdentity(self.identify, "tcp", client_port)
         if self.is_cut(client):
             writer.transport.abort()
             return
+        self._opening[writer] = client
         try:
             target_reader, target_writer = await asyncio.open_connection(*self.target)
         except OSError:
             writer.transport.abort()
             return
+        finally:
+            del self._opening[writer]
+        if self.is_cut(client):
+            writer.transport.abort()
+            target_writer.transport.abort()
+            return
         pair = Pair(client, writer, target_writer)
         self._pairs.add(pair)
         with contextlib.suppress(asyncio.CancelledError):
--- a/cloverway/tests/test_standins.py
+++ b/cloverway/tests/test_standins.py
@@ -5,8 +5,10 @@
 import json
 import os
 import socket
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 
 import pytest
 import urllib3
@@ -183,6 +185,39 @@
     assert service.by_body["c"] == 0
 
 
+def test_link_that_is_cut_leaves_no_connection_open():
+    """Guards against a caller that waits for an answer on a connection that nobody serves.
+
+    Callers connect again at once when theirs are reset, just when the link stops accepting.
+    """
+
+    stopping = threading.Event()
+
+    def connect_again_and_again():
+        while not stopping.is_set():
+            with (
+                suppress(OSError),
+                socket.create_connection(("127.0.0.1", link.port), timeout=10.0) as sock,
+            ):
+                sock.sendall(b"x")
+                sock.recv(1)
+
+    with (
+        socket.create_server(("127.0.0.1", 0)) as target,
+        Link(f"127.0.0.1:{target.getsockname()[1]}") as link,
+        ThreadPoolExecutor(4) as pool,
+    ):
+        callers = [pool.submit(connect_again_and_again) for _ in range(4)]
+        end = time.monotonic() + 1.5
+        while time.monotonic() < end:
+            link.cut()
+            link.restore()
+        stopping.set()
+        link.cut()
+        for caller in callers:
+            caller.result(timeout=5.0)
+
+
 def test_link_forwards_datagrams():
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as target:
         target.bind(("127.0.0.1", 0))
