Let a killed process of the fault matrix refuse connections at its death

Callers of the cell "kill of one endpoint at queue" were told 502 endpoint_failed, ran unknown, though the call had run nowhere. The link of the killed endpoint went on accepting until it was cut, a moment after the kill; a host that connected again at once had sent its call when the link found nobody behind it. A process that ends refuses connections from the moment at which its open ones are reset, and then the host knows that the call was not sent. The link refuses before the kill now. The check of the cell is as it was.

What a host does when an endpoint accepts and then resets is unchanged: it may have run.

--- a/cloverway/tests/matrix/testbed.py
+++ b/cloverway/tests/matrix/testbed.py
@@ -148,10 +148,12 @@
         """Kill a process; keep the run count of an endpoint."""
         if name in self.fleet.remotes:
             self._runs_of_killed[tag] += self._count_at(name, tag)
+        # A link accepts a connection before it connects to its target. A process that ends refuses
+        # new connections at the moment at which its open ones are reset, and so must its link: a
+        # host connects again at once.
+        self.fleet.links[name].refuse()
         self.fleet.kill(name)
         self._killed.add(name)
-        # A link accepts a connection before it connects to its target. Without the cut, a killed
-        # process would seem to accept connections.
         self.fleet.links[name].cut()
 
     def pause(self, name: str) -> None:
--- a/cloverway/tests/standins/links.py
+++ b/cloverway/tests/standins/links.py
@@ -107,6 +107,11 @@
         self._cut |= set(clients or {ANY_CLIENT})
         self._wait(self._reset())
 
+    def refuse(self) -> None:
+        """Refuse new connections; those that are open stay."""
+        self._cut.add(ANY_CLIENT)
+        self._wait(self._refuse())
+
     def blackhole(self, *directions: str, client: str = ANY_CLIENT) -> None:
         """Keep accepting connections, but drop all data in some directions, by default in both."""
         for direction in directions or BOTH:
