--- a/cloverway/tests/fleet/soak.py
+++ b/cloverway/tests/fleet/soak.py
@@ -41,6 +41,7 @@
     Fault,
     Host,
     send,
+    write_again,
 )
 from cloverway.tests.fleet.standins import (
     Store,
@@ -290,20 +291,7 @@
         self.store.restore(copy)
         self.store.status = 200
         await self._wait_fault_duration(0.0, 1.5)
-        self._write_again(lost, copy.revision)
-
-    def _write_again(self, lost: dict[str, tuple[int, bytes]], restored_revision: int) -> None:
-        written_since = {
-            key for key, (revision, _) in self.store.items.items() if revision > restored_revision
-        }
-        for key, (_, data) in lost.items():
-            known = self.store.items.get(key)
-            is_current = known is not None and known[1] == data
-            if key not in written_since | self._deleted and not is_current:
-                self.store.put_bytes(key, data)
-        for key in [key for key in self.store.items if key not in lost or key in self._deleted]:
-            if key not in written_since:
-                self.store.delete(key)
+        write_again(self.store, lost, copy.revision, self._deleted)
 
     async def _configure(self) -> None:
         self._publish()
--- a/cloverway/tests/fleet/soak_parts.py
+++ b/cloverway/tests/fleet/soak_parts.py
@@ -186,3 +186,20 @@
         error,
         crashes_endpoints,
     )
+
+
+def write_again(
+    store: Store, lost: dict[str, tuple[int, bytes]], restored_revision: int, deleted: set[str]
+) -> None:
+    """Write and delete again what a store has lost, except what was written since its return."""
+    written_since = {
+        key for key, (revision, _) in store.items.items() if revision > restored_revision
+    }
+    for key, (_, data) in lost.items():
+        known = store.items.get(key)
+        is_current = known is not None and known[1] == data
+        if key not in written_since | deleted and not is_current:
+            store.put_bytes(key, data)
+    for key in [key for key in store.items if key not in lost or key in deleted]:
+        if key not in written_since:
+            store.delete(key)
