--- a/cloverway/core/retry_budget.py
+++ b/cloverway/core/retry_budget.py
@@ -20,6 +20,16 @@
     window_s: float = 10.0
 
 
+class RetryDecision(NamedTuple):
+    """Whether a host may retry, and the figures that decided it."""
+
+    granted: bool
+    used: int
+    """Retries of this host in the window, without this one."""
+    allowed: float
+    """Retries that the host may send in the window."""
+
+
 class RetryBudget:
     """Counts the requests and retries of this host for one service.
 
@@ -37,14 +47,15 @@
         self._requests.append(now)
         self._drop_expired(now)
 
-    def take(self, hosts: int, now: float) -> bool:
-        """Return whether this host may retry, and count the retry; `hosts` is the fleet size."""
+    def take(self, hosts: int, now: float) -> RetryDecision:
+        """Decide whether this host may retry, and count the retry; `hosts` is the fleet size."""
         self._drop_expired(now)
         share = self._settings.ratio * len(self._requests) + self._settings.slack / max(1, hosts)
-        if len(self._retries) + 1 > USABLE_FRACTION * share:
-            return False
-        self._retries.append(now)
-        return True
+        used, allowed = len(self._retries), USABLE_FRACTION * share
+        is_granted = used + 1 <= allowed
+        if is_granted:
+            self._retries.append(now)
+        return RetryDecision(is_granted, used, allowed)
 
     def _drop_expired(self, now: float) -> None:
         for times in (self._requests, self._retries):
--- a/cloverway/serving/context.py
+++ b/cloverway/serving/context.py
@@ -72,6 +72,10 @@
             budget = self._budgets[service] = RetryBudget(self.settings.retries)
         return budget
 
+    def get_age(self, now: float) -> float:
+        """Return the seconds since this host started."""
+        return now - self._started_at
+
     def record_configured(self) -> None:
         """Record that a configuration is in force."""
         self._configured.set()
--- a/cloverway/serving/requests/placement.py
+++ b/cloverway/serving/requests/placement.py
@@ -10,6 +10,7 @@
 from cloverway.serving.context import Context
 from cloverway.serving.requests.request_queue import QueueRank, QueueTicket
 from cloverway.serving.requests.target_selector import Target
+from cloverway.serving.telemetry import log_event
 
 MIN_SEND_TIME_S = 0.05
 """A request with less time left isn't sent, since its response could not arrive in time."""
@@ -98,4 +99,16 @@
 
     def _spend_retry_budget(self, now: float) -> bool:
         hosts = self._context.members.count_hosts()
-        return self._context.get_budget(self._routed.service.name).take(hosts, now)
+        service = self._routed.service.name
+        decision = self._context.get_budget(service).take(hosts, now)
+        self._context.metrics.record_retry(service, decision.granted)
+        log_event(
+            "retry_granted" if decision.granted else "retry_refused",
+            request_id=self._routed.call.id,
+            service=service,
+            used=decision.used,
+            allowed=round(decision.allowed, 2),
+            hosts=hosts,
+            age_s=round(self._context.get_age(now), 3),
+        )
+        return decision.granted
--- a/cloverway/serving/telemetry.py
+++ b/cloverway/serving/telemetry.py
@@ -79,6 +79,9 @@
         self._attempts = self._make_counter(
             "attempts_total", "Sends to endpoints by service and outcome"
         )
+        self._retries = self._make_counter(
+            "retries_total", "Decisions of the retry budget by service and outcome"
+        )
         self._connects = self._make_counter(
             "connections_total", "New connections to endpoints and hosts"
         )
@@ -122,6 +125,10 @@
         """Count a send to an endpoint or to another host."""
         self._attempts.inc({"service": service, "outcome": outcome})
 
+    def record_retry(self, service: str, is_granted: bool) -> None:
+        """Count a decision of the retry budget."""
+        self._retries.inc({"service": service, "outcome": "granted" if is_granted else "refused"})
+
     def record_connect(self, address: str) -> None:
         """Count a new connection; not by address, since addresses of endpoints keep changing."""
         self._connects.inc({})
--- a/cloverway/tests/test_core_selection.py
+++ b/cloverway/tests/test_core_selection.py
@@ -260,7 +260,7 @@
             if step % 10 == 0:
                 budget.record_request(now)
                 requests.append(now)
-            if budget.take(hosts, now):
+            if budget.take(hosts, now).granted:
                 sends.append(now)
     for start in range(20):
         in_window = sum(start <= at < start + 10 for at in sends)
--- a/cloverway/tests/test_fleet_requests.py
+++ b/cloverway/tests/test_fleet_requests.py
@@ -102,6 +102,28 @@
     run_scenario(scenario)
 
 
+def test_each_decision_of_the_retry_budget_is_logged_with_its_inputs(caplog):
+    """Guards against a fleet that exceeds its budget without a line that says which host did."""
+
+    async def scenario():
+        async with run_fleet() as fleet:
+            for name in ("desk-0", "desk-1"):
+                fleet.endpoints[name].answer = fleet.endpoints[name].answer_not_executed
+            with caplog.at_level("INFO"):
+                for _ in range(20):
+                    await fleet.call("/once/a")
+
+    run_scenario(scenario)
+    granted = [record for record in caplog.records if record.msg == "retry_granted"]
+    refused = [record for record in caplog.records if record.msg == "retry_refused"]
+    assert granted and refused
+    for record in granted + refused:
+        assert record.request_id.startswith("call-")
+        assert (record.service, record.hosts) == ("desk", 1)
+        assert record.used <= record.allowed
+        assert record.age_s > 0
+
+
 def test_an_idempotent_request_is_retried_after_a_lost_connection():
     async def scenario():
         async with run_fleet() as fleet:
