--- a/cloverway/tests/fleet/deployment.py
+++ b/cloverway/tests/fleet/deployment.py
@@ -10,6 +10,7 @@
 import h11
 
 from cloverway.core.calls import Header
+from cloverway.core.retry_budget import RetryBudgetSettings
 from cloverway.platform.dialect import PlatformDialect
 from cloverway.platform.store import PlatformStore
 from cloverway.serving.host import Host
@@ -76,6 +77,7 @@
         *,
         ports: list[int] | None = None,
         seeds: tuple[str, ...] | None = None,
+        retries: RetryBudgetSettings | None = None,
     ) -> Host:
         ports = ports or take_ports(6)
         if seeds is None:
@@ -93,6 +95,7 @@
             listen=listen,
             store=StoreSettings(store or self.store.address),
             peers=Peers(seeds),
+            retries=retries or RetryBudgetSettings(),
         )
         store_client = PlatformStore(settings.store.address)
         host = Host(settings, store_client, PlatformDialect(), self.writer)
