Keep all hosts within the retry budget when they restart, and in a cut

Cause: a host counted the retries of its last ten seconds, and the count died with its process; and it divided the slack by the hosts it knew, 3 of 8 after a start in a cut. The lines of the decisions showed both: each life kept to its share, each took it anew.

Now a token bucket, which requests and the host's part of the slack fill. It starts empty: in any window a host sends at most what the bucket held at its start and earned in it, however many processes it was. The slack is divided by the failure domains of the settings, then by the known hosts of the own one; a host that is younger than two seconds, or has heard of no other, takes none of it. A token is spent when the retry is sent, so retries that waited in a queue are not followed by others.

Weighed: counting with a quarter of the share for the first ten seconds of a process. A host that has just started retries less: its own requests must earn it first.

--- a/cloverway/core/limits.py
+++ b/cloverway/core/limits.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from cloverway.core.cold_start import MIN_HOST_AGE_S
 from cloverway.core.members import rank_host
 
 MIN_REQUESTS_PER_S = 0.2
@@ -31,16 +30,16 @@
 
 
 def compute_share(
-    limit_per_s: float, endpoint: str, host: str, hosts: Iterable[str], *, age_s: float
+    limit_per_s: float, endpoint: str, host: str, hosts: Iterable[str], *, is_settled: bool
 ) -> LimitShare | None:
     """Return this host's share of an endpoint's limit, or None if it has none.
 
     `hosts` are the other hosts that may send there. All get equal shares, regardless of demand, so
     that the sum stays within the limit without coordination. If there are many hosts, only those
-    that a hash ranks first for this endpoint may send. A host that started only `age_s` ago doesn't
-    know the others yet and has no share.
+    that a hash ranks first for this endpoint may send. A host that doesn't know the others
+    (`is_settled`) has no share.
     """
-    if age_s < MIN_HOST_AGE_S:
+    if not is_settled:
         return None
     limit_per_s = max(limit_per_s, MIN_REQUESTS_PER_S)
     senders = MIN_SENDERS + int(SENDERS_PER_RPS * limit_per_s)
--- a/cloverway/core/members.py
+++ b/cloverway/core/members.py
@@ -6,6 +6,7 @@
 from functools import lru_cache
 from typing import NamedTuple
 
+from cloverway.core.allowances import is_settled
 from cloverway.core.decay import DecayingSum
 from cloverway.core.deployment import StorePosition
 from cloverway.core.load import EngineState
@@ -113,8 +114,13 @@
 class Members:
     """This host, and all others that it knows of."""
 
-    def __init__(self, own: Member) -> None:
+    def __init__(
+        self, own: Member, *, started_at: float = float("-inf"), has_seeds: bool = False
+    ) -> None:
         self.own = own
+        self.started_at = started_at
+        self._has_seeds = has_seeds
+        """Whether this host was given the addresses of others."""
         self.leaving_since: float | None = None
         self.peers: dict[str, Peer] = {}
         self._arrivals = DecayingSum(RATE_HALF_LIFE_S)
@@ -194,10 +200,22 @@
         """Return the other hosts that are alive."""
         return [peer for peer in self.peers.values() if self.is_alive(peer, now)]
 
+    def get_age(self, now: float) -> float:
+        """Return the seconds since this host started."""
+        return now - self.started_at
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether this host knows enough of the others to take its part of an allowance."""
+        return is_settled(self.get_age(now), len(self.peers), self._has_seeds)
+
     def count_hosts(self) -> int:
         """Return the number of known hosts, including this one."""
         return len(self.peers) + 1
 
+    def count_domain_hosts(self) -> int:
+        """Return the number of known hosts of this failure domain, including this one."""
+        return 1 + sum(peer.member.domain == self.own.domain for peer in self.peers.values())
+
     def list_region(self) -> list[str]:
         """Return the names of the other known hosts of this region."""
         return [n for n, peer in self.peers.items() if peer.member.region == self.own.region]
--- a/cloverway/core/retry_budget.py
+++ b/cloverway/core/retry_budget.py
@@ -1,13 +1,22 @@
-"""The share of one host in the retry budget of the fleet."""
+"""The part of one host in the retry budget of the fleet."""
 
 from __future__ import annotations
 
 from collections import deque
 from typing import NamedTuple
 
-USABLE_FRACTION = 0.8
-"""Fraction of the budget that the hosts use together. The rest covers the edges of windows: a
-request may be counted in one window and its retry in the next."""
+SAVED_WINDOWS = 1 / 3
+"""Requests whose retries may be saved up, as a part of the window: those of the last moments."""
+LAG_WINDOWS = 0.05
+"""Time between a retry's send and its arrival at the endpoint, as a part of the window."""
+USABLE_FRACTION = 1 / (1 + SAVED_WINDOWS + LAG_WINDOWS)
+"""Fraction of the ratio that is used: the retries of one window may be earned by the requests of a
+longer span."""
+BURST_FRACTION = 0.6
+"""Fraction of a host's part of the slack that it may save up for a burst."""
+REFILL_FRACTION = 0.35
+"""Fraction of that part that it earns in a window. Both fractions and the lag add up to the part at
+most."""
 
 
 class RetryBudgetSettings(NamedTuple):
@@ -24,40 +33,67 @@
     """Whether a host may retry, and the figures that decided it."""
 
     granted: bool
-    used: int
-    """Retries of this host in the window, without this one."""
-    allowed: float
-    """Retries that the host may send in the window."""
+    available: float
+    """Retries that the host could send, before this one."""
+    capacity: float
+    """Retries that it may save up."""
 
 
 class RetryBudget:
-    """Counts the requests and retries of this host for one service.
+    """Token bucket for the retries of this host to one service.
 
-    Each host uses the ratio of its own requests and an equal share of the slack. The sum over all
-    hosts then stays within the budget without communication, also during a network partition.
+    Requests of callers and this host's part of the slack earn tokens. In any window a host sends no
+    more retries than the bucket held at its start and earned in it, so the sum over all hosts stays
+    within the budget without communication. The bucket starts empty: what the previous process at
+    this address has used is unknown, and its retries count in the same window.
     """
 
-    def __init__(self, settings: RetryBudgetSettings) -> None:
+    def __init__(self, settings: RetryBudgetSettings, started_at: float) -> None:
         self._settings = settings
+        self._saved_s = SAVED_WINDOWS * settings.window_s
+        self._request_tokens = USABLE_FRACTION * settings.ratio
         self._requests: deque[float] = deque()
-        self._retries: deque[float] = deque()
+        self._tokens = 0.0
+        self._reserved = 0
+        self._updated_at = started_at
 
-    def record_request(self, now: float) -> None:
-        """Count a request of a caller."""
+    def record_request(self, slack: float, now: float) -> None:
+        """Count a request of a caller; `slack` is this host's part of the slack."""
+        self._refill(slack, now)
         self._requests.append(now)
-        self._drop_expired(now)
-
-    def take(self, hosts: int, now: float) -> RetryDecision:
-        """Decide whether this host may retry, and count the retry; `hosts` is the fleet size."""
-        self._drop_expired(now)
-        share = self._settings.ratio * len(self._requests) + self._settings.slack / max(1, hosts)
-        used, allowed = len(self._retries), USABLE_FRACTION * share
-        is_granted = used + 1 <= allowed
-        if is_granted:
-            self._retries.append(now)
-        return RetryDecision(is_granted, used, allowed)
-
-    def _drop_expired(self, now: float) -> None:
-        for times in (self._requests, self._retries):
-            while times and times[0] < now - self._settings.window_s:
-                times.popleft()
+        self._tokens += self._request_tokens
+
+    def reserve(self, slack: float, now: float) -> RetryDecision:
+        """Decide whether this host may retry, and reserve a token for it.
+
+        A reserved token is spent when the retry is sent. Until then it stays in the bucket, so that
+        retries that wait in a queue are not followed by others when they are sent.
+        """
+        capacity = self._refill(slack, now)
+        available = self._tokens - self._reserved
+        is_granted = available >= 1
+        self._reserved += is_granted
+        return RetryDecision(is_granted, available, capacity)
+
+    def spend(self) -> None:
+        """Spend a reserved token, because the retry is sent."""
+        self._reserved -= 1
+        self._tokens -= 1
+
+    def release(self) -> None:
+        """Release a reserved token, because the retry is not sent."""
+        self._reserved -= 1
+
+    def refund(self) -> None:
+        """Return the token of a retry that was sent and reached no endpoint."""
+        self._tokens += 1
+
+    def _refill(self, slack: float, now: float) -> float:
+        """Add what the slack has earned; return the capacity."""
+        while self._requests and self._requests[0] < now - self._saved_s:
+            self._requests.popleft()
+        earned = REFILL_FRACTION * slack * (now - self._updated_at) / self._settings.window_s
+        capacity = BURST_FRACTION * slack + self._request_tokens * len(self._requests)
+        self._tokens = min(self._tokens + earned, max(capacity, self._reserved))
+        self._updated_at = now
+        return capacity
--- a/cloverway/serving/context.py
+++ b/cloverway/serving/context.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 
+from cloverway.core.allowances import compute_part
 from cloverway.core.deployment import Configuration
 from cloverway.core.endpoints import Directory
 from cloverway.core.failures import FailureBaseline
@@ -33,6 +34,10 @@
 serves anyway: when all hosts start at once, none has a state to send."""
 
 
+RETRY_SLACK_TTL_S = 0.2
+"""How long this host's part of the slack is cached: it is needed for each request."""
+
+
 class Context:
     """The parts of a host that are used to handle a request."""
 
@@ -60,21 +65,33 @@
         self.broadcaster = UpdateBroadcaster(members, (self.crashes, self.statements, suspects))
         self.incarnations = IncarnationCheck(self.quarantine, self.pool, dialect, metrics)
         self._budgets: dict[str, RetryBudget] = {}
+        self._slack = 0.0
+        self._slack_at = float("-inf")
         self._started_at = read_clock()
         self._configured = asyncio.Event()
         self._synced = asyncio.Event()
         self._has_seeds = any(seed != own_name for seed in settings.peers.seeds)
 
     def get_budget(self, service: str) -> RetryBudget:
-        """Return this host's share of the retry budget of a service."""
+        """Return this host's part of the retry budget of a service."""
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = RetryBudget(self.settings.retries)
+            budget = RetryBudget(self.settings.retries, self.members.started_at)
+            self._budgets[service] = budget
         return budget
 
-    def get_age(self, now: float) -> float:
-        """Return the seconds since this host started."""
-        return now - self._started_at
+    def get_retry_slack(self, now: float) -> float:
+        """Return this host's part of the slack of a retry budget, in retries in a window."""
+        if now - self._slack_at >= RETRY_SLACK_TTL_S:
+            self._slack_at = now
+            self._slack = self._compute_retry_slack(now)
+        return self._slack
+
+    def _compute_retry_slack(self, now: float) -> float:
+        if not self.members.is_settled(now):
+            return 0.0
+        domain_hosts = self.members.count_domain_hosts()
+        return compute_part(self.settings.retries.slack, len(self.settings.regions), domain_hosts)
 
     def record_configured(self) -> None:
         """Record that a configuration is in force."""
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -68,7 +68,12 @@
         self.log_handler = log_handler
         self.metrics = Metrics()
         self.directory = Directory(settings.topology)
-        self.members = Members(_describe_own(settings))
+        self.started_at = read_clock()
+        self.members = Members(
+            _describe_own(settings),
+            started_at=self.started_at,
+            has_seeds=any(seed != settings.listen.control for seed in settings.peers.seeds),
+        )
         self.context = Context(settings, self.directory, self.members, dialect, self.metrics)
         self.forwarder = Forwarder(self.context)
         self.catalogue = Catalogue(
@@ -95,7 +100,6 @@
         self.gossip.on_first_contact = self._record_synced
         self.context.incarnations.on_restarted = self.catalogue.record_restart
         self.context.target_selector.on_large_prompt = self.gossip.endpoint_loads.broadcast_at_once
-        self.started_at = read_clock()
         self.leaving_at: float | None = None
         options = ServerOptions(self._get_limits, self._is_leaving, self._format_refusal)
         self.caller_server = Server(self._handle_call, options)
--- a/cloverway/serving/requests/execution.py
+++ b/cloverway/serving/requests/execution.py
@@ -72,7 +72,9 @@
     async def run(self) -> None:
         """Run the request to the end of its response; raise RequestError."""
         if self.call.forwarding is None:
-            self.context.get_budget(self.service.name).record_request(self.call.arrived_at)
+            slack = self.context.get_retry_slack(self.call.arrived_at)
+            budget = self.context.get_budget(self.service.name)
+            budget.record_request(slack, self.call.arrived_at)
         left_s = self.expires_at - read_clock()
         try:
             async with asyncio.timeout(max(0.0, left_s)):
@@ -85,6 +87,8 @@
             self._record_abandoned()
             self._log_end(RequestError(Kind.CALLER_LEFT, "the caller left", ran=self.ran), 0)
             raise
+        finally:
+            self.placement.retry_permit.release()
 
     async def _run_attempts(self) -> None:
         while True:
@@ -143,6 +147,7 @@
         try:
             outcome = await attempt.run()
             self.endpoint_sends += outcome.reached_endpoint
+            self.placement.retry_permit.record_reached(outcome.reached_endpoint)
             if isinstance(outcome, Declined):
                 self.ran = ran_before
             else:
@@ -161,12 +166,13 @@
         return AttemptOptions(self.expires_at, self.relay.last_id, first_byte_timeout_s)
 
     def _record_written(self) -> None:
-        """Record that the request may run from now on.
+        """Record that the request is sent, and may run from now on.
 
         Otherwise, if the route's timeout expired before the response, the refusal would say "not
         run" while the endpoint is still working on the request.
         """
         self.ran = combine_ran(self.ran, Ran.UNKNOWN)
+        self.placement.retry_permit.spend()
 
     # Responses
 
--- a/cloverway/serving/requests/limit_shares.py
+++ b/cloverway/serving/requests/limit_shares.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cloverway.core.allowances import MIN_HOST_AGE_S
 from cloverway.core.endpoints import Directory, Endpoint
 from cloverway.core.limits import LimitShare, TokenBucket, compute_share
 from cloverway.core.members import Members
@@ -13,10 +14,9 @@
 class LimitShares:
     """Tracks what this host sends to endpoints that set a rate limit."""
 
-    def __init__(self, members: Members, directory: Directory, started_at: float) -> None:
+    def __init__(self, members: Members, directory: Directory) -> None:
         self._members = members
         self._directory = directory
-        self._started_at = started_at
         self._buckets: dict[str, TokenBucket] = {}
         self._hosts: list[str] | None = None
         self._hosts_at = float("-inf")
@@ -54,8 +54,9 @@
         if limit_per_s is None or hosts is None:
             return None
         own = self._members.own.name
-        age_s = now - self._started_at
-        return compute_share(limit_per_s, endpoint.entry.incarnation, own, hosts, age_s=age_s)
+        is_settled = self._members.get_age(now) >= MIN_HOST_AGE_S
+        incarnation = endpoint.entry.incarnation
+        return compute_share(limit_per_s, incarnation, own, hosts, is_settled=is_settled)
 
     def _list_hosts(self, now: float) -> list[str] | None:
         """List the other hosts of the region that send to endpoints; None if this one doesn't.
--- a/cloverway/serving/requests/placement.py
+++ b/cloverway/serving/requests/placement.py
@@ -9,8 +9,8 @@
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
 from cloverway.serving.requests.request_queue import QueueRank, QueueTicket
+from cloverway.serving.requests.retry_permit import RetryPermit
 from cloverway.serving.requests.target_selector import Target
-from cloverway.serving.telemetry import log_event
 
 MIN_SEND_TIME_S = 0.05
 """A request with less time left isn't sent, since its response could not arrive in time."""
@@ -39,6 +39,7 @@
         self._routed = routed
         self._expires_at = expires_at
         """Time at which the response is no longer of use."""
+        self.retry_permit = RetryPermit(context, routed)
 
     async def choose(self, ran: Ran, is_retry: bool) -> Target:
         """Reserve the next target, queueing if needed; raise RequestError.
@@ -50,7 +51,7 @@
         now = read_clock()
         if self._expires_at - now < MIN_SEND_TIME_S:
             raise RequestError(Kind.DEADLINE, "no time is left", ran=ran)
-        if is_retry and not self._spend_retry_budget(now):
+        if is_retry and not self.retry_permit.obtain(now):
             raise self._refuse("the retry budget is spent", ran)
         queue = target_selector.get_queue(self._routed.service.name)
         ticket = self._make_ticket()
@@ -96,19 +97,3 @@
         base_s = random.uniform(*RETRY_AFTER_FRACTIONS) * self._routed.route.objective_s
         retry_s = max(MIN_RETRY_AFTER_S, base_s, min(excess_s, MAX_RETRY_AFTER_S))
         return RequestError(Kind.NO_CAPACITY, why, ran=Ran.NO, retry_after=retry_s)
-
-    def _spend_retry_budget(self, now: float) -> bool:
-        hosts = self._context.members.count_hosts()
-        service = self._routed.service.name
-        decision = self._context.get_budget(service).take(hosts, now)
-        self._context.metrics.record_retry(service, decision.granted)
-        log_event(
-            "retry_granted" if decision.granted else "retry_refused",
-            request_id=self._routed.call.id,
-            service=service,
-            used=decision.used,
-            allowed=round(decision.allowed, 2),
-            hosts=hosts,
-            age_s=round(self._context.get_age(now), 3),
-        )
-        return decision.granted
--- a/cloverway/serving/requests/target_selector.py
+++ b/cloverway/serving/requests/target_selector.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import NamedTuple
 
+from cloverway.core.allowances import MIN_HOST_AGE_S
 from cloverway.core.cold_start import compute_cold_send_interval
 from cloverway.core.deployment import Service
 from cloverway.core.endpoints import Directory, Endpoint
@@ -98,7 +99,7 @@
         self._numbers = itertools.count(1)
         self._queues: dict[str, RequestQueue[Target]] = {}
         self._isolations: dict[str, LargePromptIsolation] = {}
-        self._shares = LimitShares(members, directory, self._started_at)
+        self._shares = LimitShares(members, directory)
         self._isolated: dict[str, frozenset[str]] = {}
         """The engines that large prompts of each service were last restricted to."""
         self.on_large_prompt: Callable[[], None] = lambda: None
@@ -290,7 +291,7 @@
             endpoint.entry.id,
             self._members.own.name,
             self._members.list_region(),
-            age_s=now - self._started_at,
+            is_settled=self._members.get_age(now) >= MIN_HOST_AGE_S,
         )
         return interval_s is not None and now - endpoint.last_cold_send_at >= interval_s
 
--- a/cloverway/tests/ablated.py
+++ b/cloverway/tests/ablated.py
@@ -58,7 +58,10 @@
     "readers": (Switch("serving.documents.catalogue", "READERS_PER_DOMAIN", 10_000),),
     "few_named": (Switch("core.lookup", "TARGET_UTILIZATION", 0.0),),
     "settle": (Switch("core.lookup", "MIN_LOOKUP_AGE_S", 0.0),),
-    "retries": (Switch("core.retry_budget", "USABLE_FRACTION", 0.0),),
+    "retries": (
+        Switch("core.retry_budget", "USABLE_FRACTION", 0.0),
+        Switch("core.retry_budget", "BURST_FRACTION", 0.0),
+    ),
 }
 
 
--- a/cloverway/tests/fleet/deployment.py
+++ b/cloverway/tests/fleet/deployment.py
@@ -32,6 +32,8 @@
 )
 
 POLL_S = 0.01
+RUNNING_S = 60.0
+"""Age of a host that no longer holds back what a host that has just started must not use."""
 REGIONS = {"d1": "north", "d2": "south"}
 
 
@@ -78,7 +80,9 @@
         ports: list[int] | None = None,
         seeds: tuple[str, ...] | None = None,
         retries: RetryBudgetSettings | None = None,
+        age_s: float = RUNNING_S,
     ) -> Host:
+        """Start a host that has run for `age_s`, as far as it decides what it may use."""
         ports = ports or take_ports(6)
         if seeds is None:
             seeds = tuple(host.settings.listen.control for host in self.hosts[:3])
@@ -99,6 +103,7 @@
         )
         store_client = PlatformStore(settings.store.address)
         host = Host(settings, store_client, PlatformDialect(), self.writer)
+        host.members.started_at -= age_s
         await host.start()
         self.hosts.append(host)
         return host
@@ -196,7 +201,7 @@
 
 
 @asynccontextmanager
-async def run_fleet(hosts: int = 1, endpoints: int = 2):
+async def run_fleet(hosts: int = 1, endpoints: int = 2, *, age_s: float = RUNNING_S):
     """Run a fleet with a plain service and a model service in the domain d1."""
     fleet = Fleet()
     await fleet.store.start()
@@ -212,7 +217,7 @@
         await fleet.add_endpoint(f"model-{number}", "model")
     try:
         for _ in range(hosts):
-            await fleet.add_host()
+            await fleet.add_host(age_s=age_s)
         count = 2 * endpoints
         await wait_for(lambda: all(len(h.directory.endpoints) == count for h in fleet.hosts))
         yield fleet
--- a/cloverway/tests/test_core_cold_start.py
+++ b/cloverway/tests/test_core_cold_start.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from cloverway.core.cold_start import MIN_HOST_AGE_S, ColdStartSettings, compute_cold_send_interval
+from cloverway.core.allowances import MIN_HOST_AGE_S, is_settled
+from cloverway.core.cold_start import ColdStartSettings, compute_cold_send_interval
 
 SETTINGS = ColdStartSettings(overshoot=1.5, slack=3.0)
 COLD_PER_S = 1.6
@@ -17,9 +18,10 @@
 class HostView:
     """A host's knowledge of the other hosts of its region over time."""
 
-    def __init__(self, name, started_at, known_since):
+    def __init__(self, name, started_at, known_since, *, has_seeds=False):
         self.name = name
         self.started_at = started_at
+        self.has_seeds = has_seeds
         self.known_since = known_since
         """When it received the first heartbeat of each other host."""
         self.last_send = float("-inf")
@@ -28,9 +30,13 @@
         if now < self.started_at:
             return False
         known = [name for name, at in self.known_since.items() if at <= now]
-        age_s = now - self.started_at
         interval_s = compute_cold_send_interval(
-            COLD_PER_S, SETTINGS, "e", self.name, known, age_s=age_s
+            COLD_PER_S,
+            SETTINGS,
+            "e",
+            self.name,
+            known,
+            is_settled=is_settled(now - self.started_at, len(known), self.has_seeds),
         )
         if interval_s is None or now - self.last_send < interval_s:
             return False
@@ -101,7 +107,9 @@
 def test_a_host_sends_to_a_cold_endpoint_from_the_minimum_age():
     ages = [MIN_HOST_AGE_S - 0.1, MIN_HOST_AGE_S]
     intervals_s = [
-        compute_cold_send_interval(COLD_PER_S, SETTINGS, "e", "host-0", (), age_s=age)
+        compute_cold_send_interval(
+            COLD_PER_S, SETTINGS, "e", "host-0", (), is_settled=is_settled(age, 0, False)
+        )
         for age in ages
     ]
     assert intervals_s[0] is None
@@ -111,7 +119,7 @@
 def test_no_more_hosts_send_than_the_limit_has_sends():
     names = [f"host-{n}" for n in range(24)]
     intervals_s = [
-        compute_cold_send_interval(COLD_PER_S, SETTINGS, "e", name, names, age_s=MIN_HOST_AGE_S)
+        compute_cold_send_interval(COLD_PER_S, SETTINGS, "e", name, names, is_settled=True)
         for name in names
     ]
     assert (
--- a/cloverway/tests/test_core_limits.py
+++ b/cloverway/tests/test_core_limits.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cloverway.core.cold_start import MIN_HOST_AGE_S
+from cloverway.core.allowances import MIN_HOST_AGE_S, is_settled
 from cloverway.core.limits import TokenBucket, compute_share
 
 STEP_S = 0.01
@@ -21,19 +21,20 @@
 class SimulatedHost:
     """A host, and what it knows of the other sending hosts at each time."""
 
-    def __init__(self, name, known_since, started_at=-100.0):
+    def __init__(self, name, known_since, started_at=-100.0, *, has_seeds=False):
         self.name = name
         self.known_since = known_since
         """When it first learned of each other host."""
         self.started_at = started_at
+        self.has_seeds = has_seeds
         self.bucket = TokenBucket(max(0.0, started_at))
 
     def may_send(self, limit_per_s, now):
         if now < self.started_at:
             return False
         known = [name for name, at in self.known_since.items() if at <= now]
-        age_s = now - self.started_at
-        share = compute_share(limit_per_s, "e", self.name, known, age_s=age_s)
+        is_known = is_settled(now - self.started_at, len(known), self.has_seeds)
+        share = compute_share(limit_per_s, "e", self.name, known, is_settled=is_known)
         if share is None or self.bucket.estimate_wait(share, now) > 0:
             return False
         self.bucket.take(share, now)
@@ -146,5 +147,7 @@
 
 def test_token_bucket_starts_empty():
     """Guards against a burst just when an endpoint reports that it is overloaded."""
-    share = compute_share(2.0, "e", "host-0", (), age_s=MIN_HOST_AGE_S)
+    share = compute_share(
+        2.0, "e", "host-0", (), is_settled=is_settled(MIN_HOST_AGE_S, 0, has_seeds=False)
+    )
     assert TokenBucket(5.0).estimate_wait(share, 5.0) == pytest.approx(0.5)
--- /dev/null
+++ b/cloverway/tests/test_core_retry_budget.py
@@ -0,0 +1,201 @@
+"""Retries of all hosts together under restarts, cuts and bursts, in virtual time; no network."""
+
+from __future__ import annotations
+
+import itertools
+import os
+import random
+from bisect import bisect_left
+
+import pytest
+
+from cloverway.core.allowances import MIN_HOST_AGE_S, compute_part, is_settled
+from cloverway.core.retry_budget import BURST_FRACTION, RetryBudget, RetryBudgetSettings
+
+SETTINGS = RetryBudgetSettings(ratio=0.2, slack=54.0, window_s=10.0)
+STEP_S = 0.02
+HISTORIES = int(os.environ.get("BUDGET_HISTORIES", "40"))
+"""Random histories that are played; more of them by hand."""
+MAX_QUEUE_S = 2.0
+MAX_LAG_S = 0.3
+"""Time between the send of a retry and its arrival."""
+DISCOVERY_S = 1.0
+"""Time in which hosts that can reach each other have heard of each other."""
+
+
+class SimulatedHost:
+    """The process of a host; a restart makes a new one."""
+
+    def __init__(self, domain, started_at):
+        self.domain = domain
+        self.started_at = started_at
+        self.budget = RetryBudget(SETTINGS, started_at)
+        self.discovered_at = started_at + DISCOVERY_S
+        self.known = set()
+        self.queue = []
+        """Times at which retries that hold a permit are sent."""
+
+
+class History:
+    """A fleet whose hosts always want to retry, while it restarts and is cut."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.domains = rng.randint(1, 4)
+        count = rng.randint(self.domains, 5 * self.domains)
+        self.addresses = {n: n % self.domains for n in range(count)}
+        self.rate = rng.choice([3.0, 30.0, 200.0])
+        self.cuts = [(at, at + rng.uniform(2, 40)) for at in rng.sample(range(50), k=2)]
+        self.kills = self._draw_kills()
+        self.demand = self._draw_demand()
+        self.hosts = {n: SimulatedHost(d, -100.0) for n, d in self.addresses.items()}
+        for host in self.hosts.values():
+            host.known = set(self.addresses)
+        self.requests, self.arrivals = [], []
+
+    def _draw_kills(self):
+        """Return the hosts killed at each time: in series, all or some at once."""
+        start, interval_s = self.rng.uniform(5, 30), self.rng.uniform(0.6, 6)
+        share = self.rng.choice([0.0, 0.3, 0.9, 1.0])
+        return [
+            (start + n * interval_s, [a for a in self.addresses if self.rng.random() < share])
+            for n in range(self.rng.randint(1, 6))
+        ]
+
+    def _draw_demand(self):
+        """Return the times at which the endpoints turn requests away."""
+        starts = sorted(self.rng.uniform(0, 50) for _ in range(3))
+        return [(start, start + self.rng.uniform(0.5, 20)) for start in starts]
+
+    def play(self):
+        kills = iter([*self.kills, (float("inf"), [])])
+        kill_at, killed = next(kills)
+        for step in range(int(60 / STEP_S)):
+            now = step * STEP_S
+            if now >= kill_at:
+                for address in killed:
+                    domain = self.addresses[address]
+                    self.hosts[address] = SimulatedHost(domain, now + 0.3)
+                kill_at, killed = next(kills)
+            for host in self.hosts.values():
+                if now >= host.started_at:
+                    self._step(host, now)
+
+    def _step(self, host, now):
+        if now >= host.discovered_at:
+            is_cut = any(start <= now < end for start, end in self.cuts)
+            host.known |= {
+                a for a, domain in self.addresses.items() if not is_cut or domain == host.domain
+            }
+        slack = self._compute_slack(host, now)
+        if self.rng.random() < self.rate / len(self.hosts) * STEP_S:
+            self.requests.append(now)
+            host.budget.record_request(slack, now)
+        for at in [at for at in host.queue if at <= now]:
+            host.queue.remove(at)
+            host.budget.spend()
+            self.arrivals.append(now + self.rng.uniform(0, MAX_LAG_S))
+        if any(start <= now < end for start, end in self.demand):
+            while host.budget.reserve(slack, now).granted:
+                waits = self.rng.random() < 0.5
+                host.queue.append(now + waits * self.rng.uniform(0, MAX_QUEUE_S))
+
+    def _compute_slack(self, host, now):
+        others = max(0, len(host.known) - 1)
+        if not is_settled(now - host.started_at, others, has_seeds=True):
+            return 0.0
+        hosts = sum(self.addresses[a] == host.domain for a in host.known)
+        return compute_part(SETTINGS.slack, self.domains, hosts)
+
+
+def find_excess(history):
+    """Return the most retries beyond the budget in any window."""
+    requests, arrivals = sorted(history.requests), sorted(history.arrivals)
+
+    def count(times, start):
+        return bisect_left(times, start + SETTINGS.window_s) - bisect_left(times, start)
+
+    def compute_allowed(start):
+        starts = (start, start - SETTINGS.window_s / 2, start - SETTINGS.window_s)
+        return SETTINGS.ratio * max(count(requests, at) for at in starts) + SETTINGS.slack
+
+    return max((count(arrivals, at) - compute_allowed(at) for at in arrivals), default=0.0)
+
+
+@pytest.mark.parametrize("seed", range(HISTORIES))
+def test_retries_stay_within_the_budget_whatever_hosts_know_and_however_often_they_start(seed):
+    """Guards against budgets that restarts renew and that hosts in a cut divide by too few."""
+    history = History(random.Random(seed))
+    history.play()
+    assert find_excess(history) <= 0
+
+
+@pytest.mark.parametrize("hosts", [1, 3, 10])
+def test_retries_of_all_hosts_stay_within_the_budget_in_any_window(hosts):
+    """All hosts are partitioned from each other, and each retries as often as it is allowed to."""
+    budgets = [RetryBudget(SETTINGS, -100.0) for _ in range(hosts)]
+    part = compute_part(SETTINGS.slack, 1, hosts)
+    sends, requests = [], []
+    for step in range(3_000):
+        now = step * 0.01
+        for budget in budgets:
+            if step % 10 == 0:
+                budget.record_request(part, now)
+                requests.append(now)
+            if budget.reserve(part, now).granted:
+                budget.spend()
+                sends.append(now)
+    for start in range(20):
+        in_window = sum(start <= at < start + 10 for at in sends)
+        requested = sum(start <= at < start + 10 for at in requests)
+        assert in_window <= 0.2 * requested + 54
+    assert len(sends) >= 0.6 * (0.2 * len(requests) + 3 * 0.35 * 54)
+
+
+def test_a_host_that_has_just_started_retries_as_its_own_requests_allow():
+    """Guards against hosts that never retry after a start, or not until they know the others."""
+    budget = RetryBudget(SETTINGS, 0.0)
+    assert not budget.reserve(0.0, 0.0).granted
+    for number in range(20):
+        budget.record_request(0.0, number * 0.05)
+    assert budget.reserve(0.0, 1.0).granted
+
+
+def test_an_idle_host_that_has_run_for_long_retries_without_requests():
+    """Guards against a request whose only endpoint fails at a host with few requests."""
+    budget = RetryBudget(SETTINGS, -100.0)
+    granted = itertools.takewhile(
+        lambda decision: decision.granted, (budget.reserve(6.0, 0.0) for _ in itertools.count())
+    )
+    assert len(list(granted)) == int(BURST_FRACTION * 6.0)
+
+
+def test_a_retry_that_waits_is_not_followed_by_others_when_it_is_sent():
+    """Guards against retries that are granted over a long time and arrive at once."""
+    budget = RetryBudget(SETTINGS, -100.0)
+    waiting = 0
+    for step in range(1_000):
+        waiting += budget.reserve(6.0, step * 0.01).granted
+    assert waiting == int(BURST_FRACTION * 6.0)
+    for _ in range(waiting):
+        budget.spend()
+    assert not budget.reserve(6.0, 10.0).granted
+
+
+def test_tokens_of_retries_that_were_not_sent_or_reached_no_endpoint_are_returned():
+    """Guards against callers refused for retries that no endpoint has seen."""
+    budget = RetryBudget(SETTINGS, -100.0)
+    for _ in range(50):
+        assert budget.reserve(2.0, 0.0).granted
+        budget.release()
+    for _ in range(50):
+        assert budget.reserve(2.0, 0.0).granted
+        budget.spend()
+        budget.refund()
+
+
+def test_a_host_takes_a_part_only_when_it_can_know_the_others():
+    assert not is_settled(MIN_HOST_AGE_S - 0.1, 5, has_seeds=True)
+    assert is_settled(MIN_HOST_AGE_S, 1, has_seeds=True)
+    assert not is_settled(1_000.0, 0, has_seeds=True)
+    assert is_settled(MIN_HOST_AGE_S, 0, has_seeds=False)
--- a/cloverway/tests/test_core_selection.py
+++ b/cloverway/tests/test_core_selection.py
@@ -8,8 +8,6 @@
 
 from collections import Counter
 
-import pytest
-
 from cloverway.core.calls import Call, Prompt, PromptSegment
 from cloverway.core.deployment import (
     CallKind,
@@ -29,7 +27,6 @@
     estimate_work,
     predict,
 )
-from cloverway.core.retry_budget import RetryBudget, RetryBudgetSettings
 from cloverway.core.selection import choose_endpoint
 from cloverway.core.token_gaps import (
     INITIAL_BURST_RATIO,
@@ -248,26 +245,6 @@
     return Call(name, "POST", "/a/", "h", (), b"", 0.0, 5.0)
 
 
-@pytest.mark.parametrize("hosts", [1, 3, 10])
-def test_retries_of_all_hosts_stay_within_the_budget_in_any_window(hosts):
-    """All hosts are partitioned from each other, and each retries as often as it is allowed to."""
-    settings = RetryBudgetSettings(ratio=0.2, slack=54.0, window_s=10.0)
-    budgets = [RetryBudget(settings) for _ in range(hosts)]
-    sends, requests = [], []
-    for step in range(3_000):
-        now = step * 0.01
-        for budget in budgets:
-            if step % 10 == 0:
-                budget.record_request(now)
-                requests.append(now)
-            if budget.take(hosts, now).granted:
-                sends.append(now)
-    for start in range(20):
-        in_window = sum(start <= at < start + 10 for at in sends)
-        requested = sum(start <= at < start + 10 for at in requests)
-        assert in_window <= 0.2 * requested + 54
-
-
 def test_requests_stay_in_their_failure_domain_if_endpoints_are_equal():
     """Two domains have an idle endpoint each; requests have bodies of 9 KB.
 
--- a/cloverway/tests/test_fleet_requests.py
+++ b/cloverway/tests/test_fleet_requests.py
@@ -120,8 +120,11 @@
     for record in granted + refused:
         assert record.request_id.startswith("call-")
         assert (record.service, record.hosts) == ("desk", 1)
-        assert record.used <= record.allowed
+        assert record.slack > 0
+        assert record.capacity > 0
         assert record.age_s > 0
+    assert min(record.available for record in granted) >= 1
+    assert max(record.available for record in refused) < 1
 
 
 def test_an_idempotent_request_is_retried_after_a_lost_connection():
--- a/cloverway/tests/test_fleet_retry_budget.py
+++ b/cloverway/tests/test_fleet_retry_budget.py
@@ -78,7 +78,7 @@
 
 async def start_hosts(fleet, domains, seeds=None):
     for domain in domains:
-        await fleet.add_host(domain, retries=BUDGET, seeds=seeds)
+        await fleet.add_host(domain, retries=BUDGET, age_s=0.0, seeds=seeds)
     await wait_for(lambda: all(host.directory.endpoints for host in fleet.hosts))
 
 
@@ -92,7 +92,7 @@
         addresses = (listen.callers, listen.readiness, listen.lookup, listen.control)
         ports = [int(address.rpartition(":")[2]) for address in addresses]
         ports += [listen.inner_ports[0], listen.metrics_port]
-        await fleet.add_host(ports=ports, seeds=seeds, retries=BUDGET)
+        await fleet.add_host(ports=ports, seeds=seeds, retries=BUDGET, age_s=0.0)
     await wait_for(lambda: all(host.directory.endpoints for host in fleet.hosts))
 
 
@@ -118,9 +118,9 @@
     async def scenario():
         async with run_refused_fleet() as (fleet, arrivals):
             for domain in ("d1", "d2"):
-                first = await fleet.add_host(domain, retries=BUDGET, seeds=())
+                first = await fleet.add_host(domain, retries=BUDGET, age_s=0.0, seeds=())
                 seeds = (first.settings.listen.control,)
-                await fleet.add_host(domain, retries=BUDGET, seeds=seeds)
+                await fleet.add_host(domain, retries=BUDGET, age_s=0.0, seeds=seeds)
             await wait_for(lambda: all(host.members.peers for host in fleet.hosts))
             await call_for(fleet, arrivals, 3.0)
             arrivals.check()
