Let a host that has heard of no other send little to a cold endpoint

Hosts that start in a cut of their own know nobody, and each took the whole limit of a cold endpoint once it was two seconds old: 12 requests in a second from three hosts, where 4 are sustained. A cold endpoint crashes of that, and callers of all hosts lose what ran there.

A host that was given the addresses of others and has heard of none now sends as little as one of many hosts, one request in 1.1 s. So up to as many such hosts as the limit has sends are safe, and each still serves. A host without seeds is alone by its settings and uses the whole limit, as before.

test_hosts_that_know_no_other_host_do_not_overload_a_cold_endpoint[3] failed before (12 of 4).

--- a/cloverway/core/allowances.py
+++ b/cloverway/core/allowances.py
@@ -8,13 +8,18 @@
 endpoint. Without it, hosts that started together each used the whole allowance."""
 
 
-def is_settled(age_s: float, known_hosts: int, has_seeds: bool) -> bool:
-    """Return whether a host knows enough of the fleet to take a part of a common allowance.
+def is_settled(age_s: float) -> bool:
+    """Return whether a host has run for long enough to know the others."""
+    return age_s >= MIN_HOST_AGE_S
 
-    A host that has just started doesn't know the others yet. One that has seeds and has heard of no
-    other host may be cut off from all of them, and each of those would take the whole allowance.
+
+def is_alone(known_hosts: int, has_seeds: bool) -> bool:
+    """Return whether a host has heard of no other host although there are others.
+
+    It may be cut off from all of them. If it counted only itself, it would use the whole of an
+    allowance, and so would each other host in such a cut.
     """
-    return age_s >= MIN_HOST_AGE_S and (known_hosts > 0 or not has_seeds)
+    return has_seeds and not known_hosts
 
 
 def compute_part(allowance: float, domains: int, domain_hosts: int) -> float:
--- a/cloverway/core/cold_start.py
+++ b/cloverway/core/cold_start.py
@@ -29,16 +29,20 @@
     hosts: Iterable[str],
     *,
     is_settled: bool,
+    is_alone: bool = False,
 ) -> float | None:
     """Return the seconds between two sends of one host to a cold endpoint; None for no sends.
 
     A cold endpoint crashes when all hosts together send more than it sustains within one second.
     Each host gets an equal share of the limit. If there are more hosts than sends in the limit,
-    only that many hosts send, those that a hash ranks first for this endpoint. A host that doesn't
-    know the others (`is_settled`) sends nothing.
+    only that many hosts send, those that a hash ranks first for this endpoint. A host that has
+    just started (`is_settled`) doesn't know the others yet and sends nothing. One that has heard of
+    nobody (`is_alone`) sends as little as one of many hosts.
     """
     if not is_settled:
         return None
+    if is_alone:
+        return SEND_WINDOW_S
     max_sends = int(cold_per_s * settings.overshoot + settings.slack)
     rank = sorted({host, *hosts}, key=lambda name: rank_host(endpoint, name))
     if rank.index(host) >= max_sends:
--- a/cloverway/core/members.py
+++ b/cloverway/core/members.py
@@ -6,7 +6,7 @@
 from functools import lru_cache
 from typing import NamedTuple
 
-from cloverway.core.allowances import is_settled
+from cloverway.core.allowances import is_alone, is_settled
 from cloverway.core.decay import DecayingSum
 from cloverway.core.deployment import StorePosition
 from cloverway.core.load import EngineState
@@ -205,8 +205,12 @@
         return now - self.started_at
 
     def is_settled(self, now: float) -> bool:
-        """Return whether this host knows enough of the others to take its part of an allowance."""
-        return is_settled(self.get_age(now), len(self.peers), self._has_seeds)
+        """Return whether this host has run for long enough to know the others."""
+        return is_settled(self.get_age(now))
+
+    def is_alone(self) -> bool:
+        """Return whether this host has heard of no other host although there are others."""
+        return is_alone(len(self.peers), self._has_seeds)
 
     def count_hosts(self) -> int:
         """Return the number of known hosts, including this one."""
--- a/cloverway/serving/context.py
+++ b/cloverway/serving/context.py
@@ -88,7 +88,7 @@
         return self._slack
 
     def _compute_retry_slack(self, now: float) -> float:
-        if not self.members.is_settled(now):
+        if not self.members.is_settled(now) or self.members.is_alone():
             return 0.0
         domain_hosts = self.members.count_domain_hosts()
         return compute_part(self.settings.retries.slack, len(self.settings.regions), domain_hosts)
--- a/cloverway/serving/requests/limit_shares.py
+++ b/cloverway/serving/requests/limit_shares.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from cloverway.core.allowances import MIN_HOST_AGE_S
 from cloverway.core.endpoints import Directory, Endpoint
 from cloverway.core.limits import LimitShare, TokenBucket, compute_share
 from cloverway.core.members import Members
@@ -54,7 +53,7 @@
         if limit_per_s is None or hosts is None:
             return None
         own = self._members.own.name
-        is_settled = self._members.get_age(now) >= MIN_HOST_AGE_S
+        is_settled = self._members.is_settled(now)
         incarnation = endpoint.entry.incarnation
         return compute_share(limit_per_s, incarnation, own, hosts, is_settled=is_settled)
 
--- a/cloverway/serving/requests/target_selector.py
+++ b/cloverway/serving/requests/target_selector.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import NamedTuple
 
-from cloverway.core.allowances import MIN_HOST_AGE_S
 from cloverway.core.cold_start import compute_cold_send_interval
 from cloverway.core.deployment import Service
 from cloverway.core.endpoints import Directory, Endpoint
@@ -291,7 +290,8 @@
             endpoint.entry.id,
             self._members.own.name,
             self._members.list_region(),
-            is_settled=self._members.get_age(now) >= MIN_HOST_AGE_S,
+            is_settled=self._members.is_settled(now),
+            is_alone=self._members.is_alone(),
         )
         return interval_s is not None and now - endpoint.last_cold_send_at >= interval_s
 
--- a/cloverway/tests/test_core_cold_start.py
+++ b/cloverway/tests/test_core_cold_start.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cloverway.core.allowances import MIN_HOST_AGE_S, is_settled
+from cloverway.core.allowances import MIN_HOST_AGE_S, is_alone, is_settled
 from cloverway.core.cold_start import ColdStartSettings, compute_cold_send_interval
 
 SETTINGS = ColdStartSettings(overshoot=1.5, slack=3.0)
@@ -36,7 +36,8 @@
             "e",
             self.name,
             known,
-            is_settled=is_settled(now - self.started_at, len(known), self.has_seeds),
+            is_settled=is_settled(now - self.started_at),
+            is_alone=is_alone(len(known), self.has_seeds),
         )
         if interval_s is None or now - self.last_send < interval_s:
             return False
@@ -108,7 +109,7 @@
     ages = [MIN_HOST_AGE_S - 0.1, MIN_HOST_AGE_S]
     intervals_s = [
         compute_cold_send_interval(
-            COLD_PER_S, SETTINGS, "e", "host-0", (), is_settled=is_settled(age, 0, False)
+            COLD_PER_S, SETTINGS, "e", "host-0", (), is_settled=is_settled(age)
         )
         for age in ages
     ]
@@ -126,3 +127,11 @@
         len(list(itertools.filterfalse(lambda interval_s: interval_s is None, intervals_s)))
         == LIMIT
     )
+
+
+def test_a_host_that_knows_no_other_sends_as_little_as_one_of_many():
+    """Guards against hosts in cuts of their own that each take the whole limit."""
+    views = [HostView(f"host-{n}", -100.0, {}, has_seeds=True) for n in range(LIMIT)]
+    sends = simulate(views, 8)
+    assert count_max_per_second(sends) <= LIMIT
+    assert len(sends) >= 5 * LIMIT
--- a/cloverway/tests/test_core_limits.py
+++ b/cloverway/tests/test_core_limits.py
@@ -33,7 +33,7 @@
         if now < self.started_at:
             return False
         known = [name for name, at in self.known_since.items() if at <= now]
-        is_known = is_settled(now - self.started_at, len(known), self.has_seeds)
+        is_known = is_settled(now - self.started_at)
         share = compute_share(limit_per_s, "e", self.name, known, is_settled=is_known)
         if share is None or self.bucket.estimate_wait(share, now) > 0:
             return False
@@ -147,7 +147,5 @@
 
 def test_token_bucket_starts_empty():
     """Guards against a burst just when an endpoint reports that it is overloaded."""
-    share = compute_share(
-        2.0, "e", "host-0", (), is_settled=is_settled(MIN_HOST_AGE_S, 0, has_seeds=False)
-    )
+    share = compute_share(2.0, "e", "host-0", (), is_settled=is_settled(MIN_HOST_AGE_S))
     assert TokenBucket(5.0).estimate_wait(share, 5.0) == pytest.approx(0.5)
--- a/cloverway/tests/test_core_retry_budget.py
+++ b/cloverway/tests/test_core_retry_budget.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from cloverway.core.allowances import MIN_HOST_AGE_S, compute_part, is_settled
+from cloverway.core.allowances import MIN_HOST_AGE_S, compute_part, is_alone, is_settled
 from cloverway.core.retry_budget import BURST_FRACTION, RetryBudget, RetryBudgetSettings
 
 SETTINGS = RetryBudgetSettings(ratio=0.2, slack=54.0, window_s=10.0)
@@ -102,7 +102,7 @@
 
     def _compute_slack(self, host, now):
         others = max(0, len(host.known) - 1)
-        if not is_settled(now - host.started_at, others, has_seeds=True):
+        if not is_settled(now - host.started_at) or is_alone(others, has_seeds=True):
             return 0.0
         hosts = sum(self.addresses[a] == host.domain for a in host.known)
         return compute_part(SETTINGS.slack, self.domains, hosts)
@@ -195,7 +195,8 @@
 
 
 def test_a_host_takes_a_part_only_when_it_can_know_the_others():
-    assert not is_settled(MIN_HOST_AGE_S - 0.1, 5, has_seeds=True)
-    assert is_settled(MIN_HOST_AGE_S, 1, has_seeds=True)
-    assert not is_settled(1_000.0, 0, has_seeds=True)
-    assert is_settled(MIN_HOST_AGE_S, 0, has_seeds=False)
+    assert not is_settled(MIN_HOST_AGE_S - 0.1)
+    assert is_settled(MIN_HOST_AGE_S)
+    assert is_alone(0, has_seeds=True)
+    assert not is_alone(1, has_seeds=True)
+    assert not is_alone(0, has_seeds=False)
--- /dev/null
+++ b/cloverway/tests/test_fleet_alone.py
@@ -0,0 +1,39 @@
+"""Hosts that have heard of no other host, each in a cut of its own, on real hosts and sockets."""
+
+from __future__ import annotations
+
+import pytest
+
+from cloverway.tests.fleet.deployment import run_fleet, run_scenario, wait_for
+from cloverway.tests.fleet.standins import make_route, make_service
+from cloverway.tests.test_fleet_limits import send_load
+
+COLD_PER_S = 4.0
+NOBODY = ("127.0.0.1:1",)
+"""Seeds that never answer."""
+
+
+async def start_alone(fleet, count):
+    for _ in range(count):
+        await fleet.add_host(seeds=NOBODY)
+    await wait_for(lambda: all(host.directory.endpoints for host in fleet.hosts))
+
+
+@pytest.mark.parametrize("hosts", [1, 3])
+def test_hosts_that_know_no_other_host_do_not_overload_a_cold_endpoint(hosts):
+    """Guards against a limit that each host takes whole; they must still serve some requests."""
+
+    async def scenario():
+        async with run_fleet(hosts=0, endpoints=1) as fleet:
+            service = make_service("desk", coldS=20.0, coldPerS=COLD_PER_S)
+            fleet.publish([make_route("safe", "idempotent", "desk")], [service])
+            endpoint = fleet.endpoints["desk-0"]
+            fleet.store.put("servers/desk-0", endpoint.make_entry(coldRemainingMs=20_000))
+            await start_alone(fleet, hosts)
+            replies = await send_load(fleet, fleet.hosts, 3.0)
+            arrivals = [exchange.arrived_at for exchange in endpoint.requests]
+            most = max(sum(start <= at < start + 1 for at in arrivals) for start in arrivals)
+            assert most <= COLD_PER_S
+            assert sum(reply.status == 200 for reply in replies) >= 2
+
+    run_scenario(scenario)
