Let a host that has heard of no other use one of many shares of a named limit

The endpoint is in need when it names a limit.

A host that was given the addresses of others and has heard of none now takes the share of one of as many hosts as may send there. It still serves callers.

--- a/cloverway/core/limits.py
+++ b/cloverway/core/limits.py
@@ -30,14 +30,21 @@
 
 
 def compute_share(
-    limit_per_s: float, endpoint: str, host: str, hosts: Iterable[str], *, is_settled: bool
+    limit_per_s: float,
+    endpoint: str,
+    host: str,
+    hosts: Iterable[str],
+    *,
+    is_settled: bool,
+    is_alone: bool = False,
 ) -> LimitShare | None:
     """Return this host's share of an endpoint's limit, or None if it has none.
 
     `hosts` are the other hosts that may send there. All get equal shares, regardless of demand, so
     that the sum stays within the limit without coordination. If there are many hosts, only those
-    that a hash ranks first for this endpoint may send. A host that doesn't know the others
-    (`is_settled`) has no share.
+    that a hash ranks first for this endpoint may send. A host that has just started
+    (`is_settled`) doesn't know the others yet and has no share. One that has heard of nobody
+    (`is_alone`) has the share of one of many.
     """
     if not is_settled:
         return None
@@ -46,7 +53,7 @@
     ranked = sorted({host, *hosts}, key=lambda name: rank_host(endpoint, name))
     if ranked.index(host) >= senders:
         return None
-    per_s = limit_per_s / min(senders, len(ranked))
+    per_s = limit_per_s / (senders if is_alone else min(senders, len(ranked)))
     return LimitShare(per_s, 1 + BURST_S * per_s)
 
 
--- a/cloverway/serving/requests/limit_shares.py
+++ b/cloverway/serving/requests/limit_shares.py
@@ -53,9 +53,14 @@
         if limit_per_s is None or hosts is None:
             return None
         own = self._members.own.name
-        is_settled = self._members.is_settled(now)
-        incarnation = endpoint.entry.incarnation
-        return compute_share(limit_per_s, incarnation, own, hosts, is_settled=is_settled)
+        return compute_share(
+            limit_per_s,
+            endpoint.entry.incarnation,
+            own,
+            hosts,
+            is_settled=self._members.is_settled(now),
+            is_alone=self._members.is_alone(),
+        )
 
     def _list_hosts(self, now: float) -> list[str] | None:
         """List the other hosts of the region that send to endpoints; None if this one doesn't.
--- a/cloverway/tests/test_core_limits.py
+++ b/cloverway/tests/test_core_limits.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cloverway.core.allowances import MIN_HOST_AGE_S, is_settled
+from cloverway.core.allowances import MIN_HOST_AGE_S, is_alone, is_settled
 from cloverway.core.limits import TokenBucket, compute_share
 
 STEP_S = 0.01
@@ -33,8 +33,14 @@
         if now < self.started_at:
             return False
         known = [name for name, at in self.known_since.items() if at <= now]
-        is_known = is_settled(now - self.started_at)
-        share = compute_share(limit_per_s, "e", self.name, known, is_settled=is_known)
+        share = compute_share(
+            limit_per_s,
+            "e",
+            self.name,
+            known,
+            is_settled=is_settled(now - self.started_at),
+            is_alone=is_alone(len(known), self.has_seeds),
+        )
         if share is None or self.bucket.estimate_wait(share, now) > 0:
             return False
         self.bucket.take(share, now)
@@ -149,3 +155,12 @@
     """Guards against a burst just when an endpoint reports that it is overloaded."""
     share = compute_share(2.0, "e", "host-0", (), is_settled=is_settled(MIN_HOST_AGE_S))
     assert TokenBucket(5.0).estimate_wait(share, 5.0) == pytest.approx(0.5)
+
+
+@pytest.mark.parametrize("limit_per_s", [0.25, 2.0, 30.0])
+def test_hosts_that_know_no_other_stay_within_the_limit_together(limit_per_s):
+    """Guards against hosts in cuts of their own that each use the whole limit."""
+    hosts = [SimulatedHost(f"host-{n}", {}, has_seeds=True) for n in range(4)]
+    times = simulate(hosts, limit_per_s, 20)
+    assert count_max_in_window(times) <= compute_max_requests(limit_per_s)
+    assert times
--- a/cloverway/tests/test_fleet_alone.py
+++ b/cloverway/tests/test_fleet_alone.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from cloverway.serving.clock import read_clock
 from cloverway.tests.fleet.deployment import run_fleet, run_scenario, wait_for
 from cloverway.tests.fleet.standins import make_route, make_service
-from cloverway.tests.test_fleet_limits import send_load
+from cloverway.tests.test_fleet_limits import ALLOWED, LimitedEndpoint, send_load
 
 COLD_PER_S = 4.0
 NOBODY = ("127.0.0.1:1",)
@@ -37,3 +38,19 @@
             assert sum(reply.status == 200 for reply in replies) >= 2
 
     run_scenario(scenario)
+
+
+def test_hosts_that_know_no_other_host_do_not_overload_an_endpoint_that_states_a_limit():
+    """Guards against a limit that each host takes whole; they must still serve some requests."""
+
+    async def scenario():
+        async with run_fleet(hosts=0, endpoints=1) as fleet:
+            limited = LimitedEndpoint(fleet.endpoints["desk-0"])
+            await start_alone(fleet, 4)
+            began_at = read_clock()
+            replies = await send_load(fleet, fleet.hosts, 6.0)
+            assert limited.stated_at > began_at
+            assert limited.count_max_in_window() <= ALLOWED
+            assert sum(reply.status == 200 for reply in replies) >= 4
+
+    run_scenario(scenario)
