Take the newest configuration from other hosts when the store has lost it

Callers of a newer route were told 404 by a host that started after the store had come back from a copy, and 200 by all others, until operators wrote the configuration again.

Cause: what a host serves by was only what it had read itself. Hosts that had read the newest configuration keep it in force, but told the others only their documents, which are what the store says. Each heartbeat states the version a host serves by; nobody used it for this. A lower version is never taken, so an old one can't come back; the documents and their digest stay those of the store.

--- a/cloverway/core/documents.py
+++ b/cloverway/core/documents.py
@@ -16,6 +16,7 @@
 from typing import NamedTuple
 
 from cloverway.core.deployment import (
+    ConfigurationPublished,
     Document,
     DocumentUnreadable,
     EndpointPublished,
@@ -61,6 +62,10 @@
         self.position = StorePosition()
         self.digest = 0
         """XOR of the content hashes of all documents; equal on hosts with the same content."""
+        self.configuration: Document | None = None
+        """The document with the newest configuration that was ever read, also if the store has lost
+        it since."""
+        self._configuration_version = -1
         self._decode = decode
         self._known: dict[str, _KnownDocument] = {}
         self._removed: OrderedDict[str, StorePosition] = OrderedDict()
@@ -95,6 +100,27 @@
         self.position = snapshot.position
         return changed
 
+    def apply_configuration(self, document: Document) -> list[Publication]:
+        """Apply a configuration that the store has lost; return it if it is the newest one known.
+
+        The documents stay what the store says, so that hosts can compare them.
+        """
+        publications = self._decode((document,))
+        return publications if self._keep_newest_configuration(document, publications) else []
+
+    def _keep_newest_configuration(
+        self, document: Document, publications: list[Publication]
+    ) -> bool:
+        """Keep a document if it has a newer configuration than any before; return whether so."""
+        match publications:
+            case [ConfigurationPublished(configuration)] if (
+                configuration.version > self._configuration_version
+            ):
+                self.configuration = document
+                self._configuration_version = configuration.version
+                return True
+        return False
+
     def adopt_position(self, position: StorePosition, digest: int) -> bool:
         """Adopt a later position from a host with the same digest; return whether it was done."""
         if digest != self.digest or position < self.position:
@@ -175,6 +201,7 @@
     def _store(
         self, document: Document, known: _KnownDocument | None, publications: list[Publication]
     ) -> list[Publication]:
+        self._keep_newest_configuration(document, publications)
         self._removed.pop(document.key, None)
         was_unreadable = self._unreadable.pop(document.key, None) is not None
         content_hash = _hash_content(document, publications)
--- a/cloverway/serving/documents/catalogue.py
+++ b/cloverway/serving/documents/catalogue.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Callable
 
-from cloverway.core.deployment import Snapshot, StorePosition
+from cloverway.core.deployment import Document, Snapshot, StorePosition
 from cloverway.core.documents import DocumentTable
 from cloverway.core.endpoints import Change, Directory
 from cloverway.core.members import Members, rank_host
@@ -129,6 +129,14 @@
         self._record_epoch(own, source)
         self._report_changes(changes)
 
+    def apply_configuration(self, document: Document, source: str, now: float) -> None:
+        """Apply a configuration that another host has; an older one is ignored."""
+        publications = self.table.apply_configuration(document)
+        self._report_changes(self.directory.apply(publications, now, follows_loss=False))
+        if publications:
+            self._metrics.record_event("configuration_restored")
+            log_event("configuration_restored", source=source, revision=document.revision)
+
     def adopt_position(self, position: StorePosition, digest: int, source: str) -> bool:
         """Adopt the position of a host that has the same documents; return whether it was done."""
         own = self.table.position
--- a/cloverway/serving/documents/sync.py
+++ b/cloverway/serving/documents/sync.py
@@ -119,31 +119,44 @@
 
     async def _fetch(self, peer: Peer, after: StorePosition | None) -> StoredSnapshot:
         target = SNAPSHOT_PATH if after is None else f"{SNAPSHOT_PATH}?after={_format(after)}"
-        request = h11.Request(method="GET", target=target, headers=[(b"Host", b"peer")])
-        head, body = await fetch(
-            self._pool,
-            peer.member.forwarding_address,
-            request,
-            b"",
-            timeout_s=FETCH_TIMEOUT_S,
-            limit=MAX_FETCH_BYTES,
-        )
-        if head.status != 200:
-            raise ResponseError(f"status {head.status}")
-        snapshot = CODEC.decode(body)
-        if not isinstance(snapshot, StoredSnapshot):
-            raise PeerError("the response is not a snapshot of documents")
-        return snapshot
+        return await fetch_documents(self._pool, peer, target)
 
     def _apply(self, snapshot: StoredSnapshot) -> None:
-        documents = tuple(
-            Document(item.key, item.revision, None if item.removed else item.value, item.epoch)
-            for item in snapshot.documents
-        )
+        documents = tuple(map(decode_document, snapshot.documents))
         fetched = Snapshot(snapshot.revision, documents, snapshot.whole, snapshot.epoch)
         self._catalogue.apply(fetched, "peer", read_clock())
 
 
+async def fetch_documents(pool: ConnectionPool, peer: Peer, target: str) -> StoredSnapshot:
+    """Fetch documents of another host; raise ConnectError, ResponseError or PeerError."""
+    head, body = await fetch(
+        pool,
+        peer.member.forwarding_address,
+        h11.Request(method="GET", target=target, headers=[(b"Host", b"peer")]),
+        b"",
+        timeout_s=FETCH_TIMEOUT_S,
+        limit=MAX_FETCH_BYTES,
+    )
+    if head.status != 200:
+        raise ResponseError(f"status {head.status}")
+    snapshot = CODEC.decode(body)
+    if not isinstance(snapshot, StoredSnapshot):
+        raise PeerError("the response is not a snapshot of documents")
+    return snapshot
+
+
+def decode_document(item: StoredDocument) -> Document:
+    """Return a document as another host has sent it."""
+    return Document(item.key, item.revision, None if item.removed else item.value, item.epoch)
+
+
+def encode_document(item: Document) -> StoredDocument:
+    """Return a document as it is sent to another host."""
+    return StoredDocument(
+        item.key, item.revision, item.value or b"", item.value is None, item.epoch
+    )
+
+
 def export_snapshot(table: DocumentTable, target: str) -> bytes | None:
     """Return the documents that another host fetches; None if the path is another one."""
     parts = urlsplit(target)
@@ -151,10 +164,7 @@
         return None
     after = parse_qs(parts.query).get("after", [""])[0]
     snapshot = table.export_since(_parse(after))
-    documents = tuple(
-        StoredDocument(item.key, item.revision, item.value or b"", item.value is None, item.epoch)
-        for item in snapshot.documents
-    )
+    documents = tuple(map(encode_document, snapshot.documents))
     return CODEC.encode(
         StoredSnapshot(
             snapshot.revision, documents, snapshot.complete, table.digest, snapshot.epoch
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -22,6 +22,10 @@
 from cloverway.serving.clock import compute_tick_delay, read_clock, wait_for_tick
 from cloverway.serving.context import PEER_SYNC_WAIT_S, Context
 from cloverway.serving.documents.catalogue import Catalogue
+from cloverway.serving.documents.configuration_sync import (
+    ConfigurationSync,
+    export_configuration,
+)
 from cloverway.serving.documents.sync import DocumentSync, export_snapshot
 from cloverway.serving.early_sockets import EarlySockets
 from cloverway.serving.hosts.gossip import Gossip
@@ -86,6 +90,7 @@
         )
         self.catalogue.on_change = self._record_changes
         self.sync = DocumentSync(self.members, self.catalogue, self.context.pool)
+        self.configuration_sync = ConfigurationSync(self.members, self.catalogue, self.context.pool)
         self.gossip = Gossip(
             self.members,
             self.directory,
@@ -128,6 +133,7 @@
             self.gossip.endpoint_loads.run,
             self.context.broadcaster.run,
             self.sync.run,
+            self.configuration_sync.run,
             self.catalogue.run,
             self.catalogue.forget_missing,
             self._close_expired_connections,
@@ -198,7 +204,8 @@
         await self.forwarder.handle(exchange)
 
     async def _handle_forwarded(self, exchange: Exchange) -> None:
-        documents = export_snapshot(self.catalogue.table, exchange.target)
+        table, target = self.catalogue.table, exchange.target
+        documents = export_snapshot(table, target) or export_configuration(table, target)
         if documents is not None:
             await exchange.answer(200, [], documents)
             return
--- a/cloverway/tests/test_core_documents.py
+++ b/cloverway/tests/test_core_documents.py
@@ -11,6 +11,7 @@
 from cloverway.core.deployment import Document, Snapshot, StorePosition
 from cloverway.core.documents import DocumentTable
 from cloverway.platform.documents import decode_documents
+from cloverway.tests.fleet.standins import make_configuration
 
 
 def make_entry(state="ready", sequence=1, **fields):
@@ -250,3 +251,23 @@
     for number in (2, 3):
         sync(tables[number], tables[number - 1])
     assert len({table.digest for table in tables}) == 1
+
+
+def make_configuration_document(version, revision):
+    value = json.dumps(make_configuration(version, [], [])).encode()
+    return Document("op/config", revision, value)
+
+
+def test_a_configuration_that_the_store_has_lost_is_kept_for_other_hosts():
+    """Guards against a host that starts later and serves by an older one than all others."""
+    newest, in_copy = make_configuration_document(7, 9), make_configuration_document(4, 5)
+    table = make_table(newest)
+    table.apply(Snapshot(5, (in_copy,), True, 1))
+    assert table.configuration == newest
+    started = make_table(in_copy)
+    digest = started.digest
+    assert len(started.apply_configuration(newest)) == 1
+    assert started.apply_configuration(newest) == []
+    assert started.apply_configuration(in_copy) == []
+    assert started.configuration == newest
+    assert started.digest == digest
--- a/cloverway/tests/test_fleet_store_restored.py
+++ b/cloverway/tests/test_fleet_store_restored.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cloverway.serving.clock import read_clock
-from cloverway.tests.fleet.deployment import run_fleet, run_scenario, wait_for
+from cloverway.tests.fleet.deployment import RUNNING_S, run_fleet, run_scenario, wait_for
 from cloverway.tests.fleet.standins import make_route, make_service
 from cloverway.tests.standins.links import Link
 
@@ -292,3 +292,24 @@
             assert fleet.endpoints["desk-0"].requests == []
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("age_s", [0.0, RUNNING_S])
+def test_a_host_that_starts_after_the_loss_serves_the_configuration_of_the_others(age_s):
+    """Guards against callers told 404 by a host that knows only the configuration in the copy."""
+
+    async def scenario():
+        async with run_fleet(hosts=2, endpoints=1) as fleet:
+            copy = fleet.store.copy()
+            publish_route(fleet, "new")
+            await wait_for_version(fleet, fleet.hosts)
+            await restore(fleet, copy, 0.2)
+            await wait_for_epoch(fleet)
+            started = await fleet.add_host(age_s=age_s)
+            await wait_for(lambda: started.directory.configuration is not None)
+            await wait_for_version(fleet, [started])
+            assert (await fleet.call("/new/a", started)).status == 200
+            publish_route(fleet, "next")
+            await wait_for_version(fleet, fleet.hosts)
+
+    run_scenario(scenario)
