Retract the crash of an endpoint that answers under its own id

Callers were refused a sound request as quarantined for half an hour, when three engines that kept running had reset its connections at a busy host.

A busy host opens its next connection later. But an endpoint that states no start time has a new id at each start, and requests name the id that is to run them: an answer under it, over any connection opened after the reset, proves that it did not crash. Endpoints that state a start time are asked for it, as before.

--- a/cloverway/core/quarantine.py
+++ b/cloverway/core/quarantine.py
@@ -138,14 +138,17 @@
             self._remove_suspect(next(iter(self._suspects)))
         return crash._replace(digests=new_digests)
 
-    def record_alive(self, incarnation: str, since: float, until: float) -> None:
+    def record_alive(
+        self, incarnation: str, since: float, until: float, *, has_unique_id: bool = False
+    ) -> None:
         """Record that an incarnation of an endpoint was alive from `since` to `until`.
 
         A crash of it that was recorded within this time, or just before, is retracted: a connection
-        reset looks like a crash to the requests on that connection.
+        reset looks like a crash to the requests on that connection. `has_unique_id` tells that a
+        restarted process would not have answered under this id, so that any later time will do.
         """
         crashed_at = self._crashed.get(incarnation)
-        if crashed_at is None or not _is_still_alive(crashed_at, since, until):
+        if crashed_at is None or not _is_still_alive(crashed_at, since, until, has_unique_id):
             return
         self._retract_crash(incarnation, until)
 
@@ -271,11 +274,11 @@
         return crash_times is not None
 
 
-def _is_still_alive(crashed_at: float, since: float, until: float) -> bool:
+def _is_still_alive(crashed_at: float, since: float, until: float, has_unique_id: bool) -> bool:
     """Return whether an incarnation seen alive from `since` to `until` did not crash."""
     if since <= crashed_at:
         return crashed_at < until - MAX_READ_DELAY_S
-    return since < crashed_at + MIN_RESTART_S
+    return has_unique_id or since < crashed_at + MIN_RESTART_S
 
 
 def _keep_last(times: OrderedDict[Key, float], key: Key, at: float, limit: int) -> None:
--- a/cloverway/serving/requests/crash_tracker.py
+++ b/cloverway/serving/requests/crash_tracker.py
@@ -74,9 +74,14 @@
             # The response proves that the incarnation is running to which the connection was
             # opened. The directory entry alone doesn't show which that is: a restarted endpoint
             # whose entry still names its previous incarnation would clear the crash of that one.
-            incarnation = target.candidate.endpoint.entry.incarnation
-            opened_at = answered.client_exchange.connection.opened_at
-            self._context.quarantine.record_alive(incarnation, opened_at, read_clock())
+            # An endpoint that states no start time has a new id at each start.
+            entry = target.candidate.endpoint.entry
+            self._context.quarantine.record_alive(
+                entry.incarnation,
+                answered.client_exchange.connection.opened_at,
+                read_clock(),
+                has_unique_id=entry.started_ms is None,
+            )
 
     def record_abandoned(self, now: float) -> Target | None:
         """Treat the endpoint as crashed if it was silent when the request was abandoned; return it.
--- a/cloverway/tests/test_core_quarantine.py
+++ b/cloverway/tests/test_core_quarantine.py
@@ -200,3 +200,14 @@
         assert quarantine.get_block(FATAL, 0.0) is None
         quarantine.record_crash(crash)
     assert quarantine.get_block(FATAL, float(ends)) is not None
+
+
+def test_an_answer_under_an_id_that_no_other_process_has_retracts_a_crash():
+    """Guards against requests blocked because a busy host opened its next connection late."""
+    quarantine = make_quarantine(Crash("e0", (FATAL,), 0.0))
+    quarantine.record_alive("e0", since=5.0, until=5.1)
+    assert quarantine.count_crashes(FATAL) == 1
+    quarantine.record_alive("e0", since=-5.0, until=0.1, has_unique_id=True)
+    assert quarantine.count_crashes(FATAL) == 1
+    quarantine.record_alive("e0", since=5.0, until=5.1, has_unique_id=True)
+    assert quarantine.count_crashes(FATAL) == 0
--- a/cloverway/tests/test_fleet_crashes.py
+++ b/cloverway/tests/test_fleet_crashes.py
@@ -6,7 +6,7 @@
 import itertools
 from contextlib import asynccontextmanager
 
-from cloverway.core.quarantine import Crash
+from cloverway.core.quarantine import MIN_RESTART_S, Crash
 from cloverway.serving.clock import read_clock
 from cloverway.tests.fleet.deployment import run_fleet, run_scenario, wait_for
 from cloverway.tests.fleet.standins import make_route, make_service
@@ -400,6 +400,39 @@
     run_scenario(scenario)
 
 
+def test_resets_by_running_engines_do_not_quarantine_a_request_at_a_busy_host():
+    """Guards against half an hour of refusals: a busy host opens its next connections late.
+
+    A connection that is opened long after a reset may lead to a restarted process. But an endpoint
+    that states no start time has a new id at each start, so an answer under its id proves that it
+    did not crash.
+    """
+
+    async def scenario():
+        async with run_fleet(endpoints=4) as fleet:
+            reset_engines = set()
+
+            for endpoint in fleet.endpoints.values():
+
+                async def answer(exchange, endpoint=endpoint):
+                    if exchange.body == CRASHING_BODY and endpoint.name not in reset_engines:
+                        reset_engines.add(endpoint.name)
+                        exchange.connection.abort()
+                    else:
+                        await endpoint.answer_ok(exchange)
+
+                endpoint.answer = answer
+            for _ in range(MAX_CRASHES):
+                await fleet.call("/safe/a", body=CRASHING_BODY)
+                await asyncio.sleep(MIN_RESTART_S + 0.1)
+                calls = [fleet.call("/safe/a", body=HARMLESS_BODY) for _ in range(30)]
+                assert {reply.status for reply in await asyncio.gather(*calls)} == {200}
+            assert len(reset_engines) >= MAX_CRASHES
+            assert (await fleet.call("/safe/a", body=CRASHING_BODY)).status == 200
+
+    run_scenario(scenario)
+
+
 def test_an_engine_that_stops_responding_counts_as_crashed():
     """Each engine that runs the request loses power, so that no connection is closed.
 
