Let the request of a listed test reach all four engines

Engines that have reset a connection now answer others more slowly, so that the request goes to those that have not. The check is as it was.

--- a/cloverway/tests/test_fleet_crashes.py
+++ b/cloverway/tests/test_fleet_crashes.py
@@ -384,7 +384,9 @@
                         reset_engines.append(endpoint.name)
                         exchange.connection.abort()
                     else:
-                        await asyncio.sleep(0.05)
+                        # Those that have reset a connection are slower, so that the request goes
+                        # to the others: by chance it went to the same two in all rounds.
+                        await asyncio.sleep(0.15 if endpoint.name in reset_engines else 0.05)
                         await endpoint.answer_ok(exchange)
 
                 endpoint.answer = answer
