--- a/cloverway/tests/test_fleet_crashes.py
+++ b/cloverway/tests/test_fleet_crashes.py
@@ -367,6 +367,35 @@
     run_scenario(scenario)
 
 
+async def reset_connections(fleet, wait_s):
+    """Let each of four engines reset a connection of the same request, and answer all others.
+
+    The others follow `wait_s` after each reset. Return how many engines have reset one.
+    """
+    reset_engines = set()
+    for endpoint in fleet.endpoints.values():
+
+        async def answer(exchange, endpoint=endpoint):
+            if exchange.body == CRASHING_BODY and len(reset_engines) < MAX_CRASHES + 1:
+                reset_engines.add(endpoint.name)
+                exchange.connection.abort()
+            else:
+                # Those that have reset a connection are slower, so that the request goes to the
+                # others: by chance it went to the same two in all rounds.
+                await asyncio.sleep(0.15 if endpoint.name in reset_engines else 0.05)
+                await endpoint.answer_ok(exchange)
+
+        endpoint.answer = answer
+    for _ in range(MAX_ROUNDS):
+        await fleet.call("/safe/a", body=CRASHING_BODY)
+        await asyncio.sleep(wait_s)
+        calls = [fleet.call("/safe/a", body=HARMLESS_BODY) for _ in range(30)]
+        assert {reply.status for reply in await asyncio.gather(*calls)} == {200}
+        if len(reset_engines) == MAX_CRASHES + 1:
+            break
+    return len(reset_engines)
+
+
 def test_connection_resets_by_running_engines_do_not_quarantine_a_request():
     """The connection of one request is reset by each of four engines, which keep running.
 
@@ -375,28 +404,7 @@
 
     async def scenario():
         async with run_fleet(endpoints=4) as fleet:
-            reset_engines = []
-
-            for endpoint in fleet.endpoints.values():
-
-                async def answer(exchange, endpoint=endpoint):
-                    if exchange.body == CRASHING_BODY and len(set(reset_engines)) < MAX_CRASHES + 1:
-                        reset_engines.append(endpoint.name)
-                        exchange.connection.abort()
-                    else:
-                        # Those that have reset a connection are slower, so that the request goes
-                        # to the others: by chance it went to the same two in all rounds.
-                        await asyncio.sleep(0.15 if endpoint.name in reset_engines else 0.05)
-                        await endpoint.answer_ok(exchange)
-
-                endpoint.answer = answer
-            for _ in range(MAX_ROUNDS):
-                await fleet.call("/safe/a", body=CRASHING_BODY)
-                calls = [fleet.call("/safe/a", body=HARMLESS_BODY) for _ in range(30)]
-                assert {reply.status for reply in await asyncio.gather(*calls)} == {200}
-                if len(set(reset_engines)) == MAX_CRASHES + 1:
-                    break
-            assert len(set(reset_engines)) == MAX_CRASHES + 1
+            assert await reset_connections(fleet, 0.0) == MAX_CRASHES + 1
             assert (await fleet.call("/safe/a", body=CRASHING_BODY)).status == 200
 
     run_scenario(scenario)
@@ -412,24 +420,7 @@
 
     async def scenario():
         async with run_fleet(endpoints=4) as fleet:
-            reset_engines = set()
-
-            for endpoint in fleet.endpoints.values():
-
-                async def answer(exchange, endpoint=endpoint):
-                    if exchange.body == CRASHING_BODY and endpoint.name not in reset_engines:
-                        reset_engines.add(endpoint.name)
-                        exchange.connection.abort()
-                    else:
-                        await endpoint.answer_ok(exchange)
-
-                endpoint.answer = answer
-            for _ in range(MAX_CRASHES):
-                await fleet.call("/safe/a", body=CRASHING_BODY)
-                await asyncio.sleep(MIN_RESTART_S + 0.1)
-                calls = [fleet.call("/safe/a", body=HARMLESS_BODY) for _ in range(30)]
-                assert {reply.status for reply in await asyncio.gather(*calls)} == {200}
-            assert len(reset_engines) >= MAX_CRASHES
+            assert await reset_connections(fleet, MIN_RESTART_S + 0.1) == MAX_CRASHES + 1
             assert (await fleet.call("/safe/a", body=CRASHING_BODY)).status == 200
 
     run_scenario(scenario)
