--- a/cloverway/tests/fleet/invariants.py
+++ b/cloverway/tests/fleet/invariants.py
@@ -6,7 +6,14 @@
 from collections import defaultdict
 from collections.abc import Iterable, Iterator, Sequence
 
-from cloverway.tests.fleet.soak_parts import DOMAINS, EVENTS, CallRecord, CountingEndpoint, Fault
+from cloverway.tests.fleet.soak_parts import (
+    DOMAINS,
+    EVENTS,
+    RETRIES,
+    CallRecord,
+    CountingEndpoint,
+    Fault,
+)
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 RETRIED_ROUTES = ("safe", "stream")
@@ -68,6 +75,39 @@
         yield f"{request} crashed {len(crashed_at)} endpoints, {len(late)} of them late"
 
 
+def check_retries(
+    service: str, sent: Sequence[float], endpoints: Iterable[CountingEndpoint]
+) -> Iterator[str]:
+    """Yield a violation if a service got more arrivals beyond the first of a request than allowed.
+
+    `sent` are the times at which callers sent requests to the service.
+    """
+    arrivals = sorted(arrival for endpoint in endpoints for arrival in endpoint.arrivals)
+    seen: set[str] = set()
+    repeats = []
+    for at, request_id in arrivals:
+        if request_id in seen:
+            repeats.append(at)
+        seen.add(request_id)
+    worst = max(
+        (_count(repeats, start) - _compute_allowed_retries(sent, start) for start in repeats),
+        default=0.0,
+    )
+    if worst > 0:
+        yield f"{service} got {worst:.1f} arrivals beyond the first of their request too many"
+
+
+def _compute_allowed_retries(sent: Sequence[float], start: float) -> float:
+    """Return the budget of a window; its requests may also be those of a window before it."""
+    window_s = RETRIES.window_s
+    requests = max(_count(sent, at) for at in (start, start - window_s / 2, start - window_s))
+    return RETRIES.ratio * requests + RETRIES.slack
+
+
+def _count(times: Sequence[float], start: float) -> int:
+    return sum(start <= at < start + RETRIES.window_s for at in times)
+
+
 def _is_only_planned(record: CallRecord, faults: Sequence[Fault]) -> bool:
     """Return whether all faults around the time of a request were planned operations."""
     ongoing = {
--- a/cloverway/tests/fleet/soak.py
+++ b/cloverway/tests/fleet/soak.py
@@ -29,7 +29,7 @@
     fetch,
     make_request,
 )
-from cloverway.tests.fleet.invariants import check_crashes, find_violations
+from cloverway.tests.fleet.invariants import check_crashes, check_retries, find_violations
 from cloverway.tests.fleet.soak_parts import (
     CRASHING_BODY,
     DOMAINS,
@@ -74,6 +74,8 @@
         self.records: list[CallRecord] = []
         self.faults: list[Fault] = []
         self.violations: list[str] = []
+        self.sent: defaultdict[str, list[float]] = defaultdict(list)
+        """Times at which callers sent requests, by service."""
         self.crash_times: defaultdict[bytes, list[float]] = defaultdict(list)
         """Times at which a request crashed an endpoint, by the body of the request."""
         self.version = 0
@@ -98,7 +100,14 @@
             for violation in check_crashes(body.decode(), crashed_at)
         ]
         response_violations = find_violations(self.records, self.endpoints, self.faults)
-        return [*self.violations, *crash_violations, *response_violations]
+        retry_violations = [
+            violation
+            for service, sent in self.sent.items()
+            for violation in check_retries(
+                service, sent, [e for e in self.endpoints if e.service == service]
+            )
+        ]
+        return [*self.violations, *crash_violations, *retry_violations, *response_violations]
 
     @contextlib.asynccontextmanager
     async def _running(self) -> AsyncIterator[None]:
@@ -188,6 +197,7 @@
     async def _send(
         self, host: str, route: str, pool: ConnectionPool, content: bytes = b"x"
     ) -> CallRecord:
+        self.sent[ROUTES[route][1] if route in ROUTES else "desk"].append(time.monotonic())
         return await send(f"c-{next(self._numbers)}", host, route, pool, content)
 
     # Faults
@@ -197,7 +207,7 @@
             *(self._kill, self._pause, self._replace, self._reload, self._lose_store),
             *(self._silence_store, self._store_fails, self._compact, self._configure),
             self._lose_writes,
-            *(self._break_link, self._break_endpoint, self._drain_endpoint),
+            *(self._break_link, self._break_endpoint, self._drain_endpoint, self._turn_away),
             *(self._spoil_entry, self._restart_endpoint, self._repeat_deadly),
         )
         while time.monotonic() < until:
@@ -319,6 +329,16 @@
         await self._wait_fault_duration()
         endpoint.abort_probability = 0.0
 
+    async def _turn_away(self) -> None:
+        """Let most endpoints of a service turn every request away."""
+        service = self.random.choice(["desk", "model"])
+        turning = [e for e in self.endpoints if e.service == service and self.random.random() < 0.8]
+        for endpoint in turning:
+            endpoint.turns_away = True
+        await self._wait_fault_duration()
+        for endpoint in turning:
+            endpoint.turns_away = False
+
     async def _drain_endpoint(self) -> None:
         """Drain an endpoint and add another one in its place."""
         leaving = self.random.choice(self._list_live())
--- a/cloverway/tests/fleet/soak_parts.py
+++ b/cloverway/tests/fleet/soak_parts.py
@@ -9,6 +9,7 @@
 from random import Random
 from typing import Any, NamedTuple
 
+from cloverway.core.retry_budget import RetryBudgetSettings
 from cloverway.serving.http.client import (
     ClientExchange,
     ConnectError,
@@ -26,6 +27,7 @@
 HOSTS = {"d1": 3, "d2": 2}
 EVENTS = 5
 GRACE_S = 6.0
+RETRIES = RetryBudgetSettings(ratio=0.2, slack=12.0, window_s=4.0)
 ROUTES = {
     "safe": ("idempotent", "desk", {"attempts": 2}),
     "once": ("non_idempotent", "desk", {}),
@@ -69,6 +71,9 @@
     def __init__(self, name: str, service: str, domain: str) -> None:
         super().__init__(name, service, domain)
         self.runs: list[str] = []
+        self.arrivals: list[tuple[float, str]] = []
+        """When each request reached the endpoint, whether it ran or not."""
+        self.turns_away = False
         self.abort_probability = 0.0
         self.start_time_ms = 1_700_000_000_000
         self.random = Random(name)
@@ -79,9 +84,13 @@
     async def answer_by_route(self, exchange: Any) -> None:
         fields = dict(exchange.headers)
         request_id = fields[b"x-cloverway-request-id"].decode()
+        self.arrivals.append((time.monotonic(), request_id))
         if fields.get(b"x-cloverway-target-instance") != self.name.encode():
             await exchange.answer(421, [], b"")
             return
+        if self.turns_away:
+            await self.answer_not_executed(exchange)
+            return
         self.runs.append(request_id)
         if exchange.body.startswith(CRASHING_BODY):
             await asyncio.sleep(0.02)
@@ -144,7 +153,9 @@
 [store]
 address = "{self.store.address}"
 [retries]
-slack = 200
+ratio = {RETRIES.ratio}
+slack = {RETRIES.slack}
+window_s = {RETRIES.window_s}
 """)
 
 
--- a/cloverway/tests/test_fleet_soak.py
+++ b/cloverway/tests/test_fleet_soak.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from cloverway.tests.fleet.invariants import check_crashes, check_response
+from cloverway.tests.fleet.invariants import check_crashes, check_response, check_retries
 from cloverway.tests.fleet.soak import Soak
-from cloverway.tests.fleet.soak_parts import CallRecord, Fault
+from cloverway.tests.fleet.soak_parts import RETRIES, CallRecord, CountingEndpoint, Fault
 
 SECONDS = 6.0
 SEEDS = (1,)
@@ -56,3 +56,13 @@
     assert list(check_crashes("r", [1.0, 1.2, 1.5, 1.6, 1.7, 1.8, 3.4, 3.6, 3.7, 3.8])) == []
     assert list(check_crashes("r", [1.0])) == []
     assert list(check_crashes("r", [1.0, 1.2, 1.5, 3.6, 3.7, 3.8, 3.9])) != []
+
+
+def test_the_soak_detects_retries_beyond_the_budget():
+    endpoint = CountingEndpoint("desk-0", "desk", "d1")
+    allowed = int(RETRIES.slack + 10 * RETRIES.ratio)
+    endpoint.arrivals = [(5.0 + n / 100, "c-1") for n in range(allowed + 1)]
+    sent = [5.0] * 10
+    assert list(check_retries("desk", sent, [endpoint])) == []
+    endpoint.arrivals.append((6.0, "c-1"))
+    assert list(check_retries("desk", sent, [endpoint])) != []
