--- a/cloverway/tests/test_core_retry_budget.py
+++ b/cloverway/tests/test_core_retry_budget.py
@@ -26,7 +26,8 @@
 class SimulatedHost:
     """The process of a host; a restart makes a new one."""
 
-    def __init__(self, domain, started_at):
+    def __init__(self, address, domain, started_at):
+        self.address = address
         self.domain = domain
         self.started_at = started_at
         self.budget = RetryBudget(SETTINGS, started_at)
@@ -48,10 +49,13 @@
         self.cuts = [(at, at + rng.uniform(2, 40)) for at in rng.sample(range(50), k=2)]
         self.kills = self._draw_kills()
         self.demand = self._draw_demand()
-        self.hosts = {n: SimulatedHost(d, -100.0) for n, d in self.addresses.items()}
+        self.requests, self.arrivals = [], []
+        self._start_all()
+
+    def _start_all(self):
+        self.hosts = {n: SimulatedHost(n, d, -100.0) for n, d in self.addresses.items()}
         for host in self.hosts.values():
             host.known = set(self.addresses)
-        self.requests, self.arrivals = [], []
 
     def _draw_kills(self):
         """Return the hosts killed at each time: in series, all or some at once."""
@@ -75,7 +79,7 @@
             if now >= kill_at:
                 for address in killed:
                     domain = self.addresses[address]
-                    self.hosts[address] = SimulatedHost(domain, now + 0.3)
+                    self.hosts[address] = SimulatedHost(address, domain, now + 0.3)
                 kill_at, killed = next(kills)
             for host in self.hosts.values():
                 if now >= host.started_at:
@@ -83,10 +87,7 @@
 
     def _step(self, host, now):
         if now >= host.discovered_at:
-            is_cut = any(start <= now < end for start, end in self.cuts)
-            host.known |= {
-                a for a, domain in self.addresses.items() if not is_cut or domain == host.domain
-            }
+            host.known |= self._list_reachable(host, now)
         slack = self._compute_slack(host, now)
         if self.rng.random() < self.rate / len(self.hosts) * STEP_S:
             self.requests.append(now)
@@ -100,6 +101,10 @@
                 waits = self.rng.random() < 0.5
                 host.queue.append(now + waits * self.rng.uniform(0, MAX_QUEUE_S))
 
+    def _list_reachable(self, host, now):
+        is_cut = any(start <= now < end for start, end in self.cuts)
+        return {a for a, domain in self.addresses.items() if not is_cut or domain == host.domain}
+
     def _compute_slack(self, host, now):
         others = max(0, len(host.known) - 1)
         if not is_settled(now - host.started_at) or is_alone(others, has_seeds=True):
@@ -130,6 +135,29 @@
     assert find_excess(history) <= 0
 
 
+class HalvedHistory(History):
+    """Three domains, each cut into two halves, in which all hosts start again."""
+
+    def __init__(self, rng):
+        super().__init__(rng)
+        self.domains = 3
+        self.addresses = {n: n % 3 for n in range(8)}
+        self.rate = 39.0
+        self.kills = [(10.0, list(self.addresses))]
+        self.demand = [(30.0, 60.0)]
+        self._start_all()
+
+    def _list_reachable(self, host, now):
+        return {a for a in self.addresses if a // 3 % 2 == host.address // 3 % 2}
+
+
+def test_retries_stay_within_the_budget_when_hosts_start_while_their_domain_is_cut_in_two():
+    """Guards against hosts that count only their own half of a failure domain."""
+    history = HalvedHistory(random.Random(1))
+    history.play()
+    assert find_excess(history) <= 0
+
+
 @pytest.mark.parametrize("hosts", [1, 3, 10])
 def test_retries_of_all_hosts_stay_within_the_budget_in_any_window(hosts):
     """All hosts are partitioned from each other, and each retries as often as it is allowed to."""
