--- a/cloverway/tests/fleet/invariants.py
+++ b/cloverway/tests/fleet/invariants.py
@@ -14,6 +14,7 @@
     CountingEndpoint,
     Fault,
 )
+from cloverway.tests.retry_windows import find_excess
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 RETRIED_ROUTES = ("safe", "stream")
@@ -89,23 +90,9 @@
         if request_id in seen:
             repeats.append(at)
         seen.add(request_id)
-    worst = max(
-        (_count(repeats, start) - _compute_allowed_retries(sent, start) for start in repeats),
-        default=0.0,
-    )
-    if worst > 0:
-        yield f"{service} got {worst:.1f} arrivals beyond the first of their request too many"
-
-
-def _compute_allowed_retries(sent: Sequence[float], start: float) -> float:
-    """Return the budget of a window; its requests may also be those of a window before it."""
-    window_s = RETRIES.window_s
-    requests = max(_count(sent, at) for at in (start, start - window_s / 2, start - window_s))
-    return RETRIES.ratio * requests + RETRIES.slack
-
-
-def _count(times: Sequence[float], start: float) -> int:
-    return sum(start <= at < start + RETRIES.window_s for at in times)
+    excess = find_excess(RETRIES, sent, repeats)
+    if excess > 0:
+        yield f"{service} got {excess:.1f} arrivals beyond the first of their request too many"
 
 
 def _is_only_planned(record: CallRecord, faults: Sequence[Fault]) -> bool:
--- a/cloverway/tests/test_core_retry_budget.py
+++ b/cloverway/tests/test_core_retry_budget.py
@@ -5,12 +5,12 @@
 import itertools
 import os
 import random
-from bisect import bisect_left
 
 import pytest
 
 from cloverway.core.allowances import MIN_HOST_AGE_S, compute_part, is_alone, is_settled
 from cloverway.core.retry_budget import BURST_FRACTION, RetryBudget, RetryBudgetSettings
+from cloverway.tests.retry_windows import find_excess
 
 SETTINGS = RetryBudgetSettings(ratio=0.2, slack=54.0, window_s=10.0)
 STEP_S = 0.02
@@ -113,26 +113,12 @@
         return compute_part(SETTINGS.slack, self.domains, hosts)
 
 
-def find_excess(history):
-    """Return the most retries beyond the budget in any window."""
-    requests, arrivals = sorted(history.requests), sorted(history.arrivals)
-
-    def count(times, start):
-        return bisect_left(times, start + SETTINGS.window_s) - bisect_left(times, start)
-
-    def compute_allowed(start):
-        starts = (start, start - SETTINGS.window_s / 2, start - SETTINGS.window_s)
-        return SETTINGS.ratio * max(count(requests, at) for at in starts) + SETTINGS.slack
-
-    return max((count(arrivals, at) - compute_allowed(at) for at in arrivals), default=0.0)
-
-
 @pytest.mark.parametrize("seed", range(HISTORIES))
 def test_retries_stay_within_the_budget_whatever_hosts_know_and_however_often_they_start(seed):
     """Guards against budgets that restarts renew and that hosts in a cut divide by too few."""
     history = History(random.Random(seed))
     history.play()
-    assert find_excess(history) <= 0
+    assert find_excess(SETTINGS, history.requests, history.arrivals) <= 0
 
 
 class HalvedHistory(History):
@@ -155,7 +141,7 @@
     """Guards against hosts that count only their own half of a failure domain."""
     history = HalvedHistory(random.Random(1))
     history.play()
-    assert find_excess(history) <= 0
+    assert find_excess(SETTINGS, history.requests, history.arrivals) <= 0
 
 
 @pytest.mark.parametrize("hosts", [1, 3, 10])
--- a/cloverway/tests/test_fleet_alone.py
+++ b/cloverway/tests/test_fleet_alone.py
@@ -6,8 +6,8 @@
 
 from cloverway.serving.clock import read_clock
 from cloverway.tests.fleet.deployment import run_fleet, run_scenario, wait_for
+from cloverway.tests.fleet.limited import ALLOWED, LimitedEndpoint, send_load
 from cloverway.tests.fleet.standins import make_route, make_service
-from cloverway.tests.test_fleet_limits import ALLOWED, LimitedEndpoint, send_load
 
 COLD_PER_S = 4.0
 NOBODY = ("127.0.0.1:1",)
--- a/cloverway/tests/test_fleet_retry_budget.py
+++ b/cloverway/tests/test_fleet_retry_budget.py
@@ -12,6 +12,7 @@
 from cloverway.core.retry_budget import RetryBudgetSettings
 from cloverway.serving.clock import read_clock
 from cloverway.tests.fleet.deployment import run_fleet, run_scenario, wait_for
+from cloverway.tests.retry_windows import find_excess
 
 BUDGET = RetryBudgetSettings(ratio=0.2, slack=40.0, window_s=2.0)
 CALL_INTERVAL_S = 0.02
@@ -37,17 +38,7 @@
     def check(self):
         """Check that there were retries, and that no window has more than the budget."""
         assert self.repeats
-        for start in self.repeats:
-            assert self._count(self.repeats, start) <= self._compute_allowed(start)
-
-    def _compute_allowed(self, start):
-        """Return the budget of a window; its requests may also be those of a window before it."""
-        starts = (start, start - BUDGET.window_s / 2, start - BUDGET.window_s)
-        requests = max(self._count(self.requests, earlier) for earlier in starts)
-        return BUDGET.ratio * requests + BUDGET.slack
-
-    def _count(self, times, start):
-        return sum(start <= at < start + BUDGET.window_s for at in times)
+        assert find_excess(BUDGET, self.requests, self.repeats) <= 0
 
 
 @asynccontextmanager
