Log at which version a stream goes on, after which event, and for which request

The version in an endpoint's entry, read and dropped until now, and the caller's `Resumes` are decoded for it. Nothing is decided by them yet.

--- a/cloverway/core/calls.py
+++ b/cloverway/core/calls.py
@@ -50,6 +50,9 @@
     """When the caller stops waiting."""
     prompt: Prompt | None = None
     last_event_id: str = ""
+    """The last event that the caller has of a stream that it continues; empty for a new stream."""
+    resumes: str = ""
+    """The id of the caller's request that brought the first event of that stream."""
     forwarding: ForwardingContext | None = None
     """Set if another host forwarded the request; None if it came from its caller."""
 
--- a/cloverway/core/deployment.py
+++ b/cloverway/core/deployment.py
@@ -154,6 +154,8 @@
     """Seconds until its machine is reclaimed at short notice; None where that isn't announced."""
     started_ms: int | None = None
     """Start time, as Unix time in milliseconds; None where entries lack it and ids change."""
+    version: str = ""
+    """Version of its software; one version can't continue the stream of another."""
 
     @property
     def incarnation(self) -> str:
--- a/cloverway/platform/dialect.py
+++ b/cloverway/platform/dialect.py
@@ -62,6 +62,7 @@
             deadline=exchange.arrived_at + deadline_s,
             prompt=_decode_prompt(fields),
             last_event_id=fields.get(names.LAST_EVENT, b"").decode("latin-1"),
+            resumes=fields.get(names.RESUMES, b"").decode("latin-1"),
         )
 
     def decode_lookup(self, exchange: Exchange) -> Lookup | None:
--- a/cloverway/platform/entries.py
+++ b/cloverway/platform/entries.py
@@ -65,7 +65,7 @@
     address: Address
     domain: Name = field(name="zone")
     version: Annotated[str, Meta(max_length=200)]
-    """Software version; not used, but required, since every endpoint writes it."""
+    """Of its software; not to be confused with the versions of models."""
     slots: Annotated[int, Meta(ge=1, le=1_000_000)]
     state: Literal["ready", "draining"]
     cold_ms: Milliseconds = field(name="coldRemainingMs")
@@ -87,6 +87,7 @@
             cold_s=self.cold_ms / 1000,
             removal_in_s=self.removal_in_ms / 1000 if self.removal_in_ms is not None else None,
             started_ms=self.started_ms,
+            version=self.version,
         )
 
 
--- a/cloverway/serving/requests/execution.py
+++ b/cloverway/serving/requests/execution.py
@@ -326,6 +326,9 @@
             waited_s=round(now - self.call.arrived_at, 3),
             left_s=round(self.expires_at - now, 3),
             send=self.sends,
+            resumes=self.call.resumes or None,
+            after_event=self.relay.last_id or None,
+            endpoint_version=candidate.endpoint.entry.version if candidate else None,
             version=(
                 self.context.directory.configuration.version
                 if self.context.directory.configuration
