--- a/cloverway/tests/fleet/deployment.py
+++ b/cloverway/tests/fleet/deployment.py
@@ -138,6 +138,11 @@
         exchange.write()
         return exchange
 
+    @property
+    def last_call_id(self) -> str:
+        """The id of the last request that was sent."""
+        return f"call-{self._calls}"
+
     async def stop(self, host: Host) -> None:
         """Stop a host abruptly, as a kill does."""
         self.hosts.remove(host)
