Play two software versions in the soak, with callers that take streams up

Endpoints of the soak have one of two versions, and any after they start again under their ids; two fifths of the callers of streams leave after some events and take the stream up at any host, up to four times. Checked: no stream holds events of both.

--- a/cloverway/tests/fleet/invariants.py
+++ b/cloverway/tests/fleet/invariants.py
@@ -9,6 +9,7 @@
 from cloverway.tests.fleet.soak_parts import (
     DOMAINS,
     EVENTS,
+    NUMBER,
     RETRIES,
     CallRecord,
     CountingEndpoint,
@@ -19,7 +20,7 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 RETRIED_ROUTES = ("safe", "stream")
 ID = re.compile(rb"for ([a-z0-9-]+)")
-NUMBER = re.compile(rb"id: (\d+)")
+VERSION = re.compile(rb" by (v\d+)\n")
 PLANNED_FAULTS = {"replace", "reload", "configure", "drain_endpoint", "compact", "spoil_entry"}
 FAULT_EFFECT_S = 3.0
 """How long a fault may have an effect after its end."""
@@ -61,9 +62,11 @@
     if record.status == 200 and record.complete:
         if set(ID.findall(record.body)) != {record.id.encode()}:
             yield "response to another request"
-        numbers = [int(number) for number in NUMBER.findall(record.body)]
+        numbers = [int(number) for number in NUMBER.findall(record.prior + record.body)]
         if record.route in ("stream", "cut") and numbers != list(range(1, EVENTS + 1)):
             yield "an event is missing or duplicated in a complete stream"
+    if record.status == 200 and len(set(VERSION.findall(record.prior + record.body))) > 1:
+        yield "holds events of two software versions"
     if endpoints and not record.status and _is_only_planned(record, faults):
         yield "interrupted by planned operations alone"
 
--- a/cloverway/tests/fleet/soak.py
+++ b/cloverway/tests/fleet/soak.py
@@ -33,13 +33,16 @@
 from cloverway.tests.fleet.soak_parts import (
     CRASHING_BODY,
     DOMAINS,
+    EVENTS,
     GRACE_S,
     HOSTS,
     ROUTES,
+    VERSIONS,
     CallRecord,
     CountingEndpoint,
     Fault,
     Host,
+    StreamBegun,
     send,
     write_again,
 )
@@ -53,6 +56,9 @@
 from cloverway.tests.standins.processes import Ports
 
 CALLERS = 10
+LEAVING_SHARE = 0.4
+"""Share of the streams whose callers leave and take them up again."""
+MAX_TAKE_UPS = 4
 CRASHING_CALLER_S = 4.0
 """How long a caller repeats a request that crashes endpoints."""
 RESTART_S = 1.0
@@ -78,6 +84,8 @@
         """Times at which callers sent requests, by service."""
         self.crash_times: defaultdict[bytes, list[float]] = defaultdict(list)
         """Times at which a request crashed an endpoint, by the body of the request."""
+        self.taken_up = self.gone_on = 0
+        """Streams that callers took up, and those of them that ended whole."""
         self.version = 0
         self._deleted: set[str] = set()
         """Keys of endpoints that have left for good."""
@@ -158,7 +166,9 @@
     def _describe(self, endpoint: CountingEndpoint, **fields: Any) -> None:
         """Write the entry of an endpoint to the store."""
         address = self.links[endpoint.name].address
-        entry = endpoint.make_entry(address=address, born=endpoint.start_time_ms, **fields)
+        entry = endpoint.make_entry(
+            address=address, born=endpoint.start_time_ms, version=endpoint.version, **fields
+        )
         self.store.put(f"servers/{endpoint.name}", entry)
 
     def _list_live(self) -> list[CountingEndpoint]:
@@ -173,13 +183,35 @@
         while time.monotonic() < until:
             for _ in range(random.randint(1, 15)):
                 # A caller keeps its host and its open connections until the host is unreachable.
-                record = await self._send(host, random.choice(list(ROUTES)), self._pool)
+                route = random.choice(list(ROUTES))
+                if route == "stream" and random.random() < LEAVING_SHARE:
+                    await self._leave_and_take_up(host, domain, random)
+                    continue
+                record = await self._send(host, route, self._pool)
                 self.records.append(record)
                 if not record.status:
                     break
                 await asyncio.sleep(random.uniform(0.0, 0.1))
             host = await self._look_up(domain, random)
 
+    async def _leave_and_take_up(self, host: str, domain: str, random: Random) -> None:
+        """Leave a stream after some events, and take it up at any host until it is whole."""
+        leaves_after = random.randint(1, EVENTS - 1)
+        first = await self._send(host, "stream", ConnectionPool(), leaves_after=leaves_after)
+        record = first
+        for _ in range(MAX_TAKE_UPS):
+            self.records.append(record)
+            begun = StreamBegun.from_records(first, record)
+            if begun is None:
+                return
+            await asyncio.sleep(random.choice([0.0, 0.0, random.uniform(0.0, 1.0)]))
+            anywhere = random.choice(self.hosts).callers
+            host = random.choice([anywhere, await self._look_up(domain, random)])
+            self.taken_up += 1
+            record = await self._send(host, "stream", ConnectionPool(), begun=begun)
+            self.gone_on += record.status == 200 and record.complete
+        self.records.append(record)
+
     async def _look_up(self, domain: str, random: Random) -> str:
         asked = random.sample(self.hosts, len(self.hosts))
         target = f"/resolve?name=shop.example&region={DOMAINS[domain]}&zone={domain}"
@@ -195,10 +227,16 @@
         return random.choice(self.hosts).callers
 
     async def _send(
-        self, host: str, route: str, pool: ConnectionPool, content: bytes = b"x"
+        self,
+        host: str,
+        route: str,
+        pool: ConnectionPool,
+        content: bytes = b"x",
+        **options: Any,
     ) -> CallRecord:
         self.sent[ROUTES[route][1] if route in ROUTES else "desk"].append(time.monotonic())
-        return await send(f"c-{next(self._numbers)}", host, route, pool, content)
+        number = next(self._numbers)
+        return await send(f"c-{number}", host, route, pool, content, **options)
 
     # Faults
 
@@ -365,9 +403,14 @@
         link = self.links[endpoint.name]
         link.cut()
         link.restore()
-        endpoint.start_time_ms += 1_000
+        self._start_again(endpoint)
         self._describe(endpoint, coldRemainingMs=500)
 
+    def _start_again(self, endpoint: CountingEndpoint) -> None:
+        """Let a new process answer for an endpoint, with any version; its entry follows later."""
+        endpoint.start_time_ms += 1_000
+        endpoint.version = self.random.choice(VERSIONS)
+
     async def _repeat_deadly(self) -> None:
         """Send a request repeatedly that crashes each endpoint that runs it."""
         body = CRASHING_BODY + b" %d" % next(self._numbers)
@@ -390,7 +433,7 @@
     async def _restart_crashed(self, endpoint: CountingEndpoint) -> None:
         await asyncio.sleep(RESTART_S)
         self.links[endpoint.name].restore()
-        endpoint.start_time_ms += 1_000
+        self._start_again(endpoint)
         # Its published entry names the previous incarnation until its next heartbeat.
         await asyncio.sleep(self.random.uniform(0.0, MAX_ENTRY_DELAY_S))
         if f"servers/{endpoint.name}" in self.store.items:
@@ -439,6 +482,7 @@
         print(f"seed {seed}: {len(soak.records)} requests {dict(outcomes)}; faults {dict(kinds)}")
         for violation in violations[:10]:
             print(f"VIOLATION {violation}; logs in {folder}")
+        print(f"seed {seed}: {soak.gone_on} of {soak.taken_up} streams taken up were whole")
         print(f"seed {seed}: {len(violations)} violations", flush=True)
         failed_seeds += bool(violations)
     return 1 if failed_seeds else 0
--- a/cloverway/tests/fleet/soak_parts.py
+++ b/cloverway/tests/fleet/soak_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -18,7 +19,7 @@
     ResponseError,
     make_request,
 )
-from cloverway.tests.fleet.deployment import read_reply
+from cloverway.tests.fleet.deployment import Reply, read_reply
 from cloverway.tests.fleet.standins import Endpoint, Store
 from cloverway.tests.standins.links import Link
 from cloverway.tests.standins.processes import Process
@@ -26,6 +27,8 @@
 DOMAINS = {"d1": "north", "d2": "south"}
 HOSTS = {"d1": 3, "d2": 2}
 EVENTS = 5
+VERSIONS = ("v1", "v2")
+"""Software versions of the endpoints, side by side in each service."""
 GRACE_S = 6.0
 RETRIES = RetryBudgetSettings(ratio=0.2, slack=12.0, window_s=4.0)
 ROUTES = {
@@ -37,6 +40,8 @@
 }
 
 
+EVENT = re.compile(rb"id: \d+\ndata: [^\n]*\n\n")
+NUMBER = re.compile(rb"id: (\d+)")
 CRASHING_BODY = b"deadly"
 """Prefix of the bodies of requests that crash the endpoint that runs them."""
 
@@ -55,6 +60,8 @@
     error: str = ""
     crashes_endpoints: bool = False
     """Whether the request crashes the endpoints that run it."""
+    prior: bytes = b""
+    """The events that the caller had of a stream that it took up."""
 
 
 class Fault(NamedTuple):
@@ -77,6 +84,7 @@
         self.abort_probability = 0.0
         self.start_time_ms = 1_700_000_000_000
         self.random = Random(name)
+        self.version = self.random.choice(VERSIONS)
         self.answer = self.answer_by_route
         self.on_crash: Callable[[CountingEndpoint, bytes], None] = lambda endpoint, body: None
         """Called when a request has crashed the endpoint."""
@@ -104,10 +112,11 @@
                 return
             await exchange.answer(200, self.make_head(exchange), f"ran for {request_id}".encode())
             return
-        first = int(fields.get(b"last-event-id", b"0")) + 1
+        first, version = int(fields.get(b"last-event-id", b"0")) + 1, self.version
         exchange.start(200, [*self.make_head(exchange), (b"Content-Type", b"text/event-stream")])
         for number in range(first, EVENTS + 1):
-            await exchange.send(b"id: %d\ndata: for %s\n\n" % (number, request_id.encode()))
+            event = b"id: %d\ndata: for %s by %s\n\n"
+            await exchange.send(event % (number, request_id.encode(), version.encode()))
             await asyncio.sleep(0.05)
             if aborts:
                 exchange.connection.abort()
@@ -159,15 +168,45 @@
 """)
 
 
+class StreamBegun(NamedTuple):
+    """A stream that its caller takes up again."""
+
+    first_id: str
+    """The id of the request that brought its first event."""
+    body: bytes
+    last_event_id: bytes
+
+    @classmethod
+    def from_records(cls, first: CallRecord, last: CallRecord) -> StreamBegun | None:
+        """Return what the caller has of a stream; None if it has no complete event, or all."""
+        body = b"".join(EVENT.findall(last.prior + last.body))
+        numbers = NUMBER.findall(body)
+        if last.complete or not numbers or int(numbers[-1]) == EVENTS:
+            return None
+        return cls(first.id, body, numbers[-1])
+
+
 async def send(
-    request_id: str, host: str, route: str, pool: ConnectionPool, content: bytes
+    request_id: str,
+    host: str,
+    route: str,
+    pool: ConnectionPool,
+    content: bytes,
+    *,
+    begun: StreamBegun | None = None,
+    leaves_after: int | None = None,
 ) -> CallRecord:
-    """Send a request as a caller does and return what the caller saw."""
+    """Send a request as a caller does and return what the caller saw.
+
+    `begun` is the stream that it takes up; it leaves after some events if `leaves_after` is set.
+    """
     fields = [
         (b"Host", b"shop.example"),
         (b"X-Cloverway-Request-Id", request_id.encode()),
         (b"X-Cloverway-Deadline-Ms", b"3000"),
     ]
+    if begun is not None:
+        fields += [(b"Last-Event-Id", begun.last_event_id), (b"Resumes", begun.first_id.encode())]
     request = make_request("POST", f"/{route}/a", fields, content)
     started_at = time.monotonic()
     exchange: ClientExchange | None = None
@@ -176,7 +215,7 @@
         async with asyncio.timeout(4.0):
             exchange = ClientExchange(await pool.acquire(Destination(host), 1.0), request, content)
             exchange.write()
-            reply = await read_reply(exchange)
+            reply = await _read_reply(exchange, leaves_after)
         status, complete, body = reply.status, reply.complete, reply.body
     except (ConnectError, ResponseError, TimeoutError) as failure:
         error = repr(failure)
@@ -196,9 +235,24 @@
         body,
         error,
         crashes_endpoints,
+        begun.body if begun is not None else b"",
     )
 
 
+async def _read_reply(exchange: ClientExchange, leaves_after: int | None) -> Reply:
+    if leaves_after is None:
+        return await read_reply(exchange)
+    head = await exchange.read_head(lambda head: True)
+    body = b""
+    while len(EVENT.findall(body)) < leaves_after:
+        part = await exchange.read_chunk()
+        if not part:
+            return Reply(head.status, dict(head.headers), body, True)
+        body += part
+    exchange.connection.abort()
+    return Reply(head.status, dict(head.headers), body, False)
+
+
 def write_again(
     store: Store, lost: dict[str, tuple[int, bytes]], restored_revision: int, deleted: set[str]
 ) -> None:
--- a/cloverway/tests/test_fleet_soak.py
+++ b/cloverway/tests/test_fleet_soak.py
@@ -36,6 +36,7 @@
         ("safe", 200, b"ran for c-2", 1, "response to another request"),
         ("safe", 503, b'{"kind": "quarantined"}', 0, "refused as if it had crashed endpoints"),
         ("cut", 200, b"id: 1\ndata: for c-1\n\n", 1, "an event is missing"),
+        ("stream", 200, b" by v1\n by v2\n", 1, "holds events of two software versions"),
         ("once", 0, b"", 1, "interrupted by planned operations alone"),
     ],
 )
