Do not blame a host for a stream that its endpoint broke off

Callers of a region without endpoints lost streams that would have gone on, and the next second of requests was refused: of 16 streams at the only host of a region, each broken once with siblings idle, half were whole.

Cause: a host cuts a stream that it was passed when its endpoint does, and the host of the caller took that for a failure of the host: no request for a second. Now only the try counts against the region; if the host is gone, connecting to it fails, and that is its own failure. A stall still counts as one.

Its retry budget is wide on purpose: with all streams broken it would be what refuses.

--- a/cloverway/serving/requests/execution.py
+++ b/cloverway/serving/requests/execution.py
@@ -236,7 +236,11 @@
             is_disconnect = isinstance(error, ResponseError) and not isinstance(
                 error, IdleTimeoutError
             )
-            self._record_failure(target, Broken(str(error), is_disconnect=is_disconnect))
+            # A host cuts a stream when its endpoint did; if the host is gone, connecting fails.
+            is_target_fault = target.peer is None or not is_disconnect
+            self._record_failure(
+                target, Broken(str(error), is_target_fault, is_disconnect=is_disconnect)
+            )
             self._check_repeatable(str(error))
             return False
         finally:
--- a/cloverway/tests/test_fleet_regions.py
+++ b/cloverway/tests/test_fleet_regions.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+from cloverway.core.retry_budget import RetryBudgetSettings
 from cloverway.serving.http.client import fetch, make_request
 from cloverway.tests.fleet.deployment import count_runs, run_fleet, run_scenario, wait_for
 from cloverway.tests.fleet.standins import make_route, make_service
+from cloverway.tests.fleet.versions import (
+    add_model,
+    is_whole,
+    make_path,
+    publish_stream_route,
+    serve_version,
+    wait_for_versions,
+)
 
 
 def test_a_request_is_forwarded_to_the_region_that_may_run_it():
@@ -169,3 +178,29 @@
             await wait_for(lambda: not has_capacity(), 3.0)
 
     run_scenario(scenario)
+
+
+def test_a_stream_that_breaks_in_another_region_goes_on_there():
+    """Guards against blaming the only host of a region for a stream that its endpoint broke off.
+
+    The stream would be cut though other endpoints serve, and the next requests be refused.
+    """
+
+    async def scenario():
+        async with run_fleet(hosts=0, endpoints=0) as fleet:
+            publish_stream_route(fleet)
+            for number in range(3):
+                endpoint = await add_model(fleet, f"far-{number}", "v1", "d2")
+                serve_version(endpoint, "v1", breaks=True)
+            for domain in ("d1", "d2"):
+                await fleet.add_host(domain, retries=RetryBudgetSettings(ratio=2.0))
+            await wait_for_versions(fleet)
+            north = fleet.hosts[0]
+            await wait_for(
+                lambda: any("model" in p.advertised for p in north.members.peers.values())
+            )
+            replies = [await fleet.call(make_path(), north) for _ in range(16)]
+            assert [reply.status for reply in replies] == [200] * 16
+            assert all(is_whole(reply.body) and reply.complete for reply in replies)
+
+    run_scenario(scenario)
