--- a/cloverway/core/deployment.py
+++ b/cloverway/core/deployment.py
@@ -51,6 +51,10 @@
         """Whether a request that may already have run may be sent again from the start."""
         return self.kind is CallKind.IDEMPOTENT or self.resumable
 
+    def list_services(self) -> tuple[str, ...]:
+        """Return the services that get requests of the route."""
+        return tuple(share.service for share in self.services if share.weight > 0)
+
     def pick_service(self, point: float) -> str:
         """Return the service at `point`, in [0, 1), of the cumulative weights."""
         remaining = point * sum(share.weight for share in self.services)
@@ -132,6 +136,23 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def list_changed_services(self, newer: RouteTable) -> dict[str, dict[str, tuple[str, ...]]]:
+        """Return, by host and prefix, the services here of routes that lead elsewhere in `newer`.
+
+        For a prefix that only `newer` has, they are those of the route that it takes paths from.
+        """
+        changed: dict[str, dict[str, tuple[str, ...]]] = {}
+        for host in self._hosts:
+            old, new = self._hosts[host], newer._hosts.get(host, {})
+            for prefix in old.keys() | new.keys():
+                before, after = old.get(prefix), new.get(prefix)
+                if before and after and before.list_services() == after.list_services():
+                    continue
+                match = self.find(host, prefix)
+                if match is not None:
+                    changed.setdefault(host, {})[prefix] = match.list_services()
+        return changed
+
     def count_home_regions(self, host: str) -> Counter[str]:
         """Count, by region, the routes of a host that have the region among their home regions."""
         routes = self._hosts.get(host, {}).values()
--- a/cloverway/core/endpoints.py
+++ b/cloverway/core/endpoints.py
@@ -170,18 +170,23 @@
 
     def list_usable(self, service: str, now: float) -> list[Endpoint]:
         """Return the endpoints of a service that may get new requests."""
+        staying = self._list_staying(service, now)
+        return [endpoint for endpoint in staying if not endpoint.is_down(now)]
+
+    def _list_staying(self, service: str, now: float) -> list[Endpoint]:
         return [
             endpoint
             for endpoint in self._by_service.get(service, ())
-            if endpoint.entry.domain not in self.evacuated
-            and not endpoint.is_leaving(now)
-            and not endpoint.is_down(now)
+            if endpoint.entry.domain not in self.evacuated and not endpoint.is_leaving(now)
         ]
 
     def list_by_origin(self, origin: StreamOrigin, now: float) -> list[Endpoint]:
-        """Return the usable endpoints that may continue a stream."""
-        usable = self.list_usable(origin.service, now)
-        return [endpoint for endpoint in usable if endpoint.entry.version == origin.version]
+        """Return the endpoints that may continue a stream, also those that are down just now."""
+        return [
+            endpoint
+            for endpoint in self._list_staying(origin.service, now)
+            if endpoint.entry.version == origin.version
+        ]
 
     def find_only_version(self, service: str, life_s: float, now: float) -> str | None:
         """Return the only version of a service that served within `life_s`, if that is certain."""
@@ -314,8 +319,9 @@
             # would vanish.
             return []
         self.configuration = configuration
-        self.route_history.record(self.routes, now)
-        self.routes = RouteTable(configuration.routes)
+        routes = RouteTable(configuration.routes)
+        self.route_history.record(self.routes, routes, now)
+        self.routes = routes
         return [Change("configuration", str(configuration.version))]
 
     def _apply_evacuation(
--- a/cloverway/core/stream_origins.py
+++ b/cloverway/core/stream_origins.py
@@ -86,7 +86,7 @@
 
     A caller may send any text as an id; hosts keep and exchange only its key.
     """
-    digest = hashlib.blake2b(call_id.encode("utf-8", "surrogateescape"), digest_size=8).digest()
+    digest = hashlib.blake2b(call_id.encode("utf-8", "surrogatepass"), digest_size=8).digest()
     return int.from_bytes(digest, "big") >> 1
 
 
--- a/cloverway/core/versions.py
+++ b/cloverway/core/versions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict, deque
+from collections import OrderedDict, deque
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
@@ -13,14 +13,22 @@
 store answers know each change earlier."""
 MAX_UPDATE_GAP_S = 2.0
 """Time without an update after which the same holds: the process was suspended."""
-MAX_PAST_TABLES = 8
-"""Superseded route tables that are kept. With more changes within the life of a stream, it counts
-as unknown which service a stream began at."""
+MAX_ROUTE_CHANGES = 32
+"""Configurations with other services that are remembered. With more of them within the life of a
+stream, it counts as unknown which service a stream began at."""
+MAX_GONE = 2_000
+"""Versions of services that are remembered after their last endpoint has gone."""
 
 
-class _PastTable(NamedTuple):
-    routes: RouteTable
-    until: float
+class _RouteChange(NamedTuple):
+    routes: dict[str, dict[str, tuple[str, ...]]]
+    """The services that each changed prefix of a host led to before."""
+    at: float
+
+    def list_services(self, host: str, path: str) -> Iterator[str]:
+        """Return the services that a path may have led to before."""
+        prefixes = self.routes.get(host, {})
+        return (name for prefix in prefixes if path.startswith(prefix) for name in prefixes[prefix])
 
 
 class VersionHistory:
@@ -30,8 +38,8 @@
         self.known_since = float("inf")
         """Since when this host has known all versions that served, without a gap."""
         self._updated_at = float("-inf")
-        self._gone: dict[str, dict[str, float]] = defaultdict(dict)
-        """When the last endpoint of a version of a service that has gone was known."""
+        self._gone: OrderedDict[tuple[str, str], float] = OrderedDict()
+        """When an endpoint of a service and version was last known that has gone."""
 
     def update(self, read_at: float, now: float) -> None:
         """Record how old the documents are; `read_at` is when the store was last read."""
@@ -44,14 +52,21 @@
 
     def record_gone(self, service: str, version: str, now: float) -> None:
         """Record that an endpoint has gone, or has another version now."""
-        self._gone[service][version] = now
+        self._gone[service, version] = now
+        self._gone.move_to_end((service, version))
+        if len(self._gone) > MAX_GONE:
+            _, gone_at = self._gone.popitem(last=False)
+            self.known_since = max(self.known_since, gone_at)
 
     def list_recent(
         self, service: str, present: Iterable[str], life_s: float, now: float
     ) -> set[str]:
         """Return the versions that are known to have served within `life_s`."""
-        gone = self._gone.get(service, {}).items()
-        return {*present, *(version for version, at in gone if now - at <= life_s)}
+        gone = self._gone.items()
+        return {
+            *present,
+            *(version for (name, version), at in gone if name == service and now - at <= life_s),
+        }
 
     def find_only(
         self, service: str, present: Iterable[str], life_s: float, now: float
@@ -67,18 +82,21 @@
 
 
 class RouteHistory:
-    """Superseded route tables: where streams that go on may have begun."""
+    """Which services paths led to before the routes changed: where streams may have begun."""
 
     def __init__(self) -> None:
-        self._tables: deque[_PastTable] = deque()
+        self._changes: deque[_RouteChange] = deque()
         self._dropped_at = float("-inf")
-        """Until when the newest of the tables was in force that are no longer kept."""
+        """When the newest of the changes was made that are no longer kept."""
 
-    def record(self, superseded: RouteTable, now: float) -> None:
-        """Record that a table is in force no longer."""
-        self._tables.append(_PastTable(superseded, now))
-        if len(self._tables) > MAX_PAST_TABLES:
-            self._dropped_at = self._tables.popleft().until
+    def record(self, old: RouteTable, new: RouteTable, now: float) -> None:
+        """Record that other routes are in force from now on."""
+        changed = old.list_changed_services(new)
+        if not changed:
+            return
+        self._changes.append(_RouteChange(changed, now))
+        if len(self._changes) > MAX_ROUTE_CHANGES:
+            self._dropped_at = self._changes.popleft().at
 
     def find_only_service(
         self, current: RouteTable, host: str, path: str, life_s: float, now: float
@@ -86,13 +104,9 @@
         """Return the only service that a path led to within `life_s`; None if it can't be shown."""
         if now - self._dropped_at <= life_s:
             return None
-        recent = (past.routes for past in self._tables if now - past.until <= life_s)
-        services = {
-            name for table in (current, *recent) for name in _list_services(table, host, path)
-        }
+        route = current.find(host, path)
+        services = set(route.list_services()) if route is not None else set()
+        for change in self._changes:
+            if now - change.at <= life_s:
+                services.update(change.list_services(host, path))
         return services.pop() if len(services) == 1 else None
-
-
-def _list_services(table: RouteTable, host: str, path: str) -> Iterator[str]:
-    route = table.find(host, path)
-    return (share.service for share in route.services if share.weight > 0) if route else iter(())
--- a/cloverway/serving/requests/target_selector.py
+++ b/cloverway/serving/requests/target_selector.py
@@ -175,17 +175,18 @@
         return routed.call.forwarding is None and bool(self._list_remote_regions(routed, now))
 
     def is_origin_served(self, routed: RoutedCall, now: float) -> bool:
-        """Return whether a usable endpoint may continue the stream of a request."""
-        return any(
+        """Return whether an endpoint may continue the stream of a request, now or soon."""
+        return routed.origin is not None and any(
             endpoint.region == self._settings.region or routed.call.forwarding is None
-            for endpoint in self._list_usable(routed, now)
+            for endpoint in self._directory.list_by_origin(routed.origin, now)
         )
 
     def _list_usable(self, routed: RoutedCall, now: float) -> list[Endpoint]:
-        """Return the usable endpoints of the service, or those that may continue the stream."""
-        if routed.origin is not None:
-            return self._directory.list_by_origin(routed.origin, now)
-        return self._directory.list_usable(routed.service.name, now)
+        """Return the usable endpoints of the service that may run or continue a request."""
+        usable = self._directory.list_usable(routed.service.name, now)
+        if routed.origin is None:
+            return usable
+        return [item for item in usable if item.entry.version == routed.origin.version]
 
     def list_candidates(self, routed: RoutedCall, now: float) -> Sequence[Candidate]:
         """List the endpoints of this region that may run a request, with their predictions."""
@@ -312,13 +313,13 @@
         """Predict the cost of a request in each other region that may run it and has capacity."""
         predicted = []
         work = estimate_remote_work(routed.call)
-        served = {endpoint.region for endpoint in self._list_usable(routed, now)}
+        served = self._list_serving_regions(routed, now)
         for region, capacity in self._find_latest_capacity(routed.service.name, now).items():
             is_home = not routed.route.home_regions or region in routed.route.home_regions
             has_capacity = (
                 capacity.free_slots > 0 and capacity.max_prompt_tokens >= work.prefill_tokens
             )
-            if routed.origin is not None and region not in served:
+            if served is not None and region not in served:
                 continue
             if is_home and has_capacity and routed.tried[region] < MAX_REGION_DECLINES:
                 predicted.append(
@@ -326,6 +327,12 @@
                 )
         return predicted
 
+    def _list_serving_regions(self, routed: RoutedCall, now: float) -> set[str] | None:
+        """Return the regions that may continue a stream; None for any other request."""
+        if routed.origin is None:
+            return None
+        return {endpoint.region for endpoint in self._list_usable(routed, now)}
+
     def _find_latest_capacity(self, service: str, now: float) -> dict[str, AdvertisedCapacity]:
         """Return the capacity that each other region advertised last.
 
