Give one endpoint a module of its own, and answer queries where they came from

A query of a host is answered at the address of its datagram, as a join request is: a name in it that is no address can't raise an exception.

--- a/cloverway/core/isolation.py
+++ b/cloverway/core/isolation.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Sequence
 
 from cloverway.core.decay import DecayingSum
-from cloverway.core.endpoints import Endpoint
+from cloverway.core.endpoint import Endpoint
 from cloverway.core.kv_fetch import MAX_HEALTHY_FAILURES
 from cloverway.core.members import rank_host
 from cloverway.core.prediction import DEFAULT_GAP_OBJECTIVE_S, STALL_FRACTION, Candidate, RoutedCall
--- a/cloverway/core/kv_fetch.py
+++ b/cloverway/core/kv_fetch.py
@@ -7,7 +7,7 @@
 
 from cloverway.core.calls import Prompt
 from cloverway.core.deployment import EngineSpec
-from cloverway.core.endpoints import Endpoint
+from cloverway.core.endpoint import Endpoint
 
 FETCH_SETUP_S = 0.005
 """Fixed time of a fetch: two round trips within a region and the start of the copy."""
--- a/cloverway/core/prediction.py
+++ b/cloverway/core/prediction.py
@@ -8,7 +8,7 @@
 
 from cloverway.core.calls import Call, Prompt
 from cloverway.core.deployment import Route, Service
-from cloverway.core.endpoints import Endpoint
+from cloverway.core.endpoint import Endpoint
 from cloverway.core.engine_speed import INITIAL_PREFILL_S_PER_TOKEN
 from cloverway.core.kv_fetch import FetchSource, count_fetched_tokens, estimate_fetch_s
 from cloverway.core.load import PREFILL_DUTY, EngineState, Work
--- a/cloverway/core/selection.py
+++ b/cloverway/core/selection.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from cloverway.core.deployment import Service
-from cloverway.core.endpoints import Endpoint
+from cloverway.core.endpoint import Endpoint
 from cloverway.core.load import PREFILL_DUTY, EngineState
 from cloverway.core.members import AdvertisedCapacity
 from cloverway.core.prediction import (
--- a/cloverway/serving/hosts/endpoint_loads.py
+++ b/cloverway/serving/hosts/endpoint_loads.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 
 from cloverway.core.calls import PromptSegment
-from cloverway.core.endpoints import Directory, Endpoint
+from cloverway.core.endpoint import Endpoint
+from cloverway.core.endpoints import Directory
 from cloverway.core.load import HostLoad
 from cloverway.core.members import Members, Peer
 from cloverway.serving.clock import read_clock, wait_for_tick
--- a/cloverway/serving/hosts/gossip.py
+++ b/cloverway/serving/hosts/gossip.py
@@ -153,7 +153,7 @@
         elif isinstance(message, EndpointUses):
             self.endpoint_loads.receive(message, now)
         elif isinstance(message, StreamsBegun | StreamQuery | StreamReply):
-            self.stream_origins.receive(message, now)
+            self.stream_origins.receive(message, format_address(addr), now)
         else:
             self.broadcaster.receive(message, now)
 
--- a/cloverway/serving/hosts/stream_origins.py
+++ b/cloverway/serving/hosts/stream_origins.py
@@ -134,20 +134,22 @@
         """
         now = read_clock()
         origin = self._streams.find(key, now) if key is not None else None
-        asked = [peer.member.name for peer in self._list_asked(key or 0, now)]
-        if origin is not None or not asked or len(self._queries) >= MAX_QUERIES:
+        if origin is not None or len(self._queries) >= MAX_QUERIES:
             return Answer(origin)
-        return await self._ask(asked, key, service, life_s)
+        asked = [peer.member.name for peer in self._list_asked(key or 0, now)]
+        return await self._ask(asked, key, service, life_s) if asked else Answer(None)
 
-    def receive(self, message: StreamsBegun | StreamQuery | StreamReply, now: float) -> None:
-        """Apply a message of another host, or answer it."""
+    def receive(
+        self, message: StreamsBegun | StreamQuery | StreamReply, address: str, now: float
+    ) -> None:
+        """Apply a message of another host, or answer it at the address that it came from."""
         match message:
             case StreamsBegun(_, service, version, keys, left_ms):
                 for key, left in zip(keys, left_ms, strict=False):
                     origin = StreamOrigin(service, version)
                     self._streams.record(key, origin, now + left / 1000, now)
             case StreamQuery():
-                self._answer(message, now)
+                self._answer(message, address, now)
             case StreamReply():
                 query = self._queries.get(message.number)
                 if query is not None:
@@ -174,7 +176,7 @@
         finally:
             del self._queries[number]
 
-    def _answer(self, query: StreamQuery, now: float) -> None:
+    def _answer(self, query: StreamQuery, address: str, now: float) -> None:
         origin = self._streams.find(query.key, now) if query.key >= 0 else None
         only = None
         if origin is None and query.service_name:
@@ -188,7 +190,7 @@
             version,
             only or "",
         )
-        self.send(query.host, CODEC.encode(reply))
+        self.send(address, CODEC.encode(reply))
 
     def _has_single_version(self, service: str, now: float) -> bool:
         return self._directory.find_only_version(service, DEFAULT_LIFE_S, now) is not None
--- a/cloverway/serving/requests/incarnations.py
+++ b/cloverway/serving/requests/incarnations.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from enum import Enum
 
-from cloverway.core.endpoints import Endpoint
+from cloverway.core.endpoint import Endpoint
 from cloverway.core.quarantine import Quarantine
 from cloverway.serving.clock import read_clock
 from cloverway.serving.http.client import (
--- a/cloverway/serving/requests/limit_shares.py
+++ b/cloverway/serving/requests/limit_shares.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from cloverway.core.endpoints import Directory, Endpoint
+from cloverway.core.endpoint import Endpoint
+from cloverway.core.endpoints import Directory
 from cloverway.core.limits import LimitShare, TokenBucket, compute_share
 from cloverway.core.members import Members
 
--- a/cloverway/serving/requests/target_selector.py
+++ b/cloverway/serving/requests/target_selector.py
@@ -9,7 +9,8 @@
 
 from cloverway.core.cold_start import compute_cold_send_interval
 from cloverway.core.deployment import Service
-from cloverway.core.endpoints import Directory, Endpoint
+from cloverway.core.endpoint import Endpoint
+from cloverway.core.endpoints import Directory
 from cloverway.core.isolation import LargePromptIsolation, apply_isolation
 from cloverway.core.kv_fetch import FetchSource, find_fetch_source
 from cloverway.core.members import AdvertisedCapacity, Members, Peer
--- a/cloverway/tests/bench_fleet.py
+++ b/cloverway/tests/bench_fleet.py
@@ -23,7 +23,8 @@
     WeightedService,
 )
 from cloverway.core.documents import DocumentTable
-from cloverway.core.endpoints import Directory, Endpoint
+from cloverway.core.endpoint import Endpoint
+from cloverway.core.endpoints import Directory
 from cloverway.core.prediction import RoutedCall, Sender, predict
 from cloverway.platform.documents import decode_documents
 from cloverway.serving.hosts.messages import (
--- a/cloverway/tests/simulated_engine.py
+++ b/cloverway/tests/simulated_engine.py
@@ -20,7 +20,7 @@
     Service,
     WeightedService,
 )
-from cloverway.core.endpoints import Endpoint
+from cloverway.core.endpoint import Endpoint
 from cloverway.core.prediction import Candidate, RoutedCall
 from cloverway.core.token_gaps import TokenGap
 
--- a/cloverway/tests/test_core_incarnations.py
+++ b/cloverway/tests/test_core_incarnations.py
@@ -15,7 +15,8 @@
 
 from cloverway.core.calls import Prompt, PromptSegment
 from cloverway.core.deployment import EndpointEntry, EndpointPublished, Topology
-from cloverway.core.endpoints import MISDIRECTED_BACKOFF_S, MISSING_GRACE_S, Directory
+from cloverway.core.endpoint import MISDIRECTED_BACKOFF_S, MISSING_GRACE_S
+from cloverway.core.endpoints import Directory
 from cloverway.core.load import HostLoad, Work
 from cloverway.core.members import Member, Members
 from cloverway.core.statements import Statement
--- a/cloverway/tests/test_core_kv_fetch.py
+++ b/cloverway/tests/test_core_kv_fetch.py
@@ -20,7 +20,7 @@
     Service,
     WeightedService,
 )
-from cloverway.core.endpoints import Endpoint
+from cloverway.core.endpoint import Endpoint
 from cloverway.core.kv_fetch import MIN_TOKENS, estimate_fetch_s, find_fetch_source
 from cloverway.core.prediction import RoutedCall, Sender, predict
 from cloverway.core.selection import choose_endpoint
--- a/cloverway/tests/test_core_selection.py
+++ b/cloverway/tests/test_core_selection.py
@@ -17,7 +17,7 @@
     Service,
     WeightedService,
 )
-from cloverway.core.endpoints import Endpoint
+from cloverway.core.endpoint import Endpoint
 from cloverway.core.engine_speed import INITIAL_PREFILL_S_PER_TOKEN
 from cloverway.core.load import PREFILL_DUTY, HostLoad, Work
 from cloverway.core.prediction import (
--- a/cloverway/tests/test_core_token_gaps.py
+++ b/cloverway/tests/test_core_token_gaps.py
@@ -21,7 +21,7 @@
     Service,
     WeightedService,
 )
-from cloverway.core.endpoints import Endpoint
+from cloverway.core.endpoint import Endpoint
 from cloverway.core.load import HostLoad, Work
 from cloverway.core.prediction import RoutedCall, Sender, predict
 from cloverway.core.selection import choose_endpoint
--- a/cloverway/tests/test_fleet_gossip.py
+++ b/cloverway/tests/test_fleet_gossip.py
@@ -15,7 +15,8 @@
     StorePosition,
     Topology,
 )
-from cloverway.core.endpoints import Directory, Endpoint
+from cloverway.core.endpoint import Endpoint
+from cloverway.core.endpoints import Directory
 from cloverway.core.members import ACTIVE_REQUESTS_PER_S, MIN_NAMED_HOSTS, Member, Members
 from cloverway.serving.hosts.broadcast import UpdateBroadcaster
 from cloverway.serving.hosts.gossip import (
--- a/cloverway/tests/test_fleet_restarts.py
+++ b/cloverway/tests/test_fleet_restarts.py
@@ -6,7 +6,7 @@
 import math
 from contextlib import asynccontextmanager
 
-from cloverway.core.endpoints import REFUSED_BACKOFF_S
+from cloverway.core.endpoint import REFUSED_BACKOFF_S
 from cloverway.serving.clock import read_clock
 from cloverway.tests.fleet.deployment import run_fleet, run_scenario, wait_for
 from cloverway.tests.fleet.standins import make_route, make_service, make_shared_prefix_headers
