Route a call again, without the retry budget, that no endpoint accepted

Cause: the daemon sends waiting calls to the slots of the killed endpoint; connecting fails, and that was counted as a retry. The budget grants one without recent successes, so the second such call was refused. A call that nothing accepted adds no load, which is what the budget is there to limit.

Now a failed connection is `not_sent`, as it was between hosts, and free. Each endpoint is tried once by a call, so their number bounds it. Which failures exclude an endpoint is as it was. Both tests failed before: the second call got Refused.

--- a/cloverway/dispatch/decisions.py
+++ b/cloverway/dispatch/decisions.py
@@ -384,7 +384,9 @@
         profile = context.published.profiles.get(entry.request.profile)
         is_safe = may_retry(outcome, profile is not None and profile.idempotent)
         # An attempt that reached no endpoint adds no load that the budget would have to limit.
-        is_free = len(destinations) > 1 and outcome in (Outcome.REFUSED, Outcome.NOT_SENT)
+        is_free = outcome is Outcome.NOT_SENT or (
+            outcome is Outcome.REFUSED and len(destinations) > 1
+        )
         is_late = entry.latest_start_at <= context.now
         refusal = self._crash_tracker.find_refusal(entry.request, context.now)
         if refusal is not None:
--- a/cloverway/dispatch/tickets.py
+++ b/cloverway/dispatch/tickets.py
@@ -141,7 +141,8 @@
     def _learn_failure(self, ticket: Ticket, outcome: Outcome, now: float) -> None:
         destinations = list_destinations(ticket.candidate)
         failed = destinations[0] if outcome is Outcome.REFUSED else destinations[-1]
-        certain = outcome is Outcome.NOT_SENT or failed != destinations[-1]
+        is_remote = len(destinations) > 1
+        certain = is_remote and (outcome is Outcome.NOT_SENT or failed != destinations[-1])
         self._learned.outliers.record_failure(failed, now, certain)
 
     def _assert_within_limit(self, slots: int, candidate: Candidate) -> None:
--- a/cloverway/errors.py
+++ b/cloverway/errors.py
@@ -199,6 +199,13 @@
     """The connection to an endpoint was lost while it ran a request, as when it crashes."""
 
 
+class EndpointUnreachableError(RequestError):
+    """Connecting to an endpoint failed, so that it did not receive the request."""
+
+    def __init__(self, detail: str = "") -> None:
+        super().__init__(Kind.ENDPOINT_REFUSED, detail, ran=Ran.NO)
+
+
 class PeerUnreachableError(RequestError):
     """Another host could not be reached, or was lost before it had the whole request.
 
--- a/cloverway/gateway.py
+++ b/cloverway/gateway.py
@@ -15,6 +15,7 @@
 from cloverway.dispatch import residency
 from cloverway.errors import (
     EndpointLostError,
+    EndpointUnreachableError,
     Kind,
     PeerUnreachableError,
     Ran,
@@ -371,6 +372,6 @@
     if error.kind is Kind.CALLER_LEFT:
         return Outcome.CALLER_LEFT
     if error.ran is Ran.NO and not started:
-        is_unreachable = isinstance(error, PeerUnreachableError)
+        is_unreachable = isinstance(error, EndpointUnreachableError | PeerUnreachableError)
         return Outcome.NOT_SENT if is_unreachable else Outcome.REFUSED
     return Outcome.LOST if isinstance(error, EndpointLostError) else Outcome.FAILED
--- a/cloverway/messages.py
+++ b/cloverway/messages.py
@@ -62,7 +62,7 @@
 
     DONE = "done"
     NOT_SENT = "not_sent"
-    """The other host could not be reached, so the attempt did not run."""
+    """The endpoint or the other host could not be reached, so the attempt did not run."""
     REFUSED = "refused"
     """The endpoint or the other host answered that it did not start the request."""
     FAILED = "failed"
--- a/cloverway/tests/test_dispatcher.py
+++ b/cloverway/tests/test_dispatcher.py
@@ -149,3 +149,20 @@
     assert isinstance(verdict, Refused)
     assert verdict.kind is kind
     assert verdict.retry_after is not None
+
+
+def test_all_requests_that_a_killed_endpoint_did_not_accept_go_to_another(
+    dispatcher, clock, holder
+):
+    """Guards against refusing all but one of the requests that were on their way to an endpoint.
+
+    It was killed while they waited for a slot, so that connecting fails, and siblings are free.
+    """
+    holder.current = make_view(make_published(endpoints=2, slots=4, stay=STAY), now=100.0)
+    verdicts = [submit(dispatcher, number) for number in range(4)]
+    killed = [verdict for verdict in verdicts if verdict.route.endpoint == E0]
+    assert len(killed) > 1
+    for verdict in killed:
+        again = dispatcher.report_finished(verdict.ticket, Outcome.NOT_SENT, clock.now, retry=True)
+        assert isinstance(again, Admitted)
+        assert again.route.endpoint != E0
--- a/cloverway/tests/test_gateway.py
+++ b/cloverway/tests/test_gateway.py
@@ -7,7 +7,14 @@
 import pytest
 
 from cloverway.config.published import Published
-from cloverway.errors import EndpointLostError, Kind, PeerUnreachableError, Ran, RequestError
+from cloverway.errors import (
+    EndpointLostError,
+    EndpointUnreachableError,
+    Kind,
+    PeerUnreachableError,
+    Ran,
+    RequestError,
+)
 from cloverway.gateway import GatewayDependencies, RequestGateway, RequestRecord
 from cloverway.membership.view import View, ViewHolder
 from cloverway.messages import Admitted, LocalRoute, Outcome, Refused, RemoteRoute, Request, Verdict
@@ -277,6 +284,17 @@
     assert line["is_retried"]
 
 
+def test_a_request_that_an_endpoint_did_not_accept_counts_as_not_sent() -> None:
+    """Guards against limiting retries of what no endpoint has received, as if it were load."""
+    harness, dispatcher, _, _ = make_harness(
+        EndpointUnreachableError("connecting to the endpoint failed"),
+        DONE,
+        verdicts=(Admitted(1, LOCAL_ROUTE), Admitted(2, OTHER_LOCAL_ROUTE)),
+    )
+    assert harness.gateway.run(make_request()).status == 200
+    assert dispatcher.ended[0] == (1, Outcome.NOT_SENT, True)
+
+
 @pytest.mark.parametrize("kind", [Kind.ENDPOINT_REFUSED, Kind.NO_CAPACITY])
 def test_an_idempotent_request_is_retried_after_a_refusal_that_leaves_open_whether_it_ran(
     kind: Kind,
--- a/cloverway/upstream/endpoints.py
+++ b/cloverway/upstream/endpoints.py
@@ -15,7 +15,14 @@
 
 from cloverway.addresses import split_url
 from cloverway.config.settings import Limits
-from cloverway.errors import CloverwayError, EndpointLostError, Kind, Ran, RequestError
+from cloverway.errors import (
+    CloverwayError,
+    EndpointLostError,
+    EndpointUnreachableError,
+    Kind,
+    Ran,
+    RequestError,
+)
 from cloverway.messages import Request
 from cloverway.replies import Reply
 from cloverway.upstream.cancels import Canceller
@@ -76,10 +83,6 @@
     """Called just before the first byte is sent; raises if the request must not be sent."""
 
 
-class _ConnectError(RequestError):
-    """Connecting to an endpoint failed."""
-
-
 class _StaleConnectionError(CloverwayError):
     """A pooled connection failed before the first byte of an answer."""
 
@@ -174,7 +177,7 @@
         except RequestError as error:
             if not send_started or error.ran is not Ran.NO:
                 raise
-            if isinstance(error, _ConnectError):
+            if isinstance(error, EndpointUnreachableError):
                 # If only the idle connection was dropped, connecting again works. If it fails, the
                 # endpoint may have crashed while it ran the request, which must be counted.
                 raise EndpointLostError(Kind.ENDPOINT_FAILED, error.detail) from error
@@ -195,9 +198,7 @@
             connection.connect()
         except EXCHANGE_ERRORS as error:
             connection.close()
-            raise _ConnectError(
-                Kind.ENDPOINT_REFUSED, "connecting to the endpoint failed", ran=Ran.NO
-            ) from error
+            raise EndpointUnreachableError("connecting to the endpoint failed") from error
         return connection
 
     def _exchange(
