Recognize callers that do not name their first request by what they repeat

Cause: such callers send no Resumes, so no host could be asked for their stream, and hosts younger than 30 s, or after a store outage, can't show that one version served.

Now each stream is remembered and told under a second key, made of method, path and body, which a caller repeats. Where streams of two versions share it, it says nothing. A host that can show one version waits 0.1 s for the others, not 0.3 s.

Evidence: the tests with callers that name nothing were refused before, and go on now at their version, after the first host was killed, with one version and with two; and callers with the same request don't mix versions.

--- a/cloverway/core/stream_origins.py
+++ b/cloverway/core/stream_origins.py
@@ -11,8 +11,8 @@
 from typing import NamedTuple
 
 MAX_REMEMBERED = 20_000
-"""Streams remembered, about 6 MB. At the largest deployment planned for, a host begins 30 a second
-and is told of three times as many, for half a minute each."""
+"""Keys remembered, two for each stream, about 6 MB. At the largest deployment planned for, a host
+begins 30 streams a second and is told of three times as many, for half a minute each."""
 MAX_REMEMBERED_S = 120.0
 """Upper bound of that time, whatever callers state as their deadlines."""
 
@@ -25,6 +25,10 @@
     """The software version of the endpoint."""
 
 
+AMBIGUOUS = StreamOrigin("", "")
+"""Stands for the origin of a key that streams of several origins share."""
+
+
 class StreamBinding:
     """The origin of the events of one stream that its caller has; mutable while it is relayed."""
 
@@ -55,13 +59,20 @@
         self._streams: OrderedDict[int, Remembered] = OrderedDict()
 
     def record(self, key: int, origin: StreamOrigin, until: float, now: float) -> None:
-        """Remember the origin of a stream until a time."""
+        """Remember the origin of a stream until a time.
+
+        Callers that don't say which stream they take up are recognized by their request, which
+        others may send too. If these streams began at several versions, the key says nothing.
+        """
+        known = self.find(key, now)
+        if known is not None and known != origin:
+            origin = AMBIGUOUS
         self._streams[key] = Remembered(key, origin, min(until, now + MAX_REMEMBERED_S))
         self._streams.move_to_end(key)
         self._forget_oldest(now)
 
     def find(self, key: int, now: float) -> StreamOrigin | None:
-        """Return the origin of a stream; None if it isn't known."""
+        """Return the origin of a stream, or AMBIGUOUS; None if it isn't known."""
         stream = self._streams.get(key)
         return stream.origin if stream is not None and now < stream.until else None
 
--- a/cloverway/serving/hosts/messages.py
+++ b/cloverway/serving/hosts/messages.py
@@ -196,7 +196,6 @@
     number: int
     """Chosen by the sender; the reply repeats it."""
     key: int
-    """-1 where the caller doesn't say which stream it is."""
     service_name: str
     """The only service at which it can have begun; empty if there are several."""
     life_ms: int
--- a/cloverway/serving/hosts/stream_origins.py
+++ b/cloverway/serving/hosts/stream_origins.py
@@ -31,6 +31,9 @@
 """Hosts of each other region that are asked, first the one that may have been told."""
 QUERY_TIMEOUT_S = 0.3
 """Time for the answers: the round trip to the farthest region, and a margin."""
+SINGLE_VERSION_TIMEOUT_S = 0.1
+"""The same where this host can show one version: then it asks only whether a host of its region has
+just heard of another one."""
 MAX_QUERIES = 256
 """Queries in progress at a time: callers may name any id, and each query is sent to many hosts."""
 MAX_STREAMS_PER_MESSAGE = 60
@@ -120,24 +123,32 @@
             self._tell(streams, now)
         self._single_version = single
 
-    def record_begun(self, key: int, origin: StreamOrigin, until: float, now: float) -> None:
+    def record_begun(
+        self, keys: Iterable[int], origin: StreamOrigin, until: float, now: float
+    ) -> None:
         """Record where a stream began that this host relays, before its caller has an event."""
-        self._streams.record(key, origin, until, now)
-        self._begun.record(key, origin, until, now)
+        streams = [Remembered(key, origin, until) for key in keys]
+        for stream in streams:
+            self._streams.record(stream.key, origin, until, now)
+            self._begun.record(stream.key, origin, until, now)
         if not self._has_single_version(origin.service, now):
-            self._tell([Remembered(key, origin, until)], now)
+            self._tell(streams, now)
 
-    async def find(self, key: int | None, service: str | None, life_s: float) -> Answer:
-        """Find out where a stream began; `key` is None if its caller doesn't say which it is.
+    async def find(self, key: int, service: str | None, life_s: float) -> Answer:
+        """Find out where a stream began.
 
         `service` is the only service it can have begun at, if there is only one.
         """
         now = read_clock()
-        origin = self._streams.find(key, now) if key is not None else None
+        origin = self._streams.find(key, now)
         if origin is not None or len(self._queries) >= MAX_QUERIES:
             return Answer(origin)
-        asked = [peer.member.name for peer in self._list_asked(key or 0, now)]
-        return await self._ask(asked, key, service, life_s) if asked else Answer(None)
+        asked = [peer.member.name for peer in self._list_asked(key, now)]
+        if not asked:
+            return Answer(None)
+        only = service and self._directory.find_only_version(service, life_s, now)
+        timeout_s = SINGLE_VERSION_TIMEOUT_S if only else QUERY_TIMEOUT_S
+        return await self._ask(asked, key, service, life_s, timeout_s)
 
     def receive(
         self, message: StreamsBegun | StreamQuery | StreamReply, address: str, now: float
@@ -156,20 +167,16 @@
                     query.record(message)
 
     async def _ask(
-        self, asked: list[str], key: int | None, service: str | None, life_s: float
+        self, asked: list[str], key: int, service: str | None, life_s: float, timeout_s: float
     ) -> Answer:
         number = next(self._numbers)
         query = self._queries[number] = _Query(asked)
         own = self._members.own.name
-        data = CODEC.encode(
-            StreamQuery(
-                own, number, key if key is not None else -1, service or "", int(life_s * 1000)
-            )
-        )
+        data = CODEC.encode(StreamQuery(own, number, key, service or "", int(life_s * 1000)))
         try:
             for name in asked:
                 self.send(name, data)
-            async with asyncio.timeout(QUERY_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 return query.summarize(await query.result)
         except TimeoutError:
             return query.summarize(None)
@@ -177,7 +184,7 @@
             del self._queries[number]
 
     def _answer(self, query: StreamQuery, address: str, now: float) -> None:
-        origin = self._streams.find(query.key, now) if query.key >= 0 else None
+        origin = self._streams.find(query.key, now)
         only = None
         if origin is None and query.service_name:
             only = self._directory.find_only_version(query.service_name, query.life_ms / 1000, now)
--- a/cloverway/serving/requests/execution.py
+++ b/cloverway/serving/requests/execution.py
@@ -14,7 +14,7 @@
 from cloverway.core.calls import Call
 from cloverway.core.deployment import Route, Service
 from cloverway.core.prediction import RoutedCall
-from cloverway.core.stream_origins import StreamBinding, StreamOrigin, compute_stream_key
+from cloverway.core.stream_origins import StreamBinding, StreamOrigin
 from cloverway.errors import Kind, Ran, RequestError, combine_ran
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
@@ -33,7 +33,11 @@
 )
 from cloverway.serving.requests.crash_tracker import CrashTracker
 from cloverway.serving.requests.placement import Placement
-from cloverway.serving.requests.stream_origin import ORIGIN_HEADER, decode_origin
+from cloverway.serving.requests.stream_origin import (
+    ORIGIN_HEADER,
+    decode_origin,
+    list_stream_keys,
+)
 from cloverway.serving.requests.streaming import EventRelay, list_end_to_end_headers
 from cloverway.serving.requests.target_selector import Target
 from cloverway.serving.telemetry import format_digest, log_event
@@ -257,13 +261,11 @@
     def _begin_stream(self, target: Target, answered: Answered) -> None:
         """Record what began the stream, before its caller gets the first event of this answer."""
         self.binding.begin(_find_stream_origin(target, answered))
-        call, origin = self.call, self.binding.origin
-        first_id = call.resumes if call.last_event_id else call.id
-        if origin is not None and first_id and self.route.resumable:
-            now = read_clock()
-            key = compute_stream_key(first_id)
-            until = call.deadline + ORIGIN_MARGIN_S
-            self.context.stream_origins.record_begun(key, origin, until, now)
+        origin = self.binding.origin
+        if origin is not None and self.route.resumable:
+            until = self.call.deadline + ORIGIN_MARGIN_S
+            keys = list_stream_keys(self.call)
+            self.context.stream_origins.record_begun(keys, origin, until, read_clock())
 
     # Failures
 
--- a/cloverway/serving/requests/stream_origin.py
+++ b/cloverway/serving/requests/stream_origin.py
@@ -7,7 +7,7 @@
 
 from cloverway.core.calls import Call
 from cloverway.core.deployment import CallKind, Route
-from cloverway.core.stream_origins import StreamOrigin, compute_stream_key
+from cloverway.core.stream_origins import AMBIGUOUS, StreamOrigin, compute_stream_key
 from cloverway.errors import Kind, RequestError
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
@@ -36,6 +36,21 @@
     return StreamOrigin(unquote(service), unquote(version))
 
 
+def choose_stream_key(call: Call) -> int:
+    """Return the key of the stream that a request continues.
+
+    A caller that doesn't name its first request is recognized by what it repeats.
+    """
+    return compute_stream_key(call.resumes) if call.resumes else call.compute_digest()
+
+
+def list_stream_keys(call: Call) -> list[int]:
+    """Return the keys under which the stream of a request is remembered."""
+    first_id = call.resumes if call.last_event_id else call.id
+    keys = [call.compute_digest()]
+    return [compute_stream_key(first_id), *keys] if first_id else keys
+
+
 async def find_origin(context: Context, call: Call, route: Route) -> StreamOrigin | None:
     """Return what began the stream that a request continues; None for any other request.
 
@@ -50,8 +65,7 @@
     began_at = read_clock()
     life_s = max(DEFAULT_LIFE_S, STREAM_LIVES_PER_TIMEOUT * route.timeout_s)
     service = context.directory.find_only_service(call.host, call.path, life_s, began_at)
-    key = compute_stream_key(call.resumes) if call.resumes else None
-    answer = await context.stream_origins.find(key, service, life_s)
+    answer = await context.stream_origins.find(choose_stream_key(call), service, life_s)
     origin, source = _decide(context, answer, service, life_s)
     context.metrics.record_event(f"stream_origin_{source}")
     log_event(
@@ -83,9 +97,9 @@
     That one version served all the while comes last: a host that remembers the stream may have
     heard earlier of another version.
     """
-    if answer.origin is not None:
+    if answer.origin is not None and answer.origin != AMBIGUOUS:
         return answer.origin, "asked" if answer.asked else "remembered"
-    if service is None:
+    if answer.origin == AMBIGUOUS or service is None:
         return None, "unknown"
     own = context.directory.find_only_version(service, life_s, read_clock())
     versions = {version for version in (own, answer.only_version) if version is not None}
--- a/cloverway/tests/fleet/versions.py
+++ b/cloverway/tests/fleet/versions.py
@@ -108,9 +108,11 @@
     return f"/stream/{next(PATHS)}"
 
 
-async def begin_stream(fleet: Fleet, host: Host, events: int = LEFT_AFTER) -> Begun:
+async def begin_stream(
+    fleet: Fleet, host: Host, events: int = LEFT_AFTER, path: str | None = None
+) -> Begun:
     """Read some events of a new stream, and leave."""
-    path = make_path()
+    path = path or make_path()
     exchange = await fleet.begin_call(path, host)
     call_id = fleet.last_call_id
     body = await _read_events(exchange, events)
--- a/cloverway/tests/test_core_versions.py
+++ b/cloverway/tests/test_core_versions.py
@@ -4,6 +4,7 @@
 
 from cloverway.core.deployment import CallKind, Route, RouteTable, WeightedService
 from cloverway.core.stream_origins import (
+    AMBIGUOUS,
     MAX_REMEMBERED,
     StreamOrigin,
     StreamOrigins,
@@ -118,6 +119,17 @@
     assert streams.find(5, 121.0) is None
 
 
+def test_a_key_that_streams_of_two_versions_share_says_nothing():
+    """Guards against taking one caller's stream for that of another with the same request."""
+    streams = StreamOrigins()
+    streams.record(1, ORIGIN, 50.0, 0.0)
+    streams.record(1, ORIGIN, 60.0, 1.0)
+    assert streams.find(1, 2.0) == ORIGIN
+    streams.record(1, StreamOrigin("model", "v2"), 60.0, 3.0)
+    streams.record(1, ORIGIN, 60.0, 4.0)
+    assert streams.find(1, 5.0) == AMBIGUOUS
+
+
 def test_any_text_has_a_key():
     """Guards against ids that can't be encoded; a key is never negative, which means none."""
     for text in ("call-1", "é" * 300, "\udcff", "\ud800"):
--- a/cloverway/tests/test_fleet_versions.py
+++ b/cloverway/tests/test_fleet_versions.py
@@ -299,6 +299,45 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("versions", [RELEASE, ("v1",) * 3], ids=["two versions", "one version"])
+def test_callers_that_do_not_name_their_first_request_are_recognized(versions):
+    """Guards against refusing the callers of young hosts that don't say which stream it is."""
+
+    async def scenario():
+        async with run_release(versions) as fleet:
+            for _ in range(4):
+                begun = [await begin_stream(fleet, fleet.hosts[0]) for _ in range(4)]
+                await fleet.stop(fleet.hosts[0])
+                await add_known_host(fleet)
+                for item in begun:
+                    host = random.choice(fleet.hosts)
+                    reply = await take_up(fleet, host, item, names_first=False)
+                    body = item.body + reply.body
+                    assert len(list_versions(body)) == 1
+                    assert is_whole(body)
+
+    run_scenario(scenario)
+
+
+def test_callers_with_the_same_request_that_do_not_name_their_first_do_not_mix_versions():
+    """Guards against taking one caller's stream for that of another with the same request."""
+
+    async def scenario():
+        async with run_release(("v1", "v2")) as fleet:
+            begun = [
+                (await begin_stream(fleet, fleet.hosts[0], path="/stream/same"))
+                for _ in range(STREAMS)
+            ]
+            assert {v for item in begun for v in list_versions(item.body)} == {"v1", "v2"}
+            for item in begun:
+                host = random.choice(fleet.hosts)
+                reply = await take_up(fleet, host, item, names_first=False)
+                rest = reply.body if reply.status == 200 else b""
+                assert len(list_versions(item.body + rest)) == 1
+
+    run_scenario(scenario)
+
+
 def test_callers_that_do_not_name_their_first_request_go_on_where_one_version_served():
     """Guards against refusing the callers of a service that has had one version for long."""
 
