--- a/cloverway/tests/test_core_kv_fetch.py
+++ b/cloverway/tests/test_core_kv_fetch.py
@@ -24,6 +24,7 @@
 from cloverway.core.kv_fetch import MIN_TOKENS, estimate_fetch_s, find_fetch_source
 from cloverway.core.prediction import RoutedCall, Sender, predict
 from cloverway.core.selection import choose_endpoint
+from cloverway.serving.requests.target_selector import _find_fetch_sources
 
 SPEC = EngineSpec(64, 340_000, token_bytes=18_432, link_mbps=180_000.0)
 MODEL = Service("model", 360, engine=SPEC)
@@ -143,3 +144,15 @@
 def test_fetch_time_is_the_setup_plus_the_transfer_time():
     assert estimate_fetch_s(0, SPEC) == 0.0
     assert estimate_fetch_s(6_000, SPEC) == pytest.approx(0.005 + 6_000 * 18_432 * 8 / 180e9)
+
+
+def test_a_prefix_is_not_fetched_from_another_version():
+    """Guards against prompts that are continued from what another software version has cached."""
+    holder, sibling, other = make_endpoint("a"), make_endpoint("bb"), make_endpoint("ccc")
+    for endpoint, version in ((holder, "v1"), (sibling, "v1"), (other, "v2")):
+        endpoint.entry = endpoint.entry._replace(version=version)
+    prefill(holder, make_call("first"), 0.0)
+    routed = route_call(make_call("second"))
+    sources = _find_fetch_sources(routed, [holder, sibling, other], 2.0)
+    assert sources["v1"].endpoint is holder
+    assert sources["v2"] is None
