Move the log lines of one request into a module of their own

The state machine of a request had grown to 423 lines, a sixth of which were fields of log lines. No behaviour changes; 122 tests of requests, versions, logs, traces and docs pass.

--- a/cloverway/serving/requests/execution.py
+++ b/cloverway/serving/requests/execution.py
@@ -33,6 +33,7 @@
 )
 from cloverway.serving.requests.crash_tracker import CrashTracker
 from cloverway.serving.requests.placement import Placement
+from cloverway.serving.requests.request_log import RequestLog, SendSummary
 from cloverway.serving.requests.stream_origin import (
     ORIGIN_HEADER,
     decode_origin,
@@ -40,7 +41,6 @@
 )
 from cloverway.serving.requests.streaming import EventRelay, list_end_to_end_headers
 from cloverway.serving.requests.target_selector import Target
-from cloverway.serving.telemetry import format_digest, log_event
 
 FIRST_BYTE_TIMEOUT_OBJECTIVES = 2.5
 """Timeout for the head of a response, as a multiple of the route's objective, after which a request
@@ -91,6 +91,7 @@
         self.placement = Placement(context, self.routed, self.expires_at)
         self.relay = EventRelay(exchange, self.routed, self._begin_stream)
         self.crash_tracker = CrashTracker(context, self.routed, self.relay.timing)
+        self.log = RequestLog(context, self.routed, self.relay)
 
     async def run(self) -> None:
         """Run the request to the end of its response; raise RequestError."""
@@ -108,7 +109,8 @@
             self._fail(error)
         except asyncio.CancelledError:
             self._record_abandoned()
-            self._log_end(RequestError(Kind.CALLER_LEFT, "the caller left", ran=self.ran), 0)
+            error = RequestError(Kind.CALLER_LEFT, "the caller left", ran=self.ran)
+            self.log.record_end(error, 0, self.sends)
             raise
         finally:
             self.placement.retry_permit.release()
@@ -167,7 +169,7 @@
         now = self.sent_at = read_clock()
         self.crash_tracker.record_sent(target, now)
         self.sends += 1
-        self._log_sent(target, now)
+        self.log.record_sent(target, SendSummary(self.sends, self.expires_at, now))
         attempt = Attempt(
             self.context, self.routed, target, self._make_options(), self._record_written
         )
@@ -225,7 +227,7 @@
         headers = list_end_to_end_headers(answered.head)
         self.relay.timing.record(read_clock())
         await self.exchange.answer(answered.head.status, headers, body)
-        self._log_end(None, answered.head.status)
+        self.log.record_end(None, answered.head.status, self.sends)
         return True
 
     async def _relay_stream(self, target: Target, answered: Answered) -> bool:
@@ -255,7 +257,7 @@
         self._record_result(target, False)
         self.crash_tracker.record_completed(target, answered)
         self._record_gaps(target)
-        self._log_end(None, answered.head.status)
+        self.log.record_end(None, answered.head.status, self.sends)
         return True
 
     def _begin_stream(self, target: Target, answered: Answered) -> None:
@@ -272,7 +274,7 @@
     def _record_failure(self, target: Target, outcome: Declined | Broken) -> None:
         now = read_clock()
         self.crash_tracker.record_failed()
-        self._log_failure(target, outcome, now)
+        self.log.record_failed_attempt(target, outcome, now - self.sent_at)
         if isinstance(outcome, Broken):
             self.crash_tracker.record_broken(target, outcome, now)
         elif outcome.is_down and target.candidate is not None:
@@ -339,78 +341,11 @@
 
     def _fail(self, error: RequestError) -> None:
         if self.exchange.started:
-            self._log_end(error, 0)
+            self.log.record_end(error, 0, self.sends)
             self.exchange.abort()
             return
         raise error
 
-    # Logging
-
-    def _log_sent(self, target: Target, now: float) -> None:
-        candidate = target.candidate
-        log_event(
-            "sent",
-            request_id=self.call.id,
-            route=self.route.name,
-            service=self.service.name,
-            to=target.name,
-            address=target.address,
-            region=target.region,
-            wait_s=round(candidate.wait_s, 3) if candidate else None,
-            cost_s=round(candidate.cost_s, 3) if candidate else None,
-            answer_s=round(candidate.decode_s, 3) if candidate else None,
-            unread=candidate.work.prefill_tokens if candidate else None,
-            fetched=candidate.work.fetched_tokens if candidate else None,
-            fetch_from=(
-                candidate.fetch_source.entry.id if candidate and candidate.fetch_source else None
-            ),
-            limit_per_s=self.context.directory.statements.get(target.name).limit_per_s,
-            waited_s=round(now - self.call.arrived_at, 3),
-            left_s=round(self.expires_at - now, 3),
-            send=self.sends,
-            resumes=self.call.resumes or None,
-            after_event=self.relay.last_id or None,
-            endpoint_version=candidate.endpoint.entry.version if candidate else None,
-            version=(
-                self.context.directory.configuration.version
-                if self.context.directory.configuration
-                else 0
-            ),
-        )
-
-    def _log_failure(self, target: Target, outcome: Declined | Broken, now: float) -> None:
-        is_broken = isinstance(outcome, Broken)
-        log_event(
-            "attempt_failed",
-            request_id=self.call.id,
-            request_digest=format_digest(self.call) if is_broken else None,
-            to=target.name,
-            outcome=type(outcome).__name__.lower(),
-            why=outcome.reason,
-            lasted_s=round(now - self.sent_at, 3),
-        )
-
-    def _log_end(self, error: RequestError | None, status: int) -> None:
-        now = read_clock()
-        timing = self.relay.timing
-        first_s = None if timing.first_at is None else timing.first_at - self.call.arrived_at
-        total_s = now - self.call.arrived_at
-        log_event(
-            "answered" if error is None else "cut",
-            request_id=self.call.id,
-            route=self.route.name,
-            status=status,
-            why=error.detail if error else None,
-            sends=self.sends,
-            first_s=None if first_s is None else round(first_s, 3),
-            gap_s=round(timing.longest_gap_s, 3),
-            total_s=round(total_s, 3),
-        )
-        kind = error.kind if error is not None else None
-        self.context.metrics.record_request(
-            self.route.name, kind, first_s, total_s, timing.longest_gap_s
-        )
-
 
 def _find_stream_origin(target: Target, answered: Answered) -> StreamOrigin | None:
     """Return what began a stream whose first event has just arrived; None if it isn't certain."""
