Log how the answer of an endpoint was framed, and what was left of an event at its end

Of three hypotheses on streams that look complete and aren't, no line told one from another. An orderly end inside an event, one between two events, and a reset that is read as an end now differ in framing and unfinished_bytes of the lines answered, cut and attempt_failed. No decision changes.

--- a/cloverway/serving/http/client.py
+++ b/cloverway/serving/http/client.py
@@ -5,6 +5,7 @@
 import re
 from collections import defaultdict
 from collections.abc import Callable, Sequence
+from enum import StrEnum
 from typing import NamedTuple
 
 import h11
@@ -22,6 +23,7 @@
 """A connection is closed this long before the server does so. Otherwise the server's close may
 cross a request, and it is unknown whether the request ran."""
 MAX_HEAD_BYTES = 64 * 1024
+BODILESS_STATUSES = frozenset((204, 304))
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 
@@ -42,6 +44,15 @@
     """The response is larger than the limit on what is held in memory."""
 
 
+class Framing(StrEnum):
+    """What marks the end of the body of a response."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+    """Only the end of the connection, so that a truncated body looks like a complete one."""
+
+
 class ResponseHead(NamedTuple):
     """The head of a response."""
 
@@ -53,6 +64,14 @@
         """Return the value of the first header with a name in lower case."""
         return next((value for key, value in self.headers if key == name), None)
 
+    @property
+    def framing(self) -> Framing:
+        """What marks the end of the body."""
+        if self.get(b"transfer-encoding") is not None:
+            return Framing.CHUNKS
+        has_length = self.get(b"content-length") is not None or self.status in BODILESS_STATUSES
+        return Framing.LENGTH if has_length else Framing.CONNECTION
+
 
 class ClientExchange:
     """One request on a connection, and its response."""
--- a/cloverway/serving/http/event_stream.py
+++ b/cloverway/serving/http/event_stream.py
@@ -38,6 +38,11 @@
                 self.last_id = found[-1].decode("latin-1")
         return events
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Bytes after the last complete event."""
+        return len(self._incomplete)
+
     def take_incomplete(self) -> bytes:
         """Return the bytes after the last complete event and clear them."""
         rest, self._incomplete = self._incomplete, b""
--- a/cloverway/serving/requests/execution.py
+++ b/cloverway/serving/requests/execution.py
@@ -225,6 +225,7 @@
         if failed and self._may_repeat(self.runs) and self._has_alternative(target):
             return False
         headers = list_end_to_end_headers(answered.head)
+        self.relay.framing = answered.head.framing
         self.relay.timing.record(read_clock())
         await self.exchange.answer(answered.head.status, headers, body)
         self.log.record_end(None, answered.head.status, self.sends)
--- a/cloverway/serving/requests/request_log.py
+++ b/cloverway/serving/requests/request_log.py
@@ -73,6 +73,8 @@
             to=target.name,
             outcome=type(outcome).__name__.lower(),
             why=outcome.reason,
+            framing=self._relay.framing,
+            unfinished_bytes=self._relay.unfinished_bytes,
             lasted_s=round(lasted_s, 3),
         )
 
@@ -90,6 +92,8 @@
             sends=sends,
             first_s=None if first_s is None else round(first_s, 3),
             gap_s=round(timing.longest_gap_s, 3),
+            framing=self._relay.framing,
+            unfinished_bytes=self._relay.unfinished_bytes,
             total_s=round(total_s, 3),
         )
         kind = error.kind if error is not None else None
--- a/cloverway/serving/requests/streaming.py
+++ b/cloverway/serving/requests/streaming.py
@@ -8,7 +8,7 @@
 from cloverway.core.prediction import DEFAULT_GAP_OBJECTIVE_S, RoutedCall
 from cloverway.core.token_gaps import TokenGap
 from cloverway.serving.clock import read_clock
-from cloverway.serving.http.client import ClientExchange, ResponseHead
+from cloverway.serving.http.client import ClientExchange, Framing, ResponseHead
 from cloverway.serving.http.event_stream import EventSplitter
 from cloverway.serving.http.server import Exchange
 from cloverway.serving.requests.attempt import Answered, limit_idle_time
@@ -55,6 +55,10 @@
         """Called before the first event is sent to the caller."""
         self._events = EventSplitter(routed.call.last_event_id)
         self.timing = Timing()
+        self.framing: Framing | None = None
+        """What marks the end of the response that is copied, or was copied last."""
+        self.unfinished_bytes = 0
+        """Bytes of an unfinished event with which that response ended."""
 
     @property
     def last_id(self) -> str:
@@ -63,6 +67,7 @@
 
     def discard_partial_event(self) -> None:
         """Discard the received part of an event that will never be completed."""
+        self.unfinished_bytes = self._events.incomplete_bytes
         self._events.drop_incomplete()
 
     async def copy(self, target: Target, answered: Answered, is_resumable: bool) -> None:
@@ -71,6 +76,7 @@
         If `is_resumable`, the stream may continue on another endpoint, so that a stall of this one
         raises IdleTimeoutError.
         """
+        self.framing, self.unfinished_bytes = answered.head.framing, 0
         gap_s = max(MIN_GAP_TIMEOUT_S, GAP_TIMEOUT_OBJECTIVES * self._routed.route.gap_objective_s)
         timeout_s = gap_s if is_resumable else None
         waiting_since: float | None = None
@@ -86,6 +92,7 @@
             await self._exchange.send(b"".join(events))
             waiting_since = read_clock()
         self._start(answered.head)
+        self.unfinished_bytes = self._events.incomplete_bytes
         rest = self._events.take_incomplete()
         if rest:
             await self._exchange.send(rest)
