Reproduce answers that end early and look complete: red

Real hosts and endpoints on loopback that write their bytes themselves: an answer with neither length nor chunks, whose connection is closed in order inside an event, before the first one, or between two as the endpoint crashes, reaches its caller with a last chunk. Nothing goes on elsewhere, and such an answer clears the request that crashed its endpoint. The asyncio abort of the stand-ins sends a FIN; endings.py can send a reset, too.

--- /dev/null
+++ b/cloverway/tests/fleet/endings.py
@@ -0,0 +1,100 @@
+"""Answers of endpoints without a length or chunks, and how their connections end."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from enum import Enum
+from typing import NamedTuple
+
+from cloverway.serving.http.server import Exchange
+from cloverway.serving.http.transport import Connection
+from cloverway.tests.fleet.standins import Endpoint
+
+EVENTS = 4
+NO_LINGER = struct.pack("ii", 1, 0)
+Answer = Callable[[Exchange], Awaitable[None]]
+
+
+class Close(Enum):
+    """How an endpoint ends a connection."""
+
+    ORDERLY = "orderly"
+    RESET = "reset"
+
+
+class Ending(NamedTuple):
+    """Where and how a stream ends."""
+
+    last: int = EVENTS
+    """Number of its last complete event."""
+    rest: bytes = b""
+    """What follows that event."""
+    close: Close = Close.ORDERLY
+    newline: bytes = b"\n"
+
+
+def make_event(number: int, newline: bytes = b"\n") -> bytes:
+    return b"id: %d%sdata: token %d%s" % (number, newline, number, newline * 2)
+
+
+def make_stream(newline: bytes = b"\n") -> bytes:
+    """Return all events of a whole stream."""
+    return b"".join(make_event(number, newline) for number in range(1, EVENTS + 1))
+
+
+def end_connection(connection: Connection, close: Close) -> None:
+    """Close a connection in order, or reset it.
+
+    The event loop's `abort` sends no reset unless received bytes are unread, as after most crashes
+    of a process.
+    """
+    if close is Close.RESET:
+        sock = connection.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    connection.close()
+
+
+def begin_unframed(endpoint: Endpoint, exchange: Exchange) -> None:
+    """Send the head of an answer that ends with its connection."""
+    lines = [b"HTTP/1.1 200 OK", *(b": ".join(item) for item in endpoint.make_head(exchange))]
+    exchange.connection.write(b"\r\n".join(lines) + b"\r\n\r\n")
+
+
+def get_first_event(exchange: Exchange) -> int:
+    """Return the number of the event at which a run begins."""
+    return int(dict(exchange.headers).get(b"last-event-id", b"0")) + 1
+
+
+def stream_unframed(endpoint: Endpoint, *endings: Ending) -> Answer:
+    """Return a handler that streams events without framing; its runs end in turn as given."""
+    runs = 0
+
+    async def answer(exchange: Exchange) -> None:
+        nonlocal runs
+        ending = endings[runs % len(endings)]
+        runs += 1
+        begin_unframed(endpoint, exchange)
+        for number in range(get_first_event(exchange), ending.last + 1):
+            exchange.connection.write(make_event(number, ending.newline))
+            await asyncio.sleep(0)
+        exchange.connection.write(ending.rest)
+        # Separate reads at the host, as in a stream that ends some time after its last event.
+        await asyncio.sleep(0.002)
+        end_connection(exchange.connection, ending.close)
+
+    return answer
+
+
+def answer_unframed(endpoint: Endpoint, body: bytes) -> Answer:
+    """Return a handler that sends a plain answer without framing."""
+
+    async def answer(exchange: Exchange) -> None:
+        begin_unframed(endpoint, exchange)
+        exchange.connection.write(body)
+        await asyncio.sleep(0.002)
+        end_connection(exchange.connection, Close.ORDERLY)
+
+    return answer
