Play unframed answers, orderly ends and resets in the soak and its links

Three in ten answers of the soak's endpoints have neither a length nor chunks, end inside an event when they are broken off, in order or by a reset, and endpoints crash in both ways. Now a cut link resets, and passes resets on.

--- a/cloverway/tests/fleet/endings.py
+++ b/cloverway/tests/fleet/endings.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 from collections.abc import Awaitable, Callable, Iterator
 from enum import Enum
 from typing import NamedTuple
@@ -12,9 +10,9 @@
 from cloverway.serving.http.server import Exchange
 from cloverway.serving.http.transport import Connection
 from cloverway.tests.fleet.standins import Endpoint
+from cloverway.tests.standins.links import reset_transport
 
 EVENTS = 4
-NO_LINGER = struct.pack("ii", 1, 0)
 Answer = Callable[[Exchange], Awaitable[None]]
 
 
@@ -46,14 +44,9 @@
 
 
 def end_connection(connection: Connection, close: Close) -> None:
-    """Close a connection in order, or reset it.
-
-    The event loop's `abort` sends no reset unless received bytes are unread, as after most crashes
-    of a process.
-    """
+    """Close a connection in order, or reset it."""
     if close is Close.RESET:
-        sock = connection.transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        reset_transport(connection.transport)
     connection.close()
 
 
--- a/cloverway/tests/fleet/soak.py
+++ b/cloverway/tests/fleet/soak.py
@@ -425,7 +425,8 @@
         """Crash an endpoint while it runs a request; it restarts as a new incarnation."""
         self.crash_times[body].append(time.monotonic())
         link = self.links[endpoint.name]
-        link.cut()
+        end = self.random.choice([link.cut, link.crash])
+        end()
         restart = asyncio.create_task(self._restart_crashed(endpoint))
         self._restarts.add(restart)
         restart.add_done_callback(self._restarts.discard)
--- a/cloverway/tests/fleet/soak_parts.py
+++ b/cloverway/tests/fleet/soak_parts.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from cloverway.core.retry_budget import RetryBudgetSettings
 from cloverway.serving.http.client import (
@@ -19,7 +19,14 @@
     ResponseError,
     make_request,
 )
+from cloverway.serving.http.server import Exchange
 from cloverway.tests.fleet.deployment import Reply, read_reply
+from cloverway.tests.fleet.endings import (
+    Close,
+    begin_unframed,
+    end_connection,
+    get_first_event,
+)
 from cloverway.tests.fleet.standins import Endpoint, Store
 from cloverway.tests.standins.links import Link
 from cloverway.tests.standins.processes import Process
@@ -27,6 +34,8 @@
 DOMAINS = {"d1": "north", "d2": "south"}
 HOSTS = {"d1": 3, "d2": 2}
 EVENTS = 5
+UNFRAMED_SHARE = 0.3
+"""Share of the answers of endpoints that have neither a length nor chunks."""
 VERSIONS = ("v1", "v2")
 """Software versions of the endpoints, side by side in each service."""
 GRACE_S = 6.0
@@ -89,7 +98,7 @@
         self.on_crash: Callable[[CountingEndpoint, bytes], None] = lambda endpoint, body: None
         """Called when a request has crashed the endpoint."""
 
-    async def answer_by_route(self, exchange: Any) -> None:
+    async def answer_by_route(self, exchange: Exchange) -> None:
         fields = dict(exchange.headers)
         request_id = fields[b"x-cloverway-request-id"].decode()
         self.arrivals.append((time.monotonic(), request_id))
@@ -105,24 +114,59 @@
             self.on_crash(self, exchange.body)
             return
         aborts = self.random.random() < self.abort_probability
+        unframed = self.random.random() < UNFRAMED_SHARE
         if self.service == "desk":
             await asyncio.sleep(0.02)
+            await self._answer_plain(exchange, request_id, aborts, unframed)
+        elif unframed:
+            await self._stream_unframed(exchange, request_id, aborts)
+        else:
+            await self._stream_chunks(exchange, request_id, aborts)
+
+    async def _answer_plain(
+        self, exchange: Exchange, request_id: str, aborts: bool, unframed: bool
+    ) -> None:
+        body = f"ran for {request_id}".encode()
+        if not unframed:
             if aborts:
                 exchange.connection.abort()
-                return
-            await exchange.answer(200, self.make_head(exchange), f"ran for {request_id}".encode())
+            else:
+                await exchange.answer(200, self.make_head(exchange), body)
             return
-        first, version = int(fields.get(b"last-event-id", b"0")) + 1, self.version
+        begin_unframed(self, exchange)
+        exchange.connection.write(body[:-1] if aborts else body)
+        end_connection(exchange.connection, Close.RESET if aborts else Close.ORDERLY)
+
+    async def _stream_chunks(self, exchange: Exchange, request_id: str, aborts: bool) -> None:
+        version = self.version
         exchange.start(200, [*self.make_head(exchange), (b"Content-Type", b"text/event-stream")])
-        for number in range(first, EVENTS + 1):
-            event = b"id: %d\ndata: for %s by %s\n\n"
-            await exchange.send(event % (number, request_id.encode(), version.encode()))
+        for number in range(get_first_event(exchange), EVENTS + 1):
+            await exchange.send(_make_event(number, request_id, version))
             await asyncio.sleep(0.05)
             if aborts:
                 exchange.connection.abort()
                 return
         exchange.finish()
 
+    async def _stream_unframed(self, exchange: Exchange, request_id: str, aborts: bool) -> None:
+        """Stream without framing; a run that aborts ends inside an event, in order or reset."""
+        version = self.version
+        begin_unframed(self, exchange)
+        for number in range(get_first_event(exchange), EVENTS + 1):
+            event = _make_event(number, request_id, version)
+            if aborts:
+                exchange.connection.write(event[: self.random.randrange(1, len(event))])
+                await asyncio.sleep(0.002)
+                end_connection(exchange.connection, self.random.choice(list(Close)))
+                return
+            exchange.connection.write(event)
+            await asyncio.sleep(0.05)
+        end_connection(exchange.connection, Close.ORDERLY)
+
+
+def _make_event(number: int, request_id: str, version: str) -> bytes:
+    return b"id: %d\ndata: for %s by %s\n\n" % (number, request_id.encode(), version.encode())
+
 
 class Host:
     """The process of a host, with its own link to the store."""
--- a/cloverway/tests/standins/links.py
+++ b/cloverway/tests/standins/links.py
@@ -6,7 +6,9 @@
 import contextlib
 import functools
 import socket
+import struct
 import threading
+from asyncio import WriteTransport as Transport
 from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple
 
@@ -20,10 +22,19 @@
 
 
 ANY_CLIENT = ""
+NO_LINGER = struct.pack("ii", 1, 0)
 Identify = Callable[[str, int], str]
 """Returns the name of the process that uses a local port of a kind ("tcp" or "udp")."""
 
 
+def reset_transport(transport: Transport) -> None:
+    """Reset a connection; `abort` alone closes it in order unless received bytes are unread."""
+    if not transport.is_closing():
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    transport.abort()
+
+
 class ClientIdentity:
     """The client that uses a local port; looked up on first use, because a lookup is slow."""
 
@@ -105,7 +116,12 @@
     def cut(self, *clients: str) -> None:
         """Reset the connections of the named clients, or of all, and refuse new ones."""
         self._cut |= set(clients or {ANY_CLIENT})
-        self._wait(self._reset())
+        self._wait(self._end_connections(reset_transport))
+
+    def crash(self) -> None:
+        """Close all connections in order and refuse new ones, as the kernel does after a crash."""
+        self._cut.add(ANY_CLIENT)
+        self._wait(self._end_connections(lambda transport: transport.abort()))
 
     def refuse(self) -> None:
         """Refuse new connections; those that are open stay."""
@@ -173,17 +189,17 @@
             lambda: _Datagrams(self), local_addr=("127.0.0.1", self.port)
         )
 
-    async def _reset(self) -> None:
+    async def _end_connections(self, end: Callable[[Transport], None]) -> None:
         if ANY_CLIENT in self._cut:
             await self._refuse()
         for writer, client in self._opening.items():
             if self.is_cut(client):
-                writer.transport.abort()
+                end(writer.transport)
         for pair in [
             pair for pair in self._pairs | self._blackholed_pairs if self.is_cut(pair.client)
         ]:
-            pair.caller_writer.transport.abort()
-            pair.target_writer.transport.abort()
+            end(pair.caller_writer.transport)
+            end(pair.target_writer.transport)
 
     async def _refuse(self) -> None:
         # An asyncio.Server that is closed leaves connections open, and unserved, which it has
@@ -258,7 +274,7 @@
                     writer.write(chunk)
                     await writer.drain()
         except OSError:
-            writer.transport.abort()
+            reset_transport(writer.transport)
             return
         if not self._drops(pair, direction):
             writer.close()
