Test that an answer of the store that ends early is never believed

The store's answers may be unframed, too; each prefix of one is an error already, since JSON and its items delimit themselves.

--- a/cloverway/tests/test_platform_store.py
+++ b/cloverway/tests/test_platform_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 
@@ -11,7 +12,7 @@
 from cloverway.platform.store import PlatformStore
 from cloverway.serving.ports import HistoryGoneError
 from cloverway.tests.fleet.deployment import run_scenario
-from cloverway.tests.fleet.standins import Store
+from cloverway.tests.fleet.standins import Store, make_server, take_ports
 
 
 async def start_store(epoch):
@@ -89,3 +90,28 @@
             await watch
 
     run_scenario(scenario)
+
+
+def test_an_unframed_answer_that_ends_early_is_an_error_of_the_store():
+    """Guards against documents or changes that are missing as the connection of an answer ended.
+
+    The end of the connection is the only end of such an answer; it is cut after each of its bytes.
+    """
+    item = {"key": "op/evacuate/d1", "value": "e30=", "revision": 3, "createdAt": 1, "lease": 0}
+    answer = json.dumps({"items": [item], "events": [item], "hasMore": False, "at": 3}).encode()
+    lengths = iter(range(len(answer)))
+
+    async def answer_early(exchange):
+        exchange.connection.write(b"HTTP/1.1 200 OK\r\n\r\n" + answer[: next(lengths)])
+
+    async def scenario():
+        server, port = make_server(answer_early), take_ports(1)[0]
+        await server.start(f"127.0.0.1:{port}")
+        client = PlatformStore(f"127.0.0.1:{port}")
+        for _ in range(len(answer) // 2):
+            with pytest.raises(PlatformError):
+                await client.watch(StorePosition(0, 1), 0.1)
+            with pytest.raises(PlatformError):
+                await client._call("/kv-range", {"prefix": ""}, 0.0)
+
+    run_scenario(scenario)
