Log the parts of prompts that failed attempts have in common with others

The lines of second1 name digests only, and no two bad requests share one: what the crashes have in common could not be seen. attempt_failed now lists the parts but the last, sixteen at most.

--- a/cloverway/core/calls.py
+++ b/cloverway/core/calls.py
@@ -35,6 +35,11 @@
     expected_output_tokens: int | None = None
     """The caller's estimate of the tokens that will be generated; None if it gave none."""
 
+    @property
+    def shared_segments(self) -> tuple[PromptSegment, ...]:
+        """The segments that other requests may have too: all but the last one."""
+        return self.segments[:-1]
+
 
 class Call(NamedTuple):
     """One request of a caller. Times are seconds on this host's clock."""
--- a/cloverway/core/prediction.py
+++ b/cloverway/core/prediction.py
@@ -360,7 +360,7 @@
 def _compute_affinity_bonus(call: Call, endpoint: Endpoint) -> float:
     """Return the bonus, in seconds, of an endpoint for the shared prefix of a prompt."""
     assert call.prompt is not None
-    shared = call.prompt.segments[:-1]
+    shared = call.prompt.shared_segments
     if not shared:
         return 0.0
     segment = shared[-1]
--- a/cloverway/serving/requests/request_log.py
+++ b/cloverway/serving/requests/request_log.py
@@ -11,7 +11,7 @@
 from cloverway.serving.requests.attempt import Broken, Declined
 from cloverway.serving.requests.streaming import EventRelay
 from cloverway.serving.requests.target_selector import Target
-from cloverway.serving.telemetry import format_digest, log_event
+from cloverway.serving.telemetry import format_digest, format_parts, log_event
 
 
 class SendSummary(NamedTuple):
@@ -70,6 +70,7 @@
             "attempt_failed",
             request_id=self._routed.call.id,
             request_digest=format_digest(self._routed.call) if is_broken else None,
+            parts=format_parts(self._routed.call) if is_broken else None,
             to=target.name,
             outcome=type(outcome).__name__.lower(),
             why=outcome.reason,
--- a/cloverway/serving/telemetry.py
+++ b/cloverway/serving/telemetry.py
@@ -20,6 +20,8 @@
 about 30 requests a second at its peak, with three lines each; this is five times that."""
 MAX_PENDING_BYTES = 256 * 1024
 """Maximum number of bytes buffered for a slow reader of the log; further lines are dropped."""
+MAX_LOGGED_PARTS = 16
+"""Prompt segments in one line, which callers choose: a line stays below a kilobyte."""
 TIME_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 10.0, 20.0)
 """Upper bounds of the histogram buckets for times, in seconds."""
 
@@ -170,6 +172,12 @@
     log.log(level, event, extra=inputs)
 
 
+def format_parts(call: Call) -> list[str] | None:
+    """Return the first prompt segments that other requests may share, as callers name them."""
+    segments = call.prompt.shared_segments if call.prompt is not None else ()
+    return [f"{segment.id:x}" for segment in segments[:MAX_LOGGED_PARTS]] or None
+
+
 def format_digest(call: Call) -> str:
     """Return the digest of a request in the form used in logs; repeats of a request share it."""
     return f"{call.compute_digest():016x}"
