Give the times of crashes, and their retraction, a module of their own

What is blamed for a crash is to become more than a request's digest, and each kind needs to know which crashes turned out to be none.

--- a/cloverway/core/quarantine.py
+++ b/cloverway/core/quarantine.py
@@ -14,27 +14,19 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
 from enum import IntEnum
-from typing import NamedTuple, TypeVar
+from typing import NamedTuple
 
-Key = TypeVar("Key")
+from cloverway.core.crash_times import CrashTimes, keep_last
 
 MAX_SUSPECTS = 4_096
 """Suspected requests retained: those of 60 engines that crash with all slots in use."""
 MAX_SERVED = 4_096
 """Requests whose last answer is retained: two minutes of a host's peak traffic."""
-MAX_CRASHED = 4_096
-"""Crashed endpoints retained; also the number retained that seemed to crash and answered later."""
 SERVED_IMMUNITY_S = 60.0
 """How long a request isn't suspected after it was served. Endpoints that lose power together
 interrupt several runs of a request that many callers send; without this time the request would be
 blocked for all of these callers. A request that begins to crash endpoints, for instance with a new
 version of these, is detected that much later."""
-MAX_READ_DELAY_S = 0.25
-"""How long after the crash of an endpoint its last output may still be read: it waits in buffers,
-and the host that reads it may have little CPU time."""
-MIN_RESTART_S = 0.2
-"""Minimum time for a crashed endpoint to be back: starting a process alone takes longer. A
-connection that is opened sooner reaches the process that was there before."""
 MAX_BLOCK_S = 86_400.0
 """Maximum time for which a request is blocked."""
 AMBIGUOUS_CRASHES = 2
@@ -121,19 +113,16 @@
         """When each request was last served."""
         self._cleared: OrderedDict[int, float] = OrderedDict()
         """When each former suspect was served."""
-        self._crashed: OrderedDict[str, float] = OrderedDict()
-        """When each incarnation seemed to crash."""
-        self._retracted: OrderedDict[str, float] = OrderedDict()
-        """Incarnations that seemed to crash, and until when they are known to have been alive."""
+        self._crashed = CrashTimes()
 
     def record_crash(self, crash: Crash) -> Crash | None:
         """Record a crash; return it with only the digests that are new, or None if none is."""
-        if crash.at <= self._retracted.get(crash.incarnation, float("-inf")):
+        if self._crashed.is_retracted(crash.incarnation, crash.at):
             return None
         new_digests = tuple(digest for digest in crash.digests if self._count_crash(digest, crash))
         if not new_digests:
             return None
-        _keep_last(self._crashed, crash.incarnation, crash.at, MAX_CRASHED)
+        self._crashed.record(crash.incarnation, crash.at)
         while len(self._suspects) > MAX_SUSPECTS:
             self._remove_suspect(next(iter(self._suspects)))
         return crash._replace(digests=new_digests)
@@ -147,20 +136,15 @@
         reset looks like a crash to the requests on that connection. `has_unique_id` tells that a
         restarted process would not have answered under this id, so that any later time will do.
         """
-        crashed_at = self._crashed.get(incarnation)
-        if crashed_at is None or not _is_still_alive(crashed_at, since, until, has_unique_id):
-            return
-        self._retract_crash(incarnation, until)
+        if self._crashed.retract_if_alive(incarnation, since, until, has_unique_id):
+            self._forget_crash(incarnation)
 
     def record_confirmed_alive(self, incarnation: str, now: float) -> None:
         """Record that an incarnation of an endpoint has confirmed that it never crashed."""
-        if incarnation in self._crashed:
-            self._retract_crash(incarnation, now)
+        if self._crashed.retract(incarnation, now):
+            self._forget_crash(incarnation)
 
-    def _retract_crash(self, incarnation: str, until: float) -> None:
-        """Retract the crash of an incarnation that was alive until some time."""
-        del self._crashed[incarnation]
-        _keep_last(self._retracted, incarnation, until, MAX_CRASHED)
+    def _forget_crash(self, incarnation: str) -> None:
         for digest in self._digests_by_incarnation.pop(incarnation, ()):
             self._suspects[digest].pop(incarnation, None)
 
@@ -169,10 +153,10 @@
 
         A request that crashes endpoints never completes, so its recorded crashes are dropped.
         """
-        _keep_last(self._served, digest, now, MAX_SERVED)
+        keep_last(self._served, digest, now, MAX_SERVED)
         if not self._remove_suspect(digest):
             return False
-        _keep_last(self._cleared, digest, now, MAX_SERVED)
+        keep_last(self._cleared, digest, now, MAX_SERVED)
         return True
 
     def count_crashes(self, digest: int) -> int:
@@ -272,17 +256,3 @@
             if not digests:
                 del self._digests_by_incarnation[incarnation]
         return crash_times is not None
-
-
-def _is_still_alive(crashed_at: float, since: float, until: float, has_unique_id: bool) -> bool:
-    """Return whether an incarnation seen alive from `since` to `until` did not crash."""
-    if since <= crashed_at:
-        return crashed_at < until - MAX_READ_DELAY_S
-    return has_unique_id or since < crashed_at + MIN_RESTART_S
-
-
-def _keep_last(times: OrderedDict[Key, float], key: Key, at: float, limit: int) -> None:
-    times[key] = at
-    times.move_to_end(key)
-    if len(times) > limit:
-        times.popitem(last=False)
--- a/cloverway/tests/test_core_quarantine.py
+++ b/cloverway/tests/test_core_quarantine.py
@@ -8,14 +8,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cloverway.core.crash_times import MAX_CRASHED, MAX_READ_DELAY_S, MIN_RESTART_S
 from cloverway.core.quarantine import (
     MAX_BLOCK_S,
-    MAX_CRASHED,
     MAX_CRASHES,
-    MAX_READ_DELAY_S,
     MAX_SERVED,
     MAX_SUSPECTS,
-    MIN_RESTART_S,
     SERVED_IMMUNITY_S,
     Crash,
     Quarantine,
--- a/cloverway/tests/test_fleet_crashes.py
+++ b/cloverway/tests/test_fleet_crashes.py
@@ -6,7 +6,8 @@
 import itertools
 from contextlib import asynccontextmanager
 
-from cloverway.core.quarantine import MIN_RESTART_S, Crash
+from cloverway.core.crash_times import MIN_RESTART_S
+from cloverway.core.quarantine import Crash
 from cloverway.serving.clock import read_clock
 from cloverway.tests.fleet.deployment import run_fleet, run_scenario, wait_for
 from cloverway.tests.fleet.standins import make_route, make_service
