Hold back the part of prompts that crashes endpoints, and nothing else

Cause: a crash was held against the digest of a whole request. No two of these are alike, so none reached the third crash, and each took as many engines as it had attempts. The class: blame falls on the name of one request in place of what it shares with others.

Now each part of a prompt but the last is a suspect of its own. A whole answer to a request that was sent after a crash clears its parts of it, at all hosts. What is left is explained by as few parts as possible: the part with most incidents is held responsible, and its crashes count against no other. Crashes within a quarter of a second are one incident, since endpoints that lose power together crash under everything. From two incidents (three for a part that was served before) requests with the part run alone, one at a time in a region; from three (four) they are refused at once, as not run, for 4 s, then one request tries, first in one region, then in the next. If that crashes an endpoint, too: half an hour, doubling. Parts that nothing tells apart block only requests with all of them. Hosts tell each other crashes, cleared parts, and to one that joins all bad parts. Digests that bad parts explain are no longer blocked or isolated.

Open, listed: a part that crashes only half of what begins on it.

--- a/cloverway/core/calls.py
+++ b/cloverway/core/calls.py
@@ -11,6 +11,10 @@
 Header = tuple[bytes, bytes]
 
 
+MAX_SHARED_PARTS = 32
+"""Shared segments of one prompt that are considered, the first ones: callers choose how many."""
+
+
 def compute_digest(names: Iterable[str], body: bytes) -> int:
     """Return a 63-bit digest of a body and of names, which must not have line breaks."""
     digest = hashlib.blake2b("\n".join(names).encode() + b"\n\n", digest_size=8)
@@ -40,6 +44,12 @@
         """The segments that other requests may have too: all but the last one."""
         return self.segments[:-1]
 
+    @property
+    def shared_parts(self) -> tuple[int, ...]:
+        """The ids of these segments, each once."""
+        ids = dict.fromkeys(segment.id for segment in self.shared_segments[:MAX_SHARED_PARTS])
+        return tuple(ids)
+
 
 class Call(NamedTuple):
     """One request of a caller. Times are seconds on this host's clock."""
--- a/cloverway/core/crash_times.py
+++ b/cloverway/core/crash_times.py
@@ -6,6 +6,7 @@
 from typing import TypeVar
 
 Key = TypeVar("Key")
+Value = TypeVar("Value")
 
 MAX_CRASHED = 4_096
 """Crashed endpoints retained; also the number retained that seemed to crash and answered later."""
@@ -64,9 +65,9 @@
     return has_unique_id or since < crashed_at + MIN_RESTART_S
 
 
-def keep_last(times: OrderedDict[Key, float], key: Key, at: float, limit: int) -> None:
-    """Record a time, as the latest one; forget the oldest of more than `limit`."""
-    times[key] = at
-    times.move_to_end(key)
-    if len(times) > limit:
-        times.popitem(last=False)
+def keep_last(values: OrderedDict[Key, Value], key: Key, value: Value, limit: int) -> None:
+    """Record a value, as the latest one; forget the oldest of more than `limit`."""
+    values[key] = value
+    values.move_to_end(key)
+    if len(values) > limit:
+        values.popitem(last=False)
--- a/cloverway/core/prediction.py
+++ b/cloverway/core/prediction.py
@@ -93,6 +93,8 @@
     """Failed attempts by endpoint incarnation, host and region."""
     digest: int = 0
     """Digest that all repeats of the request share; 0 where it is not needed."""
+    parts: tuple[int, ...] = ()
+    """Parts of its prompt that other requests may have too, and that may crash endpoints."""
     binding: StreamBinding | None = None
     """For a stream: what began it, which alone may go on with it."""
 
--- a/cloverway/core/quarantine.py
+++ b/cloverway/core/quarantine.py
@@ -159,6 +159,10 @@
         keep_last(self._cleared, digest, now, MAX_SERVED)
         return True
 
+    def list_crashed(self, digest: int) -> tuple[str, ...]:
+        """Return the incarnations that crashed while running a request."""
+        return tuple(self._suspects.get(digest, ()))
+
     def count_crashes(self, digest: int) -> int:
         """Return the number of endpoints that crashed while running a request."""
         return len(self._suspects.get(digest, ()))
--- a/cloverway/core/suspects.py
+++ b/cloverway/core/suspects.py
@@ -25,7 +25,8 @@
 class SuspectRun(NamedTuple):
     """A suspected request that is running at an endpoint."""
 
-    digest: int
+    subject: int
+    """What it is suspected for: its digest, or a part of its prompt that other requests share."""
     incarnation: str
     level: SuspicionLevel
     until: float
@@ -52,16 +53,17 @@
 
 
 def isolate_suspects(
-    digest: int, level: SuspicionLevel, candidates: Sequence[Candidate], runs: Sequence[SuspectRun]
+    subject: int, level: SuspicionLevel, candidates: Sequence[Candidate], runs: Sequence[SuspectRun]
 ) -> Sequence[Candidate]:
     """Exclude endpoints, or add to their cost, because of the suspects that run there.
 
-    A request that one more crash would block has only one run at a time in the region, and never
-    runs beside another suspect. In all other cases only the cost changes.
+    Of the requests that one more crash would block, by their digest or by a part that they share,
+    one runs at a time in the region, and never beside another suspect. In all other cases only the
+    cost changes.
     """
     if not runs and level is SuspicionLevel.NONE:
         return candidates
-    if level is SuspicionLevel.ISOLATED and any(run.digest == digest for run in runs):
+    if level is SuspicionLevel.ISOLATED and any(run.subject == subject for run in runs):
         return []
     levels: dict[str, SuspicionLevel] = {}
     for run in runs:
--- a/cloverway/fleet.thrift
+++ b/cloverway/fleet.thrift
@@ -85,6 +85,23 @@
   3: list<i64> served
 }
 
+struct EndpointPartCrash {
+  1: string life
+  2: list<i64> parts
+  3: i32 age_ms
+}
+
+struct PartServed {
+  1: i64 part
+  2: i32 age_ms
+}
+
+struct PartReport {
+  1: string host
+  2: list<EndpointPartCrash> crashes
+  3: list<PartServed> served
+}
+
 struct EndpointStatement {
   1: string life
   2: i64 limit_milli
@@ -144,4 +161,5 @@
   7: StreamsBegun StreamsBegun
   8: StreamQuery StreamQuery
   9: StreamReply StreamReply
+  10: PartReport PartReport
 }
--- a/cloverway/serving/context.py
+++ b/cloverway/serving/context.py
@@ -13,6 +13,7 @@
 from cloverway.core.quarantine import Quarantine
 from cloverway.core.retry_budget import RetryBudget
 from cloverway.serving.clock import read_clock
+from cloverway.serving.hosts.bad_parts import PartExchange
 from cloverway.serving.hosts.broadcast import UpdateBroadcaster
 from cloverway.serving.hosts.crashes import CrashExchange
 from cloverway.serving.hosts.statements import StatementExchange
@@ -61,10 +62,14 @@
         own_name = members.own.name
         self.crashes = CrashExchange(own_name, self.quarantine, metrics)
         self.statements = StatementExchange(own_name, directory, metrics)
-        suspects = SuspectTracker(own_name, self.quarantine)
+        self.bad_parts = PartExchange(members, settings.quarantine.hold_s, metrics)
+        suspects = SuspectTracker(own_name, self.quarantine, self.bad_parts.suspects)
         self.target_selector = TargetSelector(settings, directory, members, suspects)
-        self.broadcaster = UpdateBroadcaster(members, (self.crashes, self.statements, suspects))
-        self.incarnations = IncarnationCheck(self.quarantine, self.pool, dialect, metrics)
+        sources = (self.crashes, self.bad_parts, self.statements, suspects)
+        self.broadcaster = UpdateBroadcaster(members, sources)
+        self.incarnations = IncarnationCheck(
+            self.quarantine, self.bad_parts.suspects, self.pool, dialect, metrics
+        )
         self.stream_origins = StreamOriginExchange(members, directory, metrics)
         self._budgets: dict[str, RetryBudget] = {}
         self._slack = 0.0
--- a/cloverway/serving/hosts/messages.py
+++ b/cloverway/serving/hosts/messages.py
@@ -138,6 +138,32 @@
     """Digests of requests that were served after they had run at a crashed endpoint."""
 
 
+class EndpointPartCrash(NamedTuple):
+    """The crash of an endpoint, and the parts of the prompts that ran there."""
+
+    life: str
+    """The incarnation of the endpoint."""
+    parts: tuple[int, ...]
+    """Ids of prompt segments."""
+    age_ms: int
+
+
+class PartServed(NamedTuple):
+    """A part of prompts that had a whole answer after endpoints crashed."""
+
+    part: int
+    age_ms: int
+    """Time since the request of that answer was sent to its endpoint."""
+
+
+class PartReport(NamedTuple):
+    """Parts of prompts that ran at crashed endpoints, as far as a host knows."""
+
+    host: str
+    crashes: tuple[EndpointPartCrash, ...] = ()
+    served: tuple[PartServed, ...] = ()
+
+
 class EndpointStatement(NamedTuple):
     """The last statement of an endpoint incarnation about itself."""
 
@@ -218,7 +244,7 @@
 
 MESSAGES = (
     *(Heartbeat, StoredSnapshot, EndpointUses, CrashReport),
-    *(StatementReport, SuspectReport),
+    *(StatementReport, SuspectReport, PartReport),
     *(StreamsBegun, StreamQuery, StreamReply),
 )
 CODEC = StructCodec("fleet.thrift", MESSAGES)
--- a/cloverway/serving/hosts/suspects.py
+++ b/cloverway/serving/hosts/suspects.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Sequence
 
+from cloverway.core.bad_parts import PartSuspects
 from cloverway.core.prediction import Candidate, RoutedCall
 from cloverway.core.quarantine import Quarantine, SuspicionLevel
 from cloverway.core.suspects import SuspectRun, SuspectRuns, isolate_suspects
@@ -22,9 +23,10 @@
     message = SuspectReport
     is_regional = True
 
-    def __init__(self, own_name: str, quarantine: Quarantine) -> None:
+    def __init__(self, own_name: str, quarantine: Quarantine, part_suspects: PartSuspects) -> None:
         self._own_name = own_name
         self._quarantine = quarantine
+        self._part_suspects = part_suspects
         self._own: dict[int, SuspectRun] = {}
         """The suspects in progress here, by the number of the attempt."""
         self._runs = SuspectRuns()
@@ -35,27 +37,40 @@
         self, routed: RoutedCall, candidates: Sequence[Candidate], now: float
     ) -> Sequence[Candidate]:
         """Exclude candidates of a request, or add to their cost, because of running suspects."""
-        level = self._quarantine.get_level(routed.digest, now)
-        return isolate_suspects(routed.digest, level, candidates, self._runs.list_running(now))
+        subject, level = self._find_suspicion(routed, now)
+        return isolate_suspects(subject, level, candidates, self._runs.list_running(now))
 
     def begin(
         self, number: int, routed: RoutedCall, incarnation: str, until: float, now: float
     ) -> None:
         """Record that a request is sent to an endpoint."""
-        level = self._quarantine.get_level(routed.digest, now)
+        subject, level = self._find_suspicion(routed, now)
         if level is SuspicionLevel.NONE:
             return
-        self._own[number] = SuspectRun(routed.digest, incarnation, level, until)
+        self._own[number] = SuspectRun(subject, incarnation, level, until)
         self._publish_own()
         log_event(
             "suspect_sent",
             request_id=routed.call.id,
             request_digest=f"{routed.digest:016x}",
+            subject=f"{subject:x}",
             to=incarnation,
             ends=self._quarantine.count_crashes(routed.digest),
             beside=sum(run.incarnation == incarnation for run in self._runs.list_running(now)) - 1,
         )
 
+    def _find_suspicion(self, routed: RoutedCall, now: float) -> tuple[int, SuspicionLevel]:
+        """Return what a request is suspected for, a part of its prompt or its digest."""
+        part = self._part_suspects.find_isolated(routed.parts, now)
+        if part is not None:
+            return part, SuspicionLevel.ISOLATED
+        level = self._quarantine.get_level(routed.digest, now)
+        if level is not SuspicionLevel.NONE:
+            crashed = self._quarantine.list_crashed(routed.digest)
+            if self._part_suspects.explains(crashed, routed.parts):
+                return routed.digest, SuspicionLevel.NONE
+        return routed.digest, level
+
     def end(self, number: int) -> None:
         """Record that an attempt has ended, whatever its outcome."""
         if self._own.pop(number, None) is not None:
@@ -91,7 +106,7 @@
 
 def _encode_run(run: SuspectRun, now: float) -> SuspectSend:
     left_ms = max(0, int((run.until - now) * 1000))
-    return SuspectSend(run.digest, run.incarnation, int(run.level), left_ms)
+    return SuspectSend(run.subject, run.incarnation, int(run.level), left_ms)
 
 
 def _decode_run(send: SuspectSend, now: float) -> SuspectRun:
--- a/cloverway/serving/requests/crash_tracker.py
+++ b/cloverway/serving/requests/crash_tracker.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from typing import NoReturn
+
+from cloverway.core.bad_parts import PartCrash
 from cloverway.core.prediction import STALLED_AFTER_S, RoutedCall
-from cloverway.core.quarantine import Crash
+from cloverway.core.quarantine import Block, Crash
 from cloverway.errors import Kind, Ran, RequestError
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
@@ -17,6 +20,7 @@
 
     def __init__(self, context: Context, routed: RoutedCall, timing: Timing) -> None:
         self._context = context
+        self._routed = routed
         self._digest = routed.digest
         self._timing = timing
         self._pending_target: Target | None = None
@@ -31,11 +35,33 @@
 
         `ran` tells whether earlier attempts ran it.
         """
-        block = self._context.quarantine.get_block(self._digest, read_clock())
+        now = read_clock()
+        part_block = self._context.bad_parts.suspects.find_block(self._routed.parts, now)
+        if part_block is not None:
+            why = (
+                f"{part_block.crashes} endpoints ended while they ran requests with the part "
+                f"{part_block.part:x} of its prompt"
+            )
+            self._refuse(why, part_block.remaining_s, ran)
+        block = self._find_block(now)
         if block is not None:
-            why = f"{block.crashes} endpoints ended while they ran it"
-            left_s = block.remaining_s if ran is Ran.NO else None
-            raise RequestError(Kind.QUARANTINED, why, ran=ran, retry_after=left_s)
+            self._refuse(
+                f"{block.crashes} endpoints ended while they ran it", block.remaining_s, ran
+            )
+
+    def _find_block(self, now: float) -> Block | None:
+        """Return the block of this request by its digest, unless bad parts explain its crashes."""
+        quarantine = self._context.quarantine
+        block = quarantine.get_block(self._digest, now)
+        if block is None:
+            return None
+        crashed = quarantine.list_crashed(self._digest)
+        is_explained = self._context.bad_parts.suspects.explains(crashed, self._routed.parts)
+        return None if is_explained else block
+
+    def _refuse(self, why: str, remaining_s: float, ran: Ran) -> NoReturn:
+        left_s = remaining_s if ran is Ran.NO else None
+        raise RequestError(Kind.QUARANTINED, why, ran=ran, retry_after=left_s)
 
     async def may_send(self, target: Target) -> bool:
         """Return whether the request may be sent to a target.
@@ -44,7 +70,9 @@
         """
         if target.candidate is None:
             return True
-        return await self._context.incarnations.may_send(target.candidate.endpoint, self._digest)
+        return await self._context.incarnations.may_send(
+            target.candidate.endpoint, self._digest, self._routed.parts
+        )
 
     def record_sent(self, target: Target, now: float) -> None:
         """Record that an attempt begins."""
@@ -65,23 +93,27 @@
             # Not broadcast: the host that saw the crash does that. Its response arrives here
             # before its broadcast.
             self._context.quarantine.record_crash(Crash(incarnation, (self._digest,), now))
+            crash = PartCrash(incarnation, self._routed.parts, now)
+            self._context.bad_parts.suspects.record_crash(crash)
 
     def record_completed(self, target: Target, answered: Answered) -> None:
         """Record that the request got a complete response, so that it causes no crashes."""
         self._pending_target = None
         self._context.crashes.report_served(self._digest)
+        self._context.bad_parts.report_served(self._routed.parts, self._sent_at)
         if target.candidate is not None:
             # The response proves that the incarnation is running to which the connection was
             # opened. The directory entry alone doesn't show which that is: a restarted endpoint
             # whose entry still names its previous incarnation would clear the crash of that one.
             # An endpoint that states no start time has a new id at each start.
             entry = target.candidate.endpoint.entry
-            self._context.quarantine.record_alive(
-                entry.incarnation,
-                answered.client_exchange.connection.opened_at,
-                read_clock(),
-                has_unique_id=entry.started_ms is None,
-            )
+            for record in (self._context.quarantine, self._context.bad_parts.suspects):
+                record.record_alive(
+                    entry.incarnation,
+                    answered.client_exchange.connection.opened_at,
+                    read_clock(),
+                    has_unique_id=entry.started_ms is None,
+                )
 
     def record_abandoned(self, now: float) -> Target | None:
         """Treat the endpoint as crashed if it was silent when the request was abandoned; return it.
@@ -105,6 +137,7 @@
             incarnation = target.candidate.endpoint.entry.incarnation
             self.crashed.append(incarnation)
             self._context.crashes.report_crash(incarnation, self._digest, at)
+            self._context.bad_parts.report_crash(PartCrash(incarnation, self._routed.parts, at))
 
 
 def _is_stalled(target: Target, now: float) -> bool:
--- a/cloverway/serving/requests/execution.py
+++ b/cloverway/serving/requests/execution.py
@@ -87,6 +87,7 @@
             self.service,
             self.tried,
             call.compute_digest(),
+            call.prompt.shared_parts if call.prompt is not None else (),
             self.binding if route.resumable or origin is not None else None,
         )
         self.placement = Placement(context, self.routed, self.expires_at)
--- a/cloverway/serving/requests/incarnations.py
+++ b/cloverway/serving/requests/incarnations.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import Enum
 from typing import NamedTuple
 
+from cloverway.core.bad_parts import PartSuspects
 from cloverway.core.endpoint import Endpoint
 from cloverway.core.quarantine import Quarantine
 from cloverway.serving.clock import read_clock
@@ -65,9 +66,15 @@
     """
 
     def __init__(
-        self, quarantine: Quarantine, pool: ConnectionPool, dialect: Dialect, metrics: Metrics
+        self,
+        quarantine: Quarantine,
+        part_suspects: PartSuspects,
+        pool: ConnectionPool,
+        dialect: Dialect,
+        metrics: Metrics,
     ) -> None:
         self._quarantine = quarantine
+        self._part_suspects = part_suspects
         self._pool = pool
         self._dialect = dialect
         self._metrics = metrics
@@ -76,11 +83,15 @@
         self.on_restarted: Callable[[str, int], None] = lambda name, started_ms: None
         """Called with the id of a restarted endpoint and its start, which its entry lacks."""
 
-    async def may_send(self, endpoint: Endpoint, digest: int) -> bool:
-        """Return whether a request may be sent to an endpoint that may have crashed under it."""
-        incarnation = endpoint.entry.incarnation
-        if endpoint.entry.started_ms is None or not self._quarantine.has_crashed(
-            digest, incarnation
+    async def may_send(self, endpoint: Endpoint, digest: int, parts: Sequence[int] = ()) -> bool:
+        """Return whether a request may be sent to an endpoint that may have crashed under it.
+
+        `parts` are those of its prompt that other requests share.
+        """
+        entry = endpoint.entry
+        if entry.started_ms is None or not (
+            self._quarantine.has_crashed(digest, entry.incarnation)
+            or self._part_suspects.has_crashed(parts, entry.incarnation)
         ):
             return True
         return await self._await_status(self._begin_query(endpoint)) in RUNNING
@@ -177,4 +188,5 @@
             # The previous incarnation answered, which doesn't show whether this one is running.
             return IncarnationStatus.UNKNOWN
         self._quarantine.record_confirmed_alive(entry.incarnation, now)
+        self._part_suspects.record_confirmed_alive(entry.incarnation, now)
         return IncarnationStatus.SAME
