Play parts of prompts that crash endpoints in the soak, and say how they are held back

The soak's streams have prompts with shared parts; one of its faults sends requests that are never alike but for a bad part.

--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -33,7 +33,13 @@
 from cloverway.serving.ports import Dialect, Store
 from cloverway.serving.requests.forwarding import Forwarder
 from cloverway.serving.settings import FleetSettings
-from cloverway.serving.telemetry import LogLineHandler, Metrics, configure_logging, log_event
+from cloverway.serving.telemetry import (
+    Gauges,
+    LogLineHandler,
+    Metrics,
+    configure_logging,
+    log_event,
+)
 
 log = logging.getLogger(__name__)
 
@@ -253,10 +259,14 @@
         if exchange.target != METRICS_PATH:
             await exchange.answer(404, [], b"")
             return
-        quarantined = self.context.quarantine.count_blocked(read_clock())
-        limited = self.directory.count_limited()
-        metrics = self.metrics.render(self.log_handler.dropped, quarantined, limited)
-        await exchange.answer(200, [TEXT], metrics)
+        now = read_clock()
+        gauges = Gauges(
+            self.log_handler.dropped,
+            self.context.quarantine.count_blocked(now),
+            self.context.bad_parts.suspects.count_blocked(now),
+            self.directory.count_limited(),
+        )
+        await exchange.answer(200, [TEXT], self.metrics.render(gauges))
 
     def _format_refusal(self, exchange: Exchange | None, error: RequestError) -> bytes:
         """Return the complete response to a request that could not be parsed."""
--- a/cloverway/serving/telemetry.py
+++ b/cloverway/serving/telemetry.py
@@ -5,7 +5,7 @@
 import logging
 import os
 from collections.abc import Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 import aioprometheus
 
@@ -72,6 +72,15 @@
     return log_handler
 
 
+class Gauges(NamedTuple):
+    """Values that are read when metrics are requested."""
+
+    dropped_lines: int
+    held_requests: int
+    held_parts: int
+    limited_endpoints: int
+
+
 class Metrics:
     """Counters and histograms, in the text format of Prometheus."""
 
@@ -99,6 +108,11 @@
             "Requests that are refused since endpoints ended while they ran them",
             registry=self._registry,
         )
+        self._held_parts = aioprometheus.Gauge(
+            "cloverway_parts_held",
+            "Parts of prompts whose requests are refused since endpoints ended under them",
+            registry=self._registry,
+        )
         self._limited = aioprometheus.Gauge(
             "cloverway_endpoints_limited",
             "Endpoints that name a limit for all hosts together",
@@ -143,15 +157,12 @@
         """Count a change in what this host knows of others."""
         self._events.inc({"what": what})
 
-    def render(self, dropped: int, quarantined: int, limited: int) -> bytes:
-        """Return all metrics as text.
-
-        The arguments are the current values of the gauges: dropped log lines, quarantined requests
-        and endpoints that set a limit.
-        """
-        self._dropped.set({}, dropped)
-        self._quarantined.set({}, quarantined)
-        self._limited.set({}, limited)
+    def render(self, gauges: Gauges) -> bytes:
+        """Return all metrics as text, with the current values of the gauges."""
+        self._dropped.set({}, gauges.dropped_lines)
+        self._quarantined.set({}, gauges.held_requests)
+        self._held_parts.set({}, gauges.held_parts)
+        self._limited.set({}, gauges.limited_endpoints)
         text, _ = aioprometheus.render(self._registry, ["text/plain"])
         return bytes(text)
 
--- a/cloverway/tests/fleet/bad_parts.py
+++ b/cloverway/tests/fleet/bad_parts.py
@@ -13,7 +13,7 @@
 from cloverway.serving.http.client import ConnectError, ResponseError
 from cloverway.serving.http.server import Exchange
 from cloverway.tests.fleet.deployment import Fleet, run_fleet, wait_for
-from cloverway.tests.fleet.endings import begin_unframed, make_event
+from cloverway.tests.fleet.endings import begin_unframed, get_first_event, make_event, read_parts
 from cloverway.tests.fleet.standins import Endpoint, make_route, make_service
 
 CONTACT_S = 1.0
@@ -118,7 +118,7 @@
 
     def _make_answer(self, endpoint: Endpoint) -> Any:
         async def answer(exchange: Exchange) -> None:
-            parts = _read_parts(exchange)
+            parts = read_parts(exchange)
             if BAD in parts:
                 self.bad_sends.append(self.age_s)
             is_fatal = BAD in parts and self.age_s >= self.case.turns_bad_at
@@ -220,19 +220,13 @@
 
 
 async def _stream_whole(endpoint: Endpoint, exchange: Exchange) -> None:
-    first = int(dict(exchange.headers).get(b"last-event-id", b"0")) + 1
     exchange.start(200, _make_stream_head(endpoint, exchange))
-    for number in range(first, EVENTS + 1):
+    for number in range(get_first_event(exchange), EVENTS + 1):
         await exchange.send(make_event(number))
         await asyncio.sleep(EVENT_GAP_S)
     exchange.finish()
 
 
-def _read_parts(exchange: Exchange) -> list[int]:
-    value = dict(exchange.headers).get(b"x-cloverway-prompt-prefix", b"")
-    return [int(item.partition(b":")[0], 16) for item in value.split(b",")][:-1]
-
-
 @asynccontextmanager
 async def run_case(case: Case, seed: int = 1) -> Any:
     """Start the hosts and engines of a case; yield its fleet."""
--- a/cloverway/tests/fleet/endings.py
+++ b/cloverway/tests/fleet/endings.py
@@ -61,6 +61,12 @@
     return int(dict(exchange.headers).get(b"last-event-id", b"0")) + 1
 
 
+def read_parts(exchange: Exchange) -> list[int]:
+    """Return the parts of a request's prompt that other requests may have too."""
+    value = dict(exchange.headers).get(b"x-cloverway-prompt-prefix", b"")
+    return [int(item.partition(b":")[0], 16) for item in value.split(b",") if item][:-1]
+
+
 def stream_unframed(endpoint: Endpoint, endings: Iterator[Ending]) -> Answer:
     """Return a handler that streams events without framing; each run ends as the next says."""
 
--- a/cloverway/tests/fleet/invariants.py
+++ b/cloverway/tests/fleet/invariants.py
@@ -27,6 +27,10 @@
 MAX_CRASHES = 3
 """Endpoints that a request may crash before the hosts block it, and attempts that may still be sent
 while the update about these crashes is on its way."""
+MAX_PART_CRASHES = 5
+"""Endpoints that requests with one part may crash before the hosts block it."""
+MAX_LATE_SENDS = 3
+"""Requests with the part that may still be sent."""
 UPDATE_DELAY_S = 2.0
 """Time that the update about the last of these crashes may take: hosts broadcast it at once and
 again each second, and send it to a host that was unreachable when they hear from it again."""
@@ -79,6 +83,18 @@
         yield f"{request} crashed {len(crashed_at)} endpoints, {len(late)} of them late"
 
 
+def check_bad_part(
+    part: str, crashed_at: Sequence[float], sent_at: Iterable[float]
+) -> Iterator[str]:
+    """Yield a violation if requests with a bad part were sent after the hosts had to block it."""
+    if len(crashed_at) < MAX_PART_CRASHES:
+        return
+    known_at = sorted(crashed_at)[MAX_PART_CRASHES - 1] + UPDATE_DELAY_S
+    late = sum(at > known_at for at in sent_at)
+    if late > MAX_LATE_SENDS:
+        yield f"{part} crashed {len(crashed_at)} endpoints, {late} requests were sent late"
+
+
 def check_retries(
     service: str, sent: Sequence[float], endpoints: Iterable[CountingEndpoint]
 ) -> Iterator[str]:
--- a/cloverway/tests/fleet/soak.py
+++ b/cloverway/tests/fleet/soak.py
@@ -29,7 +29,12 @@
     fetch,
     make_request,
 )
-from cloverway.tests.fleet.invariants import check_crashes, check_retries, find_violations
+from cloverway.tests.fleet.invariants import (
+    check_bad_part,
+    check_crashes,
+    check_retries,
+    find_violations,
+)
 from cloverway.tests.fleet.soak_parts import (
     CRASHING_BODY,
     DOMAINS,
@@ -43,6 +48,7 @@
     Fault,
     Host,
     StreamBegun,
+    make_prompt,
     send,
     write_again,
 )
@@ -56,6 +62,8 @@
 from cloverway.tests.standins.processes import Ports
 
 CALLERS = 10
+PROMPT_IDS = 1 << 40
+"""Above the ids of parts that several prompts share."""
 LEAVING_SHARE = 0.4
 """Share of the streams whose callers leave and take them up again."""
 MAX_TAKE_UPS = 4
@@ -83,7 +91,9 @@
         self.sent: defaultdict[str, list[float]] = defaultdict(list)
         """Times at which callers sent requests, by service."""
         self.crash_times: defaultdict[bytes, list[float]] = defaultdict(list)
-        """Times at which a request crashed an endpoint, by the body of the request."""
+        """Times at which endpoints crashed, by the body of the request or its bad part."""
+        self.bad_parts: dict[int, list[float]] = {}
+        """When requests with a part that crashes endpoints reached one, by the part."""
         self.taken_up = self.gone_on = 0
         """Streams that callers took up, and those of them that ended whole."""
         self.version = 0
@@ -105,8 +115,16 @@
         crash_violations = [
             violation
             for body, crashed_at in self.crash_times.items()
+            if body.startswith(CRASHING_BODY)
             for violation in check_crashes(body.decode(), crashed_at)
         ]
+        crash_violations += [
+            violation
+            for part, sent_at in self.bad_parts.items()
+            for violation in check_bad_part(
+                f"part {part:x}", self.crash_times[b"part %x" % part], sent_at
+            )
+        ]
         response_violations = find_violations(self.records, self.endpoints, self.faults)
         retry_violations = [
             violation
@@ -157,6 +175,7 @@
     async def _add_endpoint(self, service: str, domain: str) -> CountingEndpoint:
         endpoint = CountingEndpoint(f"{service}-{len(self.endpoints)}", service, domain)
         endpoint.on_crash = self._crash
+        endpoint.bad_parts = self.bad_parts
         await endpoint.start()
         self.links[endpoint.name] = Link(endpoint.address).start()
         self.endpoints.append(endpoint)
@@ -234,8 +253,11 @@
         content: bytes = b"x",
         **options: Any,
     ) -> CallRecord:
-        self.sent[ROUTES[route][1] if route in ROUTES else "desk"].append(time.monotonic())
+        service = ROUTES[route][1] if route in ROUTES else "desk"
+        self.sent[service].append(time.monotonic())
         number = next(self._numbers)
+        if service == "model":
+            options.setdefault("prompt", make_prompt(self.random, PROMPT_IDS + number))
         return await send(f"c-{number}", host, route, pool, content, **options)
 
     # Faults
@@ -247,6 +269,7 @@
             self._lose_writes,
             *(self._break_link, self._break_endpoint, self._drain_endpoint, self._turn_away),
             *(self._spoil_entry, self._restart_endpoint, self._repeat_deadly),
+            self._send_bad_part,
         )
         while time.monotonic() < until:
             await asyncio.sleep(self.random.uniform(0.1, 0.8))
@@ -421,9 +444,26 @@
             self.records.append(await self._send(host.callers, route, ConnectionPool(), body))
             await asyncio.sleep(self.random.uniform(0.02, 0.4))
 
-    def _crash(self, endpoint: CountingEndpoint, body: bytes) -> None:
+    async def _send_bad_part(self) -> None:
+        """Send requests that are never alike, but for a part that crashes what begins on it."""
+        part = PROMPT_IDS // 2 + next(self._numbers)
+        self.bad_parts[part] = []
+        until = time.monotonic() + CRASHING_CALLER_S
+        while time.monotonic() < until:
+            host = self.random.choice(self.hosts).callers
+            number = next(self._numbers)
+            prompt = make_prompt(self.random, PROMPT_IDS + number, part)
+            record = await self._send(
+                *(host, "stream", ConnectionPool(), b"%d" % number),
+                prompt=prompt,
+                crashes_endpoints=True,
+            )
+            self.records.append(record)
+            await asyncio.sleep(self.random.uniform(0.02, 0.4))
+
+    def _crash(self, endpoint: CountingEndpoint, cause: bytes) -> None:
         """Crash an endpoint while it runs a request; it restarts as a new incarnation."""
-        self.crash_times[body].append(time.monotonic())
+        self.crash_times[cause].append(time.monotonic())
         link = self.links[endpoint.name]
         end = self.random.choice([link.cut, link.crash])
         end()
--- a/cloverway/tests/fleet/soak_parts.py
+++ b/cloverway/tests/fleet/soak_parts.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import NamedTuple
 
+from cloverway.core.calls import Header
 from cloverway.core.retry_budget import RetryBudgetSettings
 from cloverway.serving.http.client import (
     ClientExchange,
@@ -26,6 +27,7 @@
     begin_unframed,
     end_connection,
     get_first_event,
+    read_parts,
 )
 from cloverway.tests.fleet.standins import Endpoint, Store
 from cloverway.tests.standins.links import Link
@@ -55,6 +57,21 @@
 """Prefix of the bodies of requests that crash the endpoint that runs them."""
 
 
+FIRST_PART = 0xF1
+OTHER_PARTS = range(0x100, 0x108)
+"""Parts that the prompts of streams share, besides the first one."""
+
+
+def make_prompt(random: Random, number: int, bad_part: int | None = None) -> tuple[Header, ...]:
+    """Return the headers of a prompt with two shared parts, and a bad one between them."""
+    parts = [FIRST_PART, random.choice(OTHER_PARTS), number]
+    if bad_part is not None:
+        parts.insert(1, bad_part)
+    value = ",".join(f"{part:x}:200" for part in parts).encode()
+    tokens = b"%d,30" % (200 * len(parts))
+    return ((b"X-Cloverway-Prompt-Prefix", value), (b"X-Cloverway-Token-Usage", tokens))
+
+
 class CallRecord(NamedTuple):
     """What a caller saw of a request; status 0 if there was no response."""
 
@@ -95,8 +112,10 @@
         self.random = Random(name)
         self.version = self.random.choice(VERSIONS)
         self.answer = self.answer_by_route
-        self.on_crash: Callable[[CountingEndpoint, bytes], None] = lambda endpoint, body: None
-        """Called when a request has crashed the endpoint."""
+        self.on_crash: Callable[[CountingEndpoint, bytes], None] = lambda endpoint, cause: None
+        """Called when a request has crashed the endpoint, with its body or bad part."""
+        self.bad_parts: dict[int, list[float]] = {}
+        """When requests reached endpoints, by the part that crashes these; shared by all."""
 
     async def answer_by_route(self, exchange: Exchange) -> None:
         fields = dict(exchange.headers)
@@ -109,9 +128,12 @@
             await self.answer_not_executed(exchange)
             return
         self.runs.append(request_id)
-        if exchange.body.startswith(CRASHING_BODY):
+        bad_part = next((part for part in read_parts(exchange) if part in self.bad_parts), None)
+        if bad_part is not None:
+            self.bad_parts[bad_part].append(time.monotonic())
+        if bad_part is not None or exchange.body.startswith(CRASHING_BODY):
             await asyncio.sleep(0.02)
-            self.on_crash(self, exchange.body)
+            self.on_crash(self, exchange.body if bad_part is None else b"part %x" % bad_part)
             return
         aborts = self.random.random() < self.abort_probability
         unframed = self.random.random() < UNFRAMED_SHARE
@@ -239,6 +261,8 @@
     *,
     begun: StreamBegun | None = None,
     leaves_after: int | None = None,
+    prompt: tuple[Header, ...] = (),
+    crashes_endpoints: bool = False,
 ) -> CallRecord:
     """Send a request as a caller does and return what the caller saw.
 
@@ -248,6 +272,7 @@
         (b"Host", b"shop.example"),
         (b"X-Cloverway-Request-Id", request_id.encode()),
         (b"X-Cloverway-Deadline-Ms", b"3000"),
+        *prompt,
     ]
     if begun is not None:
         fields += [(b"Last-Event-Id", begun.last_event_id), (b"Resumes", begun.first_id.encode())]
@@ -266,7 +291,6 @@
     finally:
         if exchange is not None:
             pool.release(Destination(host), exchange)
-    crashes_endpoints = content.startswith(CRASHING_BODY)
     ended_at = time.monotonic()
     return CallRecord(
         request_id,
@@ -278,7 +302,7 @@
         complete,
         body,
         error,
-        crashes_endpoints,
+        crashes_endpoints or content.startswith(CRASHING_BODY),
         begun.body if begun is not None else b"",
     )
 
