--- a/cloverway/serving/hosts/bad_parts.py
+++ b/cloverway/serving/hosts/bad_parts.py
@@ -40,7 +40,8 @@
         """Crashes that this host detected and has not broadcast yet."""
         self._served: list[ServedPart] = []
         self._forwarded: list[PartCrash] = []
-        """Crashes received from other regions that were not broadcast in this region yet."""
+        self._forwarded_served: list[ServedPart] = []
+        """Received from other regions, and not broadcast in this region yet."""
         self.schedule_broadcast: Callable[[float], None] = lambda delay_s: None
 
     def report_crash(self, crash: PartCrash) -> None:
@@ -66,22 +67,22 @@
         A host of another region sends it to only a few hosts of this region, so it is broadcast
         here.
         """
-        for served in report.served:
-            answer = ServedPart(served.part, now - served.age_ms / 1000)
-            self.suspects.record_served(answer, is_own=False)
+        answers = [ServedPart(item.part, now - item.age_ms / 1000) for item in report.served]
+        cleared = [item for item in answers if self.suspects.record_served(item, is_own=False)]
         received = [_decode_crash(crash, now) for crash in report.crashes]
         recorded = [new for crash in received if (new := self.suspects.record_crash(crash))]
         for crash in recorded:
             self._log_blocked(crash, now)
-        if is_remote:
+        if is_remote and (recorded or cleared):
             self._forwarded += recorded
+            self._forwarded_served += cleared
             self.schedule_broadcast(BROADCAST_DELAY_S)
 
     def take_pending(self, now: float) -> UpdateBatch:
         """Return the pending updates and clear them."""
         detected = PartUpdate(tuple(_merge(self._detected)), tuple(self._served))
-        forwarded = PartUpdate(tuple(_merge(self._forwarded)))
-        self._detected, self._served, self._forwarded = [], [], []
+        forwarded = PartUpdate(tuple(_merge(self._forwarded)), tuple(self._forwarded_served))
+        self._detected, self._served, self._forwarded, self._forwarded_served = [], [], [], []
         messages = self._encode(detected, now)
         return UpdateBatch([*messages, *self._encode(forwarded, now)], messages)
 
--- a/cloverway/tests/fleet/bad_parts.py
+++ b/cloverway/tests/fleet/bad_parts.py
@@ -152,6 +152,11 @@
             senders.append(self._join(case.joins_at))
         await asyncio.gather(*senders)
 
+    async def play_again(self, seconds: float) -> None:
+        """Send the requests of the case for some more seconds."""
+        self.case = self.case._replace(seconds=self.age_s + seconds)
+        await self.play()
+
     async def _join(self, at: float) -> None:
         await asyncio.sleep(at)
         await self.fleet.add_host(age_s=0.0)
--- a/cloverway/tests/test_crashes.py
+++ b/cloverway/tests/test_crashes.py
@@ -3,59 +3,36 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 
 import pytest
 
-from cloverway.core.members import Member, Members
 from cloverway.core.quarantine import Crash, Quarantine, QuarantineSettings
 from cloverway.serving.hosts import broadcast, crashes
-from cloverway.serving.hosts.broadcast import BROADCAST_DELAY_S, UpdateBroadcaster
+from cloverway.serving.hosts.broadcast import BROADCAST_DELAY_S
 from cloverway.serving.hosts.crashes import MAX_DIGESTS, REBROADCAST_S, CrashExchange
-from cloverway.serving.hosts.messages import CODEC
 from cloverway.serving.telemetry import Metrics
+from cloverway.tests.update_net import PACKET_BYTES, UpdateNet
 
-PACKET_BYTES = 1_472
-"""Payload of one datagram over Ethernet without fragmentation."""
 CRASHING = 7
 
 
-class Host:
-    """What one host knows of crashes, and its connection to the others."""
-
-    def __init__(self, net, name, region):
-        self.members = Members(Member(name, 1, region, region, name, name, True))
-        self.quarantine = Quarantine(QuarantineSettings())
-        self.exchange = CrashExchange(name, self.quarantine, Metrics())
-        self.broadcaster = UpdateBroadcaster(self.members, [self.exchange])
-        self.broadcaster.send = lambda to, data: net.send(name, to, data)
-
-    def knows(self, digest=CRASHING):
-        return self.quarantine.count_crashes(digest)
-
-
-class Net:
-    """Hosts of some regions that know each other, with datagrams that may be lost between them."""
+class Net(UpdateNet):
+    """Hosts that exchange crashes."""
 
     def __init__(self, *names):
-        self.lost = lambda sender, receiver: False
-        self.sent = []
-        self.hosts = {name: Host(self, name, name[0]) for name in names}
-        for host, other in itertools.permutations(self.hosts.values(), 2):
-            host.members.apply_state(other.members.own, 0.0, True, crashes.read_clock())
-
-    def send(self, sender, receiver, data):
-        self.sent.append((sender, receiver, data))
-        if not self.lost(sender, receiver):
-            is_remote = sender[0] != receiver[0]
-            self.hosts[receiver].exchange.receive(
-                CODEC.decode(data), is_remote, crashes.read_clock()
-            )
+        super().__init__(make_exchange, *names)
+        for host in self.hosts.values():
+            host.quarantine = host.exchange._quarantine
+            host.knows = lambda digest=CRASHING, host=host: host.quarantine.count_crashes(digest)
 
     def list_hosts_that_know(self):
         return {name for name, host in self.hosts.items() if host.knows()}
 
 
+def make_exchange(members):
+    return CrashExchange(members.own.name, Quarantine(QuarantineSettings()), Metrics())
+
+
 @pytest.fixture
 def clock(monkeypatch):
     """A clock set by the test; timers of the event loop are not affected."""
--- a/cloverway/tests/test_fleet_bad_parts.py
+++ b/cloverway/tests/test_fleet_bad_parts.py
@@ -94,3 +94,21 @@
             assert fleet.late_sends <= MAX_LATE_SENDS
 
     run_scenario(scenario)
+
+
+def test_hosts_that_all_restart_in_turn_know_the_bad_part():
+    """Guards against a part that crashes engines again after each host has been replaced."""
+
+    async def scenario():
+        case = Case(seconds=7.0, sound_rate=4.0)
+        async with run_case(case) as fleet:
+            await fleet.play()
+            crashes = len(fleet.crashes)
+            for old in list(fleet.fleet.hosts):
+                new = await fleet.fleet.add_host()
+                await wait_for(lambda new=new: len(new.context.bad_parts.suspects) > 0)
+                await fleet.fleet.stop(old)
+            await fleet.play_again(2.0)
+            assert len(fleet.crashes) == crashes
+
+    run_scenario(scenario)
