Repeat the query of an endpoint's state on a new connection

Callers saw whole unframed streams as broken off: the query that tells whether their endpoint still runs goes over a kept connection, which endpoints drop without notice, or which goes silent; the endpoint then counted as gone. Now a failed query on a kept connection is repeated once on a new one, which an endpoint that crashed refuses.

--- a/cloverway/serving/http/client.py
+++ b/cloverway/serving/http/client.py
@@ -267,13 +267,20 @@
     *,
     timeout_s: float,
     limit: int,
+    is_new: bool = False,
 ) -> tuple[ResponseHead, bytes]:
-    """Send a small request and read its response; raise ConnectError or ResponseError."""
+    """Send a small request and read its response; raise ConnectError or ResponseError.
+
+    `is_new` tells not to use a kept connection.
+    """
     destination = Destination(address)
     exchange: ClientExchange | None = None
     try:
         async with limit_running_time(timeout_s):
-            connection = await pool.acquire(destination, timeout_s)
+            if is_new:
+                connection = await pool.open_new(address, timeout_s)
+            else:
+                connection = await pool.acquire(destination, timeout_s)
             exchange = ClientExchange(connection, request, body)
             exchange.write()
             head = await exchange.read_head(lambda head: True)
--- a/cloverway/serving/requests/incarnations.py
+++ b/cloverway/serving/requests/incarnations.py
@@ -165,11 +165,24 @@
         return status
 
     async def _fetch_facts(self, endpoint: Endpoint) -> IncarnationFacts:
+        """Query an endpoint, again on a new connection if a kept one may be dead.
+
+        Endpoints drop idle connections without notice, and open ones may go silent.
+        """
+        try:
+            return await self._fetch_once(endpoint, is_new=False)
+        except ResponseError:
+            return await self._fetch_once(endpoint, is_new=True)
+
+    async def _fetch_once(self, endpoint: Endpoint, *, is_new: bool) -> IncarnationFacts:
         target, headers = self._dialect.encode_incarnation_query(endpoint.entry.id)
         address = endpoint.entry.address
         request = make_request("GET", target, [(b"Host", address.encode()), *headers], b"")
         head, body = await fetch(
-            self._pool, address, request, b"", timeout_s=QUERY_TIMEOUT_S, limit=MAX_STATE_BYTES
+            *(self._pool, address, request, b""),
+            timeout_s=QUERY_TIMEOUT_S,
+            limit=MAX_STATE_BYTES,
+            is_new=is_new,
         )
         return self._dialect.decode_incarnation(head, body)
 
--- a/cloverway/tests/test_fleet_endings.py
+++ b/cloverway/tests/test_fleet_endings.py
@@ -16,10 +16,12 @@
     Ending,
     answer_unframed,
     begin_unframed,
+    end_connection,
     make_event,
     make_stream,
     stream_unframed,
 )
+from cloverway.tests.fleet.standins import Endpoint
 
 CALLS = 12
 RETRIES = RetryBudgetSettings(slack=1_000.0)
@@ -259,3 +261,29 @@
             assert len(crashed) == 3
 
     run_scenario(scenario)
+
+
+def test_a_kept_connection_that_was_dropped_does_not_break_a_whole_stream_off():
+    """Guards against whole streams that count as broken off, since the query met a dead connection.
+
+    An endpoint may drop an idle connection without notice; the next request on it is reset.
+    """
+
+    async def scenario():
+        async with run_hosts(endpoints=1) as fleet:
+            let_models_end(fleet, Ending())
+            endpoint = fleet.endpoints["model-0"]
+            answered = []
+
+            async def answer_once(exchange):
+                if exchange.connection in answered:
+                    end_connection(exchange.connection, Close.RESET)
+                    return
+                answered.append(exchange.connection)
+                await Endpoint.answer_state(endpoint, exchange)
+
+            endpoint.answer_state = answer_once
+            assert count_complete(await call_often(fleet, "/cut/a")) == CALLS
+            assert len(answered) > 1
+
+    run_scenario(scenario)
