Count events of an unframed stream that name no id

Callers lost whole streams without framing whose events name no id: by the last id the relay took such a stream for one that ended before its first event. Now it goes by whether an event came. Found by reading; the test failed before.

--- a/cloverway/serving/requests/streaming.py
+++ b/cloverway/serving/requests/streaming.py
@@ -107,7 +107,8 @@
         """Raise ResponseError if the events show that more of the stream was due."""
         if _consists_of_events(head) and self._events.has_partial_event:
             raise ResponseError("the stream ended inside an event")
-        if head.framing is Framing.CONNECTION and not self.last_id:
+        has_begun = self.timing.first_at is not None or bool(self.last_id)
+        if head.framing is Framing.CONNECTION and not has_begun:
             raise ResponseError("the stream ended before its first event")
 
     async def _read(self, client_exchange: ClientExchange, timeout_s: float | None) -> bytes:
--- a/cloverway/tests/test_fleet_endings.py
+++ b/cloverway/tests/test_fleet_endings.py
@@ -197,6 +197,20 @@
     run_scenario(scenario)
 
 
+def test_a_whole_stream_without_event_ids_is_complete():
+    """Guards against whole streams that seem to have no event, since none of them names an id."""
+
+    async def scenario():
+        async with run_hosts() as fleet:
+            body = b"data: one\n\ndata: two\n\n"
+            let_models_answer(fleet, lambda endpoint: answer_unframed(endpoint, body))
+            replies = await call_often(fleet, "/cut/a")
+            assert count_complete(replies) == CALLS
+            assert {reply.body for reply in replies} == {body}
+
+    run_scenario(scenario)
+
+
 def test_blank_lines_after_the_last_event_do_not_break_a_stream_off():
     """Guards against a whole stream that is taken for broken off for its last newline."""
 
