Let only a success clear the parts of a prompt

Callers saw engines go on crashing where they also answered some requests with the bad part by an error: any complete answer, a 500 too, counted as whole, cleared the part of its crashes, and showed it as served before. An endpoint that fails a request may not have begun on its prompt. Played with two in five bad requests answered by 500: 18 crashes and 20 sent late in one of two plays before, 5 and 0 in both now.

--- a/cloverway/serving/requests/crash_tracker.py
+++ b/cloverway/serving/requests/crash_tracker.py
@@ -14,6 +14,8 @@
 from cloverway.serving.requests.streaming import Timing
 from cloverway.serving.requests.target_selector import Target
 
+SUCCESS_STATUSES = range(200, 300)
+
 
 class CrashTracker:
     """Records crashes of endpoints that ran one request, and stops the request after too many."""
@@ -100,7 +102,9 @@
         """Record that the request got a complete response, so that it causes no crashes."""
         self._pending_target = None
         self._context.crashes.report_served(self._digest)
-        self._context.bad_parts.report_served(self._routed.parts, self._sent_at)
+        if answered.head.status in SUCCESS_STATUSES:
+            # An endpoint that fails a request may not have begun on its prompt.
+            self._context.bad_parts.report_served(self._routed.parts, self._sent_at)
         if target.candidate is not None:
             # The response proves that the incarnation is running to which the connection was
             # opened. The directory entry alone doesn't show which that is: a restarted endpoint
--- a/cloverway/tests/fleet/bad_parts.py
+++ b/cloverway/tests/fleet/bad_parts.py
@@ -51,6 +51,8 @@
     turns_bad_at: float = 0.0
     crash_share: float = 1.0
     """Share of the requests with the bad part that crash their engine."""
+    error_share: float = 0.0
+    """Share of the requests with the bad part that are answered with an error."""
     before_first_event: bool = False
     is_unframed: bool = False
     is_resumable: bool = True
@@ -122,7 +124,9 @@
             if BAD in parts:
                 self.bad_sends.append(self.age_s)
             is_fatal = BAD in parts and self.age_s >= self.case.turns_bad_at
-            if is_fatal and self.random.random() < self.case.crash_share:
+            if BAD in parts and self.random.random() < self.case.error_share:
+                await exchange.answer(500, endpoint.make_head(exchange), b"")
+            elif is_fatal and self.random.random() < self.case.crash_share:
                 await self._crash_under(endpoint, exchange)
             else:
                 await _stream_whole(endpoint, exchange)
--- a/cloverway/tests/test_fleet_bad_parts.py
+++ b/cloverway/tests/test_fleet_bad_parts.py
@@ -31,6 +31,7 @@
     "few sound ones": Case(sound_rate=6.0, others=tuple(range(0x100, 0x140))),
     "served well before": Case(turns_bad_at=2.0, seconds=10.0),
     "a host that joins": Case(joins_at=4.0),
+    "errors in between": Case(error_share=0.4, seconds=12.0),
     "crashes half of what begins": Case(crash_share=0.5, seconds=14.0),
 }
 
