Blame a part without whole answers first, and only after four incidents

Cause, from the hosts' lines: two bad parts at the same time crashed all four engines. The first part was at the crashes of both, so at more than either, and was held responsible before them.

Now a part that the host has seen no whole answer of comes first, and takes its crashes from the others; four incidents block (five for a part served before), of 0.15 s each in place of three (four) of 0.25 s.

--- a/cloverway/core/bad_parts.py
+++ b/cloverway/core/bad_parts.py
@@ -22,7 +22,7 @@
 """Parts whose last whole answer is retained."""
 MAX_CRASHES = 16
 """Latest crashes retained of a part."""
-INCIDENT_S = 0.25
+INCIDENT_S = 0.15
 """Crashes within this time count as one, because endpoints that lose power together crash under
 everything that they run."""
 SUSPICION_S = 120.0
@@ -42,8 +42,8 @@
     block: int
 
 
-UNPROVEN = Thresholds(2, 3)
-PROVEN = Thresholds(3, 4)
+UNPROVEN = Thresholds(2, 4)
+PROVEN = Thresholds(3, 5)
 """For a part that this host has seen whole answers of."""
 
 
@@ -295,8 +295,16 @@
         suspects = [part for part in left if counts[part] >= self._get_thresholds(part).isolate]
         if not suspects:
             return None
+        # A part without a whole answer comes first: what most requests share is at all crashes of
+        # several bad parts together, and so at more than each of them.
         scores = {
-            part: (counts[part], -self._proven.get(part, 0), len(left[part])) for part in suspects
+            part: (
+                part not in self._proven,
+                counts[part],
+                -self._proven.get(part, 0),
+                len(left[part]),
+            )
+            for part in suspects
         }
         best = max(suspects, key=lambda part: (*scores[part], part))
         explained = left[best]
