Take from other hosts which parts were served, and excuse what ran beside a suspected part

Now a part counts as served if any host said so, and a digest is excused from the moment that a part explains its crashes. Two tests failed before.

--- a/cloverway/core/bad_parts.py
+++ b/cloverway/core/bad_parts.py
@@ -44,7 +44,7 @@
 
 UNPROVEN = Thresholds(2, 4)
 PROVEN = Thresholds(3, 5)
-"""For a part that this host has seen whole answers of."""
+"""For a part that a whole answer is known of."""
 
 
 class PartCrash(NamedTuple):
@@ -143,7 +143,8 @@
         part = served.part
         if is_own:
             keep_last(self._proven, part, self._proven.get(part, 0) + 1, MAX_SERVED)
-            self._culprits = None if part in self._crashes else self._culprits
+        if part in self._crashes:
+            self._culprits = None
         sent_at = max(served.sent_at, self._served.get(part, float("-inf")))
         keep_last(self._served, part, sent_at, MAX_SERVED)
         cleared = [name for name, at in self._crashes.get(part, {}).items() if at < sent_at]
@@ -192,11 +193,9 @@
         return not self._parts_at.get(incarnation, set()).isdisjoint(parts)
 
     def explains(self, incarnations: Iterable[str], parts: Collection[int]) -> bool:
-        """Return whether bad parts other than some were running at the crashes of endpoints."""
-        return all(
-            any(part not in parts and self._is_bad(part) for part in self._parts_at.get(name, ()))
-            for name in incarnations
-        )
+        """Return whether parts other than some explain the crashes of endpoints."""
+        culprits = self._find_culprits().keys() - set(parts)
+        return all(not culprits.isdisjoint(self._parts_at.get(name, ())) for name in incarnations)
 
     def count_blocked(self, now: float) -> int:
         """Return the number of parts that are blocked now."""
@@ -299,7 +298,7 @@
         # several bad parts together, and so at more than each of them.
         scores = {
             part: (
-                part not in self._proven,
+                part not in self._served,
                 counts[part],
                 -self._proven.get(part, 0),
                 len(left[part]),
@@ -319,7 +318,7 @@
         return Culprit(frozenset(tied), len(times), tuple(_list_incidents(times)), max(times))
 
     def _get_thresholds(self, part: int) -> Thresholds:
-        return PROVEN if part in self._proven else UNPROVEN
+        return PROVEN if part in self._served else UNPROVEN
 
     def _is_bad(self, part: int) -> bool:
         """Return whether a part explains enough incidents to be blocked."""
--- a/cloverway/tests/test_core_bad_parts.py
+++ b/cloverway/tests/test_core_bad_parts.py
@@ -219,3 +219,22 @@
     assert len(suspects._proven) <= MAX_SERVED
     assert len(suspects._crashes[BAD]) <= MAX_CRASHES
     assert sum(map(len, suspects._parts_at.values())) <= MAX_SUSPECTS * MAX_CRASHES
+
+
+def test_a_host_that_starts_takes_from_others_which_parts_were_served():
+    """Guards against a host that blames the first part, since it has seen no answer itself."""
+    suspects = PartSuspects(BLOCK_S)
+    suspects.record_served(ServedPart(FIRST, -1.0), is_own=False)
+    for number in range(2 * UNPROVEN.block):
+        bad = (11, 12)[number % 2]
+        suspects.record_crash(PartCrash(f"e{number}", (FIRST, bad), 0.5 * number))
+    assert suspects.find_block((FIRST, OTHER), float(UNPROVEN.block)) is None
+
+
+def test_what_ran_beside_a_suspected_part_is_explained_before_that_is_blocked():
+    """Guards against requests blocked for half an hour by crashes that a bad part explains."""
+    suspects = make_suspects(*crash_in_turn(UNPROVEN.isolate, FIRST, BAD))
+    suspects.record_served(ServedPart(FIRST, 5.0))
+    crashed = [f"e0.0-{number}" for number in range(UNPROVEN.isolate)]
+    assert suspects.find_block((BAD,), 5.0) is None
+    assert suspects.explains(crashed, (FIRST,))
