--- a/cloverway/core/bad_parts.py
+++ b/cloverway/core/bad_parts.py
@@ -94,7 +94,9 @@
 class PartSuspects:
     """The parts that may have crashed endpoints, from this host's observations and other hosts.
 
-    Updates may arrive late, twice and in any order; the result is the same on all hosts.
+    Updates may arrive late, twice and in any order; hosts with the same updates know the same
+    crashes. Of two parts that explain them as well, each host takes the one with fewer whole
+    answers, by those that it has seen itself.
     """
 
     def __init__(
