--- a/cloverway/tests/fleet/endings.py
+++ b/cloverway/tests/fleet/endings.py
@@ -94,3 +94,31 @@
         end_connection(exchange.connection, Close.ORDERLY)
 
     return answer
+
+
+def answer_bytes(data: bytes, close: Close) -> Answer:
+    """Return a handler that sends any bytes, and then ends its connection."""
+
+    async def answer(exchange: Exchange) -> None:
+        exchange.connection.write(data)
+        await asyncio.sleep(0.002)
+        end_connection(exchange.connection, close)
+
+    return answer
+
+
+FRAMES = {
+    "chunks": (b"Transfer-Encoding: chunked", b"%x\r\n%b\r\n", b"0\r\n\r\n"),
+    "length": (b"Content-Length: %d" % len(make_stream()), b"%b", b""),
+    "connection": (b"Date: today", b"%b", b""),
+}
+"""The header, each piece, and what follows the last one, by what marks the end."""
+
+
+def frame_stream(framing: str, pieces: list[bytes], *, has_end: bool) -> bytes:
+    """Return an answer in a framing, with or without what marks its end."""
+    header, form, end = FRAMES[framing]
+    head = b"HTTP/1.1 200 OK\r\nX-Cloverway-Response-Seal: 1.2.3\r\nConnection: close\r\n"
+    kind = b"Content-Type: text/event-stream\r\n"
+    body = b"".join(form % ((len(p), p) if framing == "chunks" else (p,)) for p in pieces)
+    return head + kind + header + b"\r\n\r\n" + body + (end if has_end else b"")
--- a/cloverway/tests/test_fleet_endings.py
+++ b/cloverway/tests/test_fleet_endings.py
@@ -12,11 +12,14 @@
 from cloverway.tests.fleet.deployment import Fleet, run_fleet, run_scenario, wait_for
 from cloverway.tests.fleet.endings import (
     EVENTS,
+    FRAMES,
     Close,
     Ending,
+    answer_bytes,
     answer_unframed,
     begin_unframed,
     end_connection,
+    frame_stream,
     make_event,
     make_stream,
     stream_unframed,
@@ -301,3 +304,51 @@
             assert len(answered) > 1
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("close", Close)
+@pytest.mark.parametrize("where", ["inside an event", "between two events", "before the first"])
+@pytest.mark.parametrize("framing", ["chunks", "length"])
+def test_a_framed_stream_that_ends_early_never_looks_complete(framing, where, close):
+    """Guards against a connection's end that counts for more than the framing that it cuts."""
+    pieces = {
+        "inside an event": [make_event(1), make_event(2)[:9]],
+        "between two events": [make_event(1)],
+        "before the first": [],
+    }[where]
+    answer = frame_stream(framing, pieces, has_end=False)
+
+    async def scenario():
+        async with run_hosts() as fleet:
+            let_models_answer(fleet, lambda endpoint: answer_bytes(answer, close))
+            assert count_complete(await call_often(fleet, "/cut/a")) == 0
+
+    run_scenario(scenario)
+
+
+def test_a_stream_whose_last_chunk_follows_half_an_event_never_looks_complete():
+    """Guards against a broken-off event that its endpoint frames as if it were the whole stream."""
+    answer = frame_stream("chunks", [make_event(1), make_event(2)[:9]], has_end=True)
+
+    async def scenario():
+        async with run_hosts() as fleet:
+            let_models_answer(fleet, lambda endpoint: answer_bytes(answer, Close.ORDERLY))
+            assert count_complete(await call_often(fleet, "/cut/a")) == 0
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("framing", FRAMES)
+def test_a_whole_stream_is_complete_in_each_framing(framing):
+    """Guards against checks of broken-off streams that catch whole ones, too."""
+    pieces = [make_event(number) for number in range(1, EVENTS + 1)]
+    answer = frame_stream(framing, pieces, has_end=True)
+
+    async def scenario():
+        async with run_hosts() as fleet:
+            let_models_answer(fleet, lambda endpoint: answer_bytes(answer, Close.ORDERLY))
+            replies = await call_often(fleet, "/cut/a")
+            assert count_complete(replies) == CALLS
+            assert {reply.body for reply in replies} == {make_stream()}
+
+    run_scenario(scenario)
