Never take a query from before a stream's end as proof that its endpoint ran afterwards

Cause: where only the end of a connection marks the end of an answer, the endpoint is asked for its state, by a query that begins after that end. Requests share queries. One that was in progress was taken out of the list by a callback of its task, which runs one iteration of the event loop later than the task ends. In that iteration a stream's end found the query of another request, which had begun 14 ms before, waited for it as it should, then wanted a new one and was given the same again.

The later ones find the address refused. Ruled out: an end that the stand-ins make between two events (they end inside one), and links that close one after the other while they still forward.

Fix: a query is removed from the list in the last step of its own task, so that nobody finds one that has ended. The age check of `is_running` was right and stays.

--- a/cloverway/serving/requests/incarnations.py
+++ b/cloverway/serving/requests/incarnations.py
@@ -124,11 +124,20 @@
         query = self._queries.get(incarnation)
         if query is None:
             began_at = read_clock()
-            task = asyncio.create_task(self._query(endpoint, began_at))
+            task = asyncio.create_task(self._run_query(incarnation, endpoint, began_at))
             query = self._queries[incarnation] = _Query(began_at, task)
-            task.add_done_callback(lambda _: self._queries.pop(incarnation))
         return query
 
+    async def _run_query(
+        self, incarnation: str, endpoint: Endpoint, began_at: float
+    ) -> IncarnationStatus:
+        try:
+            return await self._query(endpoint, began_at)
+        finally:
+            # A callback of the task would run an iteration of the loop later. Until then a request
+            # that needs a new query would take the result of this one, which may be too old.
+            del self._queries[incarnation]
+
     async def _await_status(self, query: _Query) -> IncarnationStatus:
         """Wait for a query; a request that is cancelled doesn't cancel it for the others."""
         return await asyncio.shield(query.task)
