Let hosts that have served a request excuse it where others suspect it

Cause: a host doesn't suspect a request that it has served in the last minute. It dropped the reports of others that named it, and told nobody what it knew. A host that had not served it yet counted each report, blocked it from the third on, and by that could never serve it itself. The documented promise, that the result is the same on all hosts, did not hold.

Ruled out: lost reports; a whole answer that came between and was not told.

Fix: a host that gets a report of a crash says at once which of its requests it has seen served, and how long ago, so that the excuse lasts as long everywhere, however often it is passed on. In a region of any size about eight hosts reply. Suspicions are dropped one by one, by the same rule by which they are counted; an incarnation that was retracted left empty entries before.

Four tests; three of them fail without the reply, the fourth guards its bound in time.

--- a/cloverway/core/quarantine.py
+++ b/cloverway/core/quarantine.py
@@ -84,6 +84,13 @@
     remaining_s: float
 
 
+class ServedRequest(NamedTuple):
+    """A request that had a complete answer."""
+
+    digest: int
+    at: float
+
+
 class CrashUpdate(NamedTuple):
     """An update on crashes, sent from one host to another."""
 
@@ -145,19 +152,32 @@
             self._forget_crash(incarnation)
 
     def _forget_crash(self, incarnation: str) -> None:
-        for digest in self._digests_by_incarnation.pop(incarnation, ()):
-            self._suspects[digest].pop(incarnation, None)
+        for digest in list(self._digests_by_incarnation.get(incarnation, ())):
+            self._forget_suspicion(digest, incarnation)
 
-    def record_served(self, digest: int, now: float) -> bool:
+    def record_served(self, digest: int, at: float) -> bool:
         """Record a complete answer to a request; return whether the request was suspected.
 
-        A request that crashes endpoints never completes, so its recorded crashes are dropped.
+        A request that crashes endpoints never completes, so the crashes that the answer rules out
+        are dropped.
         """
-        keep_last(self._served, digest, now, MAX_SERVED)
-        if not self._remove_suspect(digest):
-            return False
-        keep_last(self._cleared, digest, now, MAX_SERVED)
-        return True
+        at = max(at, self._served.get(digest, float("-inf")))
+        keep_last(self._served, digest, at, MAX_SERVED)
+        crash_times = self._suspects.get(digest, {})
+        excused = [name for name, crash in crash_times.items() if self._is_excused(digest, crash)]
+        for incarnation in excused:
+            self._forget_suspicion(digest, incarnation)
+        if excused:
+            keep_last(self._cleared, digest, at, MAX_SERVED)
+        return bool(excused)
+
+    def list_excused(self, crash: Crash) -> list[ServedRequest]:
+        """Return the requests of a crash that don't count, because they had answers, and when."""
+        return [
+            ServedRequest(digest, self._served[digest])
+            for digest in crash.digests
+            if self._is_excused(digest, crash.at)
+        ]
 
     def list_crashed(self, digest: int) -> tuple[str, ...]:
         """Return the incarnations that crashed while running a request."""
@@ -241,7 +261,7 @@
 
     def _count_crash(self, digest: int, crash: Crash) -> bool:
         """Count a crash against a request; return whether it is new."""
-        if crash.at < self._served.get(digest, float("-inf")) + SERVED_IMMUNITY_S:
+        if self._is_excused(digest, crash.at):
             return False
         crash_times = self._suspects.setdefault(digest, {})
         if crash.incarnation in crash_times or len(crash_times) >= MAX_CRASHES:
@@ -251,12 +271,21 @@
         self._suspects.move_to_end(digest)
         return True
 
-    def _remove_suspect(self, digest: int) -> bool:
-        """Forget a suspect; return whether it was one."""
-        crash_times = self._suspects.pop(digest, None)
-        for incarnation in crash_times or ():
-            digests = self._digests_by_incarnation[incarnation]
-            digests.discard(digest)
-            if not digests:
-                del self._digests_by_incarnation[incarnation]
-        return crash_times is not None
+    def _is_excused(self, digest: int, crashed_at: float) -> bool:
+        """Return whether an answer rules out that a request caused a crash."""
+        return crashed_at < self._served.get(digest, float("-inf")) + SERVED_IMMUNITY_S
+
+    def _remove_suspect(self, digest: int) -> None:
+        for incarnation in list(self._suspects[digest]):
+            self._forget_suspicion(digest, incarnation)
+
+    def _forget_suspicion(self, digest: int, incarnation: str) -> None:
+        """Forget that a request was running at a crash."""
+        crash_times = self._suspects[digest]
+        del crash_times[incarnation]
+        if not crash_times:
+            del self._suspects[digest]
+        digests = self._digests_by_incarnation[incarnation]
+        digests.discard(digest)
+        if not digests:
+            del self._digests_by_incarnation[incarnation]
--- a/cloverway/fleet.thrift
+++ b/cloverway/fleet.thrift
@@ -79,10 +79,16 @@
   3: i32 age_ms
 }
 
+struct ServedDigest {
+  1: i64 digest
+  2: i32 age_ms
+}
+
 struct CrashReport {
   1: string host
   2: list<EndpointCrash> crashes
   3: list<i64> served
+  4: list<ServedDigest> excused
 }
 
 struct EndpointPartCrash {
--- a/cloverway/serving/context.py
+++ b/cloverway/serving/context.py
@@ -60,7 +60,7 @@
         self.failure_baseline = FailureBaseline()
         self.quarantine = Quarantine(settings.quarantine)
         own_name = members.own.name
-        self.crashes = CrashExchange(own_name, self.quarantine, metrics)
+        self.crashes = CrashExchange(members, self.quarantine, metrics)
         self.statements = StatementExchange(own_name, directory, metrics)
         self.bad_parts = PartExchange(members, settings.quarantine.hold_s, metrics)
         suspects = SuspectTracker(own_name, self.quarantine, self.bad_parts.suspects)
--- a/cloverway/serving/hosts/bad_parts.py
+++ b/cloverway/serving/hosts/bad_parts.py
@@ -8,7 +8,7 @@
 from cloverway.core.members import Members, rank_host
 from cloverway.serving.clock import read_clock
 from cloverway.serving.hosts.broadcast import BROADCAST_DELAY_S, UpdateBatch
-from cloverway.serving.hosts.crashes import MAX_AGE_MS, REBROADCAST_S, SYNC_AGE_S
+from cloverway.serving.hosts.crashes import REBROADCAST_S, SYNC_AGE_S, encode_age
 from cloverway.serving.hosts.messages import CODEC, EndpointPartCrash, PartReport, PartServed
 from cloverway.serving.telemetry import Metrics, log_event
 
@@ -153,18 +153,14 @@
             if batch and size > space:
                 yield batch
                 batch, space = [], MAX_PARTS_PER_MESSAGE
-            batch.append(EndpointPartCrash(crash.incarnation, parts, _encode_age(now - crash.at)))
+            batch.append(EndpointPartCrash(crash.incarnation, parts, encode_age(now - crash.at)))
             space -= size
     if batch:
         yield batch
 
 
 def _encode_served(answer: ServedPart, now: float) -> PartServed:
-    return PartServed(answer.part, _encode_age(now - answer.sent_at))
-
-
-def _encode_age(seconds: float) -> int:
-    return max(0, min(MAX_AGE_MS, int(seconds * 1000)))
+    return PartServed(answer.part, encode_age(now - answer.sent_at))
 
 
 def _decode_crash(crash: EndpointPartCrash, now: float) -> PartCrash:
--- a/cloverway/serving/hosts/crashes.py
+++ b/cloverway/serving/hosts/crashes.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import random
 from collections import defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
-from cloverway.core.quarantine import Crash, CrashUpdate, Quarantine
+from cloverway.core.members import Members
+from cloverway.core.quarantine import Crash, CrashUpdate, Quarantine, ServedRequest
 from cloverway.serving.clock import read_clock
 from cloverway.serving.hosts.broadcast import BROADCAST_DELAY_S, UpdateBatch
-from cloverway.serving.hosts.messages import CODEC, CrashReport, EndpointCrash
+from cloverway.serving.hosts.messages import CODEC, CrashReport, EndpointCrash, ServedDigest
 from cloverway.serving.telemetry import Metrics, log_event
 
 REBROADCAST_S = 6.0
@@ -27,16 +29,24 @@
 """Maximum age of a crash that is sent to a joining host, unless a request is blocked for it. A
 request that crashes endpoints is sent again sooner, and most of the older digests are of requests
 that only ran at the same endpoint."""
+EXCUSING_HOSTS = 8
+"""Approximate number of hosts of a region that say of one report which of its requests they have
+seen served, whatever its size. The report is repeated each second, and so is the reply."""
 
 
 class CrashExchange:
-    """Records endpoint crashes in the quarantine of this host and exchanges them with others."""
+    """Records endpoint crashes in the quarantine of this host and exchanges them with others.
+
+    A host that has seen a request served doesn't suspect it. It tells those that do: a request
+    that many callers send is running wherever an endpoint crashes, and a host that has started
+    just now has no answer to it yet.
+    """
 
     message = CrashReport
     is_regional = False
 
-    def __init__(self, own_name: str, quarantine: Quarantine, metrics: Metrics) -> None:
-        self._own_name = own_name
+    def __init__(self, members: Members, quarantine: Quarantine, metrics: Metrics) -> None:
+        self._members = members
         self._quarantine = quarantine
         self._metrics = metrics
         self._detected: defaultdict[str, list[Crash]] = defaultdict(list)
@@ -44,6 +54,10 @@
         self._served: list[int] = []
         self._forwarded: list[Crash] = []
         """Crashes received from other regions that were not broadcast in this region yet."""
+        self._excused: dict[int, float] = {}
+        """When requests were served that others suspect, by digest; to be broadcast."""
+        self._forwarded_excused: dict[int, float] = {}
+        """The same as received from other regions."""
         self.schedule_broadcast: Callable[[float], None] = lambda delay_s: None
 
     def report_crash(self, incarnation: str, digest: int, at: float) -> None:
@@ -68,29 +82,47 @@
         """
         for digest in report.served:
             self._quarantine.record_served(digest, now)
+        excused = [_decode_served(item, now) for item in report.excused]
+        for answer in excused:
+            self._record_excused(answer, report.host)
         received = [_decode_crash(crash, now) for crash in report.crashes]
         recorded = [new for crash in received if (new := self._quarantine.record_crash(crash))]
         for crash in recorded:
             requests = len(crash.digests)
             log_event("end_heard", life=crash.incarnation, requests=requests, peer=report.host)
             self._log_blocked_requests(crash, now)
+        self._excuse(received)
         if is_remote:
             self._forwarded.extend(recorded)
+            self._forwarded_excused.update(excused)
+            self.schedule_broadcast(BROADCAST_DELAY_S)
+
+    def _record_excused(self, answer: ServedRequest, peer: str) -> None:
+        if self._quarantine.record_served(answer.digest, answer.at):
+            log_event("suspicion_dropped", request_digest=f"{answer.digest:016x}", peer=peer)
+
+    def _excuse(self, received: Iterable[Crash]) -> None:
+        """Schedule a reply with the requests of crashes that this host knows to be served."""
+        excused = [answer for crash in received for answer in self._quarantine.list_excused(crash)]
+        hosts = len(self._members.list_region()) + 1
+        if excused and random.random() < EXCUSING_HOSTS / hosts:
+            self._excused.update(excused)
             self.schedule_broadcast(BROADCAST_DELAY_S)
 
     def take_pending(self, now: float) -> UpdateBatch:
         """Return the pending updates and clear them."""
         detected = CrashUpdate(tuple(map(_merge, self._detected.values())), tuple(self._served))
         forwarded = CrashUpdate(tuple(self._forwarded), ())
-        self._detected, self._served, self._forwarded = (
-            defaultdict(list),
-            [],
-            [],
-        )
         for crash in detected.crashes:
             log_event("endpoint_ended", life=crash.incarnation, requests=len(crash.digests))
-        messages = self._encode(detected, now)
-        return UpdateBatch([*messages, *self._encode(forwarded, now)], messages)
+        messages = [*self._encode(detected, now), *self._encode_excused(self._excused, now)]
+        from_other_regions = [
+            *self._encode(forwarded, now),
+            *self._encode_excused(self._forwarded_excused, now),
+        ]
+        self._detected, self._served, self._forwarded = defaultdict(list), [], []
+        self._excused, self._forwarded_excused = {}, {}
+        return UpdateBatch([*messages, *from_other_regions], messages)
 
     def list_for_rebroadcast(self, now: float) -> list[bytes]:
         """Return messages with the crashes of the last seconds."""
@@ -103,7 +135,15 @@
         return self._encode(recent._replace(crashes=recent.crashes + blocked), now)
 
     def _encode(self, updates: CrashUpdate, now: float) -> list[bytes]:
-        return [_encode(self._own_name, batch, now) for batch in _split(updates)]
+        return [_encode(self._members.own.name, batch, now) for batch in _split(updates)]
+
+    def _encode_excused(self, excused: dict[int, float], now: float) -> list[bytes]:
+        name = self._members.own.name
+        items = [ServedDigest(digest, encode_age(now - at)) for digest, at in excused.items()]
+        batches = (
+            tuple(items[first : first + MAX_DIGESTS]) for first in range(0, len(items), MAX_DIGESTS)
+        )
+        return [CODEC.encode(CrashReport(name, excused=batch)) for batch in batches]
 
     def _log_blocked_requests(self, crash: Crash, now: float) -> None:
         """Log the requests that are blocked from now on."""
@@ -147,9 +187,7 @@
 
 def _encode(host: str, updates: CrashUpdate, now: float) -> bytes:
     crashes = tuple(
-        EndpointCrash(
-            crash.incarnation, crash.digests, min(MAX_AGE_MS, int((now - crash.at) * 1000))
-        )
+        EndpointCrash(crash.incarnation, crash.digests, encode_age(now - crash.at))
         for crash in updates.crashes
     )
     return CODEC.encode(CrashReport(host, crashes, updates.served))
@@ -157,3 +195,12 @@
 
 def _decode_crash(crash: EndpointCrash, now: float) -> Crash:
     return Crash(crash.life, crash.digests, now - crash.age_ms / 1000)
+
+
+def _decode_served(served: ServedDigest, now: float) -> ServedRequest:
+    return ServedRequest(served.digest, now - served.age_ms / 1000)
+
+
+def encode_age(seconds: float) -> int:
+    """Return a time in the past as messages state it, in milliseconds."""
+    return max(0, min(MAX_AGE_MS, int(seconds * 1000)))
--- a/cloverway/serving/hosts/messages.py
+++ b/cloverway/serving/hosts/messages.py
@@ -129,6 +129,13 @@
     age_ms: int
 
 
+class ServedDigest(NamedTuple):
+    """A request that was served, by its digest."""
+
+    digest: int
+    age_ms: int
+
+
 class CrashReport(NamedTuple):
     """Crashes of endpoints that a host knows of."""
 
@@ -136,6 +143,8 @@
     crashes: tuple[EndpointCrash, ...] = ()
     served: tuple[int, ...] = ()
     """Digests of requests that were served after they had run at a crashed endpoint."""
+    excused: tuple[ServedDigest, ...] = ()
+    """Requests that others reported with a crash, and that the sender had seen served before."""
 
 
 class EndpointPartCrash(NamedTuple):
--- a/cloverway/tests/test_crashes.py
+++ b/cloverway/tests/test_crashes.py
@@ -6,10 +6,20 @@
 
 import pytest
 
-from cloverway.core.quarantine import Crash, Quarantine, QuarantineSettings
+from cloverway.core.quarantine import (
+    SERVED_IMMUNITY_S,
+    Crash,
+    Quarantine,
+    QuarantineSettings,
+)
 from cloverway.serving.hosts import broadcast, crashes
 from cloverway.serving.hosts.broadcast import BROADCAST_DELAY_S
-from cloverway.serving.hosts.crashes import MAX_DIGESTS, REBROADCAST_S, CrashExchange
+from cloverway.serving.hosts.crashes import (
+    EXCUSING_HOSTS,
+    MAX_DIGESTS,
+    REBROADCAST_S,
+    CrashExchange,
+)
 from cloverway.serving.telemetry import Metrics
 from cloverway.tests.update_net import PACKET_BYTES, UpdateNet
 
@@ -30,7 +40,7 @@
 
 
 def make_exchange(members):
-    return CrashExchange(members.own.name, Quarantine(QuarantineSettings()), Metrics())
+    return CrashExchange(members, Quarantine(QuarantineSettings()), Metrics())
 
 
 @pytest.fixture
@@ -229,3 +239,66 @@
                 host.broadcaster.rebroadcast(clock[0] + 1.0)
         sent_per_round[hosts] = len(net.sent) / 20
     assert sent_per_round[100] < 2 * sent_per_round[10]
+
+
+async def lose_engines(net, clock, name, count):
+    """Let engines crash one after the other under a request of a host."""
+    for _ in range(count):
+        clock[0] += 0.5
+        net.hosts[name].exchange.report_crash(f"e{clock[0]}", CRASHING, clock[0])
+        await settle()
+
+
+def list_blocking(net, now):
+    return {
+        name
+        for name, host in net.hosts.items()
+        if host.quarantine.get_block(CRASHING, now) is not None
+    }
+
+
+@pytest.mark.parametrize("server", ["a1", "b1"])
+def test_a_request_that_another_host_has_served_is_not_blocked(clock, server):
+    """Guards against a request that many send, refused where it had no answer of this host yet."""
+    net = Net("a1", "a2", "a3", "b1", "b2")
+
+    async def scenario():
+        net.hosts[server].exchange.report_served(CRASHING)
+        await settle()
+        assert not net.sent
+        await lose_engines(net, clock, "a2", 5)
+        assert list_blocking(net, clock[0]) == set()
+        assert net.list_hosts_that_know() == set()
+
+    asyncio.run(scenario())
+
+
+def test_a_request_that_turns_deadly_is_blocked_however_often_hosts_pass_on_its_last_answer(clock):
+    """Guards against hosts that keep a request excused by what they heard from each other."""
+    net = Net("a1", "a2", "b1", "b2")
+
+    async def scenario():
+        net.hosts["a1"].exchange.report_served(CRASHING)
+        served_at = clock[0]
+        for _ in range(5):
+            clock[0] += 10.0
+            await lose_engines(net, clock, "a2", 1)
+        clock[0] = served_at + SERVED_IMMUNITY_S
+        await lose_engines(net, clock, "a2", 3)
+        assert list_blocking(net, clock[0]) == set(net.hosts)
+
+    asyncio.run(scenario())
+
+
+def test_few_hosts_of_a_large_region_say_that_a_request_was_served(clock):
+    """Guards against all hosts of a region answering the report of one crash at once."""
+    net = Net(*(f"a{number}" for number in range(80)))
+
+    async def scenario():
+        for name in list(net.hosts)[1:]:
+            net.hosts[name].exchange.report_served(CRASHING)
+        await lose_engines(net, clock, "a0", 1)
+        assert len({sender for sender, _, _ in net.sent} - {"a0"}) <= 4 * EXCUSING_HOSTS
+        assert net.list_hosts_that_know() == set()
+
+    asyncio.run(scenario())
