Tell with each crash which of its parts were served, and reply with them

Cause: a part without a whole answer is blamed before others and by fewer incidents. Whether it has one each host judged by its own answers, and those told with a clearance. A host that had not served anything yet took the part that was at the six crashes of a bad part and of a deadly request for their cause, while hosts of the other region had just served it.

Ruled out: a whole answer after the last crash that was not told (there was none until 0.5 s later, and it cleared f1).

Fix: a report of a crash names the latest whole answer of each of its parts that its sender has seen, and hosts that hear of a new crash reply with theirs, about eight in a region of any size. Only what a host has seen itself is told: a time that is passed on again and again grows by each transport and would clear later crashes of a part that turned bad. Answers from another region are passed on within the region. The choice of the few hosts that reply moves to the broadcaster, for digests too.

--- a/cloverway/core/bad_parts.py
+++ b/cloverway/core/bad_parts.py
@@ -64,6 +64,17 @@
     """When the request of that answer was sent to its endpoint."""
 
 
+class _Proof(NamedTuple):
+    """The whole answers of a part that this host has seen."""
+
+    answers: int
+    sent_at: float
+    """When the latest of their requests was sent to its endpoint."""
+
+
+_NO_PROOF = _Proof(0, float("-inf"))
+
+
 class Culprit(NamedTuple):
     """Parts that were running at the same crashes, which no other part explains as well."""
 
@@ -115,8 +126,8 @@
         """When the latest request that got a whole answer was sent, by part."""
         self._cleared: OrderedDict[int, float] = OrderedDict()
         """The same of parts that were suspected."""
-        self._proven: OrderedDict[int, int] = OrderedDict()
-        """Whole answers that this host has seen, by part."""
+        self._proven: OrderedDict[int, _Proof] = OrderedDict()
+        """The whole answers that this host has seen, by part."""
         self._culprits: dict[int, Culprit] | None = None
         """Cache of the parts that explain the crashes; None after a change."""
 
@@ -144,7 +155,9 @@
         """
         part = served.part
         if is_own:
-            keep_last(self._proven, part, self._proven.get(part, 0) + 1, MAX_SERVED)
+            proof = self._proven.get(part, _NO_PROOF)
+            latest = max(proof.sent_at, served.sent_at)
+            keep_last(self._proven, part, _Proof(proof.answers + 1, latest), MAX_SERVED)
         if part in self._crashes:
             self._culprits = None
         sent_at = max(served.sent_at, self._served.get(part, float("-inf")))
@@ -156,6 +169,16 @@
             keep_last(self._cleared, part, sent_at, MAX_SERVED)
         return bool(cleared)
 
+    def list_served(self, parts: Iterable[int]) -> list[ServedPart]:
+        """Return the last whole answers of some parts, as far as this host has seen any.
+
+        What it knows from others is left out: a time that hosts tell each other again and again
+        grows with each message by the time of its transport, and would clear later crashes.
+        """
+        return [
+            ServedPart(part, self._proven[part].sent_at) for part in parts if part in self._proven
+        ]
+
     def record_alive(
         self, incarnation: str, since: float, until: float, *, has_unique_id: bool = False
     ) -> None:
@@ -302,7 +325,7 @@
             part: (
                 part not in self._served,
                 counts[part],
-                -self._proven.get(part, 0),
+                -self._proven.get(part, _NO_PROOF).answers,
                 len(left[part]),
             )
             for part in suspects
--- a/cloverway/serving/hosts/bad_parts.py
+++ b/cloverway/serving/hosts/bad_parts.py
@@ -7,7 +7,7 @@
 from cloverway.core.bad_parts import PartCrash, PartSuspects, PartUpdate, ServedPart
 from cloverway.core.members import Members, rank_host
 from cloverway.serving.clock import read_clock
-from cloverway.serving.hosts.broadcast import BROADCAST_DELAY_S, UpdateBatch
+from cloverway.serving.hosts.broadcast import BROADCAST_DELAY_S, UpdateBatch, is_replying
 from cloverway.serving.hosts.crashes import REBROADCAST_S, SYNC_AGE_S, encode_age
 from cloverway.serving.hosts.messages import CODEC, EndpointPartCrash, PartReport, PartServed
 from cloverway.serving.telemetry import Metrics, log_event
@@ -27,7 +27,12 @@
 
 
 class PartExchange:
-    """Records which parts of prompts ran at crashed endpoints, and exchanges that with others."""
+    """Records which parts of prompts ran at crashed endpoints, and exchanges that with others.
+
+    With a crash hosts tell which of its parts they have seen served. The part that all prompts
+    share is at the crashes of several bad ones, and a host that has started just now has no
+    answer that speaks for it.
+    """
 
     message = PartReport
     is_regional = False
@@ -68,14 +73,24 @@
         here.
         """
         answers = [ServedPart(item.part, now - item.age_ms / 1000) for item in report.served]
-        cleared = [item for item in answers if self.suspects.record_served(item, is_own=False)]
+        for answer in answers:
+            self.suspects.record_served(answer, is_own=False)
         received = [_decode_crash(crash, now) for crash in report.crashes]
         recorded = [new for crash in received if (new := self.suspects.record_crash(crash))]
         for crash in recorded:
             self._log_blocked(crash, now)
-        if is_remote and (recorded or cleared):
+        self._reply(recorded)
+        if is_remote and (recorded or answers):
             self._forwarded += recorded
-            self._forwarded_served += cleared
+            self._forwarded_served += answers
+            self.schedule_broadcast(BROADCAST_DELAY_S)
+
+    def _reply(self, recorded: Iterable[PartCrash]) -> None:
+        """Schedule a reply with the parts of new crashes that this host has seen served."""
+        parts = {part for crash in recorded for part in crash.parts}
+        served = self.suspects.list_served(parts)
+        if served and is_replying(self._members):
+            self._served += served
             self.schedule_broadcast(BROADCAST_DELAY_S)
 
     def take_pending(self, now: float) -> UpdateBatch:
@@ -109,7 +124,9 @@
 
     def _encode(self, update: PartUpdate, now: float) -> list[bytes]:
         name = self._members.own.name
-        served = [_encode_served(answer, now) for answer in update.served]
+        parts = {part for crash in update.crashes for part in crash.parts}
+        known = {*update.served, *self.suspects.list_served(parts)}
+        served = [_encode_served(answer, now) for answer in known]
         messages = [
             PartReport(name, (), tuple(served[first : first + MAX_PARTS_PER_MESSAGE]))
             for first in range(0, len(served), MAX_PARTS_PER_MESSAGE)
--- a/cloverway/serving/hosts/broadcast.py
+++ b/cloverway/serving/hosts/broadcast.py
@@ -29,6 +29,9 @@
 Together they reach each host of a region of 24 once per period. One host in 40 misses the first
 broadcast by a lost datagram; it is sent the update again for six periods. When every host
 rebroadcast, each of 90 hosts received updates five times per second."""
+REPLYING_HOSTS = 8
+"""Approximate number of hosts of a region that say what they know better than a report, whatever
+its size."""
 BROADCAST_REGIONS = 8
 """Regions that are sent a broadcast directly; any others receive it from these and by
 rebroadcast."""
@@ -109,7 +112,7 @@
     def rebroadcast(self, now: float) -> None:
         """Rebroadcast to a few hosts, if this host is among the rebroadcasting ones this time."""
         region_hosts = self._members.list_region()
-        if random.random() >= REBROADCASTING_HOSTS / (len(region_hosts) + 1):
+        if not _is_among(REBROADCASTING_HOSTS, self._members):
             return
         other_hosts = [name for name in self._members.peers if name not in set(region_hosts)]
         local, remote = _sample(region_hosts, REGION_FANOUT), _sample(other_hosts, REMOTE_FANOUT)
@@ -182,3 +185,13 @@
 
 def _sample(names: list[str], max_count: int) -> list[str]:
     return random.sample(names, min(max_count, len(names)))
+
+
+def is_replying(members: Members) -> bool:
+    """Return whether this host is among the few that reply to a report, chosen at random."""
+    return _is_among(REPLYING_HOSTS, members)
+
+
+def _is_among(count: int, members: Members) -> bool:
+    """Return whether this host is among some number of hosts of its region, chosen at random."""
+    return random.random() < count / (len(members.list_region()) + 1)
--- a/cloverway/serving/hosts/crashes.py
+++ b/cloverway/serving/hosts/crashes.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import random
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
 
 from cloverway.core.members import Members
 from cloverway.core.quarantine import Crash, CrashUpdate, Quarantine, ServedRequest
 from cloverway.serving.clock import read_clock
-from cloverway.serving.hosts.broadcast import BROADCAST_DELAY_S, UpdateBatch
+from cloverway.serving.hosts.broadcast import BROADCAST_DELAY_S, UpdateBatch, is_replying
 from cloverway.serving.hosts.messages import CODEC, CrashReport, EndpointCrash, ServedDigest
 from cloverway.serving.telemetry import Metrics, log_event
 
@@ -29,9 +28,6 @@
 """Maximum age of a crash that is sent to a joining host, unless a request is blocked for it. A
 request that crashes endpoints is sent again sooner, and most of the older digests are of requests
 that only ran at the same endpoint."""
-EXCUSING_HOSTS = 8
-"""Approximate number of hosts of a region that say of one report which of its requests they have
-seen served, whatever its size. The report is repeated each second, and so is the reply."""
 
 
 class CrashExchange:
@@ -104,8 +100,7 @@
     def _excuse(self, received: Iterable[Crash]) -> None:
         """Schedule a reply with the requests of crashes that this host knows to be served."""
         excused = [answer for crash in received for answer in self._quarantine.list_excused(crash)]
-        hosts = len(self._members.list_region()) + 1
-        if excused and random.random() < EXCUSING_HOSTS / hosts:
+        if excused and is_replying(self._members):
             self._excused.update(excused)
             self.schedule_broadcast(BROADCAST_DELAY_S)
 
--- a/cloverway/tests/test_crashes.py
+++ b/cloverway/tests/test_crashes.py
@@ -13,13 +13,8 @@
     QuarantineSettings,
 )
 from cloverway.serving.hosts import broadcast, crashes
-from cloverway.serving.hosts.broadcast import BROADCAST_DELAY_S
-from cloverway.serving.hosts.crashes import (
-    EXCUSING_HOSTS,
-    MAX_DIGESTS,
-    REBROADCAST_S,
-    CrashExchange,
-)
+from cloverway.serving.hosts.broadcast import BROADCAST_DELAY_S, REPLYING_HOSTS
+from cloverway.serving.hosts.crashes import MAX_DIGESTS, REBROADCAST_S, CrashExchange
 from cloverway.serving.telemetry import Metrics
 from cloverway.tests.update_net import PACKET_BYTES, UpdateNet
 
@@ -298,7 +293,7 @@
         for name in list(net.hosts)[1:]:
             net.hosts[name].exchange.report_served(CRASHING)
         await lose_engines(net, clock, "a0", 1)
-        assert len({sender for sender, _, _ in net.sent} - {"a0"}) <= 4 * EXCUSING_HOSTS
+        assert len({sender for sender, _, _ in net.sent} - {"a0"}) <= 4 * REPLYING_HOSTS
         assert net.list_hosts_that_know() == set()
 
     asyncio.run(scenario())
--- a/cloverway/tests/test_part_exchange.py
+++ b/cloverway/tests/test_part_exchange.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from cloverway.core.bad_parts import FIRST_BLOCK_S, UNPROVEN, PartCrash
+from cloverway.core.bad_parts import FIRST_BLOCK_S, PROVEN, UNPROVEN, PartCrash
 from cloverway.serving.hosts import bad_parts, broadcast
 from cloverway.serving.hosts.bad_parts import HOST_TRIAL_S, REGION_TRIAL_S, PartExchange
-from cloverway.serving.hosts.broadcast import BROADCAST_DELAY_S
+from cloverway.serving.hosts.broadcast import BROADCAST_DELAY_S, REPLYING_HOSTS
 from cloverway.serving.telemetry import Metrics
 from cloverway.tests.update_net import PACKET_BYTES, UpdateNet
 
@@ -125,3 +125,59 @@
         assert len(net.hosts["a2"].exchange.suspects) == 64 * 32
 
     asyncio.run(scenario())
+
+
+async def crash_two_parts(net, clock, name, count):
+    """Let engines crash under two bad parts in turn, with the first part of all prompts."""
+    for number in range(count):
+        clock[0] += 1.0
+        parts = (FIRST, BAD + 10 * (number % 2))
+        net.hosts[name].exchange.report_crash(PartCrash(f"e{clock[0]}", parts, clock[0]))
+        await settle()
+
+
+@pytest.mark.parametrize("server", ["a1", "b1"])
+def test_a_part_that_another_host_has_served_is_not_blamed_for_two_bad_ones(clock, server):
+    """Guards against the part that all prompts share, blamed by hosts without an answer of it."""
+    net = make_net("a1", "a2", "a3", "b1", "b2")
+
+    async def scenario():
+        net.hosts[server].exchange.report_served((FIRST,), clock[0])
+        await settle()
+        assert not net.sent
+        await crash_two_parts(net, clock, "a2", 2 * UNPROVEN.block)
+        assert list_blocked(net, clock, FIRST) == set()
+        assert list_blocked(net, clock) == set(net.hosts)
+
+    asyncio.run(scenario())
+
+
+def test_a_host_that_joins_learns_which_parts_were_served(clock):
+    """Guards against a host that starts, and takes the first part for the one that crashes."""
+    net = make_net("a1", "a2")
+    net.lost = lambda sender, receiver: receiver == "a2"
+
+    async def scenario():
+        net.hosts["a1"].exchange.report_served((FIRST,), clock[0])
+        await crash_two_parts(net, clock, "a1", 2 * UNPROVEN.block)
+        net.lost = lambda sender, receiver: False
+        net.hosts["a1"].broadcaster.sync_joining_host("a2", clock[0])
+        assert list_blocked(net, clock, FIRST) == set()
+        assert list_blocked(net, clock) == set(net.hosts)
+
+    asyncio.run(scenario())
+
+
+def test_few_hosts_of_a_large_region_say_which_parts_were_served(clock):
+    """Guards against all hosts of a region answering the report of one crash at once."""
+    net = make_net(*(f"a{number}" for number in range(80)))
+
+    async def scenario():
+        for name in list(net.hosts)[1:]:
+            net.hosts[name].exchange.report_served((FIRST,), clock[0])
+        await crash(net, clock, 1, FIRST, BAD)
+        assert len({sender for sender, _, _ in net.sent} - {"a1"}) <= 4 * REPLYING_HOSTS
+        thresholds = {host.exchange.suspects._get_thresholds(FIRST) for host in net.hosts.values()}
+        assert thresholds == {PROVEN}
+
+    asyncio.run(scenario())
