Let daemons of the own interface excuse requests that they have served, too

Evidence: the new test in the simulated gossip; one host has served the request, and another one refused it after 3 of 6 crashes. Now it is blocked by none until the answer is a minute old, then by all from the third crash on.

Heartbeats name such requests for six seconds, with the age of the answer, in new optional fields; without crashes they are as long as before. No reply is broadcast at once here: each heartbeat goes to few hosts, and a crash is repeated for as long.

--- a/cloverway/core/quarantine.py
+++ b/cloverway/core/quarantine.py
@@ -97,6 +97,8 @@
     crashes: tuple[Crash, ...]
     served: tuple[int, ...]
     """Digests of requests that were suspected and have been served since."""
+    excused: tuple[ServedRequest, ...] = ()
+    """Requests that others suspect, and that had answers before."""
 
 
 class Quarantine:
--- a/cloverway/dispatch/ends.py
+++ b/cloverway/dispatch/ends.py
@@ -5,8 +5,16 @@
 import logging
 import threading
 from collections.abc import Iterable
-
-from cloverway.core.quarantine import Block, Crash, CrashUpdate, Quarantine, QuarantineSettings
+from typing import NamedTuple
+
+from cloverway.core.quarantine import (
+    Block,
+    Crash,
+    CrashUpdate,
+    Quarantine,
+    QuarantineSettings,
+    ServedRequest,
+)
 from cloverway.dispatch.tickets import Ticket
 from cloverway.errors import Kind
 from cloverway.membership.view import EndpointState, View
@@ -22,6 +30,14 @@
 slots taken."""
 
 
+class _Excuse(NamedTuple):
+    """The answer of a request that other hosts suspect."""
+
+    answer: ServedRequest
+    until: float
+    """Until when heartbeats tell it."""
+
+
 class CrashTracker:
     """Count the endpoint crashes of each request and refuse requests that keep causing them.
 
@@ -33,6 +49,8 @@
         self._quarantine = Quarantine(terms, ambiguous_crashes=0)
         self._lock = threading.Lock()
         self._has_urgent = False
+        self._excused: dict[int, _Excuse] = {}
+        """Requests that others suspect and this host has served, by digest."""
 
     def find_refusal(self, request: Request, now: float) -> Refused | None:
         """Return the refusal of a request that has crashed too many endpoints, or None."""
@@ -90,9 +108,18 @@
         with self._lock:
             for digest in update.served:
                 self._quarantine.record_served(digest, now)
+            for answer in update.excused:
+                self._quarantine.record_served(answer.digest, answer.at)
+            self._excuse(update.crashes, now)
             new_crashes = [self._quarantine.record_crash(crash) for crash in update.crashes]
         self._log_crashes(new_crashes, is_remote=True, now=now)
 
+    def _excuse(self, crashes: Iterable[Crash], now: float) -> None:
+        """Tell other hosts which requests of crashes had answers; keep the lock held."""
+        for crash in crashes:
+            for answer in self._quarantine.list_excused(crash):
+                self._excused[answer.digest] = _Excuse(answer, now + REBROADCAST_S)
+
     def take_urgent(self) -> bool:
         """Return whether this host has an update to broadcast at once, and clear the flag."""
         with self._lock:
@@ -112,7 +139,11 @@
             blocked = (
                 self._quarantine.list_blocked_crashes(now, MAX_BROADCAST_REQUESTS) if full else ()
             )
-        return recent._replace(crashes=recent.crashes + blocked)
+            self._excused = {key: item for key, item in self._excused.items() if item.until > now}
+            excused = tuple(item.answer for item in self._excused.values())
+        return recent._replace(
+            crashes=recent.crashes + blocked, excused=excused[-MAX_BROADCAST_REQUESTS:]
+        )
 
     def _log_crashes(
         self, new_crashes: Iterable[Crash | None], is_remote: bool, now: float
--- a/cloverway/membership/gossip.py
+++ b/cloverway/membership/gossip.py
@@ -14,7 +14,7 @@
 from cloverway.config.configuration import READERS_PER_DOMAIN, choose_readers
 from cloverway.config.published import Published
 from cloverway.config.settings import Timing
-from cloverway.core.quarantine import Crash, CrashUpdate
+from cloverway.core.quarantine import Crash, CrashUpdate, ServedRequest
 from cloverway.dispatch.ends import CrashTracker
 from cloverway.membership.datagram_auth import (
     MAX_DATAGRAM_BYTES,
@@ -26,6 +26,7 @@
     CrashRow,
     DomainSummary,
     Heartbeat,
+    ServedRow,
     decode,
     encode,
     format_incarnation,
@@ -398,7 +399,8 @@
         rows = tuple(
             CrashRow(crash.incarnation, crash.digests, now - crash.at) for crash in update.crashes
         )
-        return EMPTY_HEARTBEAT._replace(crashes=rows, served=update.served)
+        excused = tuple(ServedRow(item.digest, now - item.at) for item in update.excused)
+        return EMPTY_HEARTBEAT._replace(crashes=rows, served=update.served, excused=excused)
 
     def _summarize_own_domain(self, now: float) -> DomainSummary:
         own = HostState(
@@ -452,4 +454,5 @@
 def _parse_crashes(heartbeat: Heartbeat, at: float) -> CrashUpdate:
     """Return the crashes in a heartbeat that was sent at or after `at`."""
     parsed = (Crash(row.incarnation, row.digests, at - row.age_s) for row in heartbeat.crashes)
-    return CrashUpdate(tuple(parsed), heartbeat.served)
+    excused = (ServedRequest(row.digest, at - row.age_s) for row in heartbeat.excused)
+    return CrashUpdate(tuple(parsed), heartbeat.served, tuple(excused))
--- a/cloverway/membership/heartbeat.thrift
+++ b/cloverway/membership/heartbeat.thrift
@@ -42,7 +42,8 @@
 }
 
 // `wanted` are the hashed names of endpoints whose details the sender lacks, `ends` the crashes of
-// endpoints, and `retired` an incarnation of the receiving host that was replaced.
+// endpoints, `excused` requests of such crashes that the sender knows to have been served, and
+// `retired` an incarnation of the receiving host that was replaced.
 struct Heartbeat {
   1: string host
   2: i64 incarnation
@@ -60,4 +61,6 @@
   14: i64 retired
   15: list<End> ends
   16: list<i64> served
+  17: list<i64> excused
+  18: list<i32> excused_ages
 }
--- a/cloverway/membership/heartbeats.py
+++ b/cloverway/membership/heartbeats.py
@@ -102,6 +102,13 @@
     age_s: float
 
 
+class ServedRow(NamedTuple):
+    """A request that was served."""
+
+    digest: int
+    age_s: float
+
+
 class Heartbeat(NamedTuple):
     """The content of one datagram."""
 
@@ -126,6 +133,8 @@
     crashes: tuple[CrashRow, ...] = ()
     served: tuple[int, ...] = ()
     """Digests of requests that ran at endpoints that crashed, and that were served since."""
+    excused: tuple[ServedRow, ...] = ()
+    """Requests that others suspect, and that the sender knows to have been served."""
 
 
 def hash_name(name: str) -> int:
@@ -176,6 +185,8 @@
         retired=heartbeat.retired or None,
         ends=[_encode_crash(row) for row in heartbeat.crashes] or None,
         served=list(heartbeat.served) or None,
+        excused=[row.digest for row in heartbeat.excused] or None,
+        excused_ages=[_encode_age(row.age_s) for row in heartbeat.excused] or None,
     )
     return serialize(message, _PROTOCOL)
 
@@ -214,6 +225,7 @@
         retired=message.retired or 0,
         crashes=tuple(_decode_crash(row) for row in message.ends or ()),
         served=tuple(message.served or ()),
+        excused=tuple(_decode_served(message.excused or (), message.excused_ages or ())),
     )
 
 
@@ -304,8 +316,7 @@
 
 
 def _encode_crash(row: CrashRow) -> Any:
-    age = _clamp(row.age_s / AGE_STEP_S, MAX_I32)
-    return wire.End(life=row.incarnation, digests=list(row.digests), age=age)
+    return wire.End(life=row.incarnation, digests=list(row.digests), age=_encode_age(row.age_s))
 
 
 def _decode_crash(row: Any) -> CrashRow:
@@ -314,6 +325,15 @@
     return CrashRow(row.life, tuple(row.digests or ()), max(0, row.age or 0) * AGE_STEP_S)
 
 
+def _decode_served(digests: Sequence[int], ages: Sequence[int]) -> Iterable[ServedRow]:
+    rows = zip(digests, ages, strict=True)
+    return (ServedRow(digest, max(0, age) * AGE_STEP_S) for digest, age in rows)
+
+
+def _encode_age(age_s: float) -> int:
+    return _clamp(age_s / AGE_STEP_S, MAX_I32)
+
+
 def _clamp(value: float, maximum: int) -> int:
     return round(max(0, min(value, maximum)))
 
--- a/cloverway/membership/splitting.py
+++ b/cloverway/membership/splitting.py
@@ -17,6 +17,7 @@
     "summaries",
     "crashes",
     "served",
+    "excused",
 )
 """The fields of a heartbeat that can be split."""
 
--- a/cloverway/tests/test_ends.py
+++ b/cloverway/tests/test_ends.py
@@ -249,3 +249,16 @@
     simulation.run(SERVED_IMMUNITY_S + 10.0)
     caller.send_to_all([*simulation.hosts] * 3, interval_s=0.5)
     assert caller.crashed == 1 + MAX_CRASHES
+
+
+def test_a_request_that_another_host_has_served_is_not_quarantined():
+    """Guards against a request that many send, refused where it had no answer of that host yet."""
+    simulation = make_simulation(hosts=3)
+    caller = Caller(simulation)
+    server, other, _ = simulation.hosts
+    simulation.hosts[server].gossip.crash_tracker.record_served(CRASHING, simulation.now)
+    caller.send_to_all([other] * 2 * MAX_CRASHES, interval_s=1.0)
+    assert caller.crashed == 2 * MAX_CRASHES
+    simulation.run(SERVED_IMMUNITY_S)
+    caller.send_to_all([*simulation.hosts] * 3, interval_s=0.5)
+    assert caller.crashed == 3 * MAX_CRASHES, "it is once the answer is old"
--- a/cloverway/tests/test_heartbeats.py
+++ b/cloverway/tests/test_heartbeats.py
@@ -20,6 +20,7 @@
     Heartbeat,
     HostLevel,
     LoadRow,
+    ServedRow,
     TargetLevel,
     decode,
     encode,
@@ -77,6 +78,9 @@
     retired=st.integers(-(2**63), 2**63 - 1),
     crashes=st.lists(CRASHES, max_size=2).map(tuple),
     served=DIGESTS,
+    excused=st.lists(st.builds(ServedRow, st.integers(0, 2**63 - 1), CRASH_AGES), max_size=3).map(
+        tuple
+    ),
 )
 AUTHENTICATOR = DatagramAuthenticator.from_secret(b"k" * 32)
 
