Count each engine that a retry crashes as an incident of its own

Cause: crashes within 0.15 s count as one incident, since engines that lose power together crash under all that they run. A retry is sent 10 ms after a crash and takes the next engine 0.09 s later; six crashes of two requests were three incidents, and the block wants five of a part once served.

Fix: a run that was sent after the first crash of an incident can't have ended by what caused it, so its crash begins a new one, however soon it follows. Reports say per part how long before the crash its first request was sent; of several requests at an engine the earliest counts, so what runs everywhere when power is lost is no more suspect than before. Unknown in reports of older hosts: then the time alone decides, as before.

The first new test failed before; the second guards what INCIDENT_S is for.

--- a/cloverway/core/bad_parts.py
+++ b/cloverway/core/bad_parts.py
@@ -24,12 +24,13 @@
 """Latest crashes retained of a part."""
 INCIDENT_S = 0.15
 """Crashes within this time count as one, because endpoints that lose power together crash under
-everything that they run."""
+everything that they run, unless the requests were sent only after the first of them."""
 SUSPICION_S = 120.0
 """How long requests with a part are isolated after its last crash, unless it was blocked."""
 FIRST_BLOCK_S = 4.0
 """How long a part is blocked at first. Then one request tries whether it was sound."""
 MAX_BLOCK_S = 86_400.0
+NEVER = float("-inf")
 MAX_TRIAL_DELAY_S = 120.0
 """Upper bound of how much later than others a host tries a part again."""
 
@@ -54,6 +55,29 @@
     parts: tuple[int, ...]
     """Ids of prompt segments."""
     at: float
+    sent_at: tuple[float, ...] = ()
+    """When the first request with each of these parts was sent there, if that is known."""
+
+    def list_runs(self) -> Iterator[tuple[int, PartRun]]:
+        """Yield each part, and when it ran there."""
+        sent_at = itertools.chain(self.sent_at, itertools.repeat(NEVER))
+        for part, part_sent_at in zip(self.parts, sent_at, strict=False):
+            yield part, PartRun(part_sent_at, self.at)
+
+    def select(self, parts: Collection[int]) -> PartCrash:
+        """Return the crash with only some of its parts."""
+        runs = [(part, run.sent_at) for part, run in self.list_runs() if part in parts]
+        return PartCrash(
+            self.incarnation, tuple(p for p, _ in runs), self.at, tuple(at for _, at in runs)
+        )
+
+
+class PartRun(NamedTuple):
+    """The requests with a part that ran at an endpoint which crashed."""
+
+    sent_at: float
+    """When the first of them was sent."""
+    crashed_at: float
 
 
 class ServedPart(NamedTuple):
@@ -72,7 +96,7 @@
     """When the latest of their requests was sent to its endpoint."""
 
 
-_NO_PROOF = _Proof(0, float("-inf"))
+_NO_PROOF = _Proof(0, NEVER)
 
 
 class Culprit(NamedTuple):
@@ -117,8 +141,8 @@
         """How long a part is blocked that has crashed an endpoint after its first block."""
         self._get_trial_delay = get_trial_delay
         """Returns how much later than others this host tries a part again, in seconds."""
-        self._crashes: OrderedDict[int, dict[str, float]] = OrderedDict()
-        """Crash time of each endpoint, by part; the latest suspect is last."""
+        self._crashes: OrderedDict[int, dict[str, PartRun]] = OrderedDict()
+        """The runs at each endpoint that crashed, by part; the latest suspect is last."""
         self._parts_at: dict[str, set[int]] = {}
         """The suspects that were running at each endpoint that crashed."""
         self._crashed = CrashTimes()
@@ -140,13 +164,17 @@
         """Record a crash; return it with only the parts that are new, or None if none is."""
         if self._crashed.is_retracted(crash.incarnation, crash.at):
             return None
-        new_parts = tuple(part for part in crash.parts if self._count_crash(part, crash))
+        new_parts = {
+            part
+            for part, run in crash.list_runs()
+            if self._count_crash(part, crash.incarnation, run)
+        }
         if not new_parts:
             return None
         self._crashed.record(crash.incarnation, crash.at)
         while len(self._crashes) > MAX_SUSPECTS:
             self._forget_part(next(iter(self._crashes)))
-        return crash._replace(parts=new_parts)
+        return crash.select(new_parts)
 
     def record_served(self, served: ServedPart, *, is_own: bool = True) -> bool:
         """Record a whole answer; return whether its part was suspected.
@@ -160,9 +188,10 @@
             keep_last(self._proven, part, _Proof(proof.answers + 1, latest), MAX_SERVED)
         if part in self._crashes:
             self._culprits = None
-        sent_at = max(served.sent_at, self._served.get(part, float("-inf")))
+        sent_at = max(served.sent_at, self._served.get(part, NEVER))
         keep_last(self._served, part, sent_at, MAX_SERVED)
-        cleared = [name for name, at in self._crashes.get(part, {}).items() if at < sent_at]
+        runs = self._crashes.get(part, {})
+        cleared = [name for name, run in runs.items() if run.crashed_at < sent_at]
         for incarnation in cleared:
             self._forget_crash(part, incarnation)
         if cleared:
@@ -242,39 +271,43 @@
     def list_bad(self, limit: int) -> tuple[PartCrash, ...]:
         """Return the crashes of the parts that are or were blocked, at most `limit` parts."""
         bad = (part for part in reversed(self._crashes) if self._is_bad(part))
-        return self._list_crashes(itertools.islice(bad, limit), float("-inf"))
+        return self._list_crashes(itertools.islice(bad, limit), NEVER)
 
     def _list_crashes(self, parts: Iterable[int], since: float) -> tuple[PartCrash, ...]:
         found: dict[str, PartCrash] = {}
         for part in parts:
-            for incarnation, at in self._crashes[part].items():
-                if at >= since:
-                    known = found.get(incarnation, PartCrash(incarnation, (), at))
-                    found[incarnation] = known._replace(parts=(*known.parts, part))
+            for incarnation, run in self._crashes[part].items():
+                if run.crashed_at >= since:
+                    known = found.get(incarnation, PartCrash(incarnation, (), run.crashed_at))
+                    found[incarnation] = known._replace(
+                        parts=(*known.parts, part), sent_at=(*known.sent_at, run.sent_at)
+                    )
         return tuple(found.values())
 
     # State
 
-    def _count_crash(self, part: int, crash: PartCrash) -> bool:
+    def _count_crash(self, part: int, incarnation: str, run: PartRun) -> bool:
         """Count a crash against a part; return whether it is new."""
-        if crash.at < self._served.get(part, float("-inf")):
+        if run.crashed_at < self._served.get(part, NEVER):
             return False
-        times = self._crashes.setdefault(part, {})
-        if crash.incarnation in times:
+        runs = self._crashes.setdefault(part, {})
+        self._culprits = None
+        known = runs.get(incarnation)
+        if known is not None:
+            runs[incarnation] = known._replace(sent_at=min(known.sent_at, run.sent_at))
             return False
-        times[crash.incarnation] = crash.at
-        self._parts_at.setdefault(crash.incarnation, set()).add(part)
+        runs[incarnation] = run
+        self._parts_at.setdefault(incarnation, set()).add(part)
         self._crashes.move_to_end(part)
-        if len(times) > MAX_CRASHES:
-            self._forget_crash(part, min(times, key=lambda name: times[name]))
-        self._culprits = None
+        if len(runs) > MAX_CRASHES:
+            self._forget_crash(part, min(runs, key=lambda name: runs[name].crashed_at))
         return True
 
     def _forget_crash(self, part: int, incarnation: str) -> None:
         self._culprits = None
-        times = self._crashes[part]
-        del times[incarnation]
-        if not times:
+        runs = self._crashes[part]
+        del runs[incarnation]
+        if not runs:
             del self._crashes[part]
         parts = self._parts_at[incarnation]
         parts.discard(part)
@@ -308,14 +341,14 @@
         """Return the parts that explain the crashes; each crash is explained once."""
         if self._culprits is None:
             self._culprits = {}
-            left = {part: dict(times) for part, times in self._crashes.items() if len(times) > 1}
+            left = {part: dict(runs) for part, runs in self._crashes.items() if len(runs) > 1}
             while culprit := self._choose_culprit(left):
                 self._culprits.update(dict.fromkeys(culprit.parts, culprit))
         return self._culprits
 
-    def _choose_culprit(self, left: dict[int, dict[str, float]]) -> Culprit | None:
+    def _choose_culprit(self, left: dict[int, dict[str, PartRun]]) -> Culprit | None:
         """Choose what explains most of the crashes that are left, and remove these."""
-        counts = {part: len(_list_incidents(times.values())) for part, times in left.items()}
+        counts = {part: len(_list_incidents(runs.values())) for part, runs in left.items()}
         suspects = [part for part in left if counts[part] >= self._get_thresholds(part).isolate]
         if not suspects:
             return None
@@ -336,11 +369,12 @@
             p for p in suspects if scores[p] == scores[best] and left[p].keys() == explained.keys()
         ]
         for part in list(left):
-            left[part] = {name: at for name, at in left[part].items() if name not in explained}
+            left[part] = {name: run for name, run in left[part].items() if name not in explained}
             if len(left[part]) < 2:
                 del left[part]
-        times = explained.values()
-        return Culprit(frozenset(tied), len(times), tuple(_list_incidents(times)), max(times))
+        runs = explained.values()
+        last_at = max(run.crashed_at for run in runs)
+        return Culprit(frozenset(tied), len(runs), tuple(_list_incidents(runs)), last_at)
 
     def _get_thresholds(self, part: int) -> Thresholds:
         return PROVEN if part in self._served else UNPROVEN
@@ -363,10 +397,14 @@
         return PartBlock(part, culprit.crashes, remaining_s) if remaining_s > 0 else None
 
 
-def _list_incidents(times: Iterable[float]) -> list[float]:
-    """Return when each incident began, by the times of its crashes."""
+def _list_incidents(runs: Iterable[PartRun]) -> list[float]:
+    """Return when each incident began, by the crashes of a part in order of time.
+
+    A retry that is sent after a crash, and crashes the next endpoint, is one of its own.
+    """
     incidents: list[float] = []
-    for at in sorted(times):
-        if not incidents or at - incidents[-1] >= INCIDENT_S:
-            incidents.append(at)
+    for run in sorted(runs, key=lambda run: (run.crashed_at, run.sent_at)):
+        is_apart = not incidents or run.crashed_at - incidents[-1] >= INCIDENT_S
+        if is_apart or run.sent_at > incidents[-1]:
+            incidents.append(run.crashed_at)
     return incidents
--- a/cloverway/fleet.thrift
+++ b/cloverway/fleet.thrift
@@ -95,6 +95,7 @@
   1: string life
   2: list<i64> parts
   3: i32 age_ms
+  4: list<i32> lasted_ms
 }
 
 struct PartServed {
--- a/cloverway/serving/hosts/bad_parts.py
+++ b/cloverway/serving/hosts/bad_parts.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
-from cloverway.core.bad_parts import PartCrash, PartSuspects, PartUpdate, ServedPart
+from cloverway.core.bad_parts import NEVER, PartCrash, PartSuspects, PartUpdate, ServedPart
 from cloverway.core.members import Members, rank_host
 from cloverway.serving.clock import read_clock
 from cloverway.serving.hosts.broadcast import BROADCAST_DELAY_S, UpdateBatch, is_replying
@@ -19,6 +19,7 @@
 """Size of the name of an endpoint incarnation, about 30 bytes, counted in parts."""
 MAX_SYNC_PARTS = 256
 """Parts sent to a host on first contact, or on contact after a partition."""
+UNKNOWN_MS = -1
 REGION_TRIAL_S = 3.0
 """How much later each further region tries a part again that was blocked. A crash in the first one
 is reported to the others within a second."""
@@ -153,9 +154,10 @@
     """Merge the reports of several requests about the crash of one endpoint."""
     merged: dict[str, PartCrash] = {}
     for crash in crashes:
-        known = merged.get(crash.incarnation)
-        parts = (*known.parts, *crash.parts) if known is not None else crash.parts
-        merged[crash.incarnation] = crash._replace(parts=parts)
+        known = merged.get(crash.incarnation, crash._replace(parts=(), sent_at=()))
+        merged[crash.incarnation] = crash._replace(
+            parts=(*known.parts, *crash.parts), sent_at=(*known.sent_at, *crash.sent_at)
+        )
     return iter(merged.values())
 
 
@@ -165,12 +167,12 @@
     space = MAX_PARTS_PER_MESSAGE
     for crash in crashes:
         for first in range(0, len(crash.parts), MAX_PARTS_PER_MESSAGE):
-            parts = crash.parts[first : first + MAX_PARTS_PER_MESSAGE]
-            size = len(parts) + INCARNATION_SIZE
+            piece = crash.select(crash.parts[first : first + MAX_PARTS_PER_MESSAGE])
+            size = len(piece.parts) + INCARNATION_SIZE
             if batch and size > space:
                 yield batch
                 batch, space = [], MAX_PARTS_PER_MESSAGE
-            batch.append(EndpointPartCrash(crash.incarnation, parts, encode_age(now - crash.at)))
+            batch.append(_encode_crash(piece, now))
             space -= size
     if batch:
         yield batch
@@ -180,5 +182,15 @@
     return PartServed(answer.part, encode_age(now - answer.sent_at))
 
 
+def _encode_crash(crash: PartCrash, now: float) -> EndpointPartCrash:
+    lasted_ms = tuple(
+        UNKNOWN_MS if run.sent_at == NEVER else encode_age(crash.at - run.sent_at)
+        for _, run in crash.list_runs()
+    )
+    return EndpointPartCrash(crash.incarnation, crash.parts, encode_age(now - crash.at), lasted_ms)
+
+
 def _decode_crash(crash: EndpointPartCrash, now: float) -> PartCrash:
-    return PartCrash(crash.life, crash.parts, now - crash.age_ms / 1000)
+    at = now - crash.age_ms / 1000
+    sent_at = (NEVER if ms == UNKNOWN_MS else at - ms / 1000 for ms in crash.lasted_ms)
+    return PartCrash(crash.life, crash.parts, at, tuple(sent_at))
--- a/cloverway/serving/hosts/messages.py
+++ b/cloverway/serving/hosts/messages.py
@@ -155,6 +155,8 @@
     parts: tuple[int, ...]
     """Ids of prompt segments."""
     age_ms: int
+    lasted_ms: tuple[int, ...] = ()
+    """How long before the crash the first request with each part was sent there; -1 if unknown."""
 
 
 class PartServed(NamedTuple):
--- a/cloverway/serving/requests/crash_tracker.py
+++ b/cloverway/serving/requests/crash_tracker.py
@@ -95,8 +95,7 @@
             # Not broadcast: the host that saw the crash does that. Its response arrives here
             # before its broadcast.
             self._context.quarantine.record_crash(Crash(incarnation, (self._digest,), now))
-            crash = PartCrash(incarnation, self._routed.parts, now)
-            self._context.bad_parts.suspects.record_crash(crash)
+            self._context.bad_parts.suspects.record_crash(self._make_part_crash(incarnation, now))
 
     def record_completed(self, target: Target, answered: Answered) -> None:
         """Record that the request got a complete response, so that it causes no crashes."""
@@ -141,7 +140,11 @@
             incarnation = target.candidate.endpoint.entry.incarnation
             self.crashed.append(incarnation)
             self._context.crashes.report_crash(incarnation, self._digest, at)
-            self._context.bad_parts.report_crash(PartCrash(incarnation, self._routed.parts, at))
+            self._context.bad_parts.report_crash(self._make_part_crash(incarnation, at))
+
+    def _make_part_crash(self, incarnation: str, at: float) -> PartCrash:
+        parts = self._routed.parts
+        return PartCrash(incarnation, parts, at, (self._sent_at,) * len(parts))
 
 
 def _is_stalled(target: Target, now: float) -> bool:
--- a/cloverway/tests/test_core_bad_parts.py
+++ b/cloverway/tests/test_core_bad_parts.py
@@ -238,3 +238,31 @@
     crashed = [f"e0.0-{number}" for number in range(UNPROVEN.isolate)]
     assert suspects.find_block((BAD,), 5.0) is None
     assert suspects.explains(crashed, (FIRST,))
+
+
+def crash_in_chain(count, gap_s, *parts):
+    """Return crashes in turn, each under a retry that was sent after the one before."""
+    ends = [1.0 + number * gap_s for number in range(count)]
+    return [PartCrash(f"e{end}", parts, end, (end - gap_s / 2,) * len(parts)) for end in ends]
+
+
+def test_each_engine_that_a_retry_crashes_is_an_incident_of_its_own():
+    """Guards against retries that crash engine after engine, faster than incidents are told apart.
+
+    Each retry is sent when the engine before has crashed, so no loss of power explains both.
+    """
+    suspects = make_suspects(*crash_in_chain(UNPROVEN.block, 0.09, BAD))
+    assert suspects.find_block((BAD,), 2.0) is not None
+
+
+def test_engines_that_lose_power_one_after_the_other_are_one_incident():
+    """Guards against parts of requests that run everywhere, blamed for a loss of power.
+
+    Some of these requests were sent between two of the losses.
+    """
+    ends = [1.0 + 0.02 * number for number in range(UNPROVEN.block + 1)]
+    suspects = make_suspects(
+        *(PartCrash(f"e{end}", (FIRST,), end, (end - 0.5,)) for end in ends),
+        *(PartCrash(f"e{end}", (FIRST,), end, (end - 0.01,)) for end in ends),
+    )
+    assert suspects.find_isolated((FIRST,), 2.0) is None
