Count crashes under retries only for parts once served, and when no other part is left

Cause: a retry has the parts of its request, and what crashed the engine crashes the next one with all of them again. So one bad or deadly request was two to four incidents of a rare part beside it, which nobody had had an answer to yet; four are enough for such a part.

Fix: retries count for parts that have had a whole answer, which five incidents block, and only at crashes at which no other part is left: the answers of other requests clear theirs within a moment.

--- a/cloverway/core/bad_parts.py
+++ b/cloverway/core/bad_parts.py
@@ -41,10 +41,13 @@
     isolate: int
     """Requests with the part run alone, one at a time in their region."""
     block: int
+    counts_retries: bool
+    """Whether each endpoint that a retry crashes is an incident of its own. Few incidents of one
+    moment must not do where fewer are enough."""
 
 
-UNPROVEN = Thresholds(2, 4)
-PROVEN = Thresholds(3, 5)
+UNPROVEN = Thresholds(2, 4, False)
+PROVEN = Thresholds(3, 5, True)
 """For a part that a whole answer is known of."""
 
 
@@ -350,7 +353,7 @@
 
     def _choose_culprit(self, left: dict[int, dict[str, PartRun]]) -> Culprit | None:
         """Choose what explains most of the crashes that are left, and remove these."""
-        counts = {part: len(_list_incidents(runs.values())) for part, runs in left.items()}
+        counts = {part: len(self._list_incidents(part, runs)) for part, runs in left.items()}
         suspects = [part for part in left if counts[part] >= self._get_thresholds(part).isolate]
         if not suspects:
             return None
@@ -376,7 +379,29 @@
                 del left[part]
         runs = explained.values()
         last_at = max(run.crashed_at for run in runs)
-        return Culprit(frozenset(tied), len(runs), tuple(_list_incidents(runs)), last_at)
+        return Culprit(
+            frozenset(tied), len(runs), tuple(self._list_incidents(best, explained)), last_at
+        )
+
+    def _list_incidents(self, part: int, runs: dict[str, PartRun]) -> list[float]:
+        """Return when each incident began, by the crashes of a part.
+
+        A retry that is sent after a crash, and crashes the next endpoint, may be one of its own,
+        once no other part is left that may have done it.
+        """
+        counts_retries = self._get_thresholds(part).counts_retries
+        incidents: list[float] = []
+        for name, run in sorted(
+            runs.items(), key=lambda item: (item[1].crashed_at, item[1].sent_at)
+        ):
+            is_only_suspect = counts_retries and len(self._parts_at[name]) == 1
+            if (
+                not incidents
+                or run.crashed_at - incidents[-1] >= INCIDENT_S
+                or (is_only_suspect and run.sent_at > incidents[-1])
+            ):
+                incidents.append(run.crashed_at)
+        return incidents
 
     def _get_thresholds(self, part: int) -> Thresholds:
         return PROVEN if part in self._served else UNPROVEN
@@ -397,16 +422,3 @@
             return None
         remaining_s += self._get_trial_delay(part)
         return PartBlock(part, culprit.crashes, remaining_s) if remaining_s > 0 else None
-
-
-def _list_incidents(runs: Iterable[PartRun]) -> list[float]:
-    """Return when each incident began, by the crashes of a part in order of time.
-
-    A retry that is sent after a crash, and crashes the next endpoint, is one of its own.
-    """
-    incidents: list[float] = []
-    for run in sorted(runs, key=lambda run: (run.crashed_at, run.sent_at)):
-        is_apart = not incidents or run.crashed_at - incidents[-1] >= INCIDENT_S
-        if is_apart or run.sent_at > incidents[-1]:
-            incidents.append(run.crashed_at)
-    return incidents
