--- a/cloverway/tests/fleet/bad_parts.py
+++ b/cloverway/tests/fleet/bad_parts.py
@@ -161,6 +161,14 @@
         self.case = self.case._replace(seconds=self.age_s + seconds)
         await self.play()
 
+    async def restart_all_hosts(self) -> float:
+        """Stop all hosts at once and start as many again; return when the new ones had started."""
+        for host in list(self.fleet.hosts):
+            await self.fleet.stop(host)
+        for domain in self.case.hosts:
+            await self.fleet.add_host(domain, age_s=0.0)
+        return self.age_s
+
     async def _join(self, at: float) -> None:
         await asyncio.sleep(at)
         await self.fleet.add_host(age_s=0.0)
--- a/cloverway/tests/test_fleet_bad_parts.py
+++ b/cloverway/tests/test_fleet_bad_parts.py
@@ -18,6 +18,8 @@
 MIN_BEGUN_SHARE = 0.5
 """Share of the sound requests that begin at the first try, once hosts must know the bad part."""
 MIN_SOUND = 20
+START_CONTACT_S = 6.0
+"""How long hosts that have just started aren't bound, on the users' platform."""
 CASES = {
     "among sound ones": Case(),
     "eight hosts": Case(hosts=("d1",) * 8, bad_rate=8.0),
@@ -113,3 +115,22 @@
             assert len(fleet.crashes) == crashes
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("pause_s", [0.0, START_CONTACT_S], ids=["at once", "after a pause"])
+def test_hosts_that_all_start_at_once_find_the_bad_part_again(pause_s):
+    """Guards against a part that crashes engine after engine once all hosts have forgotten it.
+
+    Hosts that have just started aren't bound until they have been in contact for some time.
+    """
+
+    async def scenario():
+        async with run_case(Case(seconds=7.0)) as fleet:
+            await fleet.play()
+            started_at = await fleet.restart_all_hosts()
+            await asyncio.sleep(pause_s)
+            await fleet.play_again(START_CONTACT_S + 4.0)
+            bound_from = started_at + START_CONTACT_S
+            assert sum(at > bound_from for at in fleet.bad_sends) <= MAX_LATE_SENDS
+
+    run_scenario(scenario)
--- a/cloverway/tests/test_fleet_soak.py
+++ b/cloverway/tests/test_fleet_soak.py
@@ -11,7 +11,7 @@
 from cloverway.tests.fleet.soak_parts import RETRIES, CallRecord, CountingEndpoint, Fault
 
 SECONDS = 6.0
-SEEDS = (1, 18, 21)
+SEEDS = (1, 3, 18, 21, 43)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
