--- a/cloverway/core/bad_parts.py
+++ b/cloverway/core/bad_parts.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 from cloverway.core.crash_times import CrashTimes, keep_last
+from cloverway.core.part_crashes import NEVER, PartCrash, PartRun, PartUpdate, ServedPart
 
 MAX_SUSPECTS = 8_192
 """Suspected parts retained: two of each request of 60 engines that crash with all slots in use."""
@@ -24,13 +25,12 @@
 """Latest crashes retained of a part."""
 INCIDENT_S = 0.15
 """Crashes within this time count as one, because endpoints that lose power together crash under
-everything that they run, unless the requests were sent only after the first of them."""
+everything that they run."""
 SUSPICION_S = 120.0
 """How long requests with a part are isolated after its last crash, unless it was blocked."""
 FIRST_BLOCK_S = 4.0
 """How long a part is blocked at first. Then one request tries whether it was sound."""
 MAX_BLOCK_S = 86_400.0
-NEVER = float("-inf")
 MAX_TRIAL_DELAY_S = 120.0
 """Upper bound of how much later than others a host tries a part again."""
 
@@ -51,46 +51,6 @@
 """For a part that a whole answer is known of."""
 
 
-class PartCrash(NamedTuple):
-    """The crash of an endpoint, and the parts of the prompts that were running there."""
-
-    incarnation: str
-    parts: tuple[int, ...]
-    """Ids of prompt segments."""
-    at: float
-    sent_at: tuple[float, ...] = ()
-    """When the first request with each of these parts was sent there, if that is known."""
-
-    def list_runs(self) -> Iterator[tuple[int, PartRun]]:
-        """Yield each part, and when it ran there."""
-        sent_at = itertools.chain(self.sent_at, itertools.repeat(NEVER))
-        for part, part_sent_at in zip(self.parts, sent_at, strict=False):
-            yield part, PartRun(part_sent_at, self.at)
-
-    def select(self, parts: Collection[int]) -> PartCrash:
-        """Return the crash with only some of its parts."""
-        runs = [(part, run.sent_at) for part, run in self.list_runs() if part in parts]
-        return PartCrash(
-            self.incarnation, tuple(p for p, _ in runs), self.at, tuple(at for _, at in runs)
-        )
-
-
-class PartRun(NamedTuple):
-    """The requests with a part that ran at an endpoint which crashed."""
-
-    sent_at: float
-    """When the first of them was sent."""
-    crashed_at: float
-
-
-class ServedPart(NamedTuple):
-    """A part that was suspected, and has had a whole answer."""
-
-    part: int
-    sent_at: float
-    """When the request of that answer was sent to its endpoint."""
-
-
 class _Proof(NamedTuple):
     """The whole answers of a part that this host has seen."""
 
@@ -113,13 +73,6 @@
     last_at: float
 
 
-class PartUpdate(NamedTuple):
-    """An update from one host to another."""
-
-    crashes: tuple[PartCrash, ...] = ()
-    served: tuple[ServedPart, ...] = ()
-
-
 class PartBlock(NamedTuple):
     """Why requests with a part are refused, and for how long."""
 
@@ -386,8 +339,9 @@
     def _list_incidents(self, part: int, runs: dict[str, PartRun]) -> list[float]:
         """Return when each incident began, by the crashes of a part.
 
-        A retry that is sent after a crash, and crashes the next endpoint, may be one of its own,
-        once no other part is left that may have done it.
+        A retry that is sent after a crash, and crashes the next endpoint, may be one of its own:
+        no loss of power explains both. It has all parts of its request, so it is none while
+        another part is left that may have done it.
         """
         counts_retries = self._get_thresholds(part).counts_retries
         incidents: list[float] = []
--- a/cloverway/serving/hosts/bad_parts.py
+++ b/cloverway/serving/hosts/bad_parts.py
@@ -4,10 +4,16 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
-from cloverway.core.bad_parts import NEVER, PartCrash, PartSuspects, PartUpdate, ServedPart
+from cloverway.core.bad_parts import PartSuspects
 from cloverway.core.members import Members, rank_host
+from cloverway.core.part_crashes import NEVER, PartCrash, PartUpdate, ServedPart
 from cloverway.serving.clock import read_clock
-from cloverway.serving.hosts.broadcast import BROADCAST_DELAY_S, UpdateBatch, is_replying
+from cloverway.serving.hosts.broadcast import (
+    BROADCAST_DELAY_S,
+    UpdateBatch,
+    is_replying,
+    split_into_batches,
+)
 from cloverway.serving.hosts.crashes import REBROADCAST_S, SYNC_AGE_S, encode_age
 from cloverway.serving.hosts.messages import CODEC, EndpointPartCrash, PartReport, PartServed
 from cloverway.serving.telemetry import Metrics, log_event
@@ -129,8 +135,8 @@
         known = {*update.served, *self.suspects.list_served(parts)}
         served = [_encode_served(answer, now) for answer in known]
         messages = [
-            PartReport(name, (), tuple(served[first : first + MAX_PARTS_PER_MESSAGE]))
-            for first in range(0, len(served), MAX_PARTS_PER_MESSAGE)
+            PartReport(name, served=batch)
+            for batch in split_into_batches(served, MAX_PARTS_PER_MESSAGE)
         ]
         messages += [PartReport(name, tuple(batch)) for batch in _split(update.crashes, now)]
         return [CODEC.encode(message) for message in messages]
@@ -166,8 +172,8 @@
     batch: list[EndpointPartCrash] = []
     space = MAX_PARTS_PER_MESSAGE
     for crash in crashes:
-        for first in range(0, len(crash.parts), MAX_PARTS_PER_MESSAGE):
-            piece = crash.select(crash.parts[first : first + MAX_PARTS_PER_MESSAGE])
+        for parts in split_into_batches(crash.parts, MAX_PARTS_PER_MESSAGE):
+            piece = crash.select(parts)
             size = len(piece.parts) + INCARNATION_SIZE
             if batch and size > space:
                 yield batch
--- a/cloverway/serving/hosts/broadcast.py
+++ b/cloverway/serving/hosts/broadcast.py
@@ -8,8 +8,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable, Sequence
-from typing import Any, NamedTuple, Protocol
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from typing import Any, NamedTuple, Protocol, TypeVar
 
 from cloverway.core.members import Members, rank_host
 from cloverway.serving.clock import read_clock, wait_for_tick
@@ -45,6 +45,8 @@
 been cut off together with it. When every host sent its state to each host that it heard again, this
 was half of the traffic between the regions of 89 hosts."""
 
+Item = TypeVar("Item")
+
 
 class UpdateBatch(NamedTuple):
     """Encoded updates that were not broadcast yet."""
@@ -187,6 +189,11 @@
     return random.sample(names, min(max_count, len(names)))
 
 
+def split_into_batches(items: Sequence[Item], size: int) -> Iterator[tuple[Item, ...]]:
+    """Yield the items in order, at most `size` at a time: those of one message."""
+    return (tuple(items[first : first + size]) for first in range(0, len(items), size))
+
+
 def is_replying(members: Members) -> bool:
     """Return whether this host is among the few that reply to a report, chosen at random."""
     return _is_among(REPLYING_HOSTS, members)
--- a/cloverway/serving/hosts/crashes.py
+++ b/cloverway/serving/hosts/crashes.py
@@ -8,7 +8,12 @@
 from cloverway.core.members import Members
 from cloverway.core.quarantine import Crash, CrashUpdate, Quarantine, ServedRequest
 from cloverway.serving.clock import read_clock
-from cloverway.serving.hosts.broadcast import BROADCAST_DELAY_S, UpdateBatch, is_replying
+from cloverway.serving.hosts.broadcast import (
+    BROADCAST_DELAY_S,
+    UpdateBatch,
+    is_replying,
+    split_into_batches,
+)
 from cloverway.serving.hosts.messages import CODEC, CrashReport, EndpointCrash, ServedDigest
 from cloverway.serving.telemetry import Metrics, log_event
 
@@ -135,10 +140,10 @@
     def _encode_excused(self, excused: dict[int, float], now: float) -> list[bytes]:
         name = self._members.own.name
         items = [ServedDigest(digest, encode_age(now - at)) for digest, at in excused.items()]
-        batches = (
-            tuple(items[first : first + MAX_DIGESTS]) for first in range(0, len(items), MAX_DIGESTS)
-        )
-        return [CODEC.encode(CrashReport(name, excused=batch)) for batch in batches]
+        return [
+            CODEC.encode(CrashReport(name, excused=batch))
+            for batch in split_into_batches(items, MAX_DIGESTS)
+        ]
 
     def _log_blocked_requests(self, crash: Crash, now: float) -> None:
         """Log the requests that are blocked from now on."""
@@ -163,13 +168,13 @@
 
 def _split(updates: CrashUpdate) -> Iterator[CrashUpdate]:
     """Split updates into parts that fit into one datagram each."""
-    for first in range(0, len(updates.served), MAX_DIGESTS):
-        yield CrashUpdate((), updates.served[first : first + MAX_DIGESTS])
+    for served in split_into_batches(updates.served, MAX_DIGESTS):
+        yield CrashUpdate((), served)
     batch: list[Crash] = []
     space = MAX_DIGESTS
     for crash in updates.crashes:
-        for first in range(0, len(crash.digests), MAX_DIGESTS):
-            piece = crash._replace(digests=crash.digests[first : first + MAX_DIGESTS])
+        for digests in split_into_batches(crash.digests, MAX_DIGESTS):
+            piece = crash._replace(digests=digests)
             size = len(piece.digests) + INCARNATION_SIZE
             if batch and size > space:
                 yield CrashUpdate(tuple(batch), ())
--- a/cloverway/serving/requests/crash_tracker.py
+++ b/cloverway/serving/requests/crash_tracker.py
@@ -4,7 +4,7 @@
 
 from typing import NoReturn
 
-from cloverway.core.bad_parts import PartCrash
+from cloverway.core.part_crashes import PartCrash
 from cloverway.core.prediction import STALLED_AFTER_S, RoutedCall
 from cloverway.core.quarantine import Block, Crash
 from cloverway.errors import Kind, Ran, RequestError
--- a/cloverway/tests/test_core_bad_parts.py
+++ b/cloverway/tests/test_core_bad_parts.py
@@ -13,10 +13,9 @@
     MAX_SUSPECTS,
     PROVEN,
     UNPROVEN,
-    PartCrash,
     PartSuspects,
-    ServedPart,
 )
+from cloverway.core.part_crashes import PartCrash, ServedPart
 
 BLOCK_S = 1800.0
 BAD, FIRST, OTHER, RARE = 1, 2, 3, 4
--- a/cloverway/tests/test_core_quarantine.py
+++ b/cloverway/tests/test_core_quarantine.py
@@ -8,8 +8,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cloverway.core.bad_parts import PartCrash, PartSuspects
+from cloverway.core.bad_parts import PartSuspects
 from cloverway.core.crash_times import MAX_CRASHED, MAX_READ_DELAY_S, MIN_RESTART_S
+from cloverway.core.part_crashes import PartCrash
 from cloverway.core.quarantine import (
     MAX_BLOCK_S,
     MAX_CRASHES,
--- a/cloverway/tests/test_part_exchange.py
+++ b/cloverway/tests/test_part_exchange.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from cloverway.core.bad_parts import FIRST_BLOCK_S, PROVEN, UNPROVEN, PartCrash
+from cloverway.core.bad_parts import FIRST_BLOCK_S, PROVEN, UNPROVEN
+from cloverway.core.part_crashes import PartCrash
 from cloverway.serving.hosts import bad_parts, broadcast
 from cloverway.serving.hosts.bad_parts import HOST_TRIAL_S, REGION_TRIAL_S, PartExchange
 from cloverway.serving.hosts.broadcast import BROADCAST_DELAY_S, REPLYING_HOSTS
