Show that streams begun after a restart can't be taken up

Cause: a stream that begins on a replica that has started again under its id, before its new entry is known, has no origin for as long as it lasts; and the version of that moment, an empty one, counts as one that served.

--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -29,6 +29,7 @@
     status: int
     body: bytes = b""
     complete: bool = False
+    retry_after_s: float = 0.0
 
 
 async def read_request(reader: asyncio.StreamReader) -> Request:
@@ -78,8 +79,24 @@
     head = await reader.readuntil(b"\r\n\r\n")
     first, *lines = head.decode("latin-1").rstrip("\r\n").split("\r\n")
     headers = _parse_headers(lines)
+    status = int(first.split(" ")[1])
+    retry_after_s = float(headers.get("retry-after", "0"))
+    if headers.get("transfer-encoding") == "chunked":
+        body, complete = await _read_chunks(reader)
+        return Answer(status, body, complete, retry_after_s)
     body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return Answer(int(first.split(" ")[1]), body, True)
+    return Answer(status, body, True, retry_after_s)
+
+
+async def _read_chunks(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
+    """Return a body that comes in chunks, and whether its last chunk came."""
+    body = b""
+    try:
+        while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return body, False
+    return body, True
 
 
 def _parse_headers(lines: list[str]) -> dict[str, str]:
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -10,6 +10,7 @@
 import random
 import signal
 import socket
+import struct
 import subprocess
 import time
 from collections.abc import Awaitable, Callable
@@ -128,35 +129,71 @@
 class Replica:
     """A replica that registers in the store and answers as its handler decides."""
 
-    def __init__(self, name: str, service: str, zone: str, slots: int) -> None:
+    def __init__(self, name: str, service: str, zone: str, slots: int, cold_s: float = 0.0) -> None:
         self.name = name
         self.port = take_port()
         self.handle: Handler
+        self.is_running = False
         self._fields = {"service": service, "zone": zone, "version": "v1", "slots": slots}
-        self._born = int(time.time() * 1000)
+        self._cold_s = cold_s
+        self._warm_at = 0.0
+        self._born = 0
         self._sequence = 0
+        self._channels: set[asyncio.StreamWriter] = set()
+        self._store: Store
+        self._server: asyncio.Server
 
     async def start(self, store: Store) -> None:
         """Accept channels, and write the entry from now on."""
-        await asyncio.start_server(self._serve, LOOPBACK, self.port)
-        asyncio.get_running_loop().create_task(self._register(store))
+        self._store = store
+        await self._run()
+        asyncio.get_running_loop().create_task(self._register())
+
+    def crash(self) -> None:
+        """End as a process that is killed: nothing listens, and all channels are reset."""
+        self.is_running = False
+        self._server.close()
+        for writer in list(self._channels):
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+
+    async def restart(self) -> None:
+        """Start again under the same id and address, cold, and write the entry at once."""
+        self._warm_at = time.monotonic() + self._cold_s
+        await self._run()
+        self._write_entry()
+
+    async def _run(self) -> None:
+        self._born = max(self._born + 1, int(time.time() * 1000))
+        self._sequence = 0
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, self.port)
+        self.is_running = True
 
-    async def _register(self, store: Store) -> None:
+    async def _register(self) -> None:
+        """Write the entry now and with each heartbeat; replicas don't keep the same step."""
+        self._write_entry()
+        await asyncio.sleep(random.uniform(0, HEARTBEAT_S))
         while True:
-            self._sequence += 1
-            entry = {
-                **self._fields,
-                "address": f"{LOOPBACK}:{self.port}",
-                "state": "ready",
-                "coldRemainingMs": 0,
-                "sequence": self._sequence,
-                "born": self._born,
-            }
-            store.put(f"servers/{self.name}", entry)
+            if self.is_running:
+                self._write_entry()
             await asyncio.sleep(HEARTBEAT_S)
 
+    def _write_entry(self) -> None:
+        self._sequence += 1
+        entry = {
+            **self._fields,
+            "address": f"{LOOPBACK}:{self.port}",
+            "state": "ready",
+            "coldRemainingMs": max(0, int((self._warm_at - time.monotonic()) * 1000)),
+            "sequence": self._sequence,
+            "born": self._born,
+        }
+        self._store.put(f"servers/{self.name}", entry)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         channel = Channel(writer)
+        self._channels.add(writer)
         with contextlib.suppress(*CHANNEL_ENDS):
             while True:
                 request = await read_request(reader)
@@ -167,6 +204,7 @@
                 else:
                     await self.handle(request, channel)
                 await writer.drain()
+        self._channels.discard(writer)
         writer.close()
 
     def _format_report(self) -> bytes:
@@ -308,8 +346,10 @@
     } | fields
 
 
-def make_configuration(routes: list[dict[str, Any]], service: str) -> dict[str, Any]:
-    """Return a configuration with one service."""
+def make_configuration(
+    routes: list[dict[str, Any]], service: str, **fields: Any
+) -> dict[str, Any]:
+    """Return a configuration with one service; `fields` replace those of the service."""
     described = {
         "name": service,
         "healthCheckPath": "/health",
@@ -318,7 +358,7 @@
         "tls": False,
         "coldS": 0.0,
         "coldPerS": 0.0,
-    }
+    } | fields
     limits = {
         "maxHeaderBytes": 16_384,
         "maxBodyBytes": 1_000_000,
