--- a/review/1/case.py
+++ b/review/1/case.py
@@ -92,7 +92,8 @@
         ("X-Cloverway-Deadline-Ms", str(DEADLINE_MS)),
     ]
     body = b"" if method == "GET" else b"file 17"
-    return await send_request(host.callers, method, path, headers, body, DEADLINE_MS / 1000 + 1)
+    timeout_s = DEADLINE_MS / 1000 + 1
+    return await send_request(host.callers, method, path, headers, body, timeout_s=timeout_s)
 
 
 async def play(folder: Path, record: Record, hosts: list[Host], has_trouble: bool) -> int:
--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -56,6 +56,7 @@
     target: str,
     headers: Headers,
     body: bytes,
+    *,
     timeout_s: float,
 ) -> Answer:
     """Send one request on a new channel, and return its answer; status -1 if none came in time."""
