--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,8 +20,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from standins.http import Answer, Request, format_answer, send_request
-from standins.platform import (
+from standin_http import Answer, Request, format_answer, send_request
+from standin_platform import (
     NOT_EXECUTED,
     SEAL,
     Channel,
