Log which connection carried an attempt, and how often it was used

A replica's late extra answer can be told from the one that is due only by how its connection was used before, and no line had that. attempt_failed, answered and cut now name the connection (its number in this process), the exchange on it (1: the first) and how many answers to other requests were skipped before this one. Nothing is logged more often than before; a connection counts its requests itself.

--- a/cloverway/serving/http/client.py
+++ b/cloverway/serving/http/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import re
 from collections import defaultdict
 from collections.abc import Callable, Sequence
@@ -73,10 +74,21 @@
         return Framing.LENGTH if has_length else Framing.CONNECTION
 
 
+class ClientConnection(Connection):
+    """A connection that this host opened, and what it has carried."""
+
+    def __init__(self, number: int) -> None:
+        super().__init__()
+        self.number = number
+        """Names the connection in logs; unique in its pool."""
+        self.exchanges = 0
+        """Requests that were sent on it."""
+
+
 class ClientExchange:
     """One request on a connection, and its response."""
 
-    def __init__(self, connection: Connection, request: h11.Request, body: bytes) -> None:
+    def __init__(self, connection: ClientConnection, request: h11.Request, body: bytes) -> None:
         self.connection = connection
         self._request = request
         self._body = body
@@ -84,9 +96,12 @@
         self.head: ResponseHead | None = None
         self.is_complete = False
         """Whether the response was read to its end."""
+        self.skipped_responses = 0
+        """Responses to other requests that were read before the one to this request."""
 
     def write(self) -> None:
         """Send the request."""
+        self.connection.exchanges += 1
         http = h11.Connection(h11.CLIENT)
         data = http.send(self._request) or b""
         data += http.send(h11.Data(data=self._body)) or b"" if self._body else b""
@@ -159,6 +174,7 @@
         if closed or self._http.their_state is not h11.DONE:
             raise ResponseError("the connection ended after the response to another request")
         self.is_complete = False
+        self.skipped_responses += 1
         self._http = self._begin()
         self._http.receive_data(rest)
 
@@ -182,7 +198,7 @@
 
 
 class _IdleConnection(NamedTuple):
-    connection: Connection
+    connection: ClientConnection
     expires_at: float
 
 
@@ -192,8 +208,9 @@
     def __init__(self, on_connect: Callable[[str], None] = lambda address: None) -> None:
         self._idle: defaultdict[Destination, list[_IdleConnection]] = defaultdict(list)
         self._on_connect = on_connect
+        self._numbers = itertools.count(1)
 
-    async def acquire(self, destination: Destination, timeout_s: float) -> Connection:
+    async def acquire(self, destination: Destination, timeout_s: float) -> ClientConnection:
         """Return an idle connection, or a new one; raise ConnectError."""
         now = read_clock()
         idle = self._idle[destination]
@@ -204,11 +221,11 @@
             connection.abort()
         return await self.open_new(destination.address, timeout_s)
 
-    async def open_new(self, address: str, timeout_s: float) -> Connection:
+    async def open_new(self, address: str, timeout_s: float) -> ClientConnection:
         """Return a new connection; raise ConnectError."""
         self._on_connect(address)
         try:
-            return await connect(address, timeout_s)
+            return await connect(address, timeout_s, lambda: ClientConnection(next(self._numbers)))
         except OSError as error:
             refused = isinstance(error, ConnectionRefusedError)
             detail = str(error) or type(error).__name__
--- a/cloverway/serving/http/transport.py
+++ b/cloverway/serving/http/transport.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from typing import Any, cast
+from typing import Any, TypeVar, cast
 
 from cloverway.addresses import format_address, split_address
 from cloverway.serving.clock import read_clock
@@ -146,6 +146,9 @@
             self._wakeup.set_result(None)
 
 
+C = TypeVar("C", bound=Connection)
+
+
 def _enable_liveness_checks(sock: socket.socket) -> None:
     """Have the kernel detect a peer that disappeared without closing the connection."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
@@ -155,12 +158,12 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
-async def connect(address: str, timeout_s: float) -> Connection:
-    """Open a connection; raise OSError, of which TimeoutError is a subclass."""
+async def connect(address: str, timeout_s: float, make: Callable[[], C]) -> C:
+    """Open a connection that `make` creates; raise OSError, also TimeoutError, a subclass."""
     loop = asyncio.get_running_loop()
     host, port = split_address(address)
     async with limit_running_time(timeout_s):
-        _, connection = await loop.create_connection(Connection, host, port)
+        _, connection = await loop.create_connection(make, host, port)
     sock = connection.transport.get_extra_info("socket")
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, OUTGOING_USER_TIMEOUT_MS)
     return connection
--- a/cloverway/serving/requests/attempt.py
+++ b/cloverway/serving/requests/attempt.py
@@ -129,7 +129,7 @@
         routed: RoutedCall,
         target: Target,
         options: AttemptOptions,
-        on_written: Callable[[], None],
+        on_written: Callable[[ClientExchange], None],
     ) -> None:
         self._context = context
         self._routed = routed
@@ -162,7 +162,7 @@
         is_streaming = False
         try:
             sent_at = read_clock()
-            self._on_written()
+            self._on_written(client_exchange)
             client_exchange.write()
             outcome = await self._read_answer(client_exchange, sent_at)
             is_streaming = isinstance(outcome, Answered) and outcome.body is None
--- a/cloverway/serving/requests/execution.py
+++ b/cloverway/serving/requests/execution.py
@@ -18,7 +18,7 @@
 from cloverway.errors import Kind, Ran, RequestError, combine_ran
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
-from cloverway.serving.http.client import ResponseError
+from cloverway.serving.http.client import ClientExchange, ResponseError
 from cloverway.serving.http.server import Exchange
 from cloverway.serving.requests.answer_end import check_end
 from cloverway.serving.requests.attempt import (
@@ -198,13 +198,14 @@
             first_byte_timeout_s = FIRST_BYTE_TIMEOUT_OBJECTIVES * self.route.objective_s
         return AttemptOptions(self.expires_at, self.relay.last_id, first_byte_timeout_s)
 
-    def _record_written(self) -> None:
+    def _record_written(self, client_exchange: ClientExchange) -> None:
         """Record that the request is sent, and may run from now on.
 
         Otherwise, if the route's timeout expired before the response, the refusal would say "not
         run" while the endpoint is still working on the request.
         """
         self.ran = combine_ran(self.ran, Ran.UNKNOWN)
+        self.log.client_exchange = client_exchange
         self.placement.retry_permit.spend()
 
     # Responses
--- a/cloverway/serving/requests/request_log.py
+++ b/cloverway/serving/requests/request_log.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
 from cloverway.core.prediction import RoutedCall
 from cloverway.errors import RequestError
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
+from cloverway.serving.http.client import ClientExchange
 from cloverway.serving.requests.attempt import Broken, Declined
 from cloverway.serving.requests.streaming import EventRelay
 from cloverway.serving.requests.target_selector import Target
@@ -24,6 +25,17 @@
     at: float
 
 
+class ConnectionFields(TypedDict, total=False):
+    """The connection that carried an attempt, as it is logged; empty if nothing was sent."""
+
+    connection: int
+    """Names the connection in this process."""
+    exchange: int
+    """1 for the first request on the connection."""
+    skipped: int
+    """Responses to other requests that arrived before the one to this request."""
+
+
 class RequestLog:
     """Logs the decisions on one request."""
 
@@ -31,12 +43,15 @@
         self._context = context
         self._routed = routed
         self._relay = relay
+        self.client_exchange: ClientExchange | None = None
+        """What the last attempt was sent with; None if it wasn't sent."""
 
     def record_sent(self, target: Target, send: SendSummary) -> None:
         """Log an attempt that begins, with what its target was chosen for."""
         candidate, call = target.candidate, self._routed.call
         configuration = self._context.directory.configuration
         source = candidate.fetch_source if candidate else None
+        self.client_exchange = None
         log_event(
             "sent",
             request_id=call.id,
@@ -77,6 +92,7 @@
             framing=self._relay.framing,
             unfinished_bytes=self._relay.unfinished_bytes,
             lasted_s=round(lasted_s, 3),
+            **self._describe_connection(),
         )
 
     def record_end(self, error: RequestError | None, status: int, sends: int) -> None:
@@ -96,8 +112,19 @@
             framing=self._relay.framing,
             unfinished_bytes=self._relay.unfinished_bytes,
             total_s=round(total_s, 3),
+            **self._describe_connection(),
         )
         kind = error.kind if error is not None else None
         self._context.metrics.record_request(
             route.name, kind, first_s, total_s, timing.longest_gap_s
         )
+
+    def _describe_connection(self) -> ConnectionFields:
+        exchange = self.client_exchange
+        if exchange is None:
+            return {}
+        return {
+            "connection": exchange.connection.number,
+            "exchange": exchange.connection.exchanges,
+            "skipped": exchange.skipped_responses,
+        }
--- a/cloverway/tests/test_fleet_requests.py
+++ b/cloverway/tests/test_fleet_requests.py
@@ -207,6 +207,25 @@
     run_scenario(scenario)
 
 
+def test_the_lines_of_an_attempt_name_its_connection(caplog):
+    """Guards against an answer taken for that of another request, without a line that shows it."""
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            endpoint = fleet.endpoints["desk-0"]
+            await fleet.call("/safe/a")
+            endpoint.answer = endpoint.answer_not_executed
+            await fleet.call("/once/a")
+
+    with caplog.at_level("INFO"):
+        run_scenario(scenario)
+    (answered,) = (record for record in caplog.records if record.msg == "answered")
+    (failed,) = (record for record in caplog.records if record.msg == "attempt_failed")
+    assert (answered.exchange, failed.exchange) == (1, 2)
+    assert answered.connection == failed.connection
+    assert (answered.skipped, failed.skipped) == (0, 0)
+
+
 def test_a_response_without_a_signature_is_not_relayed():
     async def scenario():
         async with run_fleet(endpoints=1) as fleet:
