Serve the request that comes after a late extra answer

What callers saw: a sound request fails with 502 (ran unknown), or is sent to a second endpoint, because the endpoint had sent an extra copy of its answer to the request before it on the same connection. One such failure for each copy that comes apart from the answer that is due.

Cause: after ClientExchange has skipped a response of another request, it gives the rest of the received bytes to a new parser. With no rest, that was an empty string, by which h11 understands that the connection has ended; the request then failed with 'the response has no head' while its answer was on the way. A copy that arrives in one read with the answer has a rest, so the tests, which wrote both at once, never saw it.

Why this works: the parser is told of the end only by the connection itself, in _read_event. A response that really ends with its connection still fails, since _skip_response checks that before (closed).

--- a/cloverway/serving/http/client.py
+++ b/cloverway/serving/http/client.py
@@ -176,7 +176,9 @@
         self.is_complete = False
         self.skipped_responses += 1
         self._http = self._begin()
-        self._http.receive_data(rest)
+        if rest:
+            # No bytes would tell the parser that the connection has ended.
+            self._http.receive_data(rest)
 
     async def _read_event(self) -> object:
         try:
--- /dev/null
+++ b/cloverway/tests/test_fleet_late_answers.py
@@ -0,0 +1,92 @@
+"""Endpoints that send an answer once more, late: on a connection that carries another request by then."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from cloverway.serving.http.server import Exchange
+from cloverway.serving.http.transport import Connection
+from cloverway.tests.fleet.deployment import run_fleet, run_scenario, wait_for
+from cloverway.tests.fleet.standins import Endpoint, make_route, make_service
+
+
+class CopyingEndpoint:
+    """Refuses each request a few times, and sends each refusal again when the next request comes."""
+
+    def __init__(self, endpoint: Endpoint, refusals: int, pause_s: float = 0.0) -> None:
+        self.runs: Counter[bytes] = Counter()
+        self.copies_sent = 0
+        self._endpoint = endpoint
+        self._refusals = refusals
+        self._pause_s = pause_s
+        """Time between a copy and the answer that is due."""
+        self._refused: Counter[bytes] = Counter()
+        self._copies: dict[Connection, bytes] = {}
+        endpoint.answer = self._answer
+
+    async def _answer(self, exchange: Exchange) -> None:
+        copy = self._copies.pop(exchange.connection, b"")
+        if copy:
+            self.copies_sent += 1
+            exchange.connection.write(copy)
+            await asyncio.sleep(self._pause_s)
+        request_id = dict(exchange.headers)[b"x-cloverway-request-id"]
+        if exchange.target.startswith("/lookup"):
+            await self._endpoint.answer_ok(exchange)
+        elif self._refused[request_id] < self._refusals:
+            self._refused[request_id] += 1
+            await self._refuse(exchange, request_id)
+        else:
+            self.runs[request_id] += 1
+            await self._run(exchange)
+
+    async def _refuse(self, exchange: Exchange, request_id: bytes) -> None:
+        self._copies[exchange.connection] = (
+            b"HTTP/1.1 503 Service Unavailable\r\nX-Cloverway-Request-Id: %b\r\n"
+            b"X-Cloverway-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" % request_id
+        )
+        headers = [*self._endpoint.make_head(exchange), (b"X-Cloverway-Not-Executed", b"1")]
+        await exchange.answer(503, headers, b"")
+
+    async def _run(self, exchange: Exchange) -> None:
+        await asyncio.sleep(0.03)
+        if exchange.target.startswith(("/stream", "/cut")):
+            await self._endpoint.stream(1, 2)(exchange)
+        else:
+            await self._endpoint.answer_ok(exchange)
+
+
+ROUTES = [
+    make_route("once", "non_idempotent", "desk", timeoutMs=10_000),
+    make_route("safe", "idempotent", "desk", timeoutMs=10_000, attempts=2),
+    make_route("lookup", "idempotent", "desk", timeoutMs=10_000, attempts=2),
+    make_route("stream", "streaming", "model", timeoutMs=10_000, attempts=2, resumable=True),
+    make_route("cut", "streaming", "model", timeoutMs=10_000),
+]
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.05])
+def test_a_late_copy_costs_the_next_request_nothing(pause_s: float) -> None:
+    """Guards against a sound request that fails because a copy comes before its own answer.
+
+    The copy comes with the answer, or some milliseconds earlier and so apart from it.
+    """
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            fleet.publish(ROUTES, [make_service("desk"), make_service("model")])
+            host = fleet.hosts[0]
+            await wait_for(lambda: host.directory.configuration.version == fleet.version)
+            endpoint = fleet.endpoints["desk-0"]
+            copying = CopyingEndpoint(endpoint, 1, pause_s)
+            for _ in range(4):
+                assert (await fleet.call("/once/a")).status == 503
+                reply = await fleet.call("/lookup/a")
+                assert (reply.status, reply.body) == (200, b"ran at desk-0")
+            assert copying.copies_sent == 4
+            assert len({exchange.connection for exchange in endpoint.requests}) == 1
+
+    run_scenario(scenario)
