Never send a request twice on one connection to an endpoint

Plain requests that may be repeated and streams, resumable ones too, are refused in the same way after they have run.

Cause: a response is matched to its request by the id that it names, and a host may send the same id twice on one connection: an endpoint turns a request away, its connection goes back to the pool, and the host of another region passes the same request on once more. An endpoint that sends an extra copy of its first answer when the next one is due answers the second sending with it, and runs it as well. The host takes its own send for 'not run' and says so to the first host, which sends the request a third time.

Why this works: the pool never hands out a connection that has carried a request of the same id, so on each connection an id names one exchange, and whatever names it is the answer to that one. A connection remembers the ids of up to 256 requests (25 KB) and isn't kept after that. Other requests use it as before: a refusal costs no connection. Connections between hosts don't need it: a host writes one response for each request.

Weighed: to close a connection after each refusal costs a new connection for each 503, which are common under load; to remember only refused ids leaves answers that were complete and lost between two hosts; to remember ids until their deadline leaves requests that a cut holds up.

--- a/cloverway/serving/http/client.py
+++ b/cloverway/serving/http/client.py
@@ -24,6 +24,8 @@
 """A connection is closed this long before the server does so. Otherwise the server's close may
 cross a request, and it is unknown whether the request ran."""
 MAX_HEAD_BYTES = 64 * 1024
+MAX_REQUEST_IDS = 256
+"""A connection that has carried so many requests is not kept, since it holds their ids: 25 KB."""
 BODILESS_STATUSES = frozenset((204, 304))
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
@@ -83,6 +85,8 @@
         """Names the connection in logs; unique in its pool."""
         self.exchanges = 0
         """Requests that were sent on it."""
+        self.request_ids: set[str] = set()
+        """Ids of the requests to endpoints that it was acquired for."""
 
 
 class ClientExchange:
@@ -212,16 +216,36 @@
         self._on_connect = on_connect
         self._numbers = itertools.count(1)
 
-    async def acquire(self, destination: Destination, timeout_s: float) -> ClientConnection:
-        """Return an idle connection, or a new one; raise ConnectError."""
-        now = read_clock()
+    async def acquire(
+        self, destination: Destination, timeout_s: float, request_id: str = ""
+    ) -> ClientConnection:
+        """Return an idle connection, or a new one; raise ConnectError.
+
+        With a `request_id`, the connection has never carried a request of this id. An endpoint may
+        send its answer once more when the next one is due, and only the id tells the two apart: if
+        the same request were sent again, its earlier refusal would be read as its answer.
+        """
+        connection = self._take_idle(destination, request_id, read_clock())
+        if connection is None:
+            connection = await self.open_new(destination.address, timeout_s)
+        if request_id:
+            connection.request_ids.add(request_id)
+        return connection
+
+    def _take_idle(
+        self, destination: Destination, request_id: str, now: float
+    ) -> ClientConnection | None:
+        """Return the most recently used idle connection that may carry a request."""
         idle = self._idle[destination]
-        while idle:
-            connection, expires_at = idle.pop()
-            if now < expires_at and not connection.has_input and not connection.lost.done():
+        for item in idle[::-1]:
+            connection = item.connection
+            if request_id in connection.request_ids:
+                continue
+            idle.remove(item)
+            if now < item.expires_at and not connection.has_input and not connection.lost.done():
                 return connection
             connection.abort()
-        return await self.open_new(destination.address, timeout_s)
+        return None
 
     async def open_new(self, address: str, timeout_s: float) -> ClientConnection:
         """Return a new connection; raise ConnectError."""
@@ -240,7 +264,8 @@
 
         It is kept for as long as the server states, or else for `idle_s`.
         """
-        if not exchange.is_reusable or exchange.head is None:
+        is_worn = len(exchange.connection.request_ids) >= MAX_REQUEST_IDS
+        if not exchange.is_reusable or exchange.head is None or is_worn:
             exchange.connection.abort()
             return
         expires_at = (
--- a/cloverway/serving/requests/attempt.py
+++ b/cloverway/serving/requests/attempt.py
@@ -143,8 +143,10 @@
         target = self._target
         timeout_s = CONNECT_TIMEOUT_S if target.peer is None else REMOTE_CONNECT_TIMEOUT_S
         pool = self._context.pool
+        # Hosts send each answer once, so a connection to one may carry a request again.
+        request_id = self._routed.call.id if target.candidate is not None else ""
         try:
-            connection = await pool.acquire(target.destination, timeout_s)
+            connection = await pool.acquire(target.destination, timeout_s, request_id)
         except ConnectError as error:
             is_down = error.connection_refused and target.candidate is not None
             return Declined(f"no connection: {error}", reached_endpoint=False, is_down=is_down)
--- a/cloverway/tests/test_fleet_late_answers.py
+++ b/cloverway/tests/test_fleet_late_answers.py
@@ -1,20 +1,24 @@
-"""Endpoints that send an answer once more, late: on a connection that carries another request by then."""
+"""Endpoints that send an answer once more, when their connection carries another request."""
 
 from __future__ import annotations
 
 import asyncio
 from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import pytest
 
+from cloverway.core.retry_budget import RetryBudgetSettings
+from cloverway.serving.http.client import MAX_REQUEST_IDS, Destination
 from cloverway.serving.http.server import Exchange
 from cloverway.serving.http.transport import Connection
-from cloverway.tests.fleet.deployment import run_fleet, run_scenario, wait_for
+from cloverway.tests.fleet.deployment import Fleet, run_fleet, run_scenario, wait_for
 from cloverway.tests.fleet.standins import Endpoint, make_route, make_service
 
 
 class CopyingEndpoint:
-    """Refuses each request a few times, and sends each refusal again when the next request comes."""
+    """Refuses each request at first, and sends each refusal again when the next request comes."""
 
     def __init__(self, endpoint: Endpoint, refusals: int, pause_s: float = 0.0) -> None:
         self.runs: Counter[bytes] = Counter()
@@ -66,6 +70,49 @@
     make_route("stream", "streaming", "model", timeoutMs=10_000, attempts=2, resumable=True),
     make_route("cut", "streaming", "model", timeoutMs=10_000),
 ]
+RETRIES = RetryBudgetSettings(ratio=20.0)
+"""Enough for each request to be sent several times."""
+
+
+@asynccontextmanager
+async def run_remote_endpoint(name: str, hosts: int) -> AsyncIterator[tuple[Fleet, Endpoint]]:
+    """Run a host in a region without endpoints, and hosts beside the only one of a service."""
+    async with run_fleet(hosts=0, endpoints=0) as fleet:
+        fleet.publish(ROUTES, [make_service("desk"), make_service("model")])
+        endpoint = await fleet.add_endpoint(f"{name}-far", name, "d2")
+        for domain in ("d1", *["d2"] * hosts):
+            await fleet.add_host(domain, retries=RETRIES)
+        peers = fleet.hosts[0].members.peers
+        await wait_for(lambda: sum(name in peer.advertised for peer in peers.values()) == hosts)
+        yield fleet, endpoint
+
+
+@pytest.mark.parametrize("refusals", [1, 2])
+@pytest.mark.parametrize(
+    ("path", "service"),
+    [("/once/a", "desk"), ("/safe/a", "desk"), ("/stream/a", "model"), ("/cut/a", "model")],
+)
+def test_a_late_copy_of_a_refusal_does_not_answer_the_next_send(
+    path: str, service: str, refusals: int
+) -> None:
+    """Guards against requests that run twice, or are refused as not run though they have run.
+
+    The copy names the id of its request, and so does the answer to the second sending of it.
+    """
+
+    async def scenario():
+        async with run_remote_endpoint(service, refusals) as (fleet, endpoint):
+            copying = CopyingEndpoint(endpoint, refusals)
+            statuses = set()
+            for _ in range(4):
+                reply = await fleet.call(path, deadline_ms=8000)
+                runs = copying.runs[fleet.last_call_id.encode()]
+                assert (reply.status, runs) in ((200, 1), (503, 0))
+                statuses.add(reply.status)
+            assert refusals > 1 or 200 in statuses
+            assert copying.copies_sent
+
+    run_scenario(scenario)
 
 
 @pytest.mark.parametrize("pause_s", [0.0, 0.05])
@@ -90,3 +137,36 @@
             assert len({exchange.connection for exchange in endpoint.requests}) == 1
 
     run_scenario(scenario)
+
+
+def test_only_the_same_request_needs_another_connection() -> None:
+    """Guards against a connection opened for each refusal, when endpoints are full."""
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            pool = fleet.hosts[0].context.pool
+            endpoint = fleet.endpoints["desk-0"]
+            endpoint.answer = endpoint.answer_not_executed
+            for _ in range(20):
+                assert (await fleet.call("/once/a")).status == 503
+            assert len({exchange.connection for exchange in endpoint.requests}) == 1
+            destination = Destination(endpoint.address, endpoint.name)
+            again = await pool.acquire(destination, 1.0, fleet.last_call_id)
+            other = await pool.acquire(destination, 1.0, "call-next")
+            assert (again.exchanges, other.exchanges) == (0, 20)
+
+    run_scenario(scenario)
+
+
+def test_a_connection_holds_a_bounded_number_of_request_ids() -> None:
+    """Guards against memory that grows with the age of a connection."""
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            endpoint = fleet.endpoints["desk-0"]
+            for _ in range(MAX_REQUEST_IDS + 1):
+                assert (await fleet.call("/safe/a")).status == 200
+            used = Counter(exchange.connection for exchange in endpoint.requests)
+            assert list(used.values()) == [MAX_REQUEST_IDS, 1]
+
+    run_scenario(scenario)
--- a/cloverway/tests/test_fleet_leaving.py
+++ b/cloverway/tests/test_fleet_leaving.py
@@ -83,8 +83,8 @@
             pool = host.context.pool
             open_connection = pool.acquire
 
-            async def open_slowly(destination, timeout_s):
-                connection = await open_connection(destination, timeout_s)
+            async def open_slowly(destination, timeout_s, request_id):
+                connection = await open_connection(destination, timeout_s, request_id)
                 if destination.address == leaving.endpoint.address:
                     host.directory.record_statement(
                         destination.incarnation, Statement(leaving=True)
