Query an endpoint for its start time on a connection of its own

What callers would see: an answer whose only end is that of its connection counts as complete although its endpoint has crashed, or a request goes back to an endpoint that crashed under it.

Cause: nothing in the answer to GET /report names its question, and the question went out on a kept connection. An extra copy of an earlier answer is then read as the answer to this one, also if it was held up on the way and its endpoint has ended since.

Evidence: test_a_late_copy_of_its_state_does_not_show_that_an_endpoint_runs, red before: the endpoint is silent, and counted as running.

Why this works: the connection is opened after the question is due and carries nothing else, so what arrives on it was made after that, by a process that runs. The second try stays, for lost packets.

--- a/cloverway/serving/http/client.py
+++ b/cloverway/serving/http/client.py
@@ -311,17 +311,19 @@
     *,
     timeout_s: float,
     limit: int,
-    is_new: bool = False,
+    is_own_connection: bool = False,
 ) -> tuple[ResponseHead, bytes]:
     """Send a small request and read its response; raise ConnectError or ResponseError.
 
-    `is_new` tells not to use a kept connection.
+    With `is_own_connection` it is the only request on its connection. Nothing in such a response
+    names its request, so that on a kept connection to an endpoint a late copy of an earlier one
+    would be taken for it.
     """
     destination = Destination(address)
     exchange: ClientExchange | None = None
     try:
         async with limit_running_time(timeout_s):
-            if is_new:
+            if is_own_connection:
                 connection = await pool.open_new(address, timeout_s)
             else:
                 connection = await pool.acquire(destination, timeout_s)
@@ -332,7 +334,9 @@
     except TimeoutError as error:
         raise ResponseError(f"no answer within {timeout_s:g} s") from error
     finally:
-        if exchange is not None:
+        if exchange is not None and is_own_connection:
+            exchange.connection.abort()
+        elif exchange is not None:
             pool.release(destination, exchange)
     return head, data
 
--- a/cloverway/serving/requests/incarnations.py
+++ b/cloverway/serving/requests/incarnations.py
@@ -174,16 +174,13 @@
         return status
 
     async def _fetch_facts(self, endpoint: Endpoint) -> IncarnationFacts:
-        """Query an endpoint, again on a new connection if a kept one may be dead.
-
-        Endpoints drop idle connections without notice, and open ones may go silent.
-        """
+        """Query an endpoint, and once more if it doesn't answer: a single packet may be lost."""
         try:
-            return await self._fetch_once(endpoint, is_new=False)
+            return await self._fetch_once(endpoint)
         except ResponseError:
-            return await self._fetch_once(endpoint, is_new=True)
+            return await self._fetch_once(endpoint)
 
-    async def _fetch_once(self, endpoint: Endpoint, *, is_new: bool) -> IncarnationFacts:
+    async def _fetch_once(self, endpoint: Endpoint) -> IncarnationFacts:
         target, headers = self._dialect.encode_incarnation_query(endpoint.entry.id)
         address = endpoint.entry.address
         request = make_request("GET", target, [(b"Host", address.encode()), *headers], b"")
@@ -191,7 +188,7 @@
             *(self._pool, address, request, b""),
             timeout_s=QUERY_TIMEOUT_S,
             limit=MAX_STATE_BYTES,
-            is_new=is_new,
+            is_own_connection=True,
         )
         return self._dialect.decode_incarnation(head, body)
 
--- a/cloverway/tests/test_fleet_late_answers.py
+++ b/cloverway/tests/test_fleet_late_answers.py
@@ -10,6 +10,7 @@
 import pytest
 
 from cloverway.core.retry_budget import RetryBudgetSettings
+from cloverway.serving.clock import read_clock
 from cloverway.serving.http.client import MAX_REQUEST_IDS, Destination
 from cloverway.serving.http.server import Exchange
 from cloverway.serving.http.transport import Connection
@@ -170,3 +171,33 @@
             assert list(used.values()) == [MAX_REQUEST_IDS, 1]
 
     run_scenario(scenario)
+
+
+def test_a_late_copy_of_its_state_does_not_show_that_an_endpoint_runs() -> None:
+    """Guards against an answer that is taken for complete after its endpoint has crashed.
+
+    The endpoint doesn't answer any more; what arrives is a copy of its answer to an earlier query.
+    """
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            endpoint = fleet.endpoints["desk-0"]
+            answer_state = endpoint.answer_state
+            queried: set[Connection] = set()
+
+            async def answer_once(exchange: Exchange) -> None:
+                if not queried:
+                    queried.add(exchange.connection)
+                    await answer_state(exchange)
+                    return
+                if exchange.connection in queried:
+                    exchange.connection.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+                await asyncio.sleep(3600)
+
+            endpoint.answer_state = answer_once
+            known = fleet.hosts[0].directory.endpoints["desk-0"]
+            incarnations = fleet.hosts[0].context.incarnations
+            assert await incarnations.is_running(known, read_clock())
+            assert not await incarnations.is_running(known, read_clock())
+
+    run_scenario(scenario)
