Trust an endpoint's answer without an id only on a fresh connection

What callers would see: an answer that belongs to another caller, or 'not run' for a request that is about to run.

Cause: a response that names no request was taken for the answer to whatever was sent last on its connection.

Evidence: two tests, red before: test_a_late_answer_without_an_id_never_ reaches_the_next_caller (the second caller got the answer of the first) and test_an_answer_without_an_id_is_not_trusted_on_a_kept_connection (503, not run, for a request that ran).

Why this works: only the first response on a connection can't be a copy of an earlier one. A connection whose answer named no request isn't kept, and a nameless response on a kept one ends it, with ran unknown. Endpoints that name their requests, as their protocol has it, notice nothing; those that don't get a connection for each request. The stand-in's refusal now names its request, as an endpoint does.

--- a/cloverway/platform/dialect.py
+++ b/cloverway/platform/dialect.py
@@ -106,10 +106,10 @@
             headers.append((names.LAST_EVENT, call.last_event_id.encode("latin-1")))
         return headers
 
-    def is_answer_to(self, head: ResponseHead, call: Call) -> bool:
-        """Return whether a response belongs to a request."""
+    def decode_request_id(self, head: ResponseHead) -> str | None:
+        """Return the id of the request that a response names; None if it names none."""
         request_id = head.get(names.REQUEST_ID)
-        return request_id is None or request_id == call.id.encode("latin-1")
+        return request_id.decode("latin-1") if request_id is not None else None
 
     def decode_reply(self, head: ResponseHead) -> ReplyFacts:
         """Decode the head of an endpoint's response."""
--- a/cloverway/serving/http/client.py
+++ b/cloverway/serving/http/client.py
@@ -100,6 +100,8 @@
         self.head: ResponseHead | None = None
         self.is_complete = False
         """Whether the response was read to its end."""
+        self.is_last = False
+        """Whether the connection must not carry another request."""
         self.skipped_responses = 0
         """Responses to other requests that were read before the one to this request."""
 
@@ -155,6 +157,7 @@
         """Whether the connection can be used for another request."""
         return (
             self.is_complete
+            and not self.is_last
             and self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
             and not self._http.trailing_data[0]
--- a/cloverway/serving/ports.py
+++ b/cloverway/serving/ports.py
@@ -113,8 +113,8 @@
         """Return the headers of a request forwarded to a host, in the format that callers use."""
         ...
 
-    def is_answer_to(self, head: ResponseHead, call: Call) -> bool:
-        """Return whether a response belongs to a request."""
+    def decode_request_id(self, head: ResponseHead) -> str | None:
+        """Return the id of the request that a response names; None if it names none."""
         ...
 
     def decode_reply(self, head: ResponseHead) -> ReplyFacts:
--- a/cloverway/serving/requests/attempt.py
+++ b/cloverway/serving/requests/attempt.py
@@ -251,9 +251,11 @@
     async def _read_answer(self, client_exchange: ClientExchange, sent_at: float) -> Outcome:
         dialect = self._context.dialect
         target = self._target
-        call, route = self._routed.call, self._routed.route
+        route = self._routed.route
         async with limit_idle_time(self._options.first_byte_timeout_s):
-            head = await client_exchange.read_head(lambda head: dialect.is_answer_to(head, call))
+            head = await client_exchange.read_head(
+                lambda head: self._is_answer(head, client_exchange)
+            )
         facts = dialect.decode_reply(head)
         ran = head.get(RAN_HEADER) if target.peer is not None else None
         if ran is not None:
@@ -276,6 +278,21 @@
             target.candidate.endpoint.load.record_service_time(read_clock() - sent_at)
         return Answered(client_exchange, head, body)
 
+    def _is_answer(self, head: ResponseHead, client_exchange: ClientExchange) -> bool:
+        """Return whether a response answers this request; raise ResponseError if nothing tells.
+
+        Without an id only the first response on a connection to an endpoint can be trusted, since
+        a later one may be an extra copy of it. Hosts send one response for each request.
+        """
+        named = self._context.dialect.decode_request_id(head)
+        if named is not None:
+            return named == self._routed.call.id
+        if self._target.candidate is not None:
+            client_exchange.is_last = True
+            if client_exchange.connection.exchanges > 1:
+                raise ResponseError("the response on a kept connection names no request")
+        return True
+
     def _record_statement(self, facts: ReplyFacts, sent_at: float) -> None:
         """Record what an endpoint states about itself in a response."""
         target, now = self._target, read_clock()
--- a/cloverway/tests/fleet/standins.py
+++ b/cloverway/tests/fleet/standins.py
@@ -219,7 +219,8 @@
         await exchange.answer(200, self.make_head(exchange), b"ran at " + self.name.encode())
 
     async def answer_not_executed(self, exchange: Exchange) -> None:
-        await exchange.answer(503, [(b"X-Cloverway-Not-Executed", b"1")], b"")
+        headers = [*self.make_head(exchange), (b"X-Cloverway-Not-Executed", b"1")]
+        await exchange.answer(503, headers, b"")
 
     async def never_answer(self, exchange: Exchange) -> None:
         await asyncio.sleep(3600)
--- a/cloverway/tests/test_fleet_late_answers.py
+++ b/cloverway/tests/test_fleet_late_answers.py
@@ -15,7 +15,7 @@
 from cloverway.serving.http.server import Exchange
 from cloverway.serving.http.transport import Connection
 from cloverway.tests.fleet.deployment import Fleet, run_fleet, run_scenario, wait_for
-from cloverway.tests.fleet.standins import Endpoint, make_route, make_service
+from cloverway.tests.fleet.standins import SIGNATURE, Endpoint, make_route, make_service
 
 
 class CopyingEndpoint:
@@ -53,8 +53,7 @@
             b"HTTP/1.1 503 Service Unavailable\r\nX-Cloverway-Request-Id: %b\r\n"
             b"X-Cloverway-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" % request_id
         )
-        headers = [*self._endpoint.make_head(exchange), (b"X-Cloverway-Not-Executed", b"1")]
-        await exchange.answer(503, headers, b"")
+        await self._endpoint.answer_not_executed(exchange)
 
     async def _run(self, exchange: Exchange) -> None:
         await asyncio.sleep(0.03)
@@ -201,3 +200,48 @@
             assert not await incarnations.is_running(known, read_clock())
 
     run_scenario(scenario)
+
+
+def test_a_late_answer_without_an_id_never_reaches_the_next_caller() -> None:
+    """Guards against the answer of another caller, from endpoints that name no request."""
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            endpoint = fleet.endpoints["desk-0"]
+
+            async def answer_with_copy(exchange: Exchange) -> None:
+                path = exchange.target.encode()
+                number = sum(each.connection is exchange.connection for each in endpoint.requests)
+                if number > 1:
+                    previous = endpoint.requests[-2].target.encode()
+                    exchange.connection.write(
+                        b"HTTP/1.1 200 OK\r\nX-Cloverway-Response-Seal: 1\r\n"
+                        b"Content-Length: %d\r\n\r\n%b" % (len(previous), previous)
+                    )
+                await exchange.answer(200, [SIGNATURE], path)
+
+            endpoint.answer = answer_with_copy
+            for path in ("/once/a", "/once/b", "/safe/c", "/safe/d"):
+                reply = await fleet.call(path)
+                assert (reply.status, reply.body) == (200, path.encode())
+
+    run_scenario(scenario)
+
+
+def test_an_answer_without_an_id_is_not_trusted_on_a_kept_connection() -> None:
+    """Guards against bytes that answer nothing, from an endpoint that names its requests."""
+
+    async def scenario():
+        async with run_fleet(endpoints=1) as fleet:
+            endpoint = fleet.endpoints["desk-0"]
+            assert (await fleet.call("/once/a")).status == 200
+
+            async def answer_after_extra(exchange: Exchange) -> None:
+                head = b"HTTP/1.1 503 Busy\r\nX-Cloverway-Not-Executed: 1\r\n"
+                exchange.connection.write(head + b"Content-Length: 0\r\n\r\n")
+                await endpoint.answer_ok(exchange)
+
+            endpoint.answer = answer_after_extra
+            assert (await fleet.call("/once/b")).status == 502
+
+    run_scenario(scenario)
