Keep load reports from falling behind after an extra copy

What is seen: a host's picture of an endpoint (load, ready, leaving) is one report old for good after each extra copy that the endpoint sends, so that an endpoint that leaves gets work for longer.

Cause: EndpointReader reads reports over one kept connection and takes whatever comes next for the answer. After a copy was read in place of a report, that report waits in the connection and answers the next read.

Evidence: test_late_copies_of_load_reports_do_not_delay_all_later_ones, red before: the fourth read returned the second report.

Why this works: a connection on which bytes wait is closed before the next read, as the pool of requests does it. A copy that comes with the read still stands for it, so a report may be one interval late, once; reports are late by some hundred milliseconds anyway and say so. Nothing in a report names its read, and a new connection for each read would cost every endpoint one several times a second.

--- a/cloverway/membership/reports.py
+++ b/cloverway/membership/reports.py
@@ -147,6 +147,10 @@
         return data
 
     def _connect(self) -> HTTPConnection:
+        if self._connection is not None and not self._connection.is_connected:
+            # Bytes that wait belong to no read to come: after an extra copy of a report was read,
+            # each later read would return the report before its own.
+            self.close()
         if self._connection is None:
             connection = HTTPConnection(self._host, self._port, timeout=SOCKET_TIMEOUT_S)
             with self._connection_lock:
--- a/cloverway/tests/test_reports.py
+++ b/cloverway/tests/test_reports.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import threading
+import time
 
 import pytest
 from hypothesis import given
@@ -17,6 +18,7 @@
     ReadSchedule,
     parse_report,
 )
+from cloverway.tests.raw_endpoint import EndpointSideConnection, RawEndpoint
 from cloverway.tests.standins.engine import Engine
 
 ENGINE = Endpoint("d", "http://127.0.0.1:1", models=("m",))
@@ -178,3 +180,27 @@
     schedule.finish("a")
     assert schedule.take_due(["a"], 10.0, 31.0) == ["a"]
     assert schedule.take_due([], 10.0, 90.0) == []
+
+
+def test_late_copies_of_load_reports_do_not_delay_all_later_ones() -> None:
+    """Guards against hosts whose picture of an endpoint falls behind by a report for each copy."""
+    pause_s = 0.02
+
+    def report_with_copies(connection: EndpointSideConnection) -> None:
+        copy = b""
+        while connection.read_request():
+            body = json.dumps(
+                {"incarnation": "i1", "ready": True, "running": len(endpoint.requests)}
+            ).encode()
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+            connection.send(copy)
+            time.sleep(pause_s)
+            connection.send(answer)
+            copy = answer
+
+    with RawEndpoint(report_with_copies) as endpoint:
+        reader = EndpointReader(ENGINE._replace(url=endpoint.url))
+        for number in range(1, 8):
+            assert reader.read().running >= number - 1
+            time.sleep(2 * pause_s)
+        reader.close()
