Begin streams where another endpoint may go on with them

Cause: the version of a restarted endpoint isn't known until its entry is read, up to a second later. Streams began there all the same, and kept 'unknown' as their origin for good. And when the entry stated the version, the unknown one was recorded as a version that had gone, so that for 30 s no host could show that one version had served.

Why this works: a new stream waits for the endpoint to confirm its start where its connection isn't known to lead to the known incarnation; if that has ended, the stream goes elsewhere and nothing was sent. While its version is unknown, for two seconds at most, an endpoint gets no new stream if another may run it. The version of an incarnation that becomes known replaces nothing.

Cost: the query was made before, in the background; its answer takes a round trip within the region, once for each new connection. Endpoints that state no start time aren't asked. A query that is not answered is no longer repeated for a request, since asking again says nothing new.

Weighed: to wait for the entry and give the stream its origin later (whether its connection led to the old or the new incarnation can't be proved); to hold the first event back until the version is known (callers wait).

--- a/cloverway/core/endpoint.py
+++ b/cloverway/core/endpoint.py
@@ -20,6 +20,9 @@
 """How long an endpoint gets no requests after its address refused a connection. Either it has
 crashed and its entry has not expired yet, or it is restarting. One attempt each half second detects
 when it is back; if it is the only endpoint of a service, requests wait that long for it."""
+UNKNOWN_VERSION_BACKOFF_S = 2.0
+"""How long an endpoint that has restarted gets no new streams while its version is unknown. Its
+entry states the version, and arrives within this time unless the store is unavailable."""
 
 
 class Endpoint:
@@ -41,6 +44,8 @@
         """When its address last refused a connection, or was tried again since then."""
         self.restored_at = float("-inf")
         """When its entry came back with an older copy of the store, after it was gone."""
+        self.restarted_at = float("-inf")
+        """When it stated that it has started, before its entry did."""
         self.confirmed_at = float("-inf")
         """Until when it is certain that connections to its address led to this incarnation."""
         self.has_announced_leaving = False
@@ -76,6 +81,13 @@
         """
         return self.entry.started_ms is None or opened_at <= self.confirmed_at
 
+    def has_known_version(self, now: float) -> bool:
+        """Return whether another endpoint could go on with a stream that begins at this one now.
+
+        After a while without an entry that states the version, it is used all the same.
+        """
+        return bool(self.entry.version) or now - self.restarted_at >= UNKNOWN_VERSION_BACKOFF_S
+
     def is_leaving(self, now: float) -> bool:
         """Return whether the endpoint must not get new requests."""
         if self.entry.draining or self.leaves_at is not None or self.has_unreadable_entry:
--- a/cloverway/core/endpoints.py
+++ b/cloverway/core/endpoints.py
@@ -179,6 +179,7 @@
             version="",
         )
         changes = self._apply_entry(entry, now)
+        self.endpoints[name].restarted_at = now
         self._index()
         return changes
 
@@ -344,6 +345,9 @@
 
     def _record_version_change(self, old: EndpointEntry, new: EndpointEntry, now: float) -> None:
         """Record when a version was last known to serve, also where only its entry changes."""
+        if not old.version and old.incarnation == new.incarnation:
+            # The incarnation had this version all along; it was not known until now.
+            return
         if (old.service, old.version, old.incarnation) != (
             new.service,
             new.version,
--- a/cloverway/serving/requests/attempt.py
+++ b/cloverway/serving/requests/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import NamedTuple
@@ -11,18 +12,19 @@
 
 from cloverway.core.calls import ForwardingContext
 from cloverway.core.deployment import CallKind
+from cloverway.core.endpoint import Endpoint
 from cloverway.core.prediction import RoutedCall
 from cloverway.errors import Kind
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
 from cloverway.serving.http.client import (
+    ClientConnection,
     ClientExchange,
     ConnectError,
     ResponseError,
     ResponseHead,
     make_request,
 )
-from cloverway.serving.http.transport import Connection
 from cloverway.serving.ports import ReplyFacts, SendOptions
 from cloverway.serving.requests.answer_end import check_end
 from cloverway.serving.requests.placement import MIN_SEND_TIME_S
@@ -36,6 +38,9 @@
 REMOTE_CONNECT_TIMEOUT_S = 1.0
 """Timeout for opening a connection to another region: allows for the round trip and one lost
 packet."""
+CONFIRM_TIMEOUT_S = 0.1
+"""How long a new stream waits for the endpoint to confirm that it has not started again. A running
+endpoint answers within milliseconds."""
 PEER_IDLE_TIMEOUT_S = 8.0
 """Idle time after which connections between hosts are closed. It is below the timeout of the
 accepting host, and long, since opening a connection to another region takes as long as the request
@@ -175,11 +180,10 @@
             if not is_streaming:
                 pool.release(target.destination, client_exchange, get_idle_timeout_s(target))
 
-    async def _find_uncertainty(self, connection: Connection) -> str | None:
-        """Return why the endpoint must not continue a stream, or None.
+    async def _find_uncertainty(self, connection: ClientConnection) -> str | None:
+        """Return why the endpoint must not begin or continue a stream, or None.
 
-        A process that started again under the id of its entry may have another version. For a new
-        stream the answer is needed with its first event, so nothing waits for it here.
+        A process that started again under the id of its entry may have another version.
         """
         candidate, binding = self._target.candidate, self._routed.binding
         if (
@@ -188,10 +192,9 @@
             or candidate.endpoint.is_certain(connection.opened_at)
         ):
             return None
-        if not binding.has_events:
-            self._context.incarnations.begin_confirming(candidate.endpoint)
-            return None
         try:
+            if not binding.has_events:
+                return await self._find_restart(candidate.endpoint, connection)
             is_same = await self._context.incarnations.confirm(
                 candidate.endpoint, connection.opened_at
             )
@@ -200,6 +203,19 @@
             raise
         return None if is_same else "it may have started again, with another version"
 
+    async def _find_restart(self, endpoint: Endpoint, connection: ClientConnection) -> str | None:
+        """Return why a stream must not begin at an endpoint, or None.
+
+        Nobody could go on with a stream whose version isn't known with its first event. An endpoint
+        that doesn't answer in time gets the stream all the same, and may answer until then.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with limit_running_time(CONFIRM_TIMEOUT_S):
+                await self._context.incarnations.confirm(endpoint, connection.opened_at)
+        if self._context.directory.endpoints.get(endpoint.entry.id) is endpoint:
+            return None
+        return "it has started again, and its version isn't known yet"
+
     def _find_exclusion(self) -> str | None:
         """Return why the endpoint must not get the request any more, or None.
 
--- a/cloverway/serving/requests/incarnations.py
+++ b/cloverway/serving/requests/incarnations.py
@@ -104,10 +104,6 @@
             query = self._begin_query(endpoint)
         return await self._await_status(query) in RUNNING
 
-    def begin_confirming(self, endpoint: Endpoint) -> None:
-        """Query an endpoint in the background, to be certain of the version of a new stream."""
-        self._begin_query(endpoint)
-
     async def confirm(self, endpoint: Endpoint, opened_at: float) -> bool:
         """Return whether a connection opened at a time leads to this incarnation of an endpoint.
 
@@ -115,8 +111,10 @@
         needed.
         """
         for _ in range(2):
-            if not endpoint.is_certain(opened_at):
-                await self._await_status(self._begin_query(endpoint))
+            if endpoint.is_certain(opened_at):
+                break
+            if await self._await_status(self._begin_query(endpoint)) is not IncarnationStatus.SAME:
+                break
         return endpoint.is_certain(opened_at)
 
     def _begin_query(self, endpoint: Endpoint) -> _Query:
--- a/cloverway/serving/requests/target_selector.py
+++ b/cloverway/serving/requests/target_selector.py
@@ -202,6 +202,8 @@
         local_endpoints = [
             endpoint for endpoint in self._list_usable(routed, now) if endpoint.region == region
         ]
+        if routed.binding is not None and not routed.binding.has_events:
+            local_endpoints = _prefer_known_versions(local_endpoints, now)
         sources = _find_fetch_sources(routed, local_endpoints, now)
         predicted = (
             predict(
@@ -359,6 +361,11 @@
         return random.choice(peers) if peers else None
 
 
+def _prefer_known_versions(endpoints: list[Endpoint], now: float) -> list[Endpoint]:
+    """Return the endpoints for a new stream that others can go on with, if there are any."""
+    return [endpoint for endpoint in endpoints if endpoint.has_known_version(now)] or endpoints
+
+
 def _find_fetch_sources(
     routed: RoutedCall, endpoints: list[Endpoint], now: float
 ) -> dict[str, FetchSource | None]:
--- a/cloverway/tests/test_core_incarnations.py
+++ b/cloverway/tests/test_core_incarnations.py
@@ -54,6 +54,20 @@
     assert len(directory.list_usable("desk", 5.0)) == 1
 
 
+def test_an_incarnation_whose_version_becomes_known_had_no_other_one():
+    """Guards against a restart after which no host can show for 30 s that one version serves."""
+    directory = make_directory(make_entry(1_000, version="v1"))
+    for now in range(100):
+        directory.versions.update(float(now), float(now))
+    directory.record_restart("e1", 2_000, 99.0)
+    assert directory.find_only_version("desk", 30.0, 99.1) is None
+    publish(directory, 99.5, make_entry(2_000, version="v1"))
+    assert directory.find_only_version("desk", 30.0, 99.6) == "v1"
+    directory.record_restart("e1", 3_000, 99.7)
+    publish(directory, 99.8, make_entry(4_000, version="v1"))
+    assert directory.find_only_version("desk", 30.0, 99.9) is None
+
+
 def test_a_restarted_endpoint_has_an_empty_cache_and_no_load():
     """An endpoint crashed with a long prompt in its cache; others were to fetch that from it.
 
--- a/cloverway/tests/test_fleet_versions.py
+++ b/cloverway/tests/test_fleet_versions.py
@@ -278,6 +278,30 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("entry_delay_s", [0.0, 0.3])
+def test_streams_that_begin_just_after_a_restart_can_be_taken_up(entry_delay_s):
+    """Guards against streams that nobody may go on with, though all endpoints have one version.
+
+    An endpoint starts again under its id and gets streams before its entry states its version.
+    """
+
+    async def scenario():
+        async with run_release(("v1",) * 3, born=1) as fleet:
+            restarted = fleet.endpoints["model-0"]
+            for _ in range(3):
+                restarted.crash()
+                await restarted.restart()
+                begun = [await begin_stream(fleet, host) for host in fleet.hosts for _ in range(4)]
+                await asyncio.sleep(entry_delay_s)
+                entry = restarted.make_entry(version="v1", born=restarted.start_time_ms)
+                fleet.store.put("servers/model-0", entry)
+                for item in begun:
+                    reply = await take_up(fleet, random.choice(fleet.hosts), item)
+                    assert (reply.status, is_whole(item.body + reply.body)) == (200, True)
+
+    run_scenario(scenario)
+
+
 def test_a_stream_that_is_taken_up_goes_on_at_its_service():
     """Guards against a route with several services that draws the service of a stream again."""
 
--- a/cloverway/tests/test_incarnation_check.py
+++ b/cloverway/tests/test_incarnation_check.py
@@ -34,7 +34,7 @@
     async def scenario():
         check = ScriptedCheck()
         endpoint = next(iter(make_directory(make_entry(1_000)).endpoints.values()))
-        check.begin_confirming(endpoint)
+        other = asyncio.create_task(check.confirm(endpoint, read_clock()))
         await asyncio.sleep(0)
 
         async def end_stream():
@@ -46,5 +46,6 @@
         check.is_crashed = True
         check.answered.set()
         assert not await ending
+        assert not await other
 
     asyncio.run(scenario())
