--- a/cloverway/platform/dialect.py
+++ b/cloverway/platform/dialect.py
@@ -15,6 +15,7 @@
 from cloverway.platform.documents import decode_documents
 from cloverway.platform.entries import decode_start_time
 from cloverway.serving.http.client import ResponseHead
+from cloverway.serving.http.hop_by_hop import list_end_to_end_headers
 from cloverway.serving.http.server import Exchange
 from cloverway.serving.ports import IncarnationFacts, Lookup, ReplyFacts, SendOptions
 
@@ -153,16 +154,9 @@
 
 
 def _list_forwarded_headers(headers: Iterable[Header]) -> Iterable[Header]:
-    """Return the headers to forward to an endpoint, in their order."""
-    items = list(headers)
-    hop_by_hop = {
-        token.strip().lower()
-        for name, value in items
-        if name == b"connection"
-        for token in value.split(b",")
-    }
-    dropped = names.RESERVED_HEADERS | names.CONNECTION_HEADERS | hop_by_hop - {names.REQUEST_ID}
-    return (item for item in items if item[0] not in dropped)
+    """Return the headers of a caller that are forwarded to an endpoint."""
+    items = list_end_to_end_headers(headers, required=names.REQUEST_ID)
+    return (item for item in items if item[0] not in names.RESERVED_HEADERS)
 
 
 def _get_host(fields: dict[bytes, bytes]) -> str:
--- a/cloverway/platform/names.py
+++ b/cloverway/platform/names.py
@@ -48,11 +48,3 @@
     )
 )
 """Headers that are never forwarded as received from a caller; only a host may set them."""
-
-CONNECTION_HEADERS = frozenset(
-    (
-        *(b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade"),
-        *(b"transfer-encoding", b"content-length", b"expect", b"proxy-authorization"),
-    )
-)
-"""Hop-by-hop headers, which apply to the caller's connection only."""
--- a/cloverway/serving/requests/execution.py
+++ b/cloverway/serving/requests/execution.py
@@ -19,6 +19,7 @@
 from cloverway.serving.clock import read_clock
 from cloverway.serving.context import Context
 from cloverway.serving.http.client import ClientExchange, ResponseError
+from cloverway.serving.http.hop_by_hop import list_end_to_end_headers
 from cloverway.serving.http.server import Exchange
 from cloverway.serving.requests.answer_end import check_end
 from cloverway.serving.requests.attempt import (
@@ -40,7 +41,7 @@
     decode_origin,
     list_stream_keys,
 )
-from cloverway.serving.requests.streaming import EventRelay, list_end_to_end_headers
+from cloverway.serving.requests.streaming import EventRelay
 from cloverway.serving.requests.target_selector import Target
 
 FIRST_BYTE_TIMEOUT_OBJECTIVES = 2.5
@@ -227,7 +228,7 @@
             return True
         if failed and self._may_repeat(self.runs) and self._has_alternative(target):
             return False
-        headers = list_end_to_end_headers(answered.head)
+        headers = list_end_to_end_headers(answered.head.headers)
         self.relay.framing = answered.head.framing
         self.relay.timing.record(read_clock())
         await self.exchange.answer(answered.head.status, headers, body)
--- a/cloverway/serving/requests/streaming.py
+++ b/cloverway/serving/requests/streaming.py
@@ -10,6 +10,7 @@
 from cloverway.serving.clock import read_clock
 from cloverway.serving.http.client import ClientExchange, Framing, ResponseError, ResponseHead
 from cloverway.serving.http.event_stream import EventSplitter
+from cloverway.serving.http.hop_by_hop import list_end_to_end_headers
 from cloverway.serving.http.server import Exchange
 from cloverway.serving.requests.attempt import Answered, limit_idle_time
 from cloverway.serving.requests.stream_origin import ORIGIN_HEADER, encode_origin
@@ -121,7 +122,9 @@
 
     def _list_headers(self, head: ResponseHead) -> list[Header]:
         """Return the headers of the answer; a host that passed it on is told its origin."""
-        headers = [item for item in list_end_to_end_headers(head) if item[0] != ORIGIN_HEADER]
+        headers = [
+            item for item in list_end_to_end_headers(head.headers) if item[0] != ORIGIN_HEADER
+        ]
         if self._routed.call.forwarding is not None and self._routed.origin is not None:
             headers.append((ORIGIN_HEADER, encode_origin(self._routed.origin)))
         return headers
@@ -155,23 +158,3 @@
     if content_type is None:
         return head.framing is Framing.CONNECTION
     return content_type.startswith(EVENT_STREAM)
-
-
-HOP_BY_HOP = frozenset(
-    (
-        *(b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade"),
-        *(b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"content-length"),
-    )
-)
-"""Headers that apply to one connection only; Content-Length is set again when the body is known."""
-
-
-def list_end_to_end_headers(head: ResponseHead) -> list[Header]:
-    """Return the headers of a response that are forwarded to the caller."""
-    named = {
-        token.strip().lower()
-        for name, value in head.headers
-        if name == b"connection"
-        for token in value.split(b",")
-    }
-    return [item for item in head.headers if item[0] not in HOP_BY_HOP and item[0] not in named]
