Ask endpoints whether they are cold while the store is away

Cause: only the entry in the store said that an endpoint is cold.

Why this works: its health responses say so as well. While its documents are older than a follower's may be (2.4 s), a host checks the endpoints that it has used within a second, four times a second, if their service states a limit when cold.

Test, red before: test_an_endpoint_that_turns_cold_while_the_store_is_away_ is_not_overrun, with one host and with three (15 in a second, allowed 6).

Weighed: to tell the region (a message and a merge more; three hosts that ask for themselves kept the bound); checks at all times (each is paid for).

--- a/cloverway/core/deployment.py
+++ b/cloverway/core/deployment.py
@@ -94,6 +94,8 @@
     """Time for which an endpoint is cold after it has started."""
     cold_requests_per_s: float = 0.0
     """Requests per second that a cold endpoint can sustain; 0 for no limit."""
+    health_path: str = ""
+    """Path at which its endpoints answer health checks, as published; empty if there is none."""
     engine: EngineSpec | None = None
 
 
--- a/cloverway/core/endpoint.py
+++ b/cloverway/core/endpoint.py
@@ -35,7 +35,8 @@
         self.missing_since: float | None = None
         self.cold_until = 0.0
         self.leaves_at: float | None = None
-        self.last_cold_send_at = float("-inf")
+        self.last_attempt_at = float("-inf")
+        """When this host was last about to send it a request."""
         self.has_unreadable_entry = False
         """Whether the latest entry could not be decoded."""
         self.misdirected_at = float("-inf")
@@ -66,6 +67,7 @@
         If its address has refused the last connection, no other request is sent until this one is
         connected. Otherwise all queued requests would try it at once when the backoff is over.
         """
+        self.last_attempt_at = now
         if self.refused_at > float("-inf"):
             self.refused_at = now
 
--- a/cloverway/platform/dialect.py
+++ b/cloverway/platform/dialect.py
@@ -133,6 +133,16 @@
         started_ms = decode_start_time(body) if head.status == OK else None
         return IncarnationFacts(head.status == MISDIRECTED, started_ms)
 
+    def encode_health_query(self, endpoint_id: str) -> list[Header]:
+        """Return the headers of a health check of an endpoint."""
+        return [(names.EXPECTED_ENDPOINT, endpoint_id.encode("latin-1"))]
+
+    def decode_cold_time(self, head: ResponseHead) -> float | None:
+        """Return how long an endpoint is still cold by its health response; None if it isn't."""
+        left = None if head.status == MISDIRECTED else head.get(names.COLD)
+        left_ms = _read_decimal(left, "the cold time in a health response is malformed")
+        return left_ms / 1000 if left_ms else None
+
     def encode_refusal(self, error: RequestError, call_id: str) -> tuple[int, list[Header], bytes]:
         """Return status, headers and body of the response to a request that failed at this host."""
         headers = [PROBLEM_HEADER]
--- a/cloverway/platform/entries.py
+++ b/cloverway/platform/entries.py
@@ -169,6 +169,7 @@
     max_connections: Count | None = field(name="maxConnections", default=None)
     cold_s: Annotated[float, Meta(ge=0)] | None = field(name="coldS", default=None)
     cold_requests_per_s: Annotated[float, Meta(ge=0)] | None = field(name="coldPerS", default=None)
+    health_path: object = field(name="healthCheckPath", default=None)
     engine: _EngineFields | None = None
 
     def make_service(self) -> Service:
@@ -177,6 +178,8 @@
             max_connections=self.max_connections or 100,
             cold_s=self.cold_s or 0.0,
             cold_requests_per_s=self.cold_requests_per_s or 0.0,
+            # A path that can't be requested doesn't make the configuration unreadable.
+            health_path=self.health_path if isinstance(self.health_path, str) else "",
             engine=self.engine.make_engine_spec() if self.engine is not None else None,
         )
 
--- a/cloverway/platform/names.py
+++ b/cloverway/platform/names.py
@@ -22,6 +22,8 @@
 RETRY_AFTER = b"retry-after"
 """In a refusal by an endpoint: the seconds for which the refused host must not send to it."""
 LEAVING = b"server-leaving"
+COLD = b"x-cloverway-cold-ms"
+"""In a health response: milliseconds for which the endpoint is still cold."""
 EXPECTED_ENDPOINT = b"x-cloverway-target-instance"
 PRIORITY = b"x-cloverway-request-priority"
 FETCH_FROM = b"kv-fetch"
@@ -41,7 +43,7 @@
         b"x-cloverway-hold",
         b"x-cloverway-kv-backup",
         b"x-cloverway-instance-id",
-        b"x-cloverway-cold-ms",
+        COLD,
         b"x-cloverway-weight-versions",
         FETCH_FROM,
         b"kv-from",
--- a/cloverway/serving/host.py
+++ b/cloverway/serving/host.py
@@ -28,6 +28,7 @@
 )
 from cloverway.serving.documents.sync import DocumentSync, export_snapshot
 from cloverway.serving.early_sockets import EarlySockets
+from cloverway.serving.hosts.cold_check import ColdCheck
 from cloverway.serving.hosts.gossip import Gossip
 from cloverway.serving.http.server import REASONS, Exchange, Server, ServerOptions
 from cloverway.serving.ports import Dialect, Store
@@ -107,6 +108,9 @@
             stream_origins=self.context.stream_origins,
             seeds=settings.peers.seeds,
         )
+        self.cold_check = ColdCheck(
+            self.catalogue, self.context.pool, dialect, self.metrics, region=settings.region
+        )
         self.catalogue.on_documents_changed = self.gossip.announce_documents
         self.gossip.get_queued_work_s = self.context.target_selector.sum_queued_work
         self.gossip.on_first_contact = self._record_synced
@@ -144,6 +148,7 @@
             self.configuration_sync.run,
             self.catalogue.run,
             self.catalogue.forget_missing,
+            self.cold_check.run,
             self._close_expired_connections,
         )
         self._tasks = [asyncio.create_task(_run_with_restarts(run)) for run in runs]
--- a/cloverway/serving/ports.py
+++ b/cloverway/serving/ports.py
@@ -129,6 +129,14 @@
         """Decode the response to an incarnation query."""
         ...
 
+    def encode_health_query(self, endpoint_id: str) -> list[Header]:
+        """Return the headers of a health check of an endpoint."""
+        ...
+
+    def decode_cold_time(self, head: ResponseHead) -> float | None:
+        """Return how long an endpoint is still cold by its health response, in seconds, or None."""
+        ...
+
     def encode_refusal(self, error: RequestError, call_id: str) -> tuple[int, list[Header], bytes]:
         """Return status, headers and body of the response to a request that failed at this host."""
         ...
--- a/cloverway/serving/requests/target_selector.py
+++ b/cloverway/serving/requests/target_selector.py
@@ -286,8 +286,6 @@
             self.get_isolation(routed.service.name).record_prompt(routed, local, now)
         if local.work.prefill_tokens >= MIN_BROADCAST_TOKENS:
             self.on_large_prompt()
-        if endpoint.is_cold(now):
-            endpoint.last_cold_send_at = now
         endpoint.begin_attempt(now)
         self._shares.take(endpoint, now)
         entry = endpoint.entry
@@ -310,7 +308,7 @@
             count=self._members.known_hosts.count_region(),
             may_share=self._members.known_hosts.may_share_region(now),
         )
-        return interval_s is not None and now - endpoint.last_cold_send_at >= interval_s
+        return interval_s is not None and now - endpoint.last_attempt_at >= interval_s
 
     def _list_remote_regions(self, routed: RoutedCall, now: float) -> list[RegionCandidate]:
         """Predict the cost of a request in each other region that may run it and has capacity."""
--- a/cloverway/tests/fleet/deployment.py
+++ b/cloverway/tests/fleet/deployment.py
@@ -10,6 +10,7 @@
 import h11
 
 from cloverway.core.calls import Header
+from cloverway.core.cold_start import ColdStartSettings
 from cloverway.core.retry_budget import RetryBudgetSettings
 from cloverway.platform.dialect import PlatformDialect
 from cloverway.platform.store import PlatformStore
@@ -80,6 +81,7 @@
         ports: list[int] | None = None,
         seeds: tuple[str, ...] | None = None,
         retries: RetryBudgetSettings | None = None,
+        cold: ColdStartSettings | None = None,
         age_s: float = RUNNING_S,
     ) -> Host:
         """Start a host that has run for `age_s`, as far as it decides what it may use."""
@@ -100,6 +102,7 @@
             store=StoreSettings(store or self.store.address),
             peers=Peers(seeds),
             retries=retries or RetryBudgetSettings(),
+            cold=cold or ColdStartSettings(),
         )
         store_client = PlatformStore(settings.store.address)
         host = Host(settings, store_client, PlatformDialect(), self.writer)
--- a/cloverway/tests/fleet/standins.py
+++ b/cloverway/tests/fleet/standins.py
@@ -14,6 +14,7 @@
 
 from cloverway.core.calls import Header
 from cloverway.core.deployment import CallerLimits
+from cloverway.serving.clock import read_clock
 from cloverway.serving.http.server import Exchange, Server, ServerOptions
 
 SIGNATURE = (b"X-Cloverway-Response-Seal", b"1.2.3")
@@ -188,6 +189,8 @@
         self.is_down = False
         self.start_time_ms = 1
         """Start time of the running incarnation; its entry may show it late."""
+        self.cold_until = 0.0
+        """Until when its health responses say that it is cold."""
         self.state_requests = 0
         """How often its state was requested."""
         self.server = make_server(self._handle)
@@ -267,10 +270,21 @@
         state = {"stage": "combined", "waiting": 0, "running": 0, "born": self.start_time_ms}
         await exchange.answer(200, [], json.dumps(state).encode())
 
+    async def answer_health(self, exchange: Exchange) -> None:
+        """Respond to a health check, with the time for which the endpoint is still cold."""
+        cold_ms = int((self.cold_until - read_clock()) * 1000)
+        headers = [(b"X-Cloverway-Instance-Id", self.name.encode())]
+        if cold_ms > 0:
+            headers.append((b"X-Cloverway-Cold-Ms", b"%d" % cold_ms))
+        await exchange.answer(200, headers, b"")
+
     async def _handle(self, exchange: Exchange) -> None:
         if exchange.target == "/report":
             await self.answer_state(exchange)
             return
+        if exchange.target == "/health":
+            await self.answer_health(exchange)
+            return
         self.requests.append(exchange)
         try:
             await self.answer(exchange)
