Wake up for checks of cold endpoints only while the store is away

It now ticks with the task that forgets missing endpoints (0.4 s), which costs no wake-up of its own, and five times a second while the documents are out of date.

--- a/cloverway/serving/hosts/cold_check.py
+++ b/cloverway/serving/hosts/cold_check.py
@@ -8,7 +8,11 @@
 
 from cloverway.core.endpoint import Endpoint
 from cloverway.serving.clock import read_clock, wait_for_tick
-from cloverway.serving.documents.catalogue import MAX_FOLLOWER_AGE_S, Catalogue
+from cloverway.serving.documents.catalogue import (
+    FORGET_PERIOD_S,
+    MAX_FOLLOWER_AGE_S,
+    Catalogue,
+)
 from cloverway.serving.http.client import (
     ConnectError,
     ConnectionPool,
@@ -19,7 +23,7 @@
 from cloverway.serving.ports import Dialect
 from cloverway.serving.telemetry import Metrics, log_event
 
-CHECK_PERIOD_S = 0.25
+CHECK_PERIOD_S = 0.2
 """Interval between two checks of an endpoint: one that turned cold is overrun within a second."""
 CHECK_TIMEOUT_S = 0.4
 IN_USE_S = 1.0
@@ -32,7 +36,8 @@
     """Keeps this host from overrunning endpoints that turn cold while the store is away.
 
     A cold endpoint crashes with all that it runs when it gets its usual requests. Its entry says
-    that it is cold, and so do its health responses. The others of its region ask for themselves.
+    that it is cold, and so do its health responses. Each host asks for itself. Checks are billed,
+    so none is made while the store is read.
     """
 
     def __init__(
@@ -55,11 +60,12 @@
     async def run(self) -> None:
         """Check the endpoints in use whenever the documents are out of date, forever."""
         while True:
-            await wait_for_tick(CHECK_PERIOD_S)
             now = read_clock()
-            if now - self._catalogue.read_at > MAX_FOLLOWER_AGE_S:
+            is_outdated = now - self._catalogue.read_at > MAX_FOLLOWER_AGE_S
+            if is_outdated:
                 for endpoint, path in list(self._list_due(now)):
                     self._begin_check(endpoint, path)
+            await wait_for_tick(CHECK_PERIOD_S if is_outdated else FORGET_PERIOD_S)
 
     def _list_due(self, now: float) -> Iterator[tuple[Endpoint, str]]:
         """Iterate over the endpoints to check, with the paths of their health checks."""
--- a/cloverway/tests/fleet/standins.py
+++ b/cloverway/tests/fleet/standins.py
@@ -191,6 +191,7 @@
         """Start time of the running incarnation; its entry may show it late."""
         self.cold_until = 0.0
         """Until when its health responses say that it is cold."""
+        self.health_requests = 0
         self.state_requests = 0
         """How often its state was requested."""
         self.server = make_server(self._handle)
@@ -272,6 +273,7 @@
 
     async def answer_health(self, exchange: Exchange) -> None:
         """Respond to a health check, with the time for which the endpoint is still cold."""
+        self.health_requests += 1
         cold_ms = int((self.cold_until - read_clock()) * 1000)
         headers = [(b"X-Cloverway-Instance-Id", self.name.encode())]
         if cold_ms > 0:
--- a/cloverway/tests/test_fleet_cold.py
+++ b/cloverway/tests/test_fleet_cold.py
@@ -39,6 +39,8 @@
                 await fleet.add_host(cold=LIMITS)
             endpoint = fleet.endpoints["desk-0"]
             await wait_for(lambda: all("desk-0" in h.directory.endpoints for h in fleet.hosts))
+            await send_load(fleet, fleet.hosts, OUTDATED_S)
+            assert endpoint.health_requests == 0
             fleet.store.silent = True
             await send_load(fleet, fleet.hosts, OUTDATED_S)
             endpoint.cold_until = cold_until = read_clock() + COLD_S
@@ -52,6 +54,7 @@
             await send_load(fleet, fleet.hosts, COLD_S)
             bound = [at for at in arrivals if cold_until - COLD_S + NOTICE_S <= at < cold_until]
             assert 0 < count_max_per_s(bound) <= ALLOWED
+            assert endpoint.health_requests > 0
             await asyncio.sleep(0.5)
             replies = await send_load(fleet, fleet.hosts, 1.0)
             assert {reply.status for reply in replies} == {200}
