Let endpoints of the soak send some answers once more, late

The soak had no copies of answers, so that it could not have found a request that is answered by a late copy of its refusal. Now a tenth of the plain answers and of the refusals come once more, when the next answer is due on their connection, at once or 20 ms before it.

--- a/cloverway/tests/fleet/soak_parts.py
+++ b/cloverway/tests/fleet/soak_parts.py
@@ -21,6 +21,7 @@
     make_request,
 )
 from cloverway.serving.http.server import Exchange
+from cloverway.tests.fleet.copies import LateCopies
 from cloverway.tests.fleet.deployment import Reply, read_reply
 from cloverway.tests.fleet.endings import (
     Close,
@@ -57,6 +58,10 @@
 """Prefix of the bodies of requests that crash the endpoint that runs them."""
 
 
+COPIED_SHARE = 0.1
+"""Share of the plain answers and of the refusals that an endpoint sends once more, late."""
+COPY_PAUSES_S = (0.0, 0.0, 0.02)
+"""Time between such a copy and the answer that is due."""
 FIRST_PART = 0xF1
 OTHER_PARTS = range(0x100, 0x108)
 """Parts that the prompts of streams share, besides the first one."""
@@ -108,6 +113,7 @@
         """When each request reached the endpoint, whether it ran or not."""
         self.turns_away = False
         self.abort_probability = 0.0
+        self.copies = LateCopies()
         self.start_time_ms = 1_700_000_000_000
         self.random = Random(name)
         self.version = self.random.choice(VERSIONS)
@@ -121,10 +127,13 @@
         fields = dict(exchange.headers)
         request_id = fields[b"x-cloverway-request-id"].decode()
         self.arrivals.append((time.monotonic(), request_id))
+        await self.copies.send(exchange, self.random.choice(COPY_PAUSES_S))
         if fields.get(b"x-cloverway-target-instance") != self.name.encode():
             await exchange.answer(421, [], b"")
             return
         if self.turns_away:
+            refusal = (b"X-Cloverway-Not-Executed", b"1")
+            self._may_copy(exchange, 503, [*self.make_head(exchange), refusal])
             await self.answer_not_executed(exchange)
             return
         self.runs.append(request_id)
@@ -153,12 +162,19 @@
             if aborts:
                 exchange.connection.abort()
             else:
+                self._may_copy(exchange, 200, self.make_head(exchange), body)
                 await exchange.answer(200, self.make_head(exchange), body)
             return
         begin_unframed(self, exchange)
         exchange.connection.write(body[:-1] if aborts else body)
         end_connection(exchange.connection, Close.RESET if aborts else Close.ORDERLY)
 
+    def _may_copy(
+        self, exchange: Exchange, status: int, headers: list[Header], body: bytes = b""
+    ) -> None:
+        if self.random.random() < COPIED_SHARE:
+            self.copies.add(exchange, status, headers, body)
+
     async def _stream_chunks(self, exchange: Exchange, request_id: str, aborts: bool) -> None:
         version = self.version
         exchange.start(200, [*self.make_head(exchange), (b"Content-Type", b"text/event-stream")])
--- a/cloverway/tests/test_fleet_late_answers.py
+++ b/cloverway/tests/test_fleet_late_answers.py
@@ -14,6 +14,7 @@
 from cloverway.serving.http.client import MAX_REQUEST_IDS, Destination
 from cloverway.serving.http.server import Exchange
 from cloverway.serving.http.transport import Connection
+from cloverway.tests.fleet.copies import LateCopies
 from cloverway.tests.fleet.deployment import Fleet, run_fleet, run_scenario, wait_for
 from cloverway.tests.fleet.standins import SIGNATURE, Endpoint, make_route, make_service
 
@@ -23,38 +24,28 @@
 
     def __init__(self, endpoint: Endpoint, refusals: int, pause_s: float = 0.0) -> None:
         self.runs: Counter[bytes] = Counter()
-        self.copies_sent = 0
+        self.copies = LateCopies()
         self._endpoint = endpoint
         self._refusals = refusals
         self._pause_s = pause_s
         """Time between a copy and the answer that is due."""
         self._refused: Counter[bytes] = Counter()
-        self._copies: dict[Connection, bytes] = {}
         endpoint.answer = self._answer
 
     async def _answer(self, exchange: Exchange) -> None:
-        copy = self._copies.pop(exchange.connection, b"")
-        if copy:
-            self.copies_sent += 1
-            exchange.connection.write(copy)
-            await asyncio.sleep(self._pause_s)
+        await self.copies.send(exchange, self._pause_s)
         request_id = dict(exchange.headers)[b"x-cloverway-request-id"]
         if exchange.target.startswith("/lookup"):
             await self._endpoint.answer_ok(exchange)
         elif self._refused[request_id] < self._refusals:
             self._refused[request_id] += 1
-            await self._refuse(exchange, request_id)
+            headers = [(b"X-Cloverway-Request-Id", request_id), (b"X-Cloverway-Not-Executed", b"1")]
+            self.copies.add(exchange, 503, headers)
+            await self._endpoint.answer_not_executed(exchange)
         else:
             self.runs[request_id] += 1
             await self._run(exchange)
 
-    async def _refuse(self, exchange: Exchange, request_id: bytes) -> None:
-        self._copies[exchange.connection] = (
-            b"HTTP/1.1 503 Service Unavailable\r\nX-Cloverway-Request-Id: %b\r\n"
-            b"X-Cloverway-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" % request_id
-        )
-        await self._endpoint.answer_not_executed(exchange)
-
     async def _run(self, exchange: Exchange) -> None:
         await asyncio.sleep(0.03)
         if exchange.target.startswith(("/stream", "/cut")):
@@ -110,7 +101,7 @@
                 assert (reply.status, runs) in ((200, 1), (503, 0))
                 statuses.add(reply.status)
             assert refusals > 1 or 200 in statuses
-            assert copying.copies_sent
+            assert copying.copies.sent
 
     run_scenario(scenario)
 
@@ -133,7 +124,7 @@
                 assert (await fleet.call("/once/a")).status == 503
                 reply = await fleet.call("/lookup/a")
                 assert (reply.status, reply.body) == (200, b"ran at desk-0")
-            assert copying.copies_sent == 4
+            assert copying.copies.sent == 4
             assert len({exchange.connection for exchange in endpoint.requests}) == 1
 
     run_scenario(scenario)
