Serve callers of endpoints that name their answers by ids of their own

On a new connection no answer can be a copy of an earlier one, whatever it names; so it is served, and its connection isn't kept. Red before: test_only_endpoints_that_name_requests_get_several_on_a_ connection[another request].

--- a/cloverway/upstream/endpoints.py
+++ b/cloverway/upstream/endpoints.py
@@ -219,7 +219,8 @@
                 raise RequestError(Kind.CALLER_LEFT, ran=Ran.NO)
             self._send_request(call, connection, reused)
             head = _read_final_head(connection)
-            _check_answers_request(head, call.request, reused)
+            if reused and not _names_request(head, call.request):
+                raise _StaleConnectionError("the answer is not to this request", send_started=True)
             if pending.aborted:
                 raise RequestError(Kind.CALLER_LEFT)
             return self._read_reply(call, pending, connection, head)
@@ -343,26 +344,18 @@
     return head
 
 
-def _check_answers_request(head: ResponseHead, request: Request, reused: bool) -> None:
-    """Raise an error unless it is certain that an answer is the one to this request.
+def _names_request(head: ResponseHead, request: Request) -> bool:
+    """Return whether an answer names the request as its own.
 
-    An endpoint may send its last answer once more when the next one is due on the connection. The
-    caller would get the answer of another caller, perhaps of another team.
+    An endpoint may send its last answer once more when the next one is due on the connection. Only
+    by the name can the two be told apart; on a new connection there is no earlier answer.
     """
-    named = head.headers.get(REQUEST_ID)
-    if named == request.id or (named is None and not reused):
-        return
-    if reused:
-        raise _StaleConnectionError("the answer is not to this request", send_started=True)
-    raise make_malformed_error("it names another request")
+    return head.headers.get(REQUEST_ID) == request.id
 
 
 def _may_reuse(head: ResponseHead, request: Request) -> bool:
-    """Return whether a connection may carry another request, after a complete answer.
-
-    Only where answers name their requests, a copy of this one could be told from the next.
-    """
-    return head.keep_alive and head.headers.get(REQUEST_ID) == request.id
+    """Return whether a connection may carry another request, after a complete answer."""
+    return head.keep_alive and _names_request(head, request)
 
 
 def _classify_failure(
