--- a/cloverway/upstream/endpoints.py
+++ b/cloverway/upstream/endpoints.py
@@ -34,12 +34,14 @@
     TimedSocket,
 )
 from cloverway.upstream.copiers import Copier, EndpointStream, RelayCopier
-from cloverway.upstream.framing import (
-    BodyParser,
-    ChunkedBody,
-    EventStream,
-    LengthBody,
-    make_malformed_error,
+from cloverway.upstream.framing import BodyParser, EventStream, make_malformed_error
+from cloverway.upstream.heads import (
+    filter_headers,
+    make_body_parser,
+    make_headers,
+    may_reuse,
+    names_request,
+    raise_for_status,
 )
 from cloverway.upstream.pending import PendingExchange, PendingExchanges
 from cloverway.upstream.relay import Relay
@@ -50,25 +52,6 @@
 ENGINE_PATHS = ("/v1/chat/completions", "/v1/completions")
 READ_BYTES = 64 * 1024
 EVENT_STREAM = "text/event-stream"
-REQUEST_ID = "X-Request-Id"
-"""Header of a request, by which endpoints name it in their answer."""
-
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-SERVER_HEADERS = frozenset({"content-length", "content-type", "date", "server", REQUEST_ID.lower()})
-"""Headers that the gateway's own HTTP server writes."""
-
 StreamObserver = Callable[[Request, StreamStats], None]
 
 
@@ -219,7 +202,7 @@
                 raise RequestError(Kind.CALLER_LEFT, ran=Ran.NO)
             self._send_request(call, connection, reused)
             head = _read_final_head(connection)
-            if reused and not _names_request(head, call.request):
+            if reused and not names_request(head, call.request):
                 raise _StaleConnectionError("the answer is not to this request", send_started=True)
             if pending.aborted:
                 raise RequestError(Kind.CALLER_LEFT)
@@ -244,7 +227,7 @@
             min(call.max_gap_s, (call.request.deadline - now) / 2) if reused else float("inf")
         )
         connection.timed_socket.begin(call.request.deadline, read_timeout_s)
-        headers = _make_headers(call, now)
+        headers = make_headers(call.request, call.priority, now)
         call.check_before_send()
         connection.request(
             call.request.method, call.request.path, body=call.request.body or None, headers=headers
@@ -257,17 +240,17 @@
         connection: EndpointConnection,
         head: ResponseHead,
     ) -> Reply:
-        _raise_for_status(head)
+        raise_for_status(head)
         content_type = head.headers.get("Content-Type", "application/octet-stream")
-        headers = _filter_headers(head)
-        body = _make_body_parser(head)
+        headers = filter_headers(head)
+        body = make_body_parser(head)
         if head.status == 200 and content_type.partition(";")[0].strip().lower() == EVENT_STREAM:
             stream = self._make_stream(call, connection, head, EventStream(body))
             return Reply(head.status, content_type, stream=stream, headers=headers)
         connection.timed_socket.read_timeout_s = float("inf")
         content = self._read_body(connection, head, body)
         self._pending.detach_connection(pending)
-        reusable = _may_reuse(head, call.request) and not body.excess
+        reusable = may_reuse(head, call.request) and not body.excess
         self._release_or_close(call.address, connection, reusable)
         return Reply(head.status, content_type, content, headers=headers)
 
@@ -279,7 +262,7 @@
         events: EventStream,
     ) -> EndpointStream:
         def on_finish(complete: bool, stats: StreamStats) -> None:
-            reusable = complete and _may_reuse(head, call.request) and not events.body.excess
+            reusable = complete and may_reuse(head, call.request) and not events.body.excess
             self._release_or_close(call.address, connection, reusable)
             if not complete:
                 self._cancel(call)
@@ -321,22 +304,6 @@
             connection.close()
 
 
-def _make_headers(call: EndpointCall, now: float) -> dict[str, str]:
-    request = call.request
-    headers = {
-        "Accept-Encoding": "identity",
-        "Cloverway-Deadline-Ms": str(max(0, int((request.deadline - now) * 1000))),
-        "Cloverway-Priority": str(call.priority),
-        "User-Agent": "cloverway",
-        REQUEST_ID: request.id,
-    }
-    if request.content_type:
-        headers["Content-Type"] = request.content_type
-    if request.key:
-        headers["Idempotency-Key"] = request.key
-    return headers
-
-
 def _read_final_head(connection: EndpointConnection) -> ResponseHead:
     head = connection.read_head()
     if head.status < 200:
@@ -344,20 +311,6 @@
     return head
 
 
-def _names_request(head: ResponseHead, request: Request) -> bool:
-    """Return whether an answer names the request as its own.
-
-    An endpoint may send its last answer once more when the next one is due on the connection. Only
-    by the name can the two be told apart; on a new connection there is no earlier answer.
-    """
-    return head.headers.get(REQUEST_ID) == request.id
-
-
-def _may_reuse(head: ResponseHead, request: Request) -> bool:
-    """Return whether a connection may carry another request, after a complete answer."""
-    return head.keep_alive and _names_request(head, request)
-
-
 def _classify_failure(
     request: Request, timed_socket: TimedSocket, error: Exception
 ) -> RequestError:
@@ -374,45 +327,3 @@
     if isinstance(error, TimeoutError):
         return RequestError(Kind.TIMED_OUT, "the endpoint sent nothing within the read timeout")
     return EndpointLostError(Kind.ENDPOINT_FAILED, "the connection to the endpoint failed")
-
-
-def _raise_for_status(head: ResponseHead) -> None:
-    """Raise RequestError for an answer that must not be passed to a caller."""
-    if head.status in (429, 503) and head.headers.get("Cloverway-Ran", "").lower() == Ran.NO:
-        raise RequestError(Kind.ENDPOINT_REFUSED, ran=Ran.NO, retry_after=_parse_retry_after(head))
-    if head.status >= 500:
-        raise RequestError(Kind.ENDPOINT_FAILED, f"the endpoint answered {head.status}")
-    if 300 <= head.status < 400:
-        raise RequestError(
-            Kind.ENDPOINT_FAILED, "the endpoint answered with a redirect, which is not followed"
-        )
-
-
-def _parse_retry_after(head: ResponseHead) -> float | None:
-    text = head.headers.get("Retry-After", "")
-    return float(text) if text.isascii() and text.isdigit() else None
-
-
-def _make_body_parser(head: ResponseHead) -> BodyParser:
-    """Return the parser for a body.
-
-    A body that ends with the connection is an error: a truncated one would look the same.
-    """
-    if head.length is not None:
-        return LengthBody(head.length)
-    if head.chunked:
-        return ChunkedBody()
-    raise make_malformed_error("neither Content-Length nor chunked transfer coding")
-
-
-def _filter_headers(head: ResponseHead) -> tuple[tuple[str, str], ...]:
-    """Return the end-to-end headers, without hop-by-hop headers and those that the server sets."""
-    named = {
-        name.strip().lower()
-        for value in head.headers.get_all("Connection", [])
-        for name in value.split(",")
-    }
-    dropped = HOP_BY_HOP | SERVER_HEADERS | named
-    return tuple(
-        (name, value) for name, value in head.headers.items() if name.lower() not in dropped
-    )
