--- a/cloverway/serving/requests/attempt.py
+++ b/cloverway/serving/requests/attempt.py
@@ -207,14 +207,14 @@
         """Return why a stream must not begin at an endpoint, or None.
 
         Nobody could go on with a stream whose version isn't known with its first event. An endpoint
-        that doesn't answer in time gets the stream all the same, and may answer until then.
+        that doesn't answer in time gets the stream all the same: it may answer before that event.
         """
         with contextlib.suppress(TimeoutError):
             async with limit_running_time(CONFIRM_TIMEOUT_S):
                 await self._context.incarnations.confirm(endpoint, connection.opened_at)
         if self._context.directory.endpoints.get(endpoint.entry.id) is endpoint:
             return None
-        return "it has started again, and its version isn't known yet"
+        return "it has started again, with a version that isn't known yet, or has gone"
 
     def _find_exclusion(self) -> str | None:
         """Return why the endpoint must not get the request any more, or None.
