--- a/cloverway/core/calls.py
+++ b/cloverway/core/calls.py
@@ -97,3 +97,5 @@
     """Region of the entry host."""
     origin: StreamOrigin | None = None
     """What began the stream that the request continues."""
+    address: str = ""
+    """The entry host's end of the connection that brought the request."""
--- a/cloverway/serving/http/transport.py
+++ b/cloverway/serving/http/transport.py
@@ -94,6 +94,12 @@
         """Whether bytes, or the end of the input, can be read."""
         return bool(self._received) or self._eof
 
+    @property
+    def peer_address(self) -> str:
+        """The address of the other end, or an empty string if it is not known."""
+        peer = self.transport.get_extra_info("peername")
+        return format_address(peer) if peer else ""
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that were written and are still in the send buffer."""
--- a/cloverway/serving/requests/forwarding.py
+++ b/cloverway/serving/requests/forwarding.py
@@ -42,7 +42,10 @@
             )
             await self._refuse(exchange, None, error)
             return
-        origin = origin._replace(origin=decode_origin(dict(exchange.headers).get(ORIGIN_HEADER)))
+        origin = origin._replace(
+            origin=decode_origin(dict(exchange.headers).get(ORIGIN_HEADER)),
+            address=exchange.connection.peer_address,
+        )
         own = (FORWARDING_HEADER, ORIGIN_HEADER)
         exchange.headers = [item for item in exchange.headers if item[0] not in own]
         await self._run(exchange, origin)
--- a/cloverway/serving/requests/request_log.py
+++ b/cloverway/serving/requests/request_log.py
@@ -36,6 +36,14 @@
     """Responses to other requests that arrived before the one to this request."""
 
 
+class SenderFields(TypedDict, total=False):
+    """The host that forwarded a request, as it is logged; empty if it came from its caller."""
+
+    from_region: str
+    from_address: str
+    """Its end of the connection that brought the request."""
+
+
 class RequestLog:
     """Logs the decisions on one request."""
 
@@ -74,6 +82,7 @@
             after_event=self._relay.last_id or None,
             endpoint_version=candidate.endpoint.entry.version if candidate else None,
             version=configuration.version if configuration else 0,
+            **self._describe_sender(),
         )
 
     def record_failed_attempt(
@@ -112,6 +121,7 @@
             framing=self._relay.framing,
             unfinished_bytes=self._relay.unfinished_bytes,
             total_s=round(total_s, 3),
+            **self._describe_sender(),
             **self._describe_connection(),
         )
         kind = error.kind if error is not None else None
@@ -119,6 +129,12 @@
             route.name, kind, first_s, total_s, timing.longest_gap_s
         )
 
+    def _describe_sender(self) -> SenderFields:
+        forwarding = self._routed.call.forwarding
+        if forwarding is None:
+            return {}
+        return {"from_region": forwarding.region, "from_address": forwarding.address}
+
     def _describe_connection(self) -> ConnectionFields:
         exchange = self.client_exchange
         if exchange is None:
