Reproduce two endpoints at work on one stream, with hosts as processes: red

What a caller's stream costs, and the rule that it breaks: an endpoint of another region works on a stream which another endpoint has taken up.

--- a/cloverway/tests/fleet/separated.py
+++ b/cloverway/tests/fleet/separated.py
@@ -31,11 +31,13 @@
 from cloverway.tests.standins.links import Link
 from cloverway.tests.standins.processes import Ports, Process
 
-EVENTS = 60
+EVENTS = 45
 EVENT_INTERVAL_S = 0.2
 TIMEOUT_MS = 15_000
 OBJECTIVE_MS = 1_000
 GAP_OBJECTIVE_MS = 600
+REQUESTS_FOR_RETRIES = 6
+"""Requests by which a host has earned a retry."""
 EVENT_ID = re.compile(rb"id: (\d+)\n")
 
 
@@ -59,6 +61,10 @@
         self.interval_s = EVENT_INTERVAL_S
         self.silent_after = EVENTS
         """Events after which it works on without writing any."""
+        self.pauses: dict[int, float] = {}
+        """Pauses before events, in seconds, by their number."""
+        self.event_bytes = 0
+        """Bytes that each event has in addition."""
 
     async def write_events(self, exchange: Exchange) -> None:
         request_id = dict(exchange.headers)[b"x-cloverway-request-id"].decode()
@@ -77,7 +83,9 @@
             if not exchange.started:
                 kind = (b"Content-Type", b"text/event-stream")
                 exchange.start(200, [*self.make_head(exchange), kind])
-            await exchange.send(b"id: %d\ndata: %d\n\n" % (number, number))
+            await asyncio.sleep(self.pauses.get(number, 0.0))
+            filling = b"." * self.event_bytes
+            await exchange.send(b"id: %d\ndata: %d %b\n\n" % (number, number, filling))
             await asyncio.sleep(self.interval_s)
         if exchange.started:
             exchange.finish()
@@ -122,22 +130,30 @@
 seeds = {seeds}
 [store]
 address = "{self._store.address}"
+[retries]
+ratio = 1.0
+window_s = 60.0
 """)
         self.process.start()
 
 
-class Caller(NamedTuple):
+class Caller:
     """A stream that a caller reads."""
 
-    exchange: ClientExchange
+    def __init__(self, request_id: str, exchange: ClientExchange) -> None:
+        self.request_id = request_id
+        self.exchange = exchange
+        self.events: list[int] = []
 
-    async def read_events(self, count: int, timeout_s: float = 10.0) -> int:
-        """Read until `count` events have come or the answer ends; return the last one's number."""
-        last = 0
+    @property
+    def last_event(self) -> int:
+        return self.events[-1]
+
+    async def read_events(self, count: int, timeout_s: float = 10.0) -> None:
+        """Read until `count` events have come in all, or the answer ends."""
         async with asyncio.timeout(timeout_s):
-            while last < count and (part := await self.exchange.read_chunk()):
-                last = max([last, *map(int, EVENT_ID.findall(part))])
-        return last
+            while len(self.events) < count and (part := await self.exchange.read_chunk()):
+                self.events += map(int, EVENT_ID.findall(part))
 
 
 class SeparatedFleet:
@@ -161,6 +177,13 @@
         await endpoint.start()
         self.store.put(f"servers/{endpoint.name}", endpoint.make_entry(born=endpoint.start_time_ms))
 
+    def knows(self, endpoint: WorkingEndpoint) -> bool:
+        """Return whether the hosts of the north know an endpoint."""
+        return all(
+            f'"{endpoint.name}"' in host.process.log.read_text()
+            for host in (self.entry, self.other)
+        )
+
     async def begin_stream(
         self, request_id: str, host: SeparateHost, last_event: int = 0, resumes: str = ""
     ) -> Caller:
@@ -178,17 +201,25 @@
         exchange.write()
         head = await exchange.read_head(lambda head: True)
         assert head.status == 200, head
-        return Caller(exchange)
+        return Caller(request_id, exchange)
 
     async def wait_until_passed_on(self) -> None:
         """Wait until a stream begun at either host of the north runs in the south."""
         for host in (self.entry, self.other):
             await wait_for(lambda host=host: _is_ready(host), 20.0)
             async with asyncio.timeout(20.0):
-                while not await self._is_served(host):
-                    await asyncio.sleep(0.2)
+                served = 0
+                while served < REQUESTS_FOR_RETRIES:
+                    served += await self._is_served(host)
+                    await asyncio.sleep(0.05)
+        await wait_for(lambda: not self.far_endpoint.begun)
         self.far_endpoint.works.clear()
 
+    async def take_up(self, request_id: str, host: SeparateHost, caller: Caller) -> Caller:
+        """Leave a stream, and take it up at another host after the last event that came."""
+        caller.exchange.connection.abort()
+        return await self.begin_stream(request_id, host, caller.last_event, caller.request_id)
+
     async def _is_served(self, host: SeparateHost) -> bool:
         try:
             caller = await self.begin_stream(f"probe-{time.monotonic()}", host)
