Let a host work for another one only as long as it hears from it

What callers saw: nothing, as a rule; but two engines worked on one stream, which the rule on work that goes on elsewhere forbids, and a region's engines spent up to 10 s on a stream that nobody read.

Cause: a host that forwards a stream to another region gives it up after a time without events, and goes on at another endpoint; or its caller gives the host up. The host that runs the stream learns of that by the close of the connection only, which a silent link loses, and which a stopped process or a machine without power never sends. Its kernel told it after 10 s without an acknowledgement, and not at all where a proxy or a stopped process's kernel acknowledges.

Ruled out: a shorter TCP timeout (a proxy answers for the peer, and so does the kernel of a stopped process); heartbeats between hosts (4 s and more apart from what a stream's own connection passes; two of each region get them); waiting for the close to be acknowledged before going on (does nothing for a caller that leaves a stopped host); cancels by datagram (lost with the link).

Now a forwarded request carries a lease: how long its host waits for the head, and then between two events. The other host ends the work when it has heard nothing for that long and 0.2 s. Signs of life are blank lines on the connection of the stream, which a server has to ignore before a request; they are sent as data arrives, five in a lease's time, so that without data none follows and the lease ends with the patience of the host that waits. While that host doesn't read because its caller is slow, it sends them by a timer. If it may not send the request elsewhere, the lease is the patience of its caller. Work that may run once has no lease. A host of the code before ignores the header and, not having repeated it, gets no blank lines.

--- a/cloverway/core/calls.py
+++ b/cloverway/core/calls.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from cloverway.core.patience import Lease
 from cloverway.core.stream_origins import StreamOrigin
 
 Header = tuple[bytes, bytes]
@@ -99,3 +100,5 @@
     """What began the stream that the request continues."""
     address: str = ""
     """The entry host's end of the connection that brought the request."""
+    lease: Lease | None = None
+    """How long to work for the entry host without hearing from it; None for any time."""
--- a/cloverway/serving/http/server.py
+++ b/cloverway/serving/http/server.py
@@ -30,6 +30,7 @@
 NEW_CONNECTION_GRACE_S = 0.25
 """Age below which a connection does not count as idle. A caller sends its request right after
 connecting, and a close that crosses the request would reset the connection."""
+BLANK_LINE = b"\r\n"
 KINDS_BY_STATUS = {
     400: Kind.MALFORMED,
     408: Kind.TOO_SLOW,
@@ -88,9 +89,13 @@
         head = h11.Response(status_code=status, headers=all_headers, reason=reason)
         self.connection.write(self._http.send(head) or b"")
 
+    def write(self, data: bytes) -> None:
+        """Send a part of the body, or buffer it if the caller reads slowly."""
+        self.connection.write(self._http.send(h11.Data(data=data)) or b"")
+
     async def send(self, data: bytes) -> None:
         """Send a part of the body, waiting for a caller that reads slowly."""
-        self.connection.write(self._http.send(h11.Data(data=data)) or b"")
+        self.write(data)
         await self.connection.drain()
 
     def finish(self) -> None:
@@ -200,18 +205,21 @@
 
     async def _read_head(self, connection: Connection, http: h11.Connection) -> h11.Request:
         limits = self._options.get_limits()
-        timeout_s = limits.idle_s
-        if http.trailing_data[0]:
-            timeout_s = limits.header_s
+        has_begun = bool(http.trailing_data[0])
         while True:
             event = _next_event(http)
             if isinstance(event, h11.Request):
                 return event
             if event is not h11.NEED_DATA:
                 raise CallerDisconnectedError()
+            timeout_s = limits.header_s if has_begun else limits.idle_s
             data = await self._receive_head(connection, timeout_s)
-            http.receive_data(data)
-            timeout_s = limits.header_s
+            if not has_begun:
+                # Other hosts send blank lines while they wait; one may cross the end of an answer.
+                data = data.lstrip(BLANK_LINE)
+            if data:
+                has_begun = True
+                http.receive_data(data)
 
     async def _receive_head(self, connection: Connection, timeout_s: float) -> bytes:
         self._idle[connection] = read_clock()
--- a/cloverway/serving/http/transport.py
+++ b/cloverway/serving/http/transport.py
@@ -43,6 +43,8 @@
         self._wakeup: asyncio.Future[None] | None = None
         self._writable: asyncio.Future[None] | None = None
         self._reading_paused = False
+        self.take_input: Callable[[bytes], bytes] | None = None
+        """Takes what is not for the reader from received bytes, and returns the rest."""
         self.lost: asyncio.Future[None] = loop.create_future()
         """Done when the peer has closed the connection, or it broke."""
         self.opened_at = read_clock()
@@ -59,6 +61,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer bytes until they are read."""
+        if self.take_input is not None:
+            data = self.take_input(data)
+            if not data:
+                return
         self._received += data
         if len(self._received) > READ_AHEAD_BYTES and not self._reading_paused:
             self._reading_paused = True
@@ -129,6 +135,11 @@
         if data and not self.transport.is_closing():
             self.transport.write(data)
 
+    @property
+    def is_congested(self) -> bool:
+        """Whether writers have to wait, since the other end reads slowly."""
+        return self._writable is not None
+
     async def drain(self) -> None:
         """Wait until most of the written bytes have left the buffer."""
         if self._writable is not None:
--- a/cloverway/serving/requests/attempt.py
+++ b/cloverway/serving/requests/attempt.py
@@ -13,6 +13,7 @@
 from cloverway.core.calls import ForwardingContext
 from cloverway.core.deployment import CallKind
 from cloverway.core.endpoint import Endpoint
+from cloverway.core.patience import Lease
 from cloverway.core.prediction import RoutedCall
 from cloverway.errors import Kind
 from cloverway.serving.clock import read_clock
@@ -27,6 +28,7 @@
 )
 from cloverway.serving.ports import ReplyFacts, SendOptions
 from cloverway.serving.requests.answer_end import check_end
+from cloverway.serving.requests.leases import LEASE_HEADER, LeaseRenewal, encode_lease
 from cloverway.serving.requests.placement import MIN_SEND_TIME_S
 from cloverway.serving.requests.stream_origin import ORIGIN_HEADER, encode_origin
 from cloverway.serving.requests.target_selector import Target
@@ -109,6 +111,8 @@
     body: bytes | None
     """The complete body; None for a stream."""
     reached_endpoint: bool = True
+    renewal: LeaseRenewal | None = None
+    """For a stream from another host that stops when it no longer hears from this one."""
 
 
 # The names of these classes are written to logs and metrics, in lower case.
@@ -123,6 +127,8 @@
     last_event_id: str
     first_byte_timeout_s: float | None
     """Time allowed until the head of the response arrives; None for no limit."""
+    lease: Lease | None = None
+    """How long another host may work for this one without hearing from it; None for any time."""
 
 
 class Attempt:
@@ -257,6 +263,8 @@
             headers.append((FORWARDING_HEADER, self._encode_forwarding()))
             if self._routed.origin is not None:
                 headers.append((ORIGIN_HEADER, encode_origin(self._routed.origin)))
+            if self._options.lease is not None:
+                headers.append(encode_lease(self._options.lease))
         return make_request(call.method, call.target, headers, call.body)
 
     def _encode_forwarding(self) -> bytes:
@@ -287,13 +295,22 @@
         if not facts.is_signed:
             return Broken(f"an answer {head.status} without a signature")
         if route.kind is CallKind.STREAM and head.status < 300:
-            return Answered(client_exchange, head, None)
+            renewal = self._make_renewal(client_exchange, head)
+            return Answered(client_exchange, head, None, renewal=renewal)
         body = await client_exchange.read_body(MAX_BODY_BYTES)
         await check_end(self._context, target, head)
         if target.candidate is not None and head.status < MIN_FAILURE_STATUS:
             target.candidate.endpoint.load.record_service_time(read_clock() - sent_at)
         return Answered(client_exchange, head, body)
 
+    def _make_renewal(
+        self, client_exchange: ClientExchange, head: ResponseHead
+    ) -> LeaseRenewal | None:
+        lease = self._options.lease
+        if lease is None or self._target.peer is None or head.get(LEASE_HEADER) is None:
+            return None
+        return LeaseRenewal(client_exchange.connection, lease)
+
     def _is_answer(self, head: ResponseHead, client_exchange: ClientExchange) -> bool:
         """Return whether a response answers this request; raise ResponseError if nothing tells.
 
--- a/cloverway/serving/requests/execution.py
+++ b/cloverway/serving/requests/execution.py
@@ -13,6 +13,7 @@
 
 from cloverway.core.calls import Call
 from cloverway.core.deployment import Route, Service
+from cloverway.core.patience import choose_lease, compute_first_byte_timeout
 from cloverway.core.prediction import RoutedCall
 from cloverway.core.stream_origins import StreamBinding, StreamOrigin
 from cloverway.errors import Kind, Ran, RequestError, combine_ran
@@ -44,11 +45,6 @@
 from cloverway.serving.requests.streaming import EventRelay
 from cloverway.serving.requests.target_selector import Target
 
-FIRST_BYTE_TIMEOUT_OBJECTIVES = 2.5
-"""Timeout for the head of a response, as a multiple of the route's objective, after which a request
-that may be repeated is retried on another endpoint. A dead connection or a hanging endpoint gives
-no other sign. Requests queue at the hosts and not at endpoints, so a healthy endpoint answers well
-within this time."""
 ORIGIN_MARGIN_S = 5.0
 """How much longer than its caller waits it is remembered where a stream began."""
 PEER_RETRY_DELAY_S = 1.0
@@ -194,10 +190,10 @@
             self.context.metrics.record_attempt(self.service.name, label)
 
     def _make_options(self) -> AttemptOptions:
-        first_byte_timeout_s = None
-        if self._may_repeat(self.runs + 1):
-            first_byte_timeout_s = FIRST_BYTE_TIMEOUT_OBJECTIVES * self.route.objective_s
-        return AttemptOptions(self.expires_at, self.relay.last_id, first_byte_timeout_s)
+        may_repeat = self._may_repeat(self.runs + 1)
+        first_byte_timeout_s = compute_first_byte_timeout(self.route) if may_repeat else None
+        lease = choose_lease(self.route, may_repeat)
+        return AttemptOptions(self.expires_at, self.relay.last_id, first_byte_timeout_s, lease)
 
     def _record_written(self, client_exchange: ClientExchange) -> None:
         """Record that the request is sent, and may run from now on.
--- a/cloverway/serving/requests/forwarding.py
+++ b/cloverway/serving/requests/forwarding.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from contextlib import AbstractContextManager, nullcontext
+
 from cloverway.core.calls import Call, ForwardingContext
 from cloverway.core.deployment import Route
 from cloverway.errors import Kind, RequestError
@@ -17,6 +19,12 @@
     decode_forwarding,
 )
 from cloverway.serving.requests.execution import RequestExecution
+from cloverway.serving.requests.leases import (
+    LEASE_HEADER,
+    HeldLease,
+    decode_lease,
+    record_expired,
+)
 from cloverway.serving.requests.stream_origin import ORIGIN_HEADER, decode_origin, find_origin
 from cloverway.serving.telemetry import format_digest, log_event
 
@@ -29,7 +37,8 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Run a caller's request."""
-        exchange.headers = [item for item in exchange.headers if item[0] != ORIGIN_HEADER]
+        own = (ORIGIN_HEADER, LEASE_HEADER)
+        exchange.headers = [item for item in exchange.headers if item[0] not in own]
         await self._run(exchange, None)
 
     async def handle_forwarded(self, exchange: Exchange) -> None:
@@ -42,24 +51,42 @@
             )
             await self._refuse(exchange, None, error)
             return
+        fields = dict(exchange.headers)
+        try:
+            lease = decode_lease(fields.get(LEASE_HEADER))
+        except RequestError as error:
+            await self._refuse(exchange, None, error)
+            return
         origin = origin._replace(
-            origin=decode_origin(dict(exchange.headers).get(ORIGIN_HEADER)),
+            origin=decode_origin(fields.get(ORIGIN_HEADER)),
             address=exchange.connection.peer_address,
+            lease=lease,
         )
-        own = (FORWARDING_HEADER, ORIGIN_HEADER)
+        own = (FORWARDING_HEADER, ORIGIN_HEADER, LEASE_HEADER)
         exchange.headers = [item for item in exchange.headers if item[0] not in own]
         await self._run(exchange, origin)
 
+    def _hold_lease(self, exchange: Exchange, call: Call) -> AbstractContextManager[None]:
+        if call.forwarding is None or call.forwarding.lease is None:
+            return nullcontext()
+        metrics, request_id, address = self._context.metrics, call.id, call.forwarding.address
+
+        def record(unheard_s: float) -> None:
+            record_expired(metrics, request_id, address, unheard_s)
+
+        return HeldLease(exchange, call.forwarding.lease, record).hold()
+
     async def _run(self, exchange: Exchange, origin: ForwardingContext | None) -> None:
         call: Call | None = None
         execution: RequestExecution | None = None
         try:
             call = self._context.dialect.decode_call(exchange)._replace(forwarding=origin)
-            await self._context.wait_for_start()
-            route = self._find_route(call)
-            stream_origin = await find_origin(self._context, call, route)
-            execution = RequestExecution(self._context, exchange, call, route, stream_origin)
-            await execution.run()
+            with self._hold_lease(exchange, call):
+                await self._context.wait_for_start()
+                route = self._find_route(call)
+                stream_origin = await find_origin(self._context, call, route)
+                execution = RequestExecution(self._context, exchange, call, route, stream_origin)
+                await execution.run()
         except RequestError as error:
             await self._refuse(exchange, call, error, execution)
 
--- a/cloverway/serving/requests/streaming.py
+++ b/cloverway/serving/requests/streaming.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from cloverway.core.calls import Header
+from cloverway.core.patience import compute_gap_timeout
 from cloverway.core.prediction import DEFAULT_GAP_OBJECTIVE_S, RoutedCall
 from cloverway.core.token_gaps import TokenGap
 from cloverway.serving.clock import read_clock
@@ -13,16 +14,10 @@
 from cloverway.serving.http.hop_by_hop import list_end_to_end_headers
 from cloverway.serving.http.server import Exchange
 from cloverway.serving.requests.attempt import Answered, limit_idle_time
+from cloverway.serving.requests.leases import LEASE_HEADER, LeaseRenewal, encode_lease
 from cloverway.serving.requests.stream_origin import ORIGIN_HEADER, encode_origin
 from cloverway.serving.requests.target_selector import Target
 
-GAP_TIMEOUT_OBJECTIVES = 4.0
-"""Timeout between two events, as a multiple of the objective for inter-token gaps, after which a
-stream that may be resumed continues on another endpoint. It is above the longest gap of a loaded
-engine."""
-MIN_GAP_TIMEOUT_S = 2.0
-"""Minimum of that timeout: callers abandon a stream after two seconds at the earliest."""
-
 EVENT_STREAM = b"text/event-stream"
 
 
@@ -80,19 +75,22 @@
         another endpoint, so that a stall of this one raises IdleTimeoutError.
         """
         self.framing, self.unfinished_bytes = answered.head.framing, 0
-        gap_s = max(MIN_GAP_TIMEOUT_S, GAP_TIMEOUT_OBJECTIVES * self._routed.route.gap_objective_s)
-        timeout_s = gap_s if is_resumable else None
+        timeout_s = compute_gap_timeout(self._routed.route) if is_resumable else None
+        renewal = answered.renewal
         waiting_since: float | None = None
         while chunk := await self._read(answered.client_exchange, timeout_s):
+            now = read_clock()
+            if renewal is not None:
+                renewal.record_data(now)
             events = self._events.split(chunk)
             if not events:
                 continue
-            now = read_clock()
             if self.timing.first_at is None:
                 self._on_first_event(target, answered)
             self._record_events(target, len(events), waiting_since, now)
             self._start(answered.head)
-            await self._exchange.send(b"".join(events))
+            self._exchange.write(b"".join(events))
+            await self._drain(renewal)
             waiting_since = read_clock()
         self._check_events(answered.head)
 
@@ -116,17 +114,28 @@
         async with limit_idle_time(timeout_s):
             return await client_exchange.read_chunk()
 
+    async def _drain(self, renewal: LeaseRenewal | None) -> None:
+        """Wait for a caller that reads slowly."""
+        connection = self._exchange.connection
+        if renewal is None or not connection.is_congested:
+            await connection.drain()
+            return
+        with renewal.keep_up():
+            await connection.drain()
+
     def _start(self, head: ResponseHead) -> None:
         if not self._exchange.started:
             self._exchange.start(head.status, self._list_headers(head))
 
     def _list_headers(self, head: ResponseHead) -> list[Header]:
-        """Return the headers of the answer; a host that passed it on is told its origin."""
-        headers = [
-            item for item in list_end_to_end_headers(head.headers) if item[0] != ORIGIN_HEADER
-        ]
-        if self._routed.call.forwarding is not None and self._routed.origin is not None:
+        """Return the headers of the answer; a host that forwarded it is told origin and lease."""
+        own = (ORIGIN_HEADER, LEASE_HEADER)
+        headers = [item for item in list_end_to_end_headers(head.headers) if item[0] not in own]
+        forwarding = self._routed.call.forwarding
+        if forwarding is not None and self._routed.origin is not None:
             headers.append((ORIGIN_HEADER, encode_origin(self._routed.origin)))
+        if forwarding is not None and forwarding.lease is not None:
+            headers.append(encode_lease(forwarding.lease))
         return headers
 
     def _record_events(
--- a/cloverway/tests/test_fleet_suspended.py
+++ b/cloverway/tests/test_fleet_suspended.py
@@ -9,9 +9,9 @@
 import asyncio
 import time
 
+from cloverway.core.patience import FIRST_BYTE_TIMEOUT_OBJECTIVES
 from cloverway.serving.http.server import CallerLimits
 from cloverway.serving.requests.attempt import CONNECT_TIMEOUT_S
-from cloverway.serving.requests.execution import FIRST_BYTE_TIMEOUT_OBJECTIVES
 from cloverway.tests.fleet.deployment import count_runs, run_fleet, run_scenario
 
 OBJECTIVE_S = 0.5
