Give up bytes without end in answers to other requests, and in tiny chunks

What callers saw: a request to an endpoint that goes on sending bytes which are no answer had no result until the route's timeout, 3 s in the test, and its host read 29 to 36 MB for it here (430 to 550 MB on an idle machine); requests beside it waited while a full buffer of tiny chunks was parsed.

Cause: an answer to another request is skipped, and only expected bodies had a limit. A chunk of a byte counted as a byte, but takes as long to parse as any other; an event that arrives in tiny pieces was searched anew with each; and a parser that finds all it needs in the buffer never lets the event loop go on. The class: a limit on bytes where the cost is by pieces, or where another path reads the same bytes.

Ruled out as unbounded, by the same tests, all given up before the change: heads, header lines, blank lines, chunk sizes, extensions, trailers, refusals, unframed bodies and events, bytes after an answer; other answers and interim ones without bodies, too, which now have a limit of their own.

Now a skipped body has the limit of an expected one, 16 answers may come before the expected one, a chunk counts as 64 bytes at least, an event may come in 4,096 pieces, and other requests get a turn after 512 parsed parts. An answer in chunks of under 64 bytes each may now be 65,536 chunks long; engines send plain answers in far fewer.

--- a/cloverway/serving/http/client.py
+++ b/cloverway/serving/http/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import re
 from collections import defaultdict
@@ -26,6 +27,15 @@
 MAX_HEAD_BYTES = 64 * 1024
 MAX_REQUEST_IDS = 256
 """A connection that has carried so many requests is not kept, since it holds their ids: 25 KB."""
+MAX_EARLIER_RESPONSES = 16
+"""Responses, interim ones too, that may come before the one to a request. Endpoints send an earlier
+one again once."""
+MAX_SKIPPED_BYTES = 4 * 1024 * 1024
+"""Maximum length of a response to another request, as of one that is expected."""
+MIN_COUNTED_BYTES = 64
+"""What a chunk counts at least in the length of a body: one of a byte takes as long to parse."""
+EVENTS_PER_TURN = 512
+"""Parsed parts of a response after which other requests get a turn, though more has arrived."""
 BODILESS_STATUSES = frozenset((204, 304))
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
@@ -104,6 +114,7 @@
         """Whether the connection must not carry another request."""
         self.skipped_responses = 0
         """Responses to other requests that were read before the one to this request."""
+        self._events = 0
 
     def write(self) -> None:
         """Send the request."""
@@ -119,7 +130,7 @@
         An endpoint may send a response twice, at the time when the next one is due on the
         connection. Without this check a caller would get the response to another caller's request.
         """
-        while True:
+        for _ in range(MAX_EARLIER_RESPONSES + 1):
             event = await self._read_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -130,6 +141,7 @@
                 self.head = head
                 return head
             await self._skip_response()
+        raise ResponseError("too many other responses came before the one to the request")
 
     async def read_chunk(self) -> bytes:
         """Return the next chunk of the body, empty at its end; raise ResponseError."""
@@ -147,7 +159,7 @@
         size = 0
         while chunk := await self.read_chunk():
             chunks.append(chunk)
-            size += len(chunk)
+            size += max(len(chunk), MIN_COUNTED_BYTES)
             if size > limit:
                 raise ResponseTooLargeError("the response is over the size limit")
         return b"".join(chunks)
@@ -175,8 +187,7 @@
         return http
 
     async def _skip_response(self) -> None:
-        while await self.read_chunk():
-            continue
+        await self.read_body(MAX_SKIPPED_BYTES)
         rest, closed = self._http.trailing_data
         if closed or self._http.their_state is not h11.DONE:
             raise ResponseError("the connection ended after the response to another request")
@@ -188,6 +199,9 @@
             self._http.receive_data(rest)
 
     async def _read_event(self) -> object:
+        self._events += 1
+        if self._events % EVENTS_PER_TURN == 0:
+            await asyncio.sleep(0)
         try:
             while (event := self._http.next_event()) is h11.NEED_DATA:
                 self._http.receive_data(await self.connection.receive())
--- a/cloverway/serving/http/event_stream.py
+++ b/cloverway/serving/http/event_stream.py
@@ -7,6 +7,8 @@
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
 MAX_EVENT_BYTES = 256 * 1024
+MAX_EVENT_PIECES = 4096
+"""Pieces in which one event may arrive: each is searched together with those before it."""
 
 
 class EventSplitter:
@@ -18,6 +20,8 @@
 
     def __init__(self, last_id: str = "") -> None:
         self._incomplete = b""
+        self._pieces = 0
+        """Pieces that have arrived since the last complete event."""
         self.last_id = last_id
         """The id of the last complete event."""
 
@@ -30,7 +34,8 @@
             events.append(data[start : match.end()])
             start = match.end()
         self._incomplete = data[start:]
-        if len(self._incomplete) > MAX_EVENT_BYTES:
+        self._pieces = 0 if events else self._pieces + 1
+        if len(self._incomplete) > MAX_EVENT_BYTES or self._pieces > MAX_EVENT_PIECES:
             raise ValueError("an event is over the size limit")
         for event in events:
             found = EVENT_ID.findall(event)
