Give up bytes without end at daemons of the own interface, too

What callers saw: a call to an endpoint that sends interim answers, or tiny chunks, without end had no result until its deadline (4 s in the test), and a worker's processor was busy for as long.

Cause: http.client reads any number of interim answers before a head; a chunk of a byte counted as a byte; and each step of the parser of chunks copied the rest of its buffer, so that tiny chunks took time by the square of a read.

Now heads with interim answers have 256 KB, a chunk counts as 64 bytes at least, in a body and in an event, and the parser keeps its place in the buffer. test_endless_answers.py, 18 ways: five failed before (both interim answers, small chunks, event in small chunks, comment lines), none after.

--- a/cloverway/upstream/connections.py
+++ b/cloverway/upstream/connections.py
@@ -21,6 +21,9 @@
 MAX_IDLE_PER_ADDRESS = 64
 """Maximum number of idle connections to one endpoint."""
 MIN_TIMEOUT_S = 0.001
+MAX_HEADS_BYTES = 256 * 1024
+"""Maximum length of the head of an answer together with the interim ones before it, of which
+http.client reads any number."""
 
 KEEPALIVE_OPTIONS: list[tuple[int, int, int | bytes]] = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -50,6 +53,8 @@
     """Whether a byte of the current request may have been sent."""
     response_started = False
     """Whether a byte of the current answer was received."""
+    max_bytes = float("inf")
+    """How many more bytes may be received into a buffer."""
     nonblocking = False
     """Whether reads return what is available without waiting."""
 
@@ -76,6 +81,9 @@
         """Receive within the deadline and the read timeout; raise TimeoutError."""
         self.settimeout(self._compute_timeout(self.read_timeout_s))
         count = super().recv_into(*args)
+        self.max_bytes -= count
+        if self.max_bytes < 0:
+            raise ConnectionAbortedError("the head of the answer is too long")
         self.response_started = self.response_started or count > 0
         return count
 
@@ -139,6 +147,7 @@
         response object is closed without closing the socket.
         """
         timed_socket = self.timed_socket
+        timed_socket.max_bytes = MAX_HEADS_BYTES
         response = http.client.HTTPConnection.getresponse(self)
         buffered = _take_buffered(timed_socket, response)
         self.sock = TimedSocket.take_over(timed_socket)
--- a/cloverway/upstream/endpoints.py
+++ b/cloverway/upstream/endpoints.py
@@ -34,7 +34,12 @@
     TimedSocket,
 )
 from cloverway.upstream.copiers import Copier, EndpointStream, RelayCopier
-from cloverway.upstream.framing import BodyParser, EventStream, make_malformed_error
+from cloverway.upstream.framing import (
+    MIN_COUNTED_BYTES,
+    BodyParser,
+    EventStream,
+    make_malformed_error,
+)
 from cloverway.upstream.heads import (
     filter_headers,
     make_body_parser,
@@ -289,7 +294,7 @@
             piece = body.feed(data)
             pieces.append(piece)
             size += len(piece)
-            if size > self._limits.answer_bytes:
+            if max(size, MIN_COUNTED_BYTES * body.chunks) > self._limits.answer_bytes:
                 raise RequestError(
                     Kind.ENDPOINT_FAILED, "the endpoint's answer exceeds the size limit"
                 )
--- a/cloverway/upstream/framing.py
+++ b/cloverway/upstream/framing.py
@@ -16,6 +16,8 @@
 MAX_TRAILER_BYTES = 16 * 1024
 MAX_EVENT_BYTES = 1024 * 1024
 """Maximum length of a server-sent event, in bytes; a longer one is malformed."""
+MIN_COUNTED_BYTES = 64
+"""What a chunk counts at least in a length: one of a byte takes as long to parse."""
 DONE = b"[DONE]"
 
 CRLF = b"\r\n"
@@ -37,6 +39,8 @@
     """Whether the end of the body was parsed."""
     excess: bytes
     """Bytes received after the end of the body; they belong to no answer."""
+    chunks: int
+    """Chunks that have begun."""
 
     def feed(self, data: bytes) -> bytes:
         """Parse received bytes and return the body bytes that they contain; raise RequestError."""
@@ -50,6 +54,7 @@
         self._remaining_bytes = length
         self.ended = length == 0
         self.excess = b""
+        self.chunks = 0
 
     def feed(self, data: bytes) -> bytes:
         """Parse received bytes and return the body bytes that they contain."""
@@ -66,7 +71,10 @@
     def __init__(self) -> None:
         self.ended = False
         self.excess = b""
+        self.chunks = 0
         self._buffer = b""
+        self._at = 0
+        """Up to where the buffer is parsed."""
         self._remaining_bytes = 0
         """Remaining bytes of the current chunk, including its final CRLF; 0 between chunks."""
         self._trailer_bytes = -1
@@ -77,6 +85,7 @@
         if not self._buffer and not self._remaining_bytes:
             payload = self._take_single_chunk(data)
             if payload is not None:
+                self.chunks += 1
                 return payload
         self._buffer += data
         pieces = []
@@ -85,6 +94,7 @@
             if piece is None:
                 break
             pieces.append(piece)
+        self._buffer, self._at = self._buffer[self._at :], 0
         if self.ended:
             self.excess += self._buffer
             self._buffer = b""
@@ -112,15 +122,14 @@
         return self._read_size()
 
     def _read_size(self) -> bytes | None:
-        end = self._buffer.find(CRLF)
-        if end < 0:
-            self._check_line(len(self._buffer))
+        end = self._find_line_end()
+        if end is None:
             return None
-        self._check_line(end)
-        line = _SIZE_LINE.fullmatch(self._buffer[: end + 2])
+        line = _SIZE_LINE.fullmatch(self._buffer, self._at, end + 2)
         if line is None:
             raise make_malformed_error("invalid chunk size")
-        self._buffer = self._buffer[end + 2 :]
+        self._at = end + 2
+        self.chunks += 1
         size = int(line[1], 16)
         if size:
             self._remaining_bytes = size + 2
@@ -129,34 +138,39 @@
         return b""
 
     def _read_data(self) -> bytes | None:
-        if not self._buffer:
+        available = len(self._buffer) - self._at
+        if not available:
             return None
         if self._remaining_bytes > 2:
-            piece = self._buffer[: self._remaining_bytes - 2]
+            piece = self._buffer[self._at : self._at + self._remaining_bytes - 2]
             self._remaining_bytes -= len(piece)
-            self._buffer = self._buffer[len(piece) :]
+            self._at += len(piece)
             return piece
-        if len(self._buffer) < 2:
+        if available < 2:
             return None
-        if not self._buffer.startswith(CRLF):
+        if not self._buffer.startswith(CRLF, self._at):
             raise make_malformed_error("chunk data exceeds the chunk size")
         self._remaining_bytes = 0
-        self._buffer = self._buffer[2:]
+        self._at += 2
         return b""
 
     def _read_trailer(self) -> bytes | None:
-        end = self._buffer.find(CRLF)
-        if end < 0:
-            self._check_line(len(self._buffer))
+        start, end = self._at, self._find_line_end()
+        if end is None:
             return None
-        self._check_line(end)
-        self._trailer_bytes += end + 2
+        self._trailer_bytes += end + 2 - start
         if self._trailer_bytes > MAX_TRAILER_BYTES:
             raise make_malformed_error("trailer too long")
-        self._buffer = self._buffer[end + 2 :]
-        self.ended = end == 0
+        self._at = end + 2
+        self.ended = end == start
         return b""
 
+    def _find_line_end(self) -> int | None:
+        """Return where the line that begins next ends, or None if its end is not here yet."""
+        end = self._buffer.find(CRLF, self._at)
+        self._check_line((len(self._buffer) if end < 0 else end) - self._at)
+        return end if end >= 0 else None
+
     def _check_line(self, length: int) -> None:
         if length > MAX_LINE_BYTES:
             raise make_malformed_error("chunk-size or trailer line too long")
@@ -174,6 +188,8 @@
         self.tokens = 0
         """Number of data events parsed, without `[DONE]`."""
         self._pending = b""
+        self._chunks_before = 0
+        """Chunks of the body up to the last complete event."""
         self._done_event = b""
         self._end_forwarded = False
 
@@ -187,6 +203,7 @@
         payload = self.body.feed(data)
         if self._is_single_event(payload):
             self.tokens += 1
+            self._chunks_before = self.body.chunks
             return payload
         was_forwarded = self._end_forwarded
         events = self._split(payload) if payload else b""
@@ -227,7 +244,10 @@
                 self.tokens += 1
             end = end_match.end()
         self._pending = payload[end:]
-        if len(self._pending) > MAX_EVENT_BYTES:
+        if end:
+            self._chunks_before = self.body.chunks
+        counted = MIN_COUNTED_BYTES * (self.body.chunks - self._chunks_before)
+        if max(len(self._pending), counted) > MAX_EVENT_BYTES:
             raise make_malformed_error("server-sent event too long")
         return payload[:end]
 
