--- a/cloverway/serving/http/server.py
+++ b/cloverway/serving/http/server.py
@@ -31,6 +31,8 @@
 """Age below which a connection does not count as idle. A caller sends its request right after
 connecting, and a close that crosses the request would reset the connection."""
 BLANK_LINE = b"\r\n"
+MAX_BLANK_BYTES = 256
+"""Bytes of blank lines before the head of a request."""
 KINDS_BY_STATUS = {
     400: Kind.MALFORMED,
     408: Kind.TOO_SLOW,
@@ -206,6 +208,7 @@
     async def _read_head(self, connection: Connection, http: h11.Connection) -> h11.Request:
         limits = self._options.get_limits()
         has_begun = bool(http.trailing_data[0])
+        blank_bytes = 0
         while True:
             event = _next_event(http)
             if isinstance(event, h11.Request):
@@ -216,7 +219,11 @@
             data = await self._receive_head(connection, timeout_s)
             if not has_begun:
                 # Other hosts send blank lines while they wait; one may cross the end of an answer.
+                received_bytes = len(data)
                 data = data.lstrip(BLANK_LINE)
+                blank_bytes += received_bytes - len(data)
+                if blank_bytes > MAX_BLANK_BYTES:
+                    raise BadRequestError(400, "too many blank lines before a request")
             if data:
                 has_begun = True
                 http.receive_data(data)
--- a/cloverway/tests/fleet/deployment.py
+++ b/cloverway/tests/fleet/deployment.py
@@ -126,7 +126,9 @@
         body: bytes = b"x",
         deadline_ms: int = 3000,
         headers: tuple[Header, ...] = (),
+        to: str = "",
     ) -> ClientExchange:
+        """Send a request to a host, or to the address `to`."""
         self._calls += 1
         entry = host or self.hosts[0]
         fields = [
@@ -136,7 +138,7 @@
             *headers,
         ]
         request = make_request(method, path, fields, body)
-        connection = await self.pool.open_new(entry.settings.listen.callers, 1.0)
+        connection = await self.pool.open_new(to or entry.settings.listen.callers, 1.0)
         exchange = ClientExchange(connection, request, body)
         exchange.write()
         return exchange
--- a/cloverway/tests/fleet/separated.py
+++ b/cloverway/tests/fleet/separated.py
@@ -9,7 +9,6 @@
 import time
 from collections.abc import AsyncIterator
 from pathlib import Path
-from typing import NamedTuple
 
 from cloverway.serving.http.client import (
     ClientExchange,
@@ -28,6 +27,7 @@
     make_route,
     make_service,
 )
+from cloverway.tests.fleet.works import Work
 from cloverway.tests.standins.links import Link
 from cloverway.tests.standins.processes import Ports, Process
 
@@ -41,14 +41,6 @@
 EVENT_ID = re.compile(rb"id: (\d+)\n")
 
 
-class Work(NamedTuple):
-    """A run of a request at an endpoint, and until when the endpoint worked on it."""
-
-    request_id: str
-    began_at: float
-    ended_at: float
-
-
 class WorkingEndpoint(Endpoint):
     """An engine that writes an event now and then, and drops a run when its connection closes."""
 
--- a/cloverway/tests/test_fleet_forwarded_streams.py
+++ b/cloverway/tests/test_fleet_forwarded_streams.py
@@ -19,10 +19,9 @@
     find_overlap_s,
     run_separated_fleet,
 )
+from cloverway.tests.fleet.works import MAX_OVERLAP_S
 from cloverway.tests.standins.links import TO_CALLER, TO_TARGET
 
-MAX_OVERLAP_S = 0.4
-"""How long an endpoint may work on after another one has gone on with its stream."""
 CALLER_PATIENCE_S = 4.8
 """Time without an event after which a caller takes its stream up elsewhere."""
 GIVE_UP_S = 5.0
