--- a/cloverway/tests/fleet/separated.py
+++ b/cloverway/tests/fleet/separated.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import contextlib
-import json
 import re
 import time
 from collections.abc import AsyncIterator
 from pathlib import Path
 
+from cloverway.core.retry_budget import RetryBudgetSettings
 from cloverway.serving.http.client import (
     ClientExchange,
     ConnectionPool,
@@ -17,9 +17,9 @@
     make_request,
 )
 from cloverway.serving.http.server import Exchange
-from cloverway.tests.fleet.deployment import REGIONS, wait_for
+from cloverway.tests.fleet.deployment import wait_for
 from cloverway.tests.fleet.endings import get_first_event
-from cloverway.tests.fleet.linked_host import VARIABLE
+from cloverway.tests.fleet.soak_parts import Host
 from cloverway.tests.fleet.standins import (
     Endpoint,
     Store,
@@ -29,13 +29,14 @@
 )
 from cloverway.tests.fleet.works import Work
 from cloverway.tests.standins.links import Link
-from cloverway.tests.standins.processes import Ports, Process
+from cloverway.tests.standins.processes import Ports
 
 EVENTS = 45
 EVENT_INTERVAL_S = 0.2
 TIMEOUT_MS = 15_000
 OBJECTIVE_MS = 1_000
 GAP_OBJECTIVE_MS = 600
+RETRIES = RetryBudgetSettings(ratio=1.0, slack=12.0, window_s=60.0)
 REQUESTS_FOR_RETRIES = 6
 """Requests by which a host has earned a retry."""
 EVENT_ID = re.compile(rb"id: (\d+)\n")
@@ -83,52 +84,6 @@
             exchange.finish()
 
 
-class SeparateHost:
-    """The process of a host."""
-
-    def __init__(self, name: str, domain: str, ports: Ports, store: Store, folder: Path) -> None:
-        self.name = name
-        self.domain = domain
-        numbers = [ports.take() for _ in range(6)]
-        self.callers, self.readiness, self.lookup, self.control, self.forwarding, _ = (
-            f"127.0.0.1:{number}" for number in numbers
-        )
-        self.path = folder / f"{name}.toml"
-        self.variables = {"CLOVERWAY_BOOT": str(self.path), VARIABLE: "{}"}
-        self.process = Process(
-            name, "cloverway.tests.fleet.linked_host", [], folder, self.variables
-        )
-        self._numbers = numbers
-        self._store = store
-
-    def start(self, seeds: list[str], links: dict[str, str]) -> None:
-        """Start the process; `links` lead to where other hosts accept requests of hosts."""
-        self.variables[VARIABLE] = json.dumps(links)
-        regions = "\n".join(f'"{name}" = "{region}"' for name, region in REGIONS.items())
-        self.path.write_text(f"""
-host = "{self.name}"
-domain = "{self.domain}"
-region = "{REGIONS[self.domain]}"
-[regions]
-{regions}
-[listen]
-callers = "{self.callers}"
-readiness = "{self.readiness}"
-lookup = "{self.lookup}"
-control = "{self.control}"
-inner_ports = [{self._numbers[4]}, {self._numbers[4]}]
-metrics_port = {self._numbers[5]}
-[peers]
-seeds = {seeds}
-[store]
-address = "{self._store.address}"
-[retries]
-ratio = 1.0
-window_s = 60.0
-""")
-        self.process.start()
-
-
 class Caller:
     """A stream that a caller reads."""
 
@@ -154,15 +109,23 @@
     def __init__(self, folder: Path) -> None:
         self.store = Store()
         self.ports = Ports()
-        self.entry = SeparateHost("entry", "d1", self.ports, self.store, folder)
-        self.other = SeparateHost("other", "d1", self.ports, self.store, folder)
-        self.far = SeparateHost("far", "d2", self.ports, self.store, folder)
+        self.entry, self.other, self.far = (
+            Host(
+                name,
+                domain,
+                [self.ports.take() for _ in range(6)],
+                self.store,
+                folder,
+                retries=RETRIES,
+            )
+            for name, domain in (("entry", "d1"), ("other", "d1"), ("far", "d2"))
+        )
         self.link = Link(self.far.forwarding).start()
         self.near_endpoint = WorkingEndpoint("near-0", "d1")
         self.far_endpoint = WorkingEndpoint("far-0", "d2")
 
     @property
-    def hosts(self) -> list[SeparateHost]:
+    def hosts(self) -> list[Host]:
         return [self.entry, self.other, self.far]
 
     async def add_endpoint(self, endpoint: WorkingEndpoint) -> None:
@@ -177,7 +140,7 @@
         )
 
     async def begin_stream(
-        self, request_id: str, host: SeparateHost, last_event: int = 0, resumes: str = ""
+        self, request_id: str, host: Host, last_event: int = 0, resumes: str = ""
     ) -> Caller:
         """Send a request for a stream, or take one up after an event."""
         fields = [
@@ -207,12 +170,12 @@
         await wait_for(lambda: not self.far_endpoint.begun)
         self.far_endpoint.works.clear()
 
-    async def take_up(self, request_id: str, host: SeparateHost, caller: Caller) -> Caller:
+    async def take_up(self, request_id: str, host: Host, caller: Caller) -> Caller:
         """Leave a stream, and take it up at another host after the last event that came."""
         caller.exchange.connection.abort()
         return await self.begin_stream(request_id, host, caller.last_event, caller.request_id)
 
-    async def _is_served(self, host: SeparateHost) -> bool:
+    async def _is_served(self, host: Host) -> bool:
         try:
             caller = await self.begin_stream(f"probe-{time.monotonic()}", host)
         except (AssertionError, ResponseError, OSError):
@@ -221,7 +184,7 @@
         return True
 
 
-def _is_ready(host: SeparateHost) -> bool:
+def _is_ready(host: Host) -> bool:
     return host.process.log.exists() and '"ready"' in host.process.log.read_text()
 
 
@@ -244,13 +207,16 @@
     links = {fleet.far.forwarding: fleet.link.address}
     try:
         for host in fleet.hosts:
-            host.start(seeds, links)
+            host.lead_through(links)
+            host.write_settings(seeds)
+            host.process.start()
         await fleet.wait_until_passed_on()
         yield fleet
     finally:
         for host in fleet.hosts:
             if host.process.running:
                 host.process.kill()
+            host.store.stop()
         fleet.link.stop()
         fleet.ports.close()
 
--- a/cloverway/tests/fleet/soak_forwarding.py
+++ b/cloverway/tests/fleet/soak_forwarding.py
@@ -11,7 +11,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import signal
 import sys
 import tempfile
@@ -30,14 +29,12 @@
 from cloverway.serving.http.server import Exchange
 from cloverway.tests.fleet.endings import get_first_event
 from cloverway.tests.fleet.invariants import check_response
-from cloverway.tests.fleet.linked_host import VARIABLE
 from cloverway.tests.fleet.separated import EVENT_ID
 from cloverway.tests.fleet.soak_fleet import SoakFleet
 from cloverway.tests.fleet.soak_parts import CountingEndpoint, Fault, Host
 from cloverway.tests.fleet.standins import make_configuration, make_route, make_service
 from cloverway.tests.fleet.works import Work, find_overlaps
 from cloverway.tests.standins.links import TO_CALLER, TO_TARGET, Link
-from cloverway.tests.standins.processes import Process
 
 HOSTS = {"d1": 3, "d2": 2}
 SOUTH = "d2"
@@ -153,15 +150,13 @@
                 ports = [self._ports.take() for _ in range(6)]
                 name = f"host-{len(self.hosts)}"
                 self.hosts.append(Host(name, domain, ports, self.store, self.folder))
-        forwarding = [f"127.0.0.1:{host.ports[4]}" for host in self.hosts]
-        self.peer_links = [Link(address).start() for address in forwarding]
-        linked = {
-            address: link.address for address, link in zip(forwarding, self.peer_links, strict=True)
+        self.peer_links = [Link(host.forwarding).start() for host in self.hosts]
+        links = {
+            host.forwarding: link.address
+            for host, link in zip(self.hosts, self.peer_links, strict=True)
         }
         for host in self.hosts:
-            variables = {"CLOVERWAY_BOOT": str(host.path), VARIABLE: json.dumps(linked)}
-            module = "cloverway.tests.fleet.linked_host"
-            host.process = Process(host.name, module, [], self.folder, variables)
+            host.lead_through(links)
             host.write_settings([other.control for other in self.hosts[1:4]])
             host.process.start()
 
--- a/cloverway/tests/fleet/soak_parts.py
+++ b/cloverway/tests/fleet/soak_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import re
 import time
 from collections.abc import Callable
@@ -21,6 +22,7 @@
     make_request,
 )
 from cloverway.serving.http.server import Exchange
+from cloverway.tests.fleet import linked_host
 from cloverway.tests.fleet.copies import LateCopies
 from cloverway.tests.fleet.deployment import Reply, read_reply
 from cloverway.tests.fleet.endings import (
@@ -30,6 +32,7 @@
     get_first_event,
     read_parts,
 )
+from cloverway.tests.fleet.linked_host import VARIABLE
 from cloverway.tests.fleet.standins import Endpoint, Store
 from cloverway.tests.standins.links import Link
 from cloverway.tests.standins.processes import Process
@@ -209,20 +212,40 @@
 class Host:
     """The process of a host, with its own link to the store."""
 
-    def __init__(self, name: str, domain: str, ports: list[int], store: Store, folder: Path):
+    def __init__(
+        self,
+        name: str,
+        domain: str,
+        ports: list[int],
+        store: Store,
+        folder: Path,
+        *,
+        retries: RetryBudgetSettings = RETRIES,
+    ):
         self.name = name
         self.domain = domain
         self.store = Link(store.address).start()
         self.callers = f"127.0.0.1:{ports[0]}"
         self.lookup = f"127.0.0.1:{ports[2]}"
         self.control = f"127.0.0.1:{ports[3]}"
+        self.forwarding = f"127.0.0.1:{ports[4]}"
+        """Where it accepts requests of other hosts."""
         self.ports = ports
+        self.retries = retries
         self.path = folder / f"{name}.toml"
-        variables = {"CLOVERWAY_BOOT": str(self.path)}
-        self.process = Process(name, "cloverway.platform", [], folder, variables)
+        self._folder = folder
+        self.process = self._make_process("cloverway.platform")
         self.is_busy = False
         """Whether a fault of its process is in progress."""
 
+    def lead_through(self, links: dict[str, str]) -> None:
+        """Let it reach other hosts through links, by the address where they accept requests."""
+        self.process = self._make_process(linked_host.__name__, {VARIABLE: json.dumps(links)})
+
+    def _make_process(self, module: str, variables: dict[str, str] | None = None) -> Process:
+        boot = {"CLOVERWAY_BOOT": str(self.path)}
+        return Process(self.name, module, [], self._folder, boot | (variables or {}))
+
     def write_settings(self, seeds: list[str]) -> None:
         regions = "\n".join(f'"{name}" = "{region}"' for name, region in DOMAINS.items())
         self.path.write_text(f"""
@@ -244,9 +267,9 @@
 [store]
 address = "{self.store.address}"
 [retries]
-ratio = {RETRIES.ratio}
-slack = {RETRIES.slack}
-window_s = {RETRIES.window_s}
+ratio = {self.retries.ratio}
+slack = {self.retries.slack}
+window_s = {self.retries.window_s}
 """)
 
 
