--- a/cloverway/tests/test_fleet_units.py
+++ b/cloverway/tests/test_fleet_units.py
@@ -37,17 +37,18 @@
 STREAM = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 9))
 
 
-@given(st.lists(st.integers(1, len(STREAM) - 1), max_size=8))
+@given(st.lists(st.integers(1, len(STREAM) - 1), max_size=8), st.sampled_from([b"\n", b"\r\n"]))
 @settings(max_examples=200)
-def test_events_do_not_depend_on_how_the_bytes_are_split(cuts):
+def test_events_do_not_depend_on_how_the_bytes_are_split(cuts, newline):
     splitter = EventSplitter()
-    bounds = [0, *sorted(set(cuts)), len(STREAM)]
+    stream = STREAM.replace(b"\n", newline)
+    bounds = [0, *sorted(set(cuts)), len(stream)]
     events = [
         event
         for start, end in itertools.pairwise(bounds)
-        for event in splitter.split(STREAM[start:end])
+        for event in splitter.split(stream[start:end])
     ]
-    assert b"".join(events) == STREAM
+    assert b"".join(events) == stream
     assert len(events) == 8
     assert splitter.last_id == "8"
 
