--- a/cloverway/tests/fleet/separated.py
+++ b/cloverway/tests/fleet/separated.py
@@ -158,7 +158,7 @@
         assert head.status == 200, head
         return Caller(request_id, exchange)
 
-    async def wait_until_passed_on(self) -> None:
+    async def wait_until_forwarded(self) -> None:
         """Wait until a stream begun at either host of the north runs in the south."""
         for host in (self.entry, self.other):
             await wait_for(lambda host=host: _is_ready(host), 20.0)
@@ -210,7 +210,7 @@
             host.lead_through(links)
             host.write_settings(seeds)
             host.process.start()
-        await fleet.wait_until_passed_on()
+        await fleet.wait_until_forwarded()
         yield fleet
     finally:
         for host in fleet.hosts:
