--- a/cloverway/tests/test_fleet_limits.py
+++ b/cloverway/tests/test_fleet_limits.py
@@ -27,6 +27,7 @@
             assert limited.count_max_in_window() <= ALLOWED
             assert {reply.status for reply in replies} == {200, 503}
             refused = [reply for reply in replies if reply.status == 503]
+            assert [reply.body for reply in refused if b"retry-after" not in reply.headers] == []
             assert all(float(reply.headers[b"retry-after"]) > 0 for reply in refused)
 
     run_scenario(scenario)
