--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -219,8 +219,11 @@
 class Replica(HttpServer):
     """A replica that registers itself and answers by a function of the case."""
 
-    def __init__(self, name: str, service: str, zone: str, record: Record, answer: Answer) -> None:
+    def __init__(
+        self, name: str, service: str, zone: str, record: Record, answer: Answer, slots: int
+    ) -> None:
         super().__init__()
+        self.slots = slots
         self.name, self.service, self.zone = name, service, zone
         self.record, self._answer = record, answer
         self.born = int(time.time() * 1000)
@@ -235,7 +238,7 @@
                 "address": self.address,
                 "zone": self.zone,
                 "version": "v1",
-                "slots": 64,
+                "slots": self.slots,
                 "state": "ready",
                 "coldRemainingMs": 0,
                 "sequence": self._sequence,
@@ -359,8 +362,10 @@
         self.machines.append(machine)
         return machine
 
-    async def add_replica(self, name: str, service: str, zone: str, answer: Answer) -> Replica:
-        replica = Replica(name, service, zone, self.record, answer)
+    async def add_replica(
+        self, name: str, service: str, zone: str, answer: Answer, slots: int = 64
+    ) -> Replica:
+        replica = Replica(name, service, zone, self.record, answer, slots)
         await replica.start()
         self._tasks.append(asyncio.create_task(replica.register(self.store)))
         return replica
